--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+VENV ?= .venv
+PY := $(VENV)/bin/python
+SEED ?= 1
+export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
+
+.PHONY: env test lint format unit bench demo soak
+
+env: $(VENV)/.locked
+
+$(VENV)/.locked: requirements.lock
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --require-hashes -r requirements.lock
+	$(VENV)/bin/pip install --quiet --no-deps --no-build-isolation -e .
+	touch $@
+
+lint: env
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/flake8 src tests stubs bench
+
+format: env
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+unit: env
+	$(PY) -m tests.known_red
+
+test: lint unit
+
+bench: env
+	$(PY) -m bench
+
+demo: env
+	$(PY) -m stubs.demo
+
+soak: env
+	$(PY) -m tests.soak --seed $(SEED)
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: ``python -m bench`` prints one JSON object a line."""
--- /dev/null
+++ b/src/parsleystile/__init__.py
@@ -0,0 +1,1 @@
+"""Overload control layer for service call graphs."""
--- /dev/null
+++ b/stubs/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for what the platform gives: table, targets, callers."""
