--- a/src/parsleystile/errors.py
+++ b/src/parsleystile/errors.py
@@ -133,6 +133,18 @@
         self.problem = problem
 
 
+class UsageError(ParsleystileError):
+    """Arguments of the command line that make no command.
+
+    Attributes:
+        help_text: Help that was asked for; empty if there is a problem.
+    """
+
+    def __init__(self, problem: str, help_text: str = '') -> None:
+        super().__init__(problem)
+        self.help_text = help_text
+
+
 class FrameError(ParsleystileError):
     """Bytes from another node that are no valid message."""
 
