--- /dev/null
+++ b/bench/observe.py
@@ -0,0 +1,104 @@
+"""What the call log, the burn counters and the log cost a call."""
+
+import dataclasses
+import time
+import tracemalloc
+import typing
+
+from parsleystile import burn
+from parsleystile import errors
+from parsleystile import explain
+
+_CALLS = 200_000
+_REPEATS = 5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """One measured figure."""
+
+    name: str
+    value: float
+    unit: str
+    baseline: float | None = None
+    ratio: float | None = None
+
+
+def _best_us(once: typing.Callable[[int], None]) -> float:
+    """Return the least time of one call in microseconds."""
+    times = []
+    for _ in range(_REPEATS):
+        start = time.perf_counter_ns()
+        for number in range(_CALLS):
+            once(number)
+        times.append(time.perf_counter_ns() - start)
+    return min(times) / _CALLS / 1000
+
+
+def _record_us(outcome: errors.Outcome, reason: errors.Reason) -> float:
+    recorder = burn.burn_recorder('n1', 'd1', 0.0)
+
+    def once(number: int) -> None:
+        now_ms = number * 0.5
+        recorder.record('homes', outcome, reason, 3.0, True, now_ms)
+
+    return _best_us(once)
+
+
+def _note_us() -> float:
+    log = explain.call_log('n1')
+
+    def once(number: int) -> None:
+        log.note('root', explain.Admitted(3, 20), number)
+
+    return _best_us(once)
+
+
+def _sampled_us() -> float:
+    return _best_us(lambda number: explain.is_sampled('0123456789abcdef'))
+
+
+def _burn_kib(organisations: int) -> float:
+    tracemalloc.start()
+    recorder = burn.burn_recorder('n1', 'd1', 0.0)
+    for number in range(organisations):
+        recorder.record(
+            f'o{number}',
+            errors.Outcome.ANSWERED,
+            errors.Reason.NONE,
+            3.0,
+            True,
+            0.0,
+        )
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return size / 1024
+
+
+def _snapshot_bytes(organisations: int) -> float:
+    recorder = burn.burn_recorder('n1', 'd1', 0.0)
+    for number in range(organisations * 3600):
+        recorder.record(
+            f'o{number % organisations}',
+            errors.Outcome.ANSWERED,
+            errors.Reason.NONE,
+            3.0,
+            True,
+            number * 1000 / organisations,
+        )
+    return float(len(burn.encode(recorder.snapshot(3_600_000.0))))
+
+
+def run() -> typing.Iterator[Result]:
+    """Yield the cost of each note that a call leaves."""
+    answered = _record_us(errors.Outcome.ANSWERED, errors.Reason.NONE)
+    yield Result('burn_record_answered', answered, 'us')
+    refused = _record_us(errors.Outcome.NOT_RUN, errors.Reason.SHED)
+    yield Result('burn_record_refused', refused, 'us')
+    yield Result('call_log_note', _note_us(), 'us')
+    yield Result('call_log_is_sampled', _sampled_us(), 'us')
+    for organisations in (8, 32, 128):
+        suffix = f'[organisations={organisations}]'
+        yield Result(f'burn_memory{suffix}', _burn_kib(organisations), 'KiB')
+        size = _snapshot_bytes(organisations)
+        yield Result(f'burn_snapshot{suffix}', size, 'bytes')
