Name the log's events apart from those of the history

Cause: two modules claimed parsleystile.events. Ruled out: one module for both; a history's events are evidence with their own encoding, those of the log are for people. After: the log's are parsleystile.logevents.

--- a/src/parsleystile/logs.py
+++ b/src/parsleystile/logs.py
@@ -2,7 +2,7 @@
 
 Each line has ``time_ms`` (since 1970-01-01 UTC), ``level``, ``node`` and
 ``event``; the rest are the fields of the event's data class in
-``parsleystile.events``. Lines of libraries have the event ``message``.
+``parsleystile.logevents``. Lines of libraries have the event ``message``.
 Events of one kind are limited in rate; ``suppressed`` on a line counts the
 events of its kind that were left out before it.
 """
@@ -16,7 +16,7 @@
 from absl import logging
 
 from parsleystile import clock as clocks
-from parsleystile import events
+from parsleystile import logevents
 
 LINES_PER_S = 20.0
 BURST_LINES = 100.0
@@ -26,9 +26,9 @@
 _RECORD_FIELD = 'parsleystile_event'
 _SUPPRESSED_FIELD = 'parsleystile_suppressed'
 _LEVELS = {
-    events.Level.INFO: logging.INFO,
-    events.Level.WARNING: logging.WARNING,
-    events.Level.ERROR: logging.ERROR,
+    logevents.Level.INFO: logging.INFO,
+    logevents.Level.WARNING: logging.WARNING,
+    logevents.Level.ERROR: logging.ERROR,
 }
 _SECRET_HEADER = re.compile(
     r'(?i)(x-api-key|x-operator-key|x-parsleystile-context|authorization)'
@@ -58,7 +58,7 @@
     return _clip(str(value))
 
 
-def kind(event: events.Event) -> str:
+def kind(event: logevents.Event) -> str:
     """Return the name of an event as written, such as ``call-refused``."""
     return _KIND_BOUNDARY.sub('-', type(event).__name__).lower()
 
@@ -118,7 +118,7 @@
         self._clock = clock
         self._budgets: dict[type, _Budget] = {}
 
-    def write(self, event: events.Event) -> bool:
+    def write(self, event: logevents.Event) -> bool:
         """Log ``event``; return whether its line was within the rate."""
         now_ms = self._clock.now_ms()
         budget = self._budgets.get(type(event))
@@ -134,7 +134,7 @@
         budget.lines -= 1
         extra = {_RECORD_FIELD: event, _SUPPRESSED_FIELD: budget.suppressed}
         budget.suppressed = 0
-        level = _LEVELS[events.level_of(event)]
+        level = _LEVELS[logevents.level_of(event)]
         logging.log(level, '%s', kind(event), extra=extra)
         return True
 
@@ -159,6 +159,6 @@
     logging.set_stderrthreshold(logging.INFO)
 
 
-def event(what: events.Event) -> None:
+def event(what: logevents.Event) -> None:
     """Log an event of this process."""
     _process_log.write(what)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -6,7 +6,7 @@
 
 from parsleystile import clock
 from parsleystile import errors
-from parsleystile import events
+from parsleystile import logevents
 from parsleystile import logs
 
 _FORBIDDEN_FIELDS = {'key', 'api_key', 'secret', 'token', 'digest'}
@@ -35,7 +35,7 @@
 
 
 def _refused(detail=''):
-    return events.CallRefused(
+    return logevents.CallRefused(
         root_id='r1',
         organisation='households',
         service='stock',
@@ -69,7 +69,7 @@
     log = logs.event_log(manual)
     written = sum(log.write(_refused()) for _ in range(1000))
     assert written == len(lines) == int(logs.BURST_LINES)
-    assert log.write(events.NodeDraining(calls_in_flight=3))
+    assert log.write(logevents.NodeDraining(calls_in_flight=3))
     manual.advance(1000 / logs.LINES_PER_S)
     assert log.write(_refused())
     assert lines[-1]['suppressed'] == 1000 - logs.BURST_LINES
@@ -110,6 +110,6 @@
 
 
 def test_no_event_can_carry_a_secret():
-    for cls in events.Event.__subclasses__():
+    for cls in logevents.Event.__subclasses__():
         names = {field.name for field in dataclasses.fields(cls)}
         assert not names & _FORBIDDEN_FIELDS, cls
