--- /dev/null
+++ b/src/parsleystile/breaker.py
@@ -0,0 +1,74 @@
+"""Circuit breaker: stops asking a service that keeps failing."""
+
+import dataclasses
+import enum
+import random
+
+FAILURES_TO_OPEN = 4
+FIRST_PAUSE_MS = 250.0
+LONGEST_PAUSE_MS = 5_000.0
+
+
+class BreakerState(enum.Enum):
+    """Whether requests pass."""
+
+    CLOSED = 'closed'
+    OPEN = 'open'
+    # One request is under way to find out whether the service is back.
+    HALF_OPEN = 'half-open'
+
+
+@dataclasses.dataclass(slots=True)
+class Breaker:
+    """Opens after failures in a row; pauses grow, with jitter.
+
+    Attributes:
+        rng: Source of the jitter.
+        state: Whether requests pass.
+        failures: Failures in a row.
+        pause_ms: Latest pause before jitter.
+        retry_at_ms: When an open breaker lets the next request pass.
+        opened_at_ms: When it left ``CLOSED``.
+    """
+
+    rng: random.Random
+    state: BreakerState = BreakerState.CLOSED
+    failures: int = 0
+    pause_ms: float = FIRST_PAUSE_MS
+    retry_at_ms: float = 0.0
+    opened_at_ms: float = 0.0
+
+    def try_pass(self, now_ms: float) -> bool:
+        """Return whether a request may be sent; it must be reported."""
+        if self.state is BreakerState.CLOSED:
+            return True
+        if self.state is BreakerState.OPEN and now_ms >= self.retry_at_ms:
+            self.state = BreakerState.HALF_OPEN
+            return True
+        return False
+
+    def on_success(self) -> None:
+        """Report that the service did what it was asked."""
+        self.state = BreakerState.CLOSED
+        self.failures = 0
+        self.pause_ms = FIRST_PAUSE_MS
+
+    def on_failure(self, now_ms: float) -> None:
+        """Report that the service was not reached or did not answer."""
+        self.failures += 1
+        if self.state is BreakerState.CLOSED:
+            if self.failures >= FAILURES_TO_OPEN:
+                self.opened_at_ms = now_ms
+                self._open(now_ms)
+        elif self.state is BreakerState.HALF_OPEN:
+            self.pause_ms = min(2 * self.pause_ms, LONGEST_PAUSE_MS)
+            self._open(now_ms)
+
+    def _open(self, now_ms: float) -> None:
+        self.state = BreakerState.OPEN
+        self.retry_at_ms = now_ms + self.pause_ms * self.rng.uniform(0.5, 1)
+
+
+def circuit_breaker(rng: random.Random) -> Breaker:
+    """Create a closed breaker."""
+    return Breaker(rng)
--- /dev/null
+++ b/src/parsleystile/tableclient.py
@@ -0,0 +1,292 @@
+"""Client of the platform's table service over HTTP."""
+
+import asyncio
+import dataclasses
+import random
+import typing
+
+import expression
+import msgspec
+import pycurl
+from tornado import curl_httpclient
+from tornado import httpclient
+
+from parsleystile import breaker
+from parsleystile import clock as clocks
+from parsleystile import errors
+from parsleystile import ids
+from parsleystile import table
+from parsleystile import tablewire
+
+DEFAULT_TIMEOUT_MS = 500.0
+REQUESTS_IN_FLIGHT = 16
+REQUESTS_QUEUED = 512
+READ_TRIES = 3
+WRITE_TRIES = 2
+FIRST_BACKOFF_MS = 20.0
+
+_HTTP_OK = 200
+_HTTP_CONFLICT = 409
+_HTTP_UNAVAILABLE = 503
+# curl gave up before a connection stood: no byte of the request left.
+_NEVER_SENT = frozenset(
+    {
+        pycurl.E_COULDNT_RESOLVE_HOST,
+        pycurl.E_COULDNT_CONNECT,
+    }
+)
+
+_T = typing.TypeVar('_T')
+_BodyResult = expression.Result[bytes, errors.TableError]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TableLimits:
+    """Bounds on what one client asks of the table.
+
+    Attributes:
+        timeout_ms: For one request, time in the queue included.
+        in_flight: Requests under way at once.
+        queued: Requests that wait for a slot; more are refused.
+    """
+
+    timeout_ms: float = DEFAULT_TIMEOUT_MS
+    in_flight: int = REQUESTS_IN_FLIGHT
+    queued: int = REQUESTS_QUEUED
+
+
+class HttpTableClient(table.TableClient):
+    """Sends each request over HTTP; retries only what surely did nothing."""
+
+    def __init__(
+        self,
+        url: str,
+        failure_domain: ids.FailureDomainId,
+        clock: clocks.Clock,
+        rng: random.Random,
+        limits: TableLimits,
+    ) -> None:
+        self._url = url.rstrip('/')
+        self._headers = {
+            tablewire.DOMAIN_HEADER: failure_domain,
+            'Content-Type': 'application/json',
+        }
+        self._clock = clock
+        self._rng = rng
+        self._limits = limits
+        self._breaker = breaker.circuit_breaker(rng)
+        self._slots = asyncio.Semaphore(limits.in_flight)
+        self._waiting = 0
+        self._http = curl_httpclient.CurlAsyncHTTPClient(
+            force_instance=True, max_clients=limits.in_flight
+        )
+
+    @property
+    def cut_off_since_ms(self) -> float | None:
+        """Since when the table is out of reach; None while it answers."""
+        if self._breaker.state is breaker.BreakerState.CLOSED:
+            return None
+        return self._breaker.opened_at_ms
+
+    async def read(
+        self, key: str
+    ) -> expression.Result[table.Row | None, errors.TableError]:
+        """Read one row; None if it is absent."""
+        request = tablewire.ReadRequest(key)
+        result = await self._read_rows(tablewire.READ_PATH, request)
+        return result.map(lambda rows: rows[0] if rows else None)
+
+    async def scan(
+        self, prefix: str
+    ) -> expression.Result[list[table.Row], errors.TableError]:
+        """Read every row whose key starts with ``prefix``, by key."""
+        request = tablewire.ScanRequest(prefix)
+        return await self._read_rows(tablewire.SCAN_PATH, request)
+
+    async def transact(
+        self, writes: list[table.Write]
+    ) -> expression.Result[list[int], errors.TableError]:
+        """Apply all writes or none; return the new versions."""
+        request = tablewire.TransactRequest(
+            [
+                tablewire.WireWrite(w.key, w.value, w.expected_version)
+                for w in writes
+            ]
+        )
+        sent = await self._send(tablewire.TRANSACT_PATH, request, WRITE_TRIES)
+        match sent:
+            case expression.Result(tag='ok', ok=body):
+                answer = _decode(body, tablewire.TransactAnswer)
+                return answer.map(lambda decoded: decoded.versions)
+            case expression.Result(error=error):
+                return expression.Error(error)
+
+    def close(self) -> None:
+        """Let go of the connections."""
+        self._http.close()
+
+    async def _read_rows(
+        self, path: str, request: msgspec.Struct
+    ) -> expression.Result[list[table.Row], errors.TableError]:
+        sent = await self._send(path, request, READ_TRIES)
+        match sent:
+            case expression.Result(tag='ok', ok=body):
+                answer = _decode(body, tablewire.RowsAnswer)
+                return answer.map(_to_rows).map_error(_as_unavailable)
+            case expression.Result(error=error):
+                return expression.Error(_as_unavailable(error))
+
+    async def _send(
+        self, path: str, request: msgspec.Struct, tries: int
+    ) -> _BodyResult:
+        if self._waiting >= self._limits.queued:
+            return expression.Error(
+                errors.TableUnavailableError(
+                    f'{self._waiting} requests wait already'
+                )
+            )
+        deadline_ms = self._clock.now_ms() + self._limits.timeout_ms
+        self._waiting += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self._waiting -= 1
+        try:
+            body = msgspec.json.encode(request)
+            return await self._try_several(path, body, tries, deadline_ms)
+        finally:
+            self._slots.release()
+
+    async def _try_several(
+        self, path: str, body: bytes, tries: int, deadline_ms: float
+    ) -> _BodyResult:
+        is_read = path != tablewire.TRANSACT_PATH
+        for attempt in range(tries):
+            result = await self._try_once(path, body, deadline_ms)
+            match result:
+                case expression.Result(tag='error', error=error):
+                    is_safe = is_read or isinstance(
+                        error, errors.TableUnavailableError
+                    )
+                case _:
+                    return result
+            backoff_ms = FIRST_BACKOFF_MS * 2**attempt * self._rng.random()
+            now_ms = self._clock.now_ms()
+            is_last = attempt + 1 == tries
+            if is_last or not is_safe or now_ms + backoff_ms > deadline_ms:
+                return result
+            await asyncio.sleep(backoff_ms / 1e3)
+        return result
+
+    async def _try_once(
+        self, path: str, body: bytes, deadline_ms: float
+    ) -> _BodyResult:
+        now_ms = self._clock.now_ms()
+        if now_ms >= deadline_ms:
+            return _unavailable('no time left to ask')
+        if not self._breaker.try_pass(now_ms):
+            return _unavailable('circuit breaker is open')
+        request = httpclient.HTTPRequest(
+            self._url + path,
+            method='POST',
+            headers=self._headers,
+            body=body,
+            connect_timeout=(deadline_ms - now_ms) / 1e3,
+            request_timeout=(deadline_ms - now_ms) / 1e3,
+        )
+        is_reported = False
+        try:
+            response = await self._http.fetch(request, raise_error=False)
+            result = _to_result(response)
+            is_reported = True
+        except httpclient.HTTPError as exc:
+            result = _lost(str(exc))
+            is_reported = True
+        finally:
+            # A cancelled task must not leave the breaker half open.
+            if not is_reported:
+                self._breaker.on_failure(self._clock.now_ms())
+        self._report(result)
+        return result
+
+    def _report(self, result: _BodyResult) -> None:
+        match result:
+            case expression.Result(
+                tag='error',
+                error=errors.TableUnavailableError()
+                | errors.TableResultUnknownError(),
+            ):
+                self._breaker.on_failure(self._clock.now_ms())
+            case _:
+                self._breaker.on_success()
+
+
+def _to_result(response: httpclient.HTTPResponse) -> _BodyResult:
+    if response.code == _HTTP_OK:
+        return expression.Ok(response.body)
+    if response.code == _HTTP_CONFLICT:
+        return _to_conflict(response.body)
+    if response.code == _HTTP_UNAVAILABLE:
+        return _unavailable('the table answered 503')
+    error = response.error
+    if isinstance(error, curl_httpclient.CurlError):
+        if error.errno in _NEVER_SENT:
+            return _unavailable(str(error))
+        return _lost(str(error))
+    return _lost(f'the table answered {response.code}')
+
+
+def _to_conflict(body: bytes) -> _BodyResult:
+    match _decode(body, tablewire.ConflictAnswer):
+        case expression.Result(tag='ok', ok=found):
+            return expression.Error(
+                errors.VersionConflictError(
+                    found.key, found.expected, found.found
+                )
+            )
+        case expression.Result(error=error):
+            return expression.Error(error)
+
+
+def _decode(
+    body: bytes, kind: type[_T]
+) -> expression.Result[_T, errors.TableError]:
+    try:
+        return expression.Ok(msgspec.json.decode(body, type=kind))
+    except msgspec.DecodeError as exc:
+        return _lost(f'the table answered no valid document: {exc}')
+
+
+def _to_rows(answer: tablewire.RowsAnswer) -> list[table.Row]:
+    return [table.Row(row.key, row.value, row.version) for row in answer.rows]
+
+
+def _unavailable(problem: str) -> expression.Result:
+    return expression.Error(errors.TableUnavailableError(problem))
+
+
+def _lost(problem: str) -> expression.Result:
+    return expression.Error(errors.TableResultUnknownError(problem))
+
+
+def _as_unavailable(error: errors.TableError) -> errors.TableError:
+    # A read has no effect, so nothing about it is unknown.
+    if isinstance(error, errors.TableResultUnknownError):
+        return errors.TableUnavailableError(str(error))
+    return error
+
+
+def table_client(
+    url: str,
+    failure_domain: ids.FailureDomainId,
+    clock: clocks.Clock,
+    rng: random.Random,
+    limits: TableLimits | None = None,
+) -> HttpTableClient:
+    """Create a client of the table service at ``url``.
+
+    Must be called where an event loop runs.
+    """
+    return HttpTableClient(
+        url, failure_domain, clock, rng, limits or TableLimits()
+    )
