--- a/src/parsleystile/errors.py
+++ b/src/parsleystile/errors.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+import msgspec
+
 
 class Outcome(enum.IntEnum):
     """What became of a call, as far as its caller may rely on it."""
@@ -133,6 +135,30 @@
         self.problem = problem
 
 
+def settings_error(exc: msgspec.MsgspecError, document: str) -> SettingsError:
+    """Tell where a document fails; ``document`` names it as a whole."""
+    problem, _, path = str(exc).partition(' - at `$')
+    return SettingsError(path.strip('.`') or document, problem)
+
+
+class ConflictError(SettingsError):
+    """A change of something that another change got to first.
+
+    Attributes:
+        based_on: Version that the operator had seen.
+        winner: Version of the change that came first.
+    """
+
+    def __init__(self, path: str, based_on: int, winner: int) -> None:
+        super().__init__(
+            path,
+            f'changed in version {winner}, after version {based_on} '
+            'that this change is based on',
+        )
+        self.based_on = based_on
+        self.winner = winner
+
+
 class FrameError(ParsleystileError):
     """Bytes from another node that are no valid message."""
 
--- a/src/parsleystile/fleetconfig.py
+++ b/src/parsleystile/fleetconfig.py
@@ -1,14 +1,24 @@
 """The one versioned document that operators change: the fleet's settings."""
 
 import enum
+import functools
 import typing
 
+import expression
 import msgspec
 
+from parsleystile import _routes
+from parsleystile import errors
 from parsleystile import ids
 
 PositiveInt = typing.Annotated[int, msgspec.Meta(ge=1)]
 PositiveFloat = typing.Annotated[float, msgspec.Meta(gt=0)]
+# Keyed digests are 32 bytes, written in hex.
+Digest = typing.Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{64}$')]
+Name = typing.Annotated[
+    str, msgspec.Meta(pattern='^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$')
+]
+Method = typing.Annotated[str, msgspec.Meta(pattern='^[A-Z]{1,16}$')]
 Share = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
 
 
@@ -52,8 +62,8 @@
     """
 
     path_prefix: str
-    service: ids.ServiceName
-    methods: tuple[str, ...] = ()
+    service: Name
+    methods: tuple[Method, ...] = ()
     is_open: bool = False
     importance: ImportanceName = ImportanceName.NORMAL
     is_idempotent: bool = False
@@ -76,14 +86,178 @@
     rate_factor: Share = 1.0
 
 
-class FleetConfig(
+class Key(
     msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
 ):
-    """The document; the table holds exactly one, its version only grows."""
+    """A key in force; withdrawing it removes the entry for good.
+
+    Attributes:
+        organisation: On whose behalf its bearer calls.
+        digest: Keyed digest of the key, in hex; see ``keys``.
+    """
+
+    organisation: ids.OrganisationId
+    digest: Digest
+
+
+class Operator(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """Somebody who may change this document.
+
+    Attributes:
+        digest: Keyed digest of the operator's key, in hex.
+    """
+
+    digest: Digest
+
+
+def _default_presets() -> dict[ids.PresetName, Preset]:
+    return {
+        ids.PresetName('ordinary'): Preset(),
+        ids.PresetName('peak'): Preset(retry_allowance=1),
+        ids.PresetName('maintenance'): Preset(
+            admission_level=2.0, retry_allowance=1
+        ),
+    }
+
+
+class FleetConfig(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    kw_only=True,
+    dict=True,
+):
+    """The document; the table holds exactly one, its version only grows.
+
+    Attributes:
+        next_key: Number of the next key id. An id below it that ``keys``
+            lacks was withdrawn; since the number only grows, this is the
+            whole set of tombstones.
+    """
 
     version: ids.ConfigVersion = ids.ConfigVersion(0)
     active_preset: ids.PresetName = ids.PresetName('ordinary')
-    presets: dict[ids.PresetName, Preset] = {}
+    presets: dict[ids.PresetName, Preset] = msgspec.field(
+        default_factory=_default_presets
+    )
     organisations: dict[ids.OrganisationId, Organisation] = {}
     routes: dict[ids.RouteId, Route] = {}
+    keys: dict[ids.KeyId, Key] = {}
+    next_key: PositiveInt = 1
+    operators: dict[ids.OperatorName, Operator] = {}
     domains_out: tuple[ids.FailureDomainId, ...] = ()
+
+    @functools.cached_property
+    def _index(self) -> _routes.RouteIndex[tuple[ids.RouteId, Route]]:
+        return _routes.route_index(
+            (r.path_prefix, r.methods, (route_id, r))
+            for route_id, r in self.routes.items()
+        )
+
+    @property
+    def preset(self) -> Preset:
+        """The one preset in force."""
+        return self.presets[self.active_preset]
+
+    def match_route(
+        self, method: str, path: str
+    ) -> tuple[ids.RouteId, Route] | None:
+        """Find the route of a request; None if there is none.
+
+        The longest prefix wins and owns its paths: a method that its routes
+        lack is not looked for under a shorter prefix. Ambiguous paths (dot
+        segments, empty segments, escaped separators) match nothing, since
+        a target might resolve them to a path of another route.
+
+        Args:
+            method: HTTP method in capitals.
+            path: Path of the request target, with or without a query.
+        """
+        return self._index.match(method, path)
+
+    def is_withdrawn(self, key_id: ids.KeyId) -> bool:
+        """Whether a key once existed and was withdrawn."""
+        number = key_number(key_id)
+        return 0 < number < self.next_key and key_id not in self.keys
+
+
+def key_id_of(number: int) -> ids.KeyId:
+    """Return the id of the key with this number."""
+    return ids.KeyId(f'k{number}')
+
+
+def key_number(key_id: ids.KeyId) -> int:
+    """Return the number in a key id; 0 if it is no key id."""
+    digits = key_id[1:]
+    if key_id[:1] != 'k' or not digits.isascii() or not digits.isdigit():
+        return 0
+    # A leading zero would give one key two names.
+    return 0 if digits[0] == '0' else int(digits)
+
+
+def check(config: FleetConfig) -> errors.SettingsError | None:
+    """Check what the types alone can't; return the first fault."""
+    if config.active_preset not in config.presets:
+        return errors.SettingsError(
+            'active_preset', f'no preset {config.active_preset!r}'
+        )
+    return _check_routes(config) or _check_keys(config)
+
+
+def _check_routes(config: FleetConfig) -> errors.SettingsError | None:
+    owners: dict[tuple[str, str], str] = {}
+    for route_id, route in config.routes.items():
+        where = f'routes.{route_id}'
+        prefix = _routes.normal_prefix(route.path_prefix)
+        if prefix is None:
+            return errors.SettingsError(
+                f'{where}.path_prefix',
+                f'{route.path_prefix!r} is no plain absolute path',
+            )
+        for method in route.methods or ('*',):
+            owner = owners.setdefault((prefix, method), route_id)
+            if owner != route_id:
+                return errors.SettingsError(
+                    f'{where}.path_prefix',
+                    f'{route.path_prefix!r} is taken by route {owner!r}',
+                )
+    return None
+
+
+def _check_keys(config: FleetConfig) -> errors.SettingsError | None:
+    seen: dict[str, str] = {}
+    for key_id, key in config.keys.items():
+        where = f'keys.{key_id}'
+        if not 0 < key_number(key_id) < config.next_key:
+            return errors.SettingsError(
+                where, f'{key_id!r} is no key id below {config.next_key}'
+            )
+        if key.organisation not in config.organisations:
+            return errors.SettingsError(
+                f'{where}.organisation',
+                f'no organisation {key.organisation!r}',
+            )
+        if seen.setdefault(key.digest, key_id) != key_id:
+            return errors.SettingsError(
+                f'{where}.digest', f'same key as {seen[key.digest]!r}'
+            )
+    return None
+
+
+def encode(config: FleetConfig) -> bytes:
+    """Return the document as JSON."""
+    return msgspec.json.encode(config)
+
+
+def decode(
+    data: bytes,
+) -> expression.Result[FleetConfig, errors.SettingsError]:
+    """Read a document from JSON and check it whole."""
+    try:
+        config = msgspec.json.decode(data, type=FleetConfig)
+    except msgspec.MsgspecError as exc:
+        return expression.Error(errors.settings_error(exc, 'document'))
+    fault = check(config)
+    return expression.Error(fault) if fault else expression.Ok(config)
--- a/src/parsleystile/ids.py
+++ b/src/parsleystile/ids.py
@@ -16,6 +16,8 @@
 RouteId = typing.NewType('RouteId', str)
 PresetName = typing.NewType('PresetName', str)
 KeyId = typing.NewType('KeyId', str)
+OperatorName = typing.NewType('OperatorName', str)
+ChangeId = typing.NewType('ChangeId', str)
 
 # Unique on one link for the life of the connection.
 CallId = typing.NewType('CallId', int)
