--- a/src/parsleystile/errors.py
+++ b/src/parsleystile/errors.py
@@ -159,6 +159,20 @@
         self.winner = winner
 
 
+class HistoryError(ParsleystileError):
+    """A record of events with a line that is no entry.
+
+    Attributes:
+        path: The file.
+        line: Number of the line, from 1.
+    """
+
+    def __init__(self, path: str, line: int, problem: str) -> None:
+        super().__init__(f'{path}:{line}: {problem}')
+        self.path = path
+        self.line = line
+
+
 class FrameError(ParsleystileError):
     """Bytes from another node that are no valid message."""
 
