--- /dev/null
+++ b/src/parsleystile/admission.py
@@ -0,0 +1,361 @@
+"""The guard's decision on each call for its target: start, wait, refuse."""
+
+import dataclasses
+import random
+import typing
+
+from parsleystile import concurrency
+from parsleystile import errors
+from parsleystile import fairqueue
+from parsleystile import ids
+from parsleystile import levels
+from parsleystile import servicetime
+
+CallKey = typing.Hashable
+
+QUEUE_PER_SLOT = 4
+QUEUE_FLOOR = 8
+# A queue that has not been empty for so long is served newest first.
+STANDING_MS = 100.0
+# After Drain the queue is still served for this long.
+DRAIN_MS = 1000.0
+RETRY_AFTER_MS = 1000
+_MAX_CLASS = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrive:
+    """A call for the target.
+
+    Attributes:
+        call_key: Names the call at this guard until it is over.
+        rank: Importance class plus draw; the lowest is shed last.
+        deadline_ms: On the clock of this node.
+        weight: Share of the organisation, relative to others.
+        route: Service times are kept by route.
+    """
+
+    call_key: CallKey
+    organisation: ids.OrganisationId
+    rank: float
+    deadline_ms: float
+    weight: float = 1.0
+    route: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Complete:
+    """The target is done with a started call; its slot is free.
+
+    Attributes:
+        is_ok: False if the target failed: an error, a lost connection.
+        service_ms: From start until now.
+        child_ms: Part of it that the target spent waiting for the child
+            calls it made; it says nothing on the target's own state.
+    """
+
+    call_key: CallKey
+    is_ok: bool
+    service_ms: float
+    child_ms: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancel:
+    """The caller is gone.
+
+    A queued call is forgotten without an action. A started one keeps its
+    slot until Complete, whose figures are then not learned from.
+    """
+
+    call_key: CallKey
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tick:
+    """Nothing happened, but time passed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Announce:
+    """The target has started, or started anew, with so many slots."""
+
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Drain:
+    """The target is leaving: nothing new until the next Announce."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Level:
+    """The highest admission level that operators allow."""
+
+    admission_level: float
+
+
+Event = Arrive | Complete | Cancel | Tick | Announce | Drain | Level
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """Hand the call to the target now."""
+
+    call_key: CallKey
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refuse:
+    """Refuse the call; nothing of it has reached the target."""
+
+    call_key: CallKey
+    refusal: errors.Refusal
+
+
+Action = Start | Refuse
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """What a guard tells upstream on each answer."""
+
+    in_flight: int
+    limit: int
+    queued: int
+    admission_level: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Running:
+    """A call at the target."""
+
+    organisation: ids.OrganisationId
+    route: str
+    is_cancelled: bool = False
+
+
+class AdmissionQueue:
+    """Admits to one target; feed events to ``handle``, do what it says.
+
+    Never more calls are started than the concurrency limit allows. The
+    shell sends ``Tick`` at ``next_tick_ms``, which changes with each event.
+    """
+
+    def __init__(
+        self, rng: random.Random, queue_bound: int | None = None
+    ) -> None:
+        self._rng = rng
+        self._queue_bound = queue_bound
+        self._limit = concurrency.ConcurrencyLimit()
+        self._level = levels.AdmissionLevel()
+        self._times = servicetime.ServiceTimes()
+        self._queue = fairqueue.FairQueue()
+        self._running: dict[CallKey, _Running] = {}
+        self._drained_ms: float | None = None
+        self._standing_since_ms = 0.0
+        self._is_overrun = False
+        self._window_end_ms = 0.0
+
+    @property
+    def next_tick_ms(self) -> float:
+        """When the shell must send Tick at the latest; inf if never."""
+        if self._running or self._queue or not self._level.is_at_rest:
+            return min(self._window_end_ms, self._queue.next_drop_ms)
+        return float('inf')
+
+    def load(self, now_ms: float) -> Load:
+        """Return the state that callers should know."""
+        del now_ms
+        return Load(
+            len(self._running),
+            self._limit.value,
+            len(self._queue),
+            self._level.value,
+        )
+
+    def handle(self, event: Event, now_ms: float) -> list[Action]:
+        """Take in one event; return what to do, in order."""
+        actions: list[Action] = []
+        if now_ms >= self._window_end_ms:
+            self._end_window(now_ms, actions)
+        match event:
+            case Arrive():
+                self._arrive(event, now_ms, actions)
+            case Complete():
+                self._complete(event, now_ms)
+                self._fill(now_ms, actions)
+            case Tick():
+                self._fill(now_ms, actions)
+            case Cancel():
+                self._cancel(event)
+            case Announce():
+                self._limit.announce(event.slots, now_ms)
+                self._drained_ms = None
+                self._fill(now_ms, actions)
+            case Drain():
+                if self._drained_ms is None:
+                    self._drained_ms = now_ms
+            case Level():
+                self._level.set_cap(event.admission_level)
+        return actions
+
+    def _arrive(
+        self, call: Arrive, now_ms: float, actions: list[Action]
+    ) -> None:
+        refusal = self._refusal(call, now_ms)
+        if refusal is not None:
+            actions.append(Refuse(call.call_key, refusal))
+            return
+        limit = self._limit.value
+        if not self._queue and len(self._running) < limit:
+            self._start(call.call_key, call, now_ms, actions)
+            return
+        if len(self._queue) >= self._bound(limit) and not self._evict(
+            call, actions
+        ):
+            return
+        if not self._queue:
+            self._standing_since_ms = now_ms
+        expected_ms = self._times.expected_ms(call.route, now_ms)
+        self._queue.push(
+            fairqueue.Waiting(
+                call.call_key,
+                call.organisation,
+                min(int(call.rank), _MAX_CLASS),
+                call.deadline_ms,
+                call.weight,
+                call.route,
+                call.deadline_ms - expected_ms,
+            )
+        )
+        self._fill(now_ms, actions)
+
+    def _refusal(self, call: Arrive, now_ms: float) -> errors.Refusal | None:
+        limit = self._limit.value
+        if self._drained_ms is not None:
+            return errors.not_run(errors.Reason.LEAVING, 'target is leaving')
+        if limit == 0:
+            return errors.not_run(
+                errors.Reason.UNREACHABLE, 'no target has announced itself'
+            )
+        if self._is_shed(call, limit):
+            return self._busy(errors.Reason.SHED, 'rank is not admitted')
+        remaining_ms = call.deadline_ms - now_ms
+        # With nothing in flight the estimate may be stale: try it.
+        if remaining_ms <= 0.0 or (
+            self._running
+            and remaining_ms < self._times.expected_ms(call.route, now_ms)
+        ):
+            return _too_late()
+        return None
+
+    def _is_shed(self, call: Arrive, limit: int) -> bool:
+        level = self._level.value
+        rank = call.rank
+        if int(rank) == int(level) and self._queue.is_under_share(
+            call.organisation, call.weight, limit
+        ):
+            self._level.spared()
+            return False
+        self._level.arrived(rank)
+        return rank >= level
+
+    def _evict(self, call: Arrive, actions: list[Action]) -> bool:
+        """Make room for a call, or refuse it and return False."""
+        self._is_overrun = True
+        victim = self._queue.pop_victim(
+            call.organisation, min(int(call.rank), _MAX_CLASS)
+        )
+        key = call.call_key if victim is None else victim.call_key
+        refusal = self._busy(errors.Reason.QUEUE_FULL, 'the queue is full')
+        actions.append(Refuse(key, refusal))
+        return victim is not None
+
+    def _complete(self, event: Complete, now_ms: float) -> None:
+        running = self._running.pop(event.call_key, None)
+        if running is None:
+            raise ValueError(f'call {event.call_key!r} was not started')
+        self._queue.release(running.organisation)
+        if running.is_cancelled:
+            return
+        if event.is_ok:
+            self._times.observe(running.route, event.service_ms, now_ms)
+        own_ms = event.service_ms - event.child_ms
+        self._limit.answered(running.route, own_ms, event.is_ok, now_ms)
+
+    def _cancel(self, event: Cancel) -> None:
+        running = self._running.get(event.call_key)
+        if running is not None:
+            running.is_cancelled = True
+        else:
+            self._queue.remove(event.call_key)
+
+    def _fill(self, now_ms: float, actions: list[Action]) -> None:
+        """Refuse what is late and start what fits."""
+        queue = self._queue
+        while (late := queue.pop_late(now_ms)) is not None:
+            self._is_overrun = True
+            actions.append(Refuse(late.call_key, _too_late()))
+        if not queue:
+            return
+        limit = self._limit.value
+        newest_first = now_ms - self._standing_since_ms > STANDING_MS
+        while len(self._running) < limit:
+            waiting = queue.pop(newest_first)
+            if waiting is None:
+                return
+            self._start(waiting.call_key, waiting, now_ms, actions)
+
+    def _start(
+        self,
+        call_key: CallKey,
+        call: Arrive | fairqueue.Waiting,
+        now_ms: float,
+        actions: list[Action],
+    ) -> None:
+        self._running[call_key] = _Running(call.organisation, call.route)
+        self._queue.occupy(call.organisation, call.weight)
+        self._limit.started(len(self._running), now_ms)
+        self._level.served()
+        actions.append(Start(call_key))
+
+    def _end_window(self, now_ms: float, actions: list[Action]) -> None:
+        standing = (
+            len(self._queue) > 0
+            and now_ms - self._standing_since_ms >= STANDING_MS
+        )
+        self._level.end_window(standing or self._is_overrun)
+        self._is_overrun = False
+        self._window_end_ms = now_ms + levels.WINDOW_MS
+        self._limit.check_silence(len(self._running), now_ms)
+        drained_ms = self._drained_ms
+        if drained_ms is not None and now_ms - drained_ms >= DRAIN_MS:
+            self._refuse_queue(actions)
+
+    def _refuse_queue(self, actions: list[Action]) -> None:
+        refusal = errors.not_run(errors.Reason.LEAVING, 'target is leaving')
+        while (waiting := self._queue.pop(False)) is not None:
+            actions.append(Refuse(waiting.call_key, refusal))
+
+    def _bound(self, limit: int) -> int:
+        if self._queue_bound is not None:
+            return self._queue_bound
+        return max(QUEUE_FLOOR, QUEUE_PER_SLOT * limit)
+
+    def _busy(self, reason: errors.Reason, detail: str) -> errors.Refusal:
+        retry_after_ms = int(RETRY_AFTER_MS * self._rng.uniform(0.5, 1.5))
+        return errors.not_run(reason, detail, retry_after_ms)
+
+
+def _too_late() -> errors.Refusal:
+    return errors.not_run(
+        errors.Reason.DEADLINE, 'cannot finish before the deadline'
+    )
+
+
+def admission_queue(
+    rng: random.Random, queue_bound: int | None = None
+) -> AdmissionQueue:
+    """Create a queue that admits nothing until Announce."""
+    return AdmissionQueue(rng, queue_bound)
