--- a/src/parsleystile/logs.py
+++ b/src/parsleystile/logs.py
@@ -2,7 +2,7 @@
 
 Each line has ``time_ms`` (since 1970-01-01 UTC), ``level``, ``node`` and
 ``event``; the rest are the fields of the event's data class in
-``parsleystile.logevents``. Lines of libraries have the event ``message``.
+``parsleystile.events``. Lines of libraries have the event ``message``.
 Events of one kind are limited in rate; ``suppressed`` on a line counts the
 events of its kind that were left out before it.
 """
