--- a/src/parsleystile/fleetconfig.py
+++ b/src/parsleystile/fleetconfig.py
@@ -10,6 +10,7 @@
 from parsleystile import _routes
 from parsleystile import errors
 from parsleystile import ids
+from parsleystile import objectives as service_levels
 
 PositiveInt = typing.Annotated[int, msgspec.Meta(ge=1)]
 PositiveFloat = typing.Annotated[float, msgspec.Meta(gt=0)]
@@ -148,6 +149,7 @@
     next_key: PositiveInt = 1
     operators: dict[ids.OperatorName, Operator] = {}
     domains_out: tuple[ids.FailureDomainId, ...] = ()
+    objectives: service_levels.Objectives = service_levels.Objectives()
 
     @functools.cached_property
     def _index(self) -> _routes.RouteIndex[tuple[ids.RouteId, Route]]:
--- a/src/parsleystile/settings.py
+++ b/src/parsleystile/settings.py
@@ -1,17 +1,21 @@
 """Settings of one node, read from a TOML file and checked whole."""
 
+import ipaddress
 import pathlib
 import typing
+import urllib.parse
 
 import expression
 import msgspec
 
 from parsleystile import errors
 from parsleystile import ids
+from parsleystile import strict
 
 Port = typing.Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Millis = typing.Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
 Count = typing.Annotated[int, msgspec.Meta(ge=1)]
+_NAME = msgspec.Meta(pattern='^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$')
 
 
 class _Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -21,10 +25,10 @@
 class Identity(_Section, kw_only=True):
     """Which node this is and where it runs."""
 
-    node_id: ids.NodeId
-    vm: ids.VmId
-    region: ids.RegionId
-    failure_domain: ids.FailureDomainId
+    node_id: typing.Annotated[ids.NodeId, _NAME]
+    vm: typing.Annotated[ids.VmId, _NAME]
+    region: typing.Annotated[ids.RegionId, _NAME]
+    failure_domain: typing.Annotated[ids.FailureDomainId, _NAME]
 
 
 class Listeners(_Section, kw_only=True):
@@ -77,18 +81,62 @@
     limits: Limits = Limits()
 
 
+def _check_host(path: str, host: str) -> errors.SettingsError | None:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return errors.SettingsError(
+            path, f'{host!r} is no IP number; write one such as 127.0.0.1'
+        )
+    return None
+
+
+def _check_url(path: str, url: str) -> errors.SettingsError | None:
+    try:
+        parts = urllib.parse.urlsplit(url)
+        port = parts.port
+    except ValueError as exc:
+        return errors.SettingsError(path, f'{url!r} is no URL: {exc}')
+    if parts.scheme not in ('http', 'https') or not port:
+        return errors.SettingsError(
+            path, f'{url!r} is no URL; write http://IP-NUMBER:PORT'
+        )
+    return _check_host(path, parts.hostname or '')
+
+
+def _check_ports(listeners: Listeners) -> errors.SettingsError | None:
+    """Check that no two TCP listeners share a port; gossip is UDP."""
+    owners: dict[int, str] = {}
+    for name in ('caller', 'target', 'link', 'operator'):
+        field = f'{name}_port'
+        port = getattr(listeners, field)
+        owner = owners.setdefault(port, field)
+        if port and owner != field:
+            return errors.SettingsError(
+                f'listeners.{field}', f'{port} is taken by {owner}'
+            )
+    return None
+
+
+def check(settings: NodeSettings) -> errors.SettingsError | None:
+    """Check what the types alone can't; return the first fault."""
+    fault = _check_host('listeners.host', settings.listeners.host)
+    fault = fault or _check_url('table.url', settings.table.url)
+    fault = fault or _check_ports(settings.listeners)
+    if fault is None and settings.statsd is not None:
+        fault = _check_host('statsd.host', settings.statsd.host)
+    return fault
+
+
 def parse_settings(
     text: str,
 ) -> expression.Result[NodeSettings, errors.SettingsError]:
     """Check the text of a settings file."""
-    try:
-        return expression.Ok(msgspec.toml.decode(text, type=NodeSettings))
-    except msgspec.ValidationError as exc:
-        problem, _, path = str(exc).partition(' - at `$.')
-        where = path.rstrip('`') or 'settings'
-        return expression.Error(errors.SettingsError(where, problem))
-    except msgspec.DecodeError as exc:
-        return expression.Error(errors.SettingsError('settings', str(exc)))
+    decoded = strict.decode_toml(text, NodeSettings, 'settings')
+    if decoded.is_error():
+        return decoded
+    fault = check(decoded.ok)
+    return expression.Error(fault) if fault else decoded
 
 
 def load_settings(
@@ -98,5 +146,5 @@
     try:
         text = pathlib.Path(path).read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as exc:
-        return expression.Error(errors.SettingsError(path, str(exc)))
+        return expression.Error(errors.SettingsError('file', str(exc)))
     return parse_settings(text)
