Add operators' commands, the burn report and their tests

Cause: operators had no command but settings check, and no view of what the service owed. Ruled out: sending a change of unknown fate under a new id, which could apply it twice; the same id is asked for up to four times. For a new key the key is shown also when the fate stays unknown. Conclusion: not yet run against a real node's listener for operators.

--- a/src/parsleystile/cli.py
+++ b/src/parsleystile/cli.py
@@ -13,16 +13,19 @@
 import fire
 
 from parsleystile import commands
+from parsleystile import console
 from parsleystile import errors
 from parsleystile import exitcodes
 from parsleystile import logs
 from parsleystile import settings as node_settings
 
 PROGRAM = 'parsleystile'
+_INTERRUPTED = 130
 
 
 def _fail(problem: str, code: exitcodes.ExitCode) -> exitcodes.ExitCode:
-    print(f'{PROGRAM}: {problem}', file=sys.stderr)
+    line = ' '.join(problem.split())
+    print(f'{PROGRAM}: {line}', file=sys.stderr)
     return code
 
 
@@ -30,6 +33,8 @@
     argv: list[str],
 ) -> expression.Result[commands.Command, errors.UsageError]:
     """Turn arguments into a command; help is an error without a problem."""
+    if argv in (['--help'], ['-h'], ['help']):
+        return expression.Error(errors.UsageError('', console.overview()))
     shown = io.StringIO()
     try:
         # Fire pages its help through another program on a terminal.
@@ -38,7 +43,7 @@
             contextlib.redirect_stderr(shown),
         ):
             found = fire.Fire(
-                commands.tree(), command=argv, name=PROGRAM, serialize=str
+                console.Console, command=argv, name=PROGRAM, serialize=str
             )
     except fire.core.FireExit as exc:
         if exc.code == 0:
@@ -65,7 +70,9 @@
             node.run(settings)
             return exitcodes.ExitCode.ACCEPTED
         case expression.Result(error=problem):
-            return _fail(str(problem), exitcodes.ExitCode.USAGE)
+            return _fail(
+                f'{settings_path}: {problem}', exitcodes.ExitCode.USAGE
+            )
 
 
 def _check_settings(path: str) -> exitcodes.ExitCode:
@@ -81,6 +88,18 @@
             return _fail(f'{path}: {problem}', exitcodes.ExitCode.USAGE)
 
 
+def _check_config(path: str) -> exitcodes.ExitCode:
+    from parsleystile import operate
+
+    document = operate.read_document(path)
+    print(
+        f'{path}: {len(document.organisations)} organisations,'
+        f' {len(document.routes)} routes, {len(document.presets)} presets,'
+        f' {document.active_preset} in force: valid'
+    )
+    return exitcodes.ExitCode.ACCEPTED
+
+
 def run(command: commands.Command) -> exitcodes.ExitCode:
     """Run a command and return its exit code."""
     match command:
@@ -88,6 +107,13 @@
             return _run_node(path)
         case commands.CheckSettings(path=path):
             return _check_settings(path)
+        case commands.CheckConfig(path=path):
+            return _check_config(path)
+        case commands.RemoteCommand():
+            # A node starts faster without the client's modules.
+            from parsleystile import operate
+
+            return operate.run(command)
     raise TypeError(f'no way to run {command!r}')
 
 
@@ -99,10 +125,15 @@
     """
     match _parse(sys.argv[1:] if argv is None else argv):
         case expression.Result(tag='ok', ok=command):
-            return int(run(command))
+            pass
         case expression.Result(error=usage):
             if usage.help_text:
                 print(usage.help_text, end='')
                 return int(exitcodes.ExitCode.ACCEPTED)
-            _fail(f'{usage}; try --help', exitcodes.ExitCode.USAGE)
-            return int(exitcodes.ExitCode.USAGE)
+            return int(_fail(f'{usage}; try --help', exitcodes.ExitCode.USAGE))
+    try:
+        return int(run(command))
+    except errors.CommandFailure as exc:
+        return int(_fail(str(exc), exc.code))
+    except KeyboardInterrupt:
+        return _INTERRUPTED
--- a/src/parsleystile/errors.py
+++ b/src/parsleystile/errors.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from parsleystile import exitcodes
+
 import msgspec
 
 
@@ -185,6 +187,18 @@
         self.help_text = help_text
 
 
+class CommandFailure(ParsleystileError):
+    """A command that did not do what it was asked to do.
+
+    Attributes:
+        code: Exit code that tells a program what happened.
+    """
+
+    def __init__(self, problem: str, code: exitcodes.ExitCode) -> None:
+        super().__init__(problem)
+        self.code = code
+
+
 class FrameError(ParsleystileError):
     """Bytes from another node that are no valid message."""
 
--- /dev/null
+++ b/src/parsleystile/listing.py
@@ -0,0 +1,211 @@
+"""What the command line shows of the fleet, as text for people."""
+
+import typing
+
+import msgspec
+
+from parsleystile import commands
+from parsleystile import explain
+from parsleystile import fleetconfig
+from parsleystile import operatorclient
+from parsleystile import render
+
+Plain = typing.Any
+
+
+def _yes(value: bool) -> str:
+    return 'yes' if value else 'no'
+
+
+def _organisations(config: fleetconfig.FleetConfig) -> render.Table:
+    rows = [
+        (name, o.rate_per_s, o.burst, o.weight)
+        for name, o in sorted(config.organisations.items())
+    ]
+    return render.table(
+        ('organisation', 'rate_per_s', 'burst', 'weight'), rows
+    )
+
+
+def _keys(config: fleetconfig.FleetConfig) -> render.Table:
+    rows = sorted(
+        (
+            (fleetconfig.key_number(key_id), key_id, key.organisation)
+            for key_id, key in config.keys.items()
+        )
+    )
+    return render.table(('key', 'organisation'), [row[1:] for row in rows])
+
+
+def _routes(config: fleetconfig.FleetConfig) -> render.Table:
+    rows = [
+        (
+            route_id,
+            route.path_prefix,
+            ','.join(route.methods) or 'all',
+            route.service,
+            _yes(route.is_open),
+            route.importance.value,
+            _yes(route.is_idempotent),
+            route.timeout_ms,
+        )
+        for route_id, route in sorted(config.routes.items())
+    ]
+    return render.table(
+        (
+            'route',
+            'path_prefix',
+            'methods',
+            'service',
+            'open',
+            'importance',
+            'idempotent',
+            'timeout_ms',
+        ),
+        rows,
+    )
+
+
+def _presets(config: fleetconfig.FleetConfig) -> render.Table:
+    rows = [
+        (
+            name,
+            _yes(name == config.active_preset),
+            p.admission_level,
+            p.retry_allowance,
+            p.rate_factor,
+        )
+        for name, p in sorted(config.presets.items())
+    ]
+    return render.table(
+        (
+            'preset',
+            'in force',
+            'admission_level',
+            'retry_allowance',
+            'rate_factor',
+        ),
+        rows,
+    )
+
+
+def _domains(config: fleetconfig.FleetConfig) -> render.Table:
+    rows = [(domain,) for domain in config.domains_out]
+    return render.table(('failure domain out',), rows)
+
+
+def part(
+    config: fleetconfig.FleetConfig, which: commands.Listing
+) -> render.Table:
+    """Return one part of the document as a table."""
+    match which:
+        case commands.Listing.ORGANISATIONS:
+            return _organisations(config)
+        case commands.Listing.KEYS:
+            return _keys(config)
+        case commands.Listing.ROUTES:
+            return _routes(config)
+        case commands.Listing.PRESETS:
+            return _presets(config)
+        case commands.Listing.DOMAINS:
+            return _domains(config)
+
+
+def plain(config: fleetconfig.FleetConfig, which: commands.Listing) -> Plain:
+    """Return one part of the document for programs; digests stay out."""
+    match which:
+        case commands.Listing.KEYS:
+            return {k: key.organisation for k, key in config.keys.items()}
+        case commands.Listing.DOMAINS:
+            return list(config.domains_out)
+        case commands.Listing.PRESETS:
+            return {
+                'active_preset': config.active_preset,
+                'presets': config.presets,
+            }
+    return getattr(config, which.value)
+
+
+def preset(config: fleetconfig.FleetConfig, name: str) -> str:
+    """Return one preset as a table of its fields."""
+    fields = msgspec.to_builtins(config.presets[name])
+    force = ' (in force)' if name == config.active_preset else ''
+    rows = sorted(fields.items())
+    return render.text(render.table((f'{name}{force}', 'value'), rows))
+
+
+def progress(domains: dict[str, operatorclient.InForce]) -> str:
+    """Return on one line how far a version has come."""
+    return '  '.join(
+        f'{name} {domain.in_force}/{domain.total}'
+        for name, domain in sorted(domains.items())
+    )
+
+
+def in_force(version: int, domains: dict[str, operatorclient.InForce]) -> str:
+    """Return how far a version has come and which nodes are missing."""
+    rows = [
+        (name, d.in_force, d.total, ', '.join(d.waiting))
+        for name, d in sorted(domains.items())
+    ]
+    shown = render.table(
+        ('failure domain', f'in force ({version})', 'nodes', 'waiting for'),
+        rows,
+    )
+    return render.text(shown)
+
+
+def _flat(value: Plain) -> str:
+    match value:
+        case bool():
+            return _yes(value)
+        case float():
+            return f'{value:g}'
+        case list():
+            return ','.join(_flat(item) for item in value)
+        case dict():
+            return ' '.join(f'{k}={_flat(v)}' for k, v in value.items())
+    return '' if value is None else str(value)
+
+
+def anything(value: Plain) -> str:
+    """Return any decoded JSON as a table as far as its shape allows."""
+    match value:
+        case {**entries} if len(entries) == 1:
+            (inner,) = entries.values()
+            if isinstance(inner, list):
+                return anything(inner)
+    match value:
+        case [dict(), *_]:
+            names = list(dict.fromkeys(n for row in value for n in row))
+            rows = [[_flat(row.get(n)) for n in names] for row in value]
+            return render.text(render.table(names, rows))
+        case dict():
+            rows = [(name, _flat(found)) for name, found in value.items()]
+            return render.text(render.table(('name', 'value'), rows))
+    return _flat(value)
+
+
+def statuses(found: dict[str, Plain]) -> str:
+    """Return the statuses of several nodes, a row each."""
+    rows = []
+    for node, status in found.items():
+        entries = status if isinstance(status, dict) else {'status': status}
+        rows.append({'node': node, **entries})
+    return anything(rows)
+
+
+def explained(told: list[explain.Explanation]) -> str:
+    """Return the steps of a call over all nodes, oldest first."""
+    entries = [entry for one in told for entry in one.entries]
+    if not entries:
+        sampled = any(one.is_sampled for one in told)
+        why = (
+            'it is too long ago or never came in'
+            if sampled
+            else 'it was not refused, and it is not among the calls followed'
+        )
+        return f'none of {len(told)} nodes remembers this call: {why}'
+    entries.sort(key=lambda entry: -entry.ago_ms)
+    rows = [(f'{e.ago_ms:.1f}', e.node_id, e.text) for e in entries]
+    return render.text(render.table(('ms ago', 'node', 'what happened'), rows))
--- a/src/parsleystile/objectives.py
+++ b/src/parsleystile/objectives.py
@@ -170,7 +170,7 @@
     burns = []
     for index, window in enumerate(burn.WINDOWS):
         candidates = [
-            _goodput(window.name, found.windows[index], allowed, name or '-')
+            _goodput(window.name, found.windows[index], allowed, name)
             for name, found in sorted(by_organisation.items())
         ]
         idle = burn_of(window.name, 0, 0, 1 - allowed)
--- /dev/null
+++ b/src/parsleystile/operate.py
@@ -0,0 +1,365 @@
+"""Runs the commands that ask the fleet."""
+
+import asyncio
+import os
+import pathlib
+import secrets
+import sys
+import typing
+
+import expression
+import msgspec
+
+from parsleystile import changes
+from parsleystile import commands
+from parsleystile import errors
+from parsleystile import exitcodes
+from parsleystile import fleetconfig
+from parsleystile import ids
+from parsleystile import keys
+from parsleystile import listing
+from parsleystile import operatorclient
+from parsleystile import render
+from parsleystile import report
+from parsleystile import strict
+
+KEY_VARIABLE = 'PARSLEYSTILE_OPERATOR_KEY'
+POLL_MS = 500
+CHANGE_ID_BYTES = 12
+SUBMIT_TRIES = 4
+RETRY_PAUSE_MS = 1000
+
+Code = exitcodes.ExitCode
+_OK = Code.ACCEPTED
+_UNKNOWN = operatorclient.ChangeOutcome.UNKNOWN
+
+
+def _failure(error: operatorclient.OperatorError) -> errors.CommandFailure:
+    match error:
+        case operatorclient.UnreachableError():
+            remedy = 'name others with --nodes'
+            return errors.CommandFailure(
+                f'{error}; {remedy}', Code.UNREACHABLE
+            )
+        case operatorclient.RejectedError():
+            return errors.CommandFailure(str(error), Code.REFUSED)
+    return errors.CommandFailure(str(error), Code.UNREACHABLE)
+
+
+def _value(
+    got: expression.Result[typing.Any, operatorclient.OperatorError],
+) -> typing.Any:
+    if got.is_error():
+        raise _failure(got.error)
+    return got.ok
+
+
+def _new_change_id() -> str:
+    # The letter keeps Fire from reading the id as a number.
+    return f'c{secrets.token_hex(CHANGE_ID_BYTES)}'
+
+
+def read_key(options: commands.Options) -> str:
+    """Read the operator's key from its file or the environment."""
+    if not options.key_file:
+        key = os.environ.get(KEY_VARIABLE, '').strip()
+        if key:
+            return key
+        raise errors.CommandFailure(
+            f'no operator key; set {KEY_VARIABLE} or name a --key-file',
+            Code.USAGE,
+        )
+    try:
+        key = pathlib.Path(options.key_file).read_text().strip()
+    except (OSError, UnicodeDecodeError) as exc:
+        raise errors.CommandFailure(f'key file: {exc}', Code.USAGE) from None
+    if not key:
+        raise errors.CommandFailure(
+            f'key file: {options.key_file} is empty', Code.USAGE
+        )
+    return key
+
+
+def read_document(path: str) -> fleetconfig.FleetConfig:
+    """Read a TOML document of the fleet and check it whole."""
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as exc:
+        raise errors.CommandFailure(f'file: {exc}', Code.USAGE) from None
+    got = strict.decode_toml(text, fleetconfig.FleetConfig, 'document')
+    fault = got.error if got.is_error() else fleetconfig.check(got.ok)
+    if fault is not None:
+        raise errors.CommandFailure(f'{path}: {fault}', Code.USAGE)
+    return got.ok
+
+
+def _access(options: commands.Options) -> operatorclient.Access:
+    if not options.nodes:
+        raise errors.CommandFailure(
+            'no node is named; write --nodes IP:PORT or set'
+            ' PARSLEYSTILE_NODES',
+            Code.USAGE,
+        )
+    return operatorclient.Access(
+        nodes=options.nodes,
+        operator=options.operator,
+        key=read_key(options),
+        timeout_ms=options.timeout_ms,
+    )
+
+
+class Session:
+    """One command against the fleet."""
+
+    def __init__(
+        self,
+        client: operatorclient.OperatorClient,
+        options: commands.Options,
+    ) -> None:
+        self._client = client
+        self._options = options
+
+    def _show(self, value: object, text: str) -> None:
+        print(render.as_json(value) if self._options.is_json else text)
+
+    @staticmethod
+    def _progress(text: str) -> None:
+        print(text, file=sys.stderr, flush=True)
+
+    async def run(self, command: commands.RemoteCommand) -> Code:
+        """Run a command and return its exit code."""
+        match command:
+            case commands.Submit(change=change):
+                return await self._submit(change)
+            case commands.IssueKey(organisation=name):
+                return await self._issue(name)
+            case commands.PutOperator(name=name):
+                return await self._put_operator(name)
+            case commands.EditRoute():
+                return await self._edit_route(command)
+            case commands.ListPart(part=part):
+                return await self._list(part)
+            case commands.ShowPreset(name=name):
+                return await self._show_preset(name)
+            case commands.ShowConfig():
+                return await self._show_config()
+            case commands.ApplyConfig(path=path):
+                document = read_document(path)
+                return await self._submit(
+                    changes.ApplyDocument(document=await self._kept(document))
+                )
+            case commands.ShowAnswer(path=path):
+                body = _value(await self._client.get(path))
+                answer = msgspec.json.decode(body)
+                self._show(answer, listing.anything(answer))
+                return _OK
+            case commands.ShowStatus():
+                return await self._status()
+            case commands.Drain():
+                _value(await self._client.drain(self._client.nodes[0]))
+                print(f'node {self._client.nodes[0]} drains')
+                return _OK
+            case commands.Explain(root_id=root_id):
+                return await self._explain(root_id)
+            case commands.Report(form=form, output=output):
+                return await self._report(form, output)
+        raise TypeError(f'no way to run {command!r}')
+
+    async def _document(self) -> fleetconfig.FleetConfig:
+        return _value(await self._client.config()).document
+
+    async def _kept(
+        self, document: fleetconfig.FleetConfig
+    ) -> fleetconfig.FleetConfig:
+        """Keep keys and operators, which no file of the fleet holds."""
+        current = await self._document()
+        return msgspec.structs.replace(
+            document,
+            version=current.version,
+            keys=document.keys or current.keys,
+            next_key=current.next_key,
+            operators=document.operators or current.operators,
+        )
+
+    async def _submit(self, change: changes.Change) -> Code:
+        answer = await self._settled(change)
+        if answer.outcome is operatorclient.ChangeOutcome.REFUSED:
+            told = ': '.join(filter(None, (answer.path, answer.reason)))
+            raise errors.CommandFailure(f'refused: {told}', Code.REFUSED)
+        self._progress(f'accepted as version {answer.version}')
+        return await self._await_in_force(answer.version)
+
+    async def _settled(
+        self, change: changes.Change
+    ) -> operatorclient.ChangeAnswer:
+        """Submit a change until its fate is known, under one change id."""
+        change_id = self._options.change_id
+        change_id = change_id or _new_change_id()
+        problem = ''
+        for attempt in range(SUBMIT_TRIES):
+            if attempt:
+                self._progress(f'fate unknown ({problem}); asking again')
+                await asyncio.sleep(RETRY_PAUSE_MS / 1000)
+            got = await self._client.submit(change, change_id)
+            match got:
+                case expression.Result(tag='ok', ok=answer):
+                    if answer.outcome is not _UNKNOWN:
+                        return answer
+                    problem = answer.reason
+                case expression.Result(
+                    error=operatorclient.NoAnswerError() as error
+                ):
+                    problem = str(error)
+                case expression.Result(error=error):
+                    if problem:
+                        # An earlier try may have taken effect.
+                        break
+                    raise _failure(error)
+        raise errors.CommandFailure(
+            f'unknown: {problem}; repeat the command with'
+            f' --change-id={change_id} to find out',
+            Code.UNKNOWN,
+        )
+
+    async def _await_in_force(self, version: ids.ConfigVersion) -> Code:
+        """Show progress by failure domain until all nodes confirmed."""
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + self._options.wait_ms / 1000
+        shown = ''
+        while True:
+            got = await self._client.in_force(version)
+            domains = got.ok if got.is_ok() else {}
+            line = listing.progress(domains) or 'waiting for confirmations'
+            if line != shown:
+                self._progress(line)
+                shown = line
+            if domains and all(
+                domain.in_force >= domain.total for domain in domains.values()
+            ):
+                self._show(domains, listing.in_force(version, domains))
+                return _OK
+            if loop.time() >= ends_s:
+                self._show(domains, listing.in_force(version, domains))
+                return Code.NOT_YET_IN_FORCE
+            await asyncio.sleep(POLL_MS / 1000)
+
+    async def _issue(self, organisation: str) -> Code:
+        key = keys.new_key()
+        change = changes.IssueKey(
+            organisation=organisation, digest=keys.fingerprint(key)
+        )
+        return await self._submit_with_key(change, key)
+
+    async def _put_operator(self, name: str) -> Code:
+        key = keys.new_key()
+        change = changes.PutOperator(name=name, digest=keys.fingerprint(key))
+        return await self._submit_with_key(change, key)
+
+    async def _submit_with_key(self, change: changes.Change, key: str) -> Code:
+        """Submit a change that gives a new key and show the key once."""
+        if self._options.change_id:
+            raise errors.CommandFailure(
+                'change-id: each try makes a new key; list the keys,'
+                ' withdraw the one in doubt and issue another',
+                Code.USAGE,
+            )
+        try:
+            code = await self._submit(change)
+        except errors.CommandFailure as exc:
+            if exc.code is Code.UNKNOWN:
+                # It works if the change took effect after all.
+                print(key)
+            raise
+        print(key)
+        return code
+
+    async def _edit_route(self, command: commands.EditRoute) -> Code:
+        document = await self._document()
+        route = document.routes.get(command.route_id)
+        if route is None:
+            known = ', '.join(sorted(document.routes)) or 'none'
+            raise errors.CommandFailure(
+                f'routes.{command.route_id}: no such route; known: {known}',
+                Code.REFUSED,
+            )
+        edited = msgspec.structs.replace(
+            route, **{command.field: command.value}
+        )
+        return await self._submit(
+            changes.PutRoute(route_id=command.route_id, route=edited)
+        )
+
+    async def _list(self, part: commands.Listing) -> Code:
+        document = await self._document()
+        shown = listing.part(document, part)
+        self._show(listing.plain(document, part), render.text(shown))
+        return _OK
+
+    async def _show_preset(self, name: str) -> Code:
+        document = await self._document()
+        name = name or document.active_preset
+        preset = document.presets.get(name)
+        if preset is None:
+            known = ', '.join(sorted(document.presets))
+            raise errors.CommandFailure(
+                f'presets.{name}: no such preset; known: {known}',
+                Code.REFUSED,
+            )
+        self._show(preset, listing.preset(document, name))
+        return _OK
+
+    async def _show_config(self) -> Code:
+        document = await self._document()
+        self._show(document, render.as_json(document))
+        return _OK
+
+    async def _status(self) -> Code:
+        code = _OK
+        found = {}
+        for node, got in await self._client.get_from_all('/v1/status'):
+            if got.is_error():
+                code = _failure(got.error).code
+                found[str(node)] = {'problem': str(got.error)}
+            else:
+                found[str(node)] = msgspec.json.decode(got.ok)
+        self._show(found, listing.statuses(found))
+        return code
+
+    async def _explain(self, root_id: str) -> Code:
+        told, failed = await operatorclient.explanations(self._client, root_id)
+        for error in failed:
+            self._progress(str(error))
+        if not told:
+            raise _failure(failed[0])
+        self._show(told, listing.explained(told))
+        return _OK if any(t.entries for t in told) else Code.REFUSED
+
+    async def _report(self, form: commands.Format, output: str) -> Code:
+        document = await self._document()
+        found, failed = await operatorclient.snapshots(self._client)
+        for error in failed:
+            self._progress(str(error))
+        if not found:
+            raise _failure(failed[0])
+        made = report.make(found, document.objectives, len(failed))
+        text = report.render_as(made, form.value)
+        if output:
+            pathlib.Path(output).write_text(text, encoding='utf-8')
+        else:
+            print(text)
+        return _OK
+
+
+async def execute(command: commands.RemoteCommand) -> Code:
+    """Run a command against the fleet on the running event loop."""
+    client = operatorclient.operator_client(_access(command.options))
+    return await Session(client, command.options).run(command)
+
+
+def run(command: commands.RemoteCommand) -> Code:
+    """Run a command against the fleet.
+
+    Raises:
+        errors.CommandFailure: If it did not do what it was asked to do.
+    """
+    return asyncio.run(execute(command))
--- /dev/null
+++ b/tests/test_objectives.py
@@ -0,0 +1,95 @@
+import pytest
+
+from parsleystile import burn
+from parsleystile import errors
+from parsleystile import objectives
+
+_GOALS = objectives.Objectives(
+    goodput_ratio=0.9,
+    worst_organisation_ratio=0.5,
+    refused_inside_rate_ratio=0.01,
+    recovery_ms=5000,
+)
+
+
+def _snapshot(node, domain, endings):
+    """Count (organisation, good, refused) endings at one node."""
+    recorder = burn.burn_recorder(node, domain, 0.0)
+    for organisation, good, refused in endings:
+        for ending, count in ((True, good), (False, refused)):
+            outcome = errors.Outcome.ANSWERED
+            reason = errors.Reason.NONE
+            if not ending:
+                outcome = errors.Outcome.NOT_RUN
+                reason = errors.Reason.SHED
+            for _ in range(count):
+                recorder.record(organisation, outcome, reason, 3, True, 1.0)
+    return recorder.snapshot(2.0)
+
+
+@pytest.fixture
+def snapshots():
+    return [
+        _snapshot('n1', 'd1', [('a', 90, 10), ('b', 1, 9)]),
+        _snapshot('n2', 'd2', [('a', 90, 10)]),
+    ]
+
+
+def test_nodes_add_up(snapshots):
+    whole = objectives.total(snapshots)
+    assert whole.nodes == 2
+    row = whole.windows[0]
+    assert row[burn.Count.DEMANDED] == 210
+    assert row[burn.Count.GOOD] == 181
+    assert whole.reasons == {'shed': 29}
+    assert whole.recent[0] == [210, 181]
+    only_b = objectives.total(snapshots, 'b').windows[0]
+    assert only_b[burn.Count.DEMANDED] == 10
+
+
+def test_burns_are_misses_over_the_budget(snapshots):
+    whole = objectives.total(snapshots)
+    goodput = objectives.goodput_burns(whole, _GOALS)[0]
+    assert goodput.missed == 29
+    assert goodput.rate == pytest.approx(29 / 210 / 0.1)
+    refused = objectives.refusal_burns(whole, _GOALS)[0]
+    assert refused.rate == pytest.approx(29 / 210 / 0.01)
+
+
+def test_the_worst_served_is_named(snapshots):
+    by_name = {n: objectives.total(snapshots, n) for n in 'ab'}
+    worst = objectives.worst_burns(by_name, _GOALS)[0]
+    assert worst.subject == 'b'
+    assert worst.rate == pytest.approx(0.9 / 0.5)
+
+
+def test_an_idle_fleet_burns_nothing():
+    whole = objectives.total([])
+    assert objectives.goodput_burns(whole, _GOALS)[0].rate == 0
+    assert objectives.worst_burns({}, _GOALS)[0].demanded == 0
+    assert objectives.recovery_burn(whole, _GOALS).rate == 0
+
+
+@pytest.mark.parametrize(
+    ('seconds', 'dip_s'),
+    [
+        # Oldest first: demanded and good.
+        ([(10, 10)] * 5, 0),
+        ([(10, 10), (10, 5), (10, 5), (10, 10)], 2),
+        ([(10, 5), (0, 0), (10, 5), (10, 10)], 3),
+        ([(10, 5), (0, 0), (10, 10)], 1),
+        ([(10, 5), (10, 10), (10, 0), (10, 0)], 2),
+        ([(10, 9), (10, 9)], 0),
+    ],
+)
+def test_a_dip_lasts_until_goodput_is_back(seconds, dip_s):
+    newest_first = seconds[::-1]
+    assert objectives.longest_dip_ms(newest_first, 0.9) == dip_s * 1000
+
+
+def test_percentiles_are_upper_bounds():
+    latency = [0] * burn.LATENCY_BUCKETS
+    latency[2] = 99  # 2 and 3 ms
+    latency[6] = 1  # 32 to 63 ms
+    assert objectives.percentile_ms(latency, 0.5) == 4
+    assert objectives.percentile_ms(latency, 1.0) == 64
--- /dev/null
+++ b/tests/test_report.py
@@ -0,0 +1,83 @@
+import json
+import random
+import re
+from xml.etree import ElementTree
+
+import pytest
+
+from parsleystile import burn
+from parsleystile import errors
+from parsleystile import objectives
+from parsleystile import report
+
+_ENDINGS = (
+    (errors.Outcome.NOT_RUN, errors.Reason.SHED),
+    (errors.Outcome.UNKNOWN, errors.Reason.LINK_LOST),
+    (errors.Outcome.NOT_RUN, errors.Reason.RATE_LIMITED),
+    (errors.Outcome.NOT_RUN, errors.Reason.KEY_REJECTED),
+)
+
+
+def _snapshot(node, domain, seed, good_share):
+    rng = random.Random(seed)
+    recorder = burn.burn_recorder(node, domain, 0.0)
+    now_ms = 0.0
+    while now_ms < 1_200_000:
+        now_ms += rng.expovariate(1 / 400)
+        name = rng.choice(('kuopio-households', 'drivers', ''))
+        outcome, reason = rng.choice(_ENDINGS)
+        if rng.random() < good_share:
+            outcome, reason = errors.Outcome.ANSWERED, errors.Reason.NONE
+        latency_ms = rng.expovariate(1 / 20)
+        inside = reason is not errors.Reason.RATE_LIMITED
+        recorder.record(name, outcome, reason, latency_ms, inside, now_ms)
+    return recorder.snapshot(now_ms)
+
+
+@pytest.fixture(scope='module')
+def made():
+    snapshots = [
+        _snapshot('stock-1', 'savo-1', 1, 0.999),
+        _snapshot('stock-2', 'savo-2', 2, 0.9),
+    ]
+    return report.make(snapshots, objectives.Objectives(), 1)
+
+
+def test_text(made, snapshot):
+    assert report.render_as(made, 'text') == snapshot
+
+
+def test_json_holds_what_the_text_is_made_of(made):
+    plain = json.loads(report.render_as(made, 'json'))
+    assert plain['nodes'] == 2
+    assert plain['nodes_missing'] == 1
+    assert len(plain['lines']) == 3 * len(burn.WINDOWS) + 1
+    assert set(plain['series']) == {'savo-1', 'savo-2'}
+
+
+def test_html_is_one_page_with_plots_that_needs_nothing_else(made):
+    page = report.render_as(made, 'html')
+    drawings = re.findall(r'<svg.*?</svg>', page, re.DOTALL)
+    assert len(drawings) == 4
+    for drawing in drawings:
+        ElementTree.fromstring(drawing)
+    # Names of XML vocabularies are no files to load.
+    loads = re.findall(r'(?:src|href)="(?!#)([^"]*)"', page)
+    assert loads == []
+    assert 'kuopio-households' in page
+
+
+def test_html_escapes_names():
+    recorder = burn.burn_recorder('n', '<b>', 0.0)
+    recorder.record(
+        '<script>', errors.Outcome.ANSWERED, errors.Reason.NONE, 1, True, 0.0
+    )
+    made = report.make([recorder.snapshot(1.0)], objectives.Objectives())
+    page = report.render_as(made, 'html')
+    assert '<script>' not in page
+    assert '<b>' not in page
+
+
+def test_html_of_an_idle_fleet():
+    made = report.make([], objectives.Objectives(), 3)
+    assert '3 nodes did not answer' in report.render_as(made, 'html')
