--- a/idl/parsleystile.thrift
+++ b/idl/parsleystile.thrift
@@ -1,6 +1,6 @@
 // Messages between nodes. Regenerate with `make -C idl`. On a link each
 // message is a frame: 4-byte length, 1-byte kind, the struct in the thrift
-// compact protocol.
+// binary protocol.
 namespace py parsleystile.gen
 
 // What the guard of a target tells about itself on each answer.
@@ -43,6 +43,8 @@
   8: i32 retry_after_ms
   9: i32 retry_unspent
   10: Load load
+  // No node further up may try the call again.
+  11: bool is_final
 }
 
 struct Cancel {
--- /dev/null
+++ b/src/parsleystile/filters.py
@@ -0,0 +1,207 @@
+"""Filters that a request passes before it is sent, in order.
+
+A filter learns something about the exchange and returns a refusal, or None
+to go on. An ``expression`` result a filter would cost more than the whole
+pipeline, so refusals come as plain values here.
+"""
+
+import dataclasses
+import random
+import typing
+
+from parsleystile import clock as clocks
+from parsleystile import context
+from parsleystile import errors
+from parsleystile import exchange as exchanges
+from parsleystile import fleetconfig
+from parsleystile import ids
+from parsleystile import inflight
+from parsleystile import keys
+from parsleystile import retries
+from parsleystile import shedding
+
+Filter = typing.Callable[[exchanges.Exchange], errors.Refusal | None]
+
+_ROOT_ID_BITS = 64
+_IMPORTANCE = {
+    fleetconfig.ImportanceName.CRITICAL: context.Importance.CRITICAL,
+    fleetconfig.ImportanceName.NORMAL: context.Importance.NORMAL,
+    fleetconfig.ImportanceName.SHEDDABLE: context.Importance.SHEDDABLE,
+}
+
+
+class TakesQuota(typing.Protocol):
+    """What the rate filter asks of the fleet-wide limits."""
+
+    def try_take(
+        self, organisation: ids.OrganisationId, now_ms: float
+    ) -> errors.Refusal | None:
+        """Take one request from the organisation's rate, or refuse."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rules:
+    """What the filters of a node decide by.
+
+    Attributes:
+        config: Returns the document now in force.
+    """
+
+    config: typing.Callable[[], fleetconfig.FleetConfig]
+    key_ring: keys.KeyRing
+    quota: TakesQuota
+    shedder: shedding.Shedder
+    calls: inflight.CallsInFlight
+    clock: clocks.Clock
+    rng: random.Random
+
+
+def run(
+    filters: typing.Sequence[Filter], exchange: exchanges.Exchange
+) -> errors.Refusal | None:
+    """Pass an exchange through filters until one refuses it."""
+    for step in filters:
+        refusal = step(exchange)
+        if refusal is not None:
+            return refusal
+    return None
+
+
+def root_filters(rules: Rules) -> list[Filter]:
+    """Create the filters of a request from outside."""
+
+    def classify(exchange: exchanges.Exchange) -> errors.Refusal | None:
+        return _find_route(rules, exchange)
+
+    def authenticate(exchange: exchanges.Exchange) -> errors.Refusal | None:
+        key, exchange.key = exchange.key, ''
+        if key:
+            owner = rules.key_ring.authenticate(key)
+            if owner is not None:
+                exchange.organisation = owner
+                return None
+        if exchange.route.is_open:
+            return None
+        if key:
+            return errors.not_run(
+                errors.Reason.KEY_REJECTED, 'the key is not in force'
+            )
+        return errors.not_run(
+            errors.Reason.KEY_MISSING, f'no {exchanges.KEY_HEADER} header'
+        )
+
+    def open_root(exchange: exchanges.Exchange) -> errors.Refusal | None:
+        route = exchange.route
+        asked_ms = exchange.timeout_ms
+        timeout_ms = min(route.timeout_ms, asked_ms or route.timeout_ms)
+        rng = rules.rng
+        root_id = f'{rng.getrandbits(_ROOT_ID_BITS):016x}'
+        allowance = rules.config().preset.retry_allowance
+        exchange.ledger = retries.allowance_ledger(allowance)
+        exchange.context = context.CallContext(
+            root_id=ids.RootId(root_id),
+            organisation=exchange.organisation,
+            importance=_IMPORTANCE[route.importance],
+            draw=rng.random(),
+            deadline_ms=exchange.arrived_ms + timeout_ms,
+            depth=1,
+            retry_allowance=allowance,
+            idempotent=route.is_idempotent,
+            caller_service=ids.ServiceName(''),
+        )
+        return None
+
+    def shed(exchange: exchanges.Exchange) -> errors.Refusal | None:
+        rank = exchange.context.rank
+        cap = rules.config().preset.admission_level
+        if rank >= cap:
+            return errors.not_run(
+                errors.Reason.SHED, 'the preset in force sheds this class'
+            )
+        return rules.shedder.decide(
+            exchange.route_id, rank, exchange.arrived_ms
+        )
+
+    def limit_rate(exchange: exchanges.Exchange) -> errors.Refusal | None:
+        if exchange.organisation == ids.OPEN_ORGANISATION:
+            return None
+        return rules.quota.try_take(
+            exchange.organisation, exchange.arrived_ms
+        )
+
+    return [
+        exchanges.split_headers,
+        classify,
+        authenticate,
+        open_root,
+        shed,
+        limit_rate,
+    ]
+
+
+def child_filters(rules: Rules) -> list[Filter]:
+    """Create the filters of a call that the target beside us makes."""
+
+    def find_parent(exchange: exchanges.Exchange) -> errors.Refusal | None:
+        exchange.key = ''
+        parent = rules.calls.find(exchange.token)
+        if parent is None:
+            return errors.not_run(
+                errors.Reason.CONTEXT_UNKNOWN,
+                f'{exchanges.CONTEXT_HEADER} names no call in flight here',
+            )
+        exchange.organisation = parent.context.organisation
+        return None
+
+    def classify(exchange: exchanges.Exchange) -> errors.Refusal | None:
+        refusal = _find_route(rules, exchange)
+        if refusal is not None or exchange.route.is_open:
+            return refusal
+        if exchange.organisation == ids.OPEN_ORGANISATION:
+            return errors.not_run(
+                errors.Reason.KEY_MISSING,
+                'no key came with the root request',
+            )
+        return None
+
+    def open_child(exchange: exchanges.Exchange) -> errors.Refusal | None:
+        parent = rules.calls.find(exchange.token)
+        above = parent.context
+        if above.depth >= context.MAX_DEPTH:
+            return errors.not_run(
+                errors.Reason.TOO_DEEP, f'depth {above.depth + 1}'
+            )
+        route = exchange.route
+        asked_ms = exchange.timeout_ms
+        timeout_ms = min(route.timeout_ms, asked_ms or route.timeout_ms)
+        exchange.lent = parent.ledger.lend()
+        exchange.ledger = retries.allowance_ledger(exchange.lent)
+        exchange.context = context.CallContext(
+            root_id=above.root_id,
+            organisation=above.organisation,
+            importance=above.importance,
+            draw=above.draw,
+            deadline_ms=min(
+                above.deadline_ms, exchange.arrived_ms + timeout_ms
+            ),
+            depth=above.depth + 1,
+            retry_allowance=exchange.lent,
+            idempotent=route.is_idempotent,
+            caller_service=parent.service,
+        )
+        return None
+
+    return [exchanges.split_headers, find_parent, classify, open_child]
+
+
+def _find_route(
+    rules: Rules, exchange: exchanges.Exchange
+) -> errors.Refusal | None:
+    found = rules.config().match_route(exchange.method, exchange.path)
+    if found is None:
+        return errors.not_run(
+            errors.Reason.NO_ROUTE,
+            f'no route for {exchange.method} {exchange.path[:80]!r}',
+        )
+    exchange.route_id, exchange.route = found
+    return None
--- a/src/parsleystile/gen/ttypes.py
+++ b/src/parsleystile/gen/ttypes.py
@@ -401,6 +401,7 @@
      - retry_after_ms
      - retry_unspent
      - load
+     - is_final
 
     """
 
@@ -415,10 +416,11 @@
         'retry_after_ms',
         'retry_unspent',
         'load',
+        'is_final',
     )
 
 
-    def __init__(self, call_id=None, outcome=None, status=None, headers=None, body=None, reason=None, detail=None, retry_after_ms=None, retry_unspent=None, load=None,):
+    def __init__(self, call_id=None, outcome=None, status=None, headers=None, body=None, reason=None, detail=None, retry_after_ms=None, retry_unspent=None, load=None, is_final=None,):
         self.call_id = call_id
         self.outcome = outcome
         self.status = status
@@ -429,6 +431,7 @@
         self.retry_after_ms = retry_after_ms
         self.retry_unspent = retry_unspent
         self.load = load
+        self.is_final = is_final
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -495,6 +498,11 @@
                     self.load.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.is_final = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -548,6 +556,10 @@
             oprot.writeFieldBegin('load', TType.STRUCT, 10)
             self.load.write(oprot)
             oprot.writeFieldEnd()
+        if self.is_final is not None:
+            oprot.writeFieldBegin('is_final', TType.BOOL, 11)
+            oprot.writeBool(self.is_final)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -877,6 +889,7 @@
     (8, TType.I32, 'retry_after_ms', None, None, ),  # 8
     (9, TType.I32, 'retry_unspent', None, None, ),  # 9
     (10, TType.STRUCT, 'load', [Load, None], None, ),  # 10
+    (11, TType.BOOL, 'is_final', None, None, ),  # 11
 )
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
--- /dev/null
+++ b/src/parsleystile/guard.py
@@ -0,0 +1,291 @@
+"""The only way in to the target beside this node."""
+
+import itertools
+import typing
+
+from parsleystile import admission
+from parsleystile import clock as clocks
+from parsleystile import context
+from parsleystile import deadlines
+from parsleystile import errors
+from parsleystile import exchange
+from parsleystile import ids
+from parsleystile import inflight
+from parsleystile import metrics as metric
+from parsleystile import targetclient
+from parsleystile import transport
+from parsleystile import wire
+from parsleystile.gen import ttypes
+
+_TARGET_HOST = '127.0.0.1'
+_FIRST_ERROR_STATUS = 500
+
+OnAnswer = typing.Callable[[ttypes.Answer], None]
+
+
+class _GuardedCall(transport.PendingCall):
+    """A call between its arrival at the guard and its answer."""
+
+    __slots__ = ('call', 'context', 'guard', 'key', 'on_answer', 'running')
+
+    def __init__(
+        self,
+        guard: 'Guard',
+        key: int,
+        call: ttypes.Call,
+        call_context: context.CallContext,
+        on_answer: OnAnswer,
+    ) -> None:
+        self.guard = guard
+        self.key = key
+        self.call = call
+        self.context = call_context
+        self.on_answer = on_answer
+        self.running: inflight.CallInFlight | None = None
+
+    def cancel(self) -> None:
+        self.guard.cancel(self)
+
+
+class Guard:
+    """Admits calls to the target, sends them and answers them.
+
+    Args:
+        weight_of: Share of slots of an organisation under contention.
+    """
+
+    def __init__(
+        self,
+        queue: admission.AdmissionQueue,
+        calls: inflight.CallsInFlight,
+        client: targetclient.TargetClient,
+        clock: clocks.Clock,
+        wheel: deadlines.DeadlineWheel,
+        metrics: metric.Metrics,
+        weight_of: typing.Callable[[ids.OrganisationId], float],
+    ) -> None:
+        self._queue = queue
+        self._calls = calls
+        self._client = client
+        self._clock = clock
+        self._wheel = wheel
+        self._metrics = metrics
+        self._weight_of = weight_of
+        self._keys = itertools.count(1)
+        self._waiting: dict[int, _GuardedCall] = {}
+        self._base_url = ''
+        self._service = ids.ServiceName('')
+        self._tick_due_ms = float('inf')
+        self.on_unreachable: typing.Callable[[], None] = lambda: None
+
+    def target_up(
+        self, service: ids.ServiceName, port: int, slots: int
+    ) -> None:
+        """Open for a target that announced itself; it starts cold."""
+        self._service = service
+        self._base_url = f'http://{_TARGET_HOST}:{port}'
+        self._handle(admission.Announce(slots))
+
+    def target_down(self) -> None:
+        """Close: there is no target any more."""
+        self._service = ids.ServiceName('')
+        self._base_url = ''
+
+    def drain(self) -> None:
+        """Refuse new calls; those in flight run to their end."""
+        self._handle(admission.Drain())
+
+    def set_level_cap(self, level: float) -> None:
+        """Cap the admission level, as the preset in force asks."""
+        self._handle(admission.Level(level))
+
+    @property
+    def in_flight(self) -> int:
+        """Calls that wait or run."""
+        return len(self._waiting)
+
+    def load(self, subtree_level: float = context.RANK_LIMIT) -> ttypes.Load:
+        """Return the load to tell on an answer."""
+        load = self._queue.load(self._clock.now_ms())
+        return ttypes.Load(
+            load.in_flight,
+            load.limit,
+            load.queued,
+            min(load.admission_level, subtree_level),
+        )
+
+    def submit(
+        self, call: ttypes.Call, on_answer: OnAnswer
+    ) -> transport.PendingCall | None:
+        """Take a call; ``on_answer`` is called exactly once."""
+        refusal = self._check(call)
+        if refusal is not None:
+            on_answer(self._refusal_answer(call, refusal))
+            return None
+        now_ms = self._clock.now_ms()
+        call_context = _context_of(call, now_ms)
+        guarded = _GuardedCall(
+            self, next(self._keys), call, call_context, on_answer
+        )
+        self._waiting[guarded.key] = guarded
+        arrive = admission.Arrive(
+            guarded.key,
+            call_context.organisation,
+            call_context.rank,
+            call_context.deadline_ms,
+            self._weight_of(call_context.organisation),
+        )
+        self._handle(arrive)
+        return guarded
+
+    def _check(self, call: ttypes.Call) -> errors.Refusal | None:
+        if not self._base_url or call.callee_service != self._service:
+            return errors.not_run(
+                errors.Reason.NO_TARGET,
+                f'no target of {call.callee_service} here',
+            )
+        if call.depth > context.MAX_DEPTH:
+            return errors.not_run(
+                errors.Reason.TOO_DEEP, f'depth {call.depth}'
+            )
+        return None
+
+    def cancel(self, guarded: _GuardedCall) -> None:
+        """Give up a call: its caller wants no answer."""
+        if self._waiting.pop(guarded.key, None) is None:
+            return
+        self._metrics.incr('guard.cancelled')
+        running = guarded.running
+        if running is not None:
+            if running.transfer is not None:
+                running.transfer.cancel()
+            self._calls.end(running)
+        self._handle(admission.Cancel(guarded.key))
+
+    def _handle(self, event: admission.Event) -> None:
+        now_ms = self._clock.now_ms()
+        for action in self._queue.handle(event, now_ms):
+            match action:
+                case admission.Start(call_key):
+                    self._start(self._waiting[call_key])
+                case admission.Refuse(call_key, refusal):
+                    self._refuse(self._waiting.pop(call_key), refusal)
+        self._schedule()
+
+    def _schedule(self) -> None:
+        due_ms = self._queue.next_tick_ms
+        if due_ms is not None and due_ms < self._tick_due_ms:
+            self._tick_due_ms = due_ms
+            self._wheel.add(due_ms, self._tick)
+
+    def _tick(self) -> None:
+        self._tick_due_ms = float('inf')
+        self._handle(admission.Tick())
+
+    def _start(self, guarded: _GuardedCall) -> None:
+        now_ms = self._clock.now_ms()
+        running = self._calls.start(
+            guarded.context, self._service, now_ms
+        )
+        guarded.running = running
+        call = guarded.call
+        remaining_ms = guarded.context.remaining_ms(now_ms)
+        headers = [
+            *call.headers,
+            exchange.CONTEXT_HEADER,
+            running.token,
+            exchange.TIMEOUT_HEADER,
+            str(int(remaining_ms)),
+        ]
+        request = targetclient.TargetRequest(
+            call.method,
+            self._base_url + call.path,
+            headers,
+            call.body,
+            remaining_ms,
+        )
+
+        def on_answer(
+            result: targetclient.TargetAnswer | errors.Refusal,
+        ) -> None:
+            self._finish(guarded, running, result)
+
+        running.transfer = self._client.send(request, on_answer)
+
+    def _refuse(self, guarded: _GuardedCall, refusal: errors.Refusal) -> None:
+        self._metrics.incr(f'guard.refused.{refusal.reason.name.lower()}')
+        guarded.on_answer(self._refusal_answer(guarded.call, refusal))
+
+    def _refusal_answer(
+        self, call: ttypes.Call, refusal: errors.Refusal
+    ) -> ttypes.Answer:
+        return wire.refusal_answer(
+            call.call_id, refusal, call.retry_allowance, self.load()
+        )
+
+    def _finish(
+        self,
+        guarded: _GuardedCall,
+        running: inflight.CallInFlight,
+        result: targetclient.TargetAnswer | errors.Refusal,
+    ) -> None:
+        self._waiting.pop(guarded.key, None)
+        self._calls.end(running)
+        now_ms = self._clock.now_ms()
+        match result:
+            case errors.Refusal():
+                is_ok = False
+            case _:
+                is_ok = result.status < _FIRST_ERROR_STATUS
+        service_ms = now_ms - running.started_ms
+        self._handle(admission.Complete(guarded.key, is_ok, service_ms))
+        load = self.load(running.subtree_level)
+        match result:
+            case errors.Refusal():
+                if result.reason is errors.Reason.UNREACHABLE:
+                    self.on_unreachable()
+                answer = wire.refusal_answer(
+                    guarded.call.call_id, result, running.ledger.unspent, load
+                )
+            case targetclient.TargetAnswer():
+                answer = ttypes.Answer(
+                    call_id=guarded.call.call_id,
+                    outcome=errors.Outcome.ANSWERED,
+                    status=result.status,
+                    headers=exchange.answer_headers(result.headers),
+                    body=result.body,
+                    reason=errors.Reason.NONE,
+                    detail='',
+                    retry_after_ms=0,
+                    retry_unspent=running.ledger.unspent,
+                    load=load,
+                    is_final=False,
+                )
+        guarded.on_answer(answer)
+
+
+def _context_of(call: ttypes.Call, now_ms: float) -> context.CallContext:
+    return context.CallContext(
+        root_id=ids.RootId(call.root_id),
+        organisation=ids.OrganisationId(call.organisation),
+        importance=context.Importance(call.importance),
+        draw=call.draw,
+        deadline_ms=now_ms + call.deadline_ms,
+        depth=call.depth,
+        retry_allowance=call.retry_allowance,
+        idempotent=call.idempotent,
+        caller_service=ids.ServiceName(call.caller_service),
+    )
+
+
+def guard(
+    queue: admission.AdmissionQueue,
+    calls: inflight.CallsInFlight,
+    client: targetclient.TargetClient,
+    clock: clocks.Clock,
+    wheel: deadlines.DeadlineWheel,
+    metrics: metric.Metrics,
+    weight_of: typing.Callable[[ids.OrganisationId], float],
+) -> Guard:
+    """Create a guard that has no target yet."""
+    return Guard(queue, calls, client, clock, wheel, metrics, weight_of)
--- /dev/null
+++ b/src/parsleystile/httpfront.py
@@ -0,0 +1,232 @@
+"""The HTTP side of a node: tornado connections in, exchanges out."""
+
+import enum
+import json
+import typing
+
+from tornado import httpserver
+from tornado import httputil
+from tornado import iostream
+from tornado import netutil
+
+from parsleystile import clock as clocks
+from parsleystile import errors
+from parsleystile import exchange as exchanges
+from parsleystile import metrics as metric
+from parsleystile import settings
+
+_OUTCOME_NAMES = {
+    errors.Outcome.ANSWERED: 'answered',
+    errors.Outcome.NOT_RUN: 'not-run',
+    errors.Outcome.UNKNOWN: 'unknown',
+}
+_PROBLEM_TYPE = 'application/problem+json'
+_PROBLEM_URI = 'urn:parsleystile:refusal:'
+_MS_PER_S = 1000
+_BODY_TIMEOUT_S = 10.0
+_IDLE_TIMEOUT_S = 300.0
+# A status without a body by definition (RFC 9110, 6.4.1).
+_BODILESS = frozenset({204, 304})
+
+OnExchange = typing.Callable[[exchanges.Exchange], None]
+
+
+class _Progress(enum.Enum):
+    READING = 'reading'
+    REFUSED = 'refused'
+    RUNNING = 'running'
+
+
+class _Request(httputil.HTTPMessageDelegate):
+    """Collects one request and writes its answer."""
+
+    __slots__ = (
+        '_body',
+        '_body_bytes',
+        '_connection',
+        '_exchange',
+        '_front',
+        '_headers',
+        '_progress',
+        '_start',
+    )
+
+    def __init__(
+        self, front: 'HttpFront', connection: httputil.HTTPConnection
+    ) -> None:
+        self._front = front
+        self._connection = connection
+        self._progress = _Progress.READING
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._exchange: exchanges.Exchange | None = None
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        self._start = typing.cast(httputil.RequestStartLine, start_line)
+        self._headers = headers
+
+    def data_received(self, chunk: bytes) -> None:
+        self._body.append(chunk)
+
+    def finish(self) -> None:
+        front = self._front
+        flat: list[str] = []
+        for name, value in self._headers.get_all():
+            flat.append(name)
+            flat.append(value)
+        exchange = exchanges.Exchange(
+            self._start.method,
+            self._start.path,
+            flat,
+            b''.join(self._body),
+            front.clock.now_ms(),
+            self._answer,
+        )
+        self._exchange = exchange
+        self._progress = _Progress.RUNNING
+        front.opened(exchange)
+
+    def on_connection_close(self) -> None:
+        if self._exchange is not None:
+            self._front.closed(self._exchange)
+            self._exchange.cancel()
+
+    def _answer(
+        self, exchange: exchanges.Exchange, reply: exchanges.Reply
+    ) -> None:
+        self._front.closed(exchange)
+        self._exchange = None
+        match reply:
+            case errors.Refusal():
+                status, headers, body = _problem(reply)
+            case exchanges.Answer():
+                status, headers, body = _answer_parts(
+                    reply, self._start.method
+                )
+        try:
+            self._connection.write_headers(
+                httputil.ResponseStartLine('HTTP/1.1', status, ''),
+                headers,
+                body,
+            )
+            self._connection.finish()
+        except (iostream.StreamClosedError, httputil.HTTPOutputError):
+            self._front.metrics.incr('http.answers_unsent')
+
+
+def _answer_parts(
+    answer: exchanges.Answer, method: str
+) -> tuple[int, httputil.HTTPHeaders, bytes]:
+    headers = httputil.HTTPHeaders()
+    flat = answer.headers
+    for i in range(0, len(flat), 2):
+        headers.add(flat[i], flat[i + 1])
+    body = answer.body
+    if answer.status not in _BODILESS and method != 'HEAD':
+        headers['Content-Length'] = str(len(body))
+    headers[exchanges.OUTCOME_HEADER] = 'answered'
+    return answer.status, headers, body
+
+
+def _problem(
+    refusal: errors.Refusal,
+) -> tuple[int, httputil.HTTPHeaders, bytes]:
+    outcome = _OUTCOME_NAMES[refusal.outcome]
+    name = refusal.reason.name.lower().replace('_', '-')
+    document: dict[str, object] = {
+        'type': _PROBLEM_URI + name,
+        'title': name.replace('-', ' '),
+        'status': refusal.status,
+        'detail': refusal.detail,
+        'outcome': outcome,
+    }
+    headers = httputil.HTTPHeaders()
+    headers['Content-Type'] = _PROBLEM_TYPE
+    headers[exchanges.OUTCOME_HEADER] = outcome
+    if refusal.retry_after_ms > 0:
+        # Retry-After has whole seconds; the document keeps the jitter.
+        document['retry_after_ms'] = refusal.retry_after_ms
+        seconds = -(-refusal.retry_after_ms // _MS_PER_S)
+        headers['Retry-After'] = str(seconds)
+    body = json.dumps(document).encode()
+    headers['Content-Length'] = str(len(body))
+    return refusal.status, headers, body
+
+
+class HttpFront(httputil.HTTPServerConnectionDelegate):
+    """Listens for HTTP and hands each whole request on.
+
+    Attributes:
+        clock: Stamps the arrival of each request.
+    """
+
+    def __init__(
+        self,
+        on_exchange: OnExchange,
+        clock: clocks.Clock,
+        metrics: metric.Metrics,
+        limits: settings.Limits,
+    ) -> None:
+        self.clock = clock
+        self.metrics = metrics
+        self._on_exchange = on_exchange
+        self._open: set[exchanges.Exchange] = set()
+        self._server = httpserver.HTTPServer(
+            self,
+            no_keep_alive=False,
+            max_header_size=limits.header_bytes,
+            max_body_size=limits.body_bytes,
+            body_timeout=_BODY_TIMEOUT_S,
+            idle_connection_timeout=_IDLE_TIMEOUT_S,
+        )
+
+    def listen(self, host: str, port: int) -> int:
+        """Start to accept connections; return the port bound."""
+        sockets = netutil.bind_sockets(port, host)
+        self._server.add_sockets(sockets)
+        return int(sockets[0].getsockname()[1])
+
+    def start_request(
+        self, server_conn: object, request_conn: httputil.HTTPConnection
+    ) -> httputil.HTTPMessageDelegate:
+        """Create the delegate of one request; called by tornado."""
+        return _Request(self, request_conn)
+
+    def on_close(self, server_conn: object) -> None:
+        """Note that a connection closed; called by tornado."""
+
+    def opened(self, exchange: exchanges.Exchange) -> None:
+        """Hand a whole request on."""
+        self._open.add(exchange)
+        self._on_exchange(exchange)
+
+    def closed(self, exchange: exchanges.Exchange) -> None:
+        """Note that a request has its answer or lost its caller."""
+        self._open.discard(exchange)
+
+    @property
+    def open_count(self) -> int:
+        """Requests that have no answer yet."""
+        return len(self._open)
+
+    def stop_listening(self) -> None:
+        """Take no more connections; open ones go on."""
+        self._server.stop()
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._server.close_all_connections()
+
+
+def http_front(
+    on_exchange: OnExchange,
+    clock: clocks.Clock,
+    metrics: metric.Metrics,
+    limits: settings.Limits,
+) -> HttpFront:
+    """Create a front that listens nowhere yet."""
+    return HttpFront(on_exchange, clock, metrics, limits)
--- /dev/null
+++ b/src/parsleystile/ticker.py
@@ -0,0 +1,59 @@
+"""Turns a deadline wheel by timers of the event loop."""
+
+import asyncio
+import typing
+
+from parsleystile import clock as clocks
+from parsleystile import deadlines
+
+_MS_PER_S = 1000.0
+
+
+class Ticker:
+    """Expires the deadlines of a wheel on the running event loop."""
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._loop = asyncio.get_running_loop()
+        self._timer: asyncio.TimerHandle | None = None
+        self.wheel = deadlines.DeadlineWheel(self._schedule)
+        self._closed = False
+
+    def every(
+        self, period_ms: float, callback: typing.Callable[[], None]
+    ) -> None:
+        """Call ``callback`` again and again, ``period_ms`` apart."""
+
+        def fire() -> None:
+            if not self._closed:
+                self.wheel.add(self._clock.now_ms() + period_ms, fire)
+                callback()
+
+        self.wheel.add(self._clock.now_ms() + period_ms, fire)
+
+    def close(self) -> None:
+        """Stop; no callback comes any more."""
+        self._closed = True
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _schedule(self) -> None:
+        due_ms = self.wheel.next_due_ms
+        if due_ms is None or self._closed:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        delay_ms = max(0.0, due_ms - self._clock.now_ms())
+        self._timer = self._loop.call_later(delay_ms / _MS_PER_S, self._turn)
+
+    def _turn(self) -> None:
+        self._timer = None
+        try:
+            self.wheel.expire(self._clock.now_ms())
+        finally:
+            self._schedule()
+
+
+def ticker(clock: clocks.Clock) -> Ticker:
+    """Create a ticker on the running event loop."""
+    return Ticker(clock)
