--- a/src/parsleystile/balancer.py
+++ b/src/parsleystile/balancer.py
@@ -185,6 +185,10 @@
             if peer.failures >= FAILURES_TO_EJECT or peer.is_ejected:
                 self._eject(peer, now_ms)
 
+    def cancelled(self, node_id: ids.NodeId) -> None:
+        """Note that nobody waits any more for a call to a node."""
+        self._settle(node_id)
+
     def _settle(self, node_id: ids.NodeId) -> _Peer | None:
         peer = self._peers.get(node_id)
         if peer is not None and peer.in_flight > 0:
--- a/src/parsleystile/dispatcher.py
+++ b/src/parsleystile/dispatcher.py
@@ -106,11 +106,13 @@
             self._deadline = None
 
     def _expire(self) -> None:
-        self._deadline = None
+        refusal = errors.unknown(errors.Reason.DEADLINE, 'no answer in time')
+        if self._tries == 0 or (self._pending is None and not self._member):
+            refusal = errors.not_run(
+                errors.Reason.DEADLINE, 'refused until the deadline'
+            )
         self.cancel()
-        self._exchange.finish(
-            errors.unknown(errors.Reason.DEADLINE, 'no answer in time')
-        )
+        self._exchange.finish(refusal)
 
     def _send(self) -> None:
         parts = self._dispatcher.parts
@@ -164,8 +166,10 @@
         self._member = None
         self._pending = None
         if isinstance(result, ttypes.Answer):
-            self._note_load(node_id, result, now_ms)
+            load = result.load
+            self._note_level(load.admission_level, now_ms)
             if result.outcome == errors.Outcome.ANSWERED:
+                parts.balancer.answered(node_id, result.load, now_ms)
                 exchange.ledger.give_back(self._lent, result.retry_unspent)
                 self._dispatcher.note_service_time(
                     exchange.route.service, now_ms - self._started_ms
@@ -179,21 +183,17 @@
             unspent = result.retry_unspent
             refusal = wire.answer_refusal(result)
         else:
+            load = None
             is_unsent = result.outcome is errors.Outcome.NOT_RUN
             unspent = self._lent if is_unsent else 0
             refusal = result
         exchange.ledger.give_back(self._lent, unspent)
-        parts.balancer.failed(node_id, refusal, now_ms)
+        parts.balancer.failed(node_id, refusal, now_ms, load)
         self._excluded |= {node_id}
         self._retry_or_finish(refusal, now_ms)
 
-    def _note_load(
-        self, node_id: ids.NodeId, answer: ttypes.Answer, now_ms: float
-    ) -> None:
+    def _note_level(self, level: float, now_ms: float) -> None:
         parts = self._dispatcher.parts
-        level = answer.load.admission_level
-        if answer.outcome == errors.Outcome.ANSWERED:
-            parts.balancer.answered(node_id, answer.load, now_ms)
         parts.shedder.told(self._exchange.route_id, level, now_ms)
         if self._on_level is not None:
             self._on_level(level)
--- a/src/parsleystile/guard.py
+++ b/src/parsleystile/guard.py
@@ -134,6 +134,7 @@
             call_context.rank,
             call_context.deadline_ms,
             self._weight_of(call_context.organisation),
+            call.route,
         )
         self._handle(arrive)
         return guarded
@@ -160,7 +161,12 @@
             if running.transfer is not None:
                 running.transfer.cancel()
             self._calls.end(running)
-        self._handle(admission.Cancel(guarded.key))
+            service_ms = self._clock.now_ms() - running.started_ms
+            self._handle(admission.Cancel(guarded.key))
+            # Targets accept cancellation: the slot is free at once.
+            self._handle(admission.Complete(guarded.key, True, service_ms))
+        else:
+            self._handle(admission.Cancel(guarded.key))
 
     def _handle(self, event: admission.Event) -> None:
         now_ms = self._clock.now_ms()
@@ -174,7 +180,7 @@
 
     def _schedule(self) -> None:
         due_ms = self._queue.next_tick_ms
-        if due_ms is not None and due_ms < self._tick_due_ms:
+        if due_ms < self._tick_due_ms:
             self._tick_due_ms = due_ms
             self._wheel.add(due_ms, self._tick)
 
@@ -230,15 +236,18 @@
         result: targetclient.TargetAnswer | errors.Refusal,
     ) -> None:
         self._waiting.pop(guarded.key, None)
-        self._calls.end(running)
         now_ms = self._clock.now_ms()
+        self._calls.end(running)
         match result:
             case errors.Refusal():
                 is_ok = False
             case _:
                 is_ok = result.status < _FIRST_ERROR_STATUS
         service_ms = now_ms - running.started_ms
-        self._handle(admission.Complete(guarded.key, is_ok, service_ms))
+        child_ms = running.child_ms(now_ms)
+        self._handle(
+            admission.Complete(guarded.key, is_ok, service_ms, child_ms)
+        )
         load = self.load(running.subtree_level)
         match result:
             case errors.Refusal():
--- a/src/parsleystile/inflight.py
+++ b/src/parsleystile/inflight.py
@@ -31,6 +31,8 @@
     """
 
     __slots__ = (
+        '_child_ms',
+        '_waits_since_ms',
         'children',
         'context',
         'ledger',
@@ -54,9 +56,30 @@
         self.started_ms = started_ms
         self.ledger = retries.allowance_ledger(call_context.retry_allowance)
         self.children: set[exchange.Exchange] = set()
+        self._child_ms = 0.0
+        self._waits_since_ms = 0.0
         self.subtree_level = context.RANK_LIMIT
         self.transfer: transport.PendingCall | None = None
 
+    def child_started(self, child: exchange.Exchange, now_ms: float) -> None:
+        """Note a child call that the target waits for."""
+        if not self.children:
+            self._waits_since_ms = now_ms
+        self.children.add(child)
+
+    def child_ended(self, child: exchange.Exchange, now_ms: float) -> None:
+        """Note that a child call has its answer or lost its caller."""
+        if child in self.children:
+            self.children.remove(child)
+            if not self.children:
+                self._child_ms += now_ms - self._waits_since_ms
+
+    def child_ms(self, now_ms: float) -> float:
+        """Return how long at least one child call was outstanding."""
+        if self.children:
+            return self._child_ms + now_ms - self._waits_since_ms
+        return self._child_ms
+
     def cancel_children(self) -> None:
         """Give up the child calls: nobody can use their answers."""
         for child in list(self.children):
