Serve a call end to end across separate processes

A caller's request enters any node, passes the root filters, goes over one multiplexed thrift link to the guard of a target and back; the target's child calls go through its own node and inherit organisation, deadline, draw and retry allowance of the call they belong to.

--- a/src/parsleystile/cli.py
+++ b/src/parsleystile/cli.py
@@ -59,10 +59,10 @@
     match node_settings.load_settings(settings_path):
         case expression.Result(tag='ok', ok=settings):
             # Operators' commands do without the node's modules.
-            from parsleystile import node
+            from parsleystile import daemon
 
             logs.setup(settings.identity.node_id)
-            node.run(settings)
+            daemon.run(settings)
             return exitcodes.ExitCode.ACCEPTED
         case expression.Result(error=problem):
             return _fail(str(problem), exitcodes.ExitCode.USAGE)
--- a/src/parsleystile/dispatcher.py
+++ b/src/parsleystile/dispatcher.py
@@ -8,6 +8,7 @@
 from parsleystile import deadlines
 from parsleystile import errors
 from parsleystile import exchange as exchanges
+from parsleystile.gen import ttypes
 from parsleystile import guard as guards
 from parsleystile import ids
 from parsleystile import members
@@ -16,7 +17,6 @@
 from parsleystile import shedding
 from parsleystile import transport
 from parsleystile import wire
-from parsleystile.gen import ttypes
 
 # The answer of a call that ends at its deadline still needs the way back.
 _DEADLINE_GRACE_MS = 20.0
@@ -198,9 +198,7 @@
         if self._on_level is not None:
             self._on_level(level)
 
-    def _retry_or_finish(
-        self, refusal: errors.Refusal, now_ms: float
-    ) -> None:
+    def _retry_or_finish(self, refusal: errors.Refusal, now_ms: float) -> None:
         parts = self._dispatcher.parts
         exchange = self._exchange
         context = exchange.context
--- a/src/parsleystile/egress.py
+++ b/src/parsleystile/egress.py
@@ -64,9 +64,7 @@
         try:
             said = msgspec.json.decode(exchange.body, type=Announcement)
         except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-            exchange.finish(
-                errors.not_run(errors.Reason.MALFORMED, str(exc))
-            )
+            exchange.finish(errors.not_run(errors.Reason.MALFORMED, str(exc)))
             return
         self._on_target_event(
             targetwatch.Announced(
--- a/src/parsleystile/exchange.py
+++ b/src/parsleystile/exchange.py
@@ -142,9 +142,7 @@
 
     __slots__ = ('body', 'headers', 'status')
 
-    def __init__(
-        self, status: int, headers: list[str], body: bytes
-    ) -> None:
+    def __init__(self, status: int, headers: list[str], body: bytes) -> None:
         self.status = status
         self.headers = headers
         self.body = body
--- a/src/parsleystile/filters.py
+++ b/src/parsleystile/filters.py
@@ -125,9 +125,7 @@
     def limit_rate(exchange: exchanges.Exchange) -> errors.Refusal | None:
         if exchange.organisation == ids.OPEN_ORGANISATION:
             return None
-        return rules.quota.try_take(
-            exchange.organisation, exchange.arrived_ms
-        )
+        return rules.quota.try_take(exchange.organisation, exchange.arrived_ms)
 
     return [
         exchanges.split_headers,
--- a/src/parsleystile/guard.py
+++ b/src/parsleystile/guard.py
@@ -9,13 +9,13 @@
 from parsleystile import deadlines
 from parsleystile import errors
 from parsleystile import exchange
+from parsleystile.gen import ttypes
 from parsleystile import ids
 from parsleystile import inflight
 from parsleystile import metrics as metric
 from parsleystile import targetclient
 from parsleystile import transport
 from parsleystile import wire
-from parsleystile.gen import ttypes
 
 _TARGET_HOST = '127.0.0.1'
 _FIRST_ERROR_STATUS = 500
@@ -58,7 +58,7 @@
         self,
         queue: admission.AdmissionQueue,
         calls: inflight.CallsInFlight,
-        client: targetclient.TargetClient,
+        client: targetclient.TargetCaller,
         clock: clocks.Clock,
         wheel: deadlines.DeadlineWheel,
         metrics: metric.Metrics,
@@ -190,9 +190,7 @@
 
     def _start(self, guarded: _GuardedCall) -> None:
         now_ms = self._clock.now_ms()
-        running = self._calls.start(
-            guarded.context, self._service, now_ms
-        )
+        running = self._calls.start(guarded.context, self._service, now_ms)
         guarded.running = running
         call = guarded.call
         remaining_ms = guarded.context.remaining_ms(now_ms)
@@ -290,7 +288,7 @@
 def guard(
     queue: admission.AdmissionQueue,
     calls: inflight.CallsInFlight,
-    client: targetclient.TargetClient,
+    client: targetclient.TargetCaller,
     clock: clocks.Clock,
     wheel: deadlines.DeadlineWheel,
     metrics: metric.Metrics,
--- a/src/parsleystile/inflight.py
+++ b/src/parsleystile/inflight.py
@@ -101,9 +101,7 @@
         now_ms: float,
     ) -> CallInFlight:
         """Register a call under a new token."""
-        call = CallInFlight(
-            call_context, service, self._make_token(), now_ms
-        )
+        call = CallInFlight(call_context, service, self._make_token(), now_ms)
         self._calls[call.token] = call
         return call
 
--- a/src/parsleystile/link.py
+++ b/src/parsleystile/link.py
@@ -18,11 +18,11 @@
 from parsleystile import clock as clocks
 from parsleystile import deadlines
 from parsleystile import errors
+from parsleystile.gen import ttypes
 from parsleystile import ids
 from parsleystile import metrics as metric
 from parsleystile import transport
 from parsleystile import wire
-from parsleystile.gen import ttypes
 
 _NONCE_BYTES = 16
 _CONNECT_TIMEOUT_MS = 1000
@@ -64,7 +64,9 @@
 class _Connection(asyncio.Protocol):
     """Bytes in, messages out; common to both ends."""
 
-    def __init__(self, settings: LinkSettings, metrics: metric.Metrics) -> None:
+    def __init__(
+        self, settings: LinkSettings, metrics: metric.Metrics
+    ) -> None:
         self._settings = settings
         self._metrics = metrics
         self._decoder = wire.FrameDecoder(settings.max_frame_bytes)
@@ -122,9 +124,7 @@
 def _set_socket_options(sock: socket.socket) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S
-    )
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
     sock.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS
     )
@@ -389,17 +389,20 @@
         self._controls: dict[str, transport.ControlHandler] = {}
         self._connecting: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
+        self._on_call: CallHandler | None = None
 
-    async def listen(
-        self, host: str, port: int, on_call: CallHandler
-    ) -> transport.Address:
+    def handle_calls(self, handler: CallHandler) -> None:
+        """Serve calls on every accepted link."""
+        self._on_call = handler
+
+    async def listen(self, host: str, port: int) -> transport.Address:
         """Accept links from other nodes; return the address bound."""
 
         def accept() -> _ServerLink:
             return _ServerLink(
                 self._settings,
                 self._metrics,
-                on_call,
+                self._serve_call,
                 self._controls,
                 self._accepted,
             )
@@ -409,6 +412,16 @@
         name = self._server.sockets[0].getsockname()
         return transport.Address(name[0], name[1])
 
+    def _serve_call(
+        self,
+        call: ttypes.Call,
+        on_answer: typing.Callable[[ttypes.Answer], None],
+    ) -> transport.PendingCall | None:
+        # A link may stand before the node behind it is built.
+        if self._on_call is None:
+            raise errors.FrameError('call before this node serves calls')
+        return self._on_call(call, on_answer)
+
     def call(
         self,
         to: transport.Address,
@@ -453,9 +466,7 @@
             task.add_done_callback(self._connecting.discard)
         return link
 
-    async def _connect(
-        self, to: transport.Address, link: _ClientLink
-    ) -> None:
+    async def _connect(self, to: transport.Address, link: _ClientLink) -> None:
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_MS / 1000):
--- a/src/parsleystile/logevents.py
+++ b/src/parsleystile/logevents.py
@@ -1,369 +1,218 @@
-"""What a record of a run holds: typed events.
+"""What a node writes to its log: one frozen data class for each event.
 
-A node records what it decides. Callers and targets that take part in a
-trial record what they themselves saw, so that a claim of a node can be held
-against independent evidence.
+Every event says what happened, why, and on what evidence. No event has a
+field for a caller's key, an operator's key or the fleet's secret; a key is
+named by its id.
 """
 
+import dataclasses
 import enum
-import typing
 
-import msgspec
-
-from parsleystile import context
 from parsleystile import errors
 from parsleystile import ids
 
-_KEYLESS = ids.KeyId('')
-
-
-class Stage(enum.Enum):
-    """Which part of a node took a decision."""
-
-    INGRESS = 'ingress'
-    EGRESS = 'egress'
-    GUARD = 'guard'
-
-
-class _Event(msgspec.Struct, frozen=True, tag=True, tag_field='type'):
-    """Something that happened at one node, caller, target or operator."""
-
-
-class RequestSent(_Event, kw_only=True):
-    """A caller sent a request; recorded by the caller.
-
-    A target that calls another service is a caller, too.
-
-    Attributes:
-        request_id: Unique to this try; the caller shows it to the target.
-        call_path: Names the call within its root request, whichever
-            execution of the parent makes it; the same for each try.
-        root_request_id: ``request_id`` of the root request of the tree.
-        organisation: To whom the key belongs; empty without a valid key.
-        key: The key shown, to be searched for in what targets saw.
-        via: Node that the caller sent the request to.
-        is_open: The route is open to all.
-        idempotency_key: As sent; empty for none.
-        retry_allowance: Retries for the whole tree; for roots only.
-    """
-
-    request_id: str
-    call_path: str
-    root_request_id: str
-    organisation: ids.OrganisationId
-    key: str = ''
-    key_id: ids.KeyId = _KEYLESS
-    via: ids.NodeId
-    is_open: bool = False
-    importance: context.Importance = context.Importance.NORMAL
-    idempotent: bool
-    idempotency_key: str = ''
-    retry_allowance: int = 0
-
-
-class RequestAnswered(_Event, kw_only=True):
-    """A caller learnt what became of its request; recorded by the caller.
-
-    Attributes:
-        outcome: As told by the answer; ``UNKNOWN`` for a lost connection.
-        body_digest: Digest of the body as received.
-    """
-
-    request_id: str
-    outcome: errors.Outcome
-    status: int = 0
-    reason: errors.Reason = errors.Reason.NONE
-    body_digest: str = ''
-
-
-class RequestCancelled(_Event, kw_only=True):
-    """A caller gave up on its request; recorded by the caller."""
-
-    request_id: str
-
-
-class Executed(_Event, kw_only=True):
-    """A target began to run a request; recorded by the target.
-
-    Attributes:
-        token: Context token that came with the request.
-        headers: All headers that the target saw, as ``name: value``.
-        body: The body that the target saw, as text.
-    """
-
-    target_id: ids.TargetId
-    request_id: str
-    call_path: str
-    root_request_id: str
-    token: ids.ContextToken = ids.ContextToken('')
-    headers: tuple[str, ...] = ()
-    path: str = ''
-    body: str = ''
-
-
-class ExecutionEnded(_Event, kw_only=True):
-    """A target ended a request; recorded by the target.
-
-    Attributes:
-        body_digest: Digest of the body as answered; empty if cancelled.
-    """
 
-    target_id: ids.TargetId
-    request_id: str
-    body_digest: str = ''
+class Level(enum.Enum):
+    """How urgent an event is."""
 
+    INFO = 'info'
+    WARNING = 'warning'
+    ERROR = 'error'
 
-class TargetCapacity(_Event, kw_only=True):
-    """How many requests at once a target can bear from now on.
 
-    Recorded by the target itself, whatever it announces.
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Event:
+    """Base of all events.
 
     Attributes:
-        told: Whether the system could know: at a start, not when a target
-            turns cold without a word.
+        why: The decision in one line for people.
+        evidence: The figures that it rests on, such as ``p99_ms=40``.
     """
 
-    target_id: ids.TargetId
-    slots: int
-    told: bool
+    why: str = ''
+    evidence: str = ''
 
 
-class TargetAnnounced(_Event, kw_only=True):
-    """A target told its node that it is there."""
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NodeStarted(Event):
+    """All listeners of a node are open."""
 
-    target_id: ids.TargetId
-    service: ids.ServiceName
     failure_domain: ids.FailureDomainId
-    slots: int
-
+    caller_address: str
+    target_address: str
+    link_address: str
+    gossip_address: str
+    operator_address: str
 
-class TargetLeaving(_Event, kw_only=True):
-    """A target said, or its node was told, that it takes no new work."""
 
-    target_id: ids.TargetId
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NodeDraining(Event):
+    """A node takes no new work and finishes what is in flight."""
 
+    calls_in_flight: int
 
-class TargetCold(_Event, kw_only=True):
-    """A guard concluded that its target has turned cold."""
 
-    target_id: ids.TargetId
-    limit: int
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NodeStopped(Event):
+    """A node finished its planned stop."""
 
+    calls_cut: int
+    drained_ms: float
 
-class Admitted(_Event, kw_only=True):
-    """A node let a call pass; once at ingress, once at the guard.
 
-    Attributes:
-        rank: Admission rank of the call.
-    """
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CallRefused(Event):
+    """A call got no answer from a target."""
 
-    stage: Stage
     root_id: ids.RootId
     organisation: ids.OrganisationId
-    importance: context.Importance
-    rank: float
-    key_id: ids.KeyId = _KEYLESS
-    depth: int = 1
-
-
-class Refused(_Event, kw_only=True):
-    """A node refused a call."""
-
-    stage: Stage
-    root_id: ids.RootId
-    organisation: ids.OrganisationId
-    importance: context.Importance
-    rank: float
+    service: ids.ServiceName
     outcome: errors.Outcome
     reason: errors.Reason
-    depth: int = 1
-
-
-class TargetCalled(_Event, kw_only=True):
-    """A guard is about to write a call to its target."""
-
-    target_id: ids.TargetId
-    root_id: ids.RootId
-    token: ids.ContextToken
-    organisation: ids.OrganisationId
-    depth: int
-
 
-class Retried(_Event, kw_only=True):
-    """A node sends a call again to another target.
-
-    Attributes:
-        allowance_left: What the call may still spend afterwards.
-    """
-
-    root_id: ids.RootId
-    depth: int
-    after: errors.Reason
-    allowance_left: int
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TargetAnnounced(Event):
+    """The target beside this node told its service and slots."""
 
-class Cancelled(_Event, kw_only=True):
-    """A node cancelled a call in flight."""
-
-    root_id: ids.RootId
-    depth: int
-
-
-class KeyIssued(_Event, kw_only=True):
-    """An operator's issue of a key was accepted."""
-
-    key_id: ids.KeyId
-    organisation: ids.OrganisationId
-
-
-class KeyWithdrawn(_Event, kw_only=True):
-    """An operator's withdrawal of a key was accepted."""
-
-    key_id: ids.KeyId
-
-
-class LimitsSet(_Event, kw_only=True):
-    """Fleet-wide limits of an organisation were accepted."""
-
-    organisation: ids.OrganisationId
-    rate_per_s: float
-    burst: float
-
-
-class ConfigAccepted(_Event, kw_only=True):
-    """An operator was told that a change is accepted."""
-
-    version: ids.ConfigVersion
-    change_id: str
-    preset: ids.PresetName
-
-
-class ConfigInForce(_Event, kw_only=True):
-    """A node acts by a version from now on.
+    service: ids.ServiceName
+    slots: int
 
-    Attributes:
-        digest: Digest of the whole document.
-    """
 
-    version: ids.ConfigVersion
-    preset: ids.PresetName
-    digest: str = ''
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TargetLeaving(Event):
+    """The target beside this node drains or left."""
 
+    service: ids.ServiceName
 
-class DomainOut(_Event, kw_only=True):
-    """An operator was told that a failure domain is taken out."""
 
-    failure_domain: ids.FailureDomainId
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TargetCold(Event):
+    """The concurrency limit fell since the target seems to be cold."""
 
+    service: ids.ServiceName
+    limit_before: int
+    limit_after: int
 
-class DomainIn(_Event, kw_only=True):
-    """An operator was told that a failure domain is brought back."""
 
-    failure_domain: ids.FailureDomainId
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TargetEjected(Event):
+    """This node stopped choosing a target."""
 
+    node_id: ids.NodeId
+    service: ids.ServiceName
 
-class QuotaTaken(_Event, kw_only=True):
-    """A node let a root request pass its organisation's limits."""
 
-    organisation: ids.OrganisationId
-    amount: float = 1.0
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TargetReadmitted(Event):
+    """This node chooses a target again."""
 
+    node_id: ids.NodeId
+    service: ids.ServiceName
 
-class GrantGiven(_Event, kw_only=True):
-    """A lease holder lent a share of an organisation's limits."""
 
-    organisation: ids.OrganisationId
-    to: ids.NodeId
-    epoch: ids.LeaseEpoch
-    rate_per_s: float
-    burst: float
-    life_ms: float
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class MemberChanged(Event):
+    """This node's view of another node changed."""
 
+    node_id: ids.NodeId
+    state_before: str
+    state_after: str
+    incarnation: ids.Incarnation
 
-class LeaseHeld(_Event, kw_only=True):
-    """A node took or renewed a lease.
 
-    Attributes:
-        life_ms: How long the holder relies on it from now on.
-    """
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseChanged(Event):
+    """A lease was acquired, renewed late, lost or handed back."""
 
-    name: str
+    lease: str
+    state_before: str
+    state_after: str
     epoch: ids.LeaseEpoch
-    life_ms: float
-
-
-class LeaseLost(_Event, kw_only=True):
-    """A node no longer relies on a lease."""
 
-    name: str
-    epoch: ids.LeaseEpoch
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigApplied(Event):
+    """A version of the fleet's configuration is in force at this node."""
 
-class NodeStarted(_Event, kw_only=True):
-    """A node serves; its id is that of the entry."""
+    version_before: ids.ConfigVersion
+    version_after: ids.ConfigVersion
+    active_preset: ids.PresetName
 
 
-class StopPlanned(_Event, kw_only=True):
-    """A node was told to stop gracefully."""
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ChangeDecided(Event):
+    """An operator's change was accepted, refused or its fate is unknown."""
 
-    subject: ids.NodeId
+    change_id: str
+    operator: str
+    change: str
+    outcome: str
+    version: ids.ConfigVersion
 
 
-class NodeStopped(_Event, kw_only=True):
-    """The process of a node ended.
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class KeyWithdrawn(Event):
+    """A key stopped working at this node."""
 
-    Attributes:
-        exit_code: Negative for the signal that ended it.
-    """
+    key_id: ids.KeyId
+    organisation: ids.OrganisationId
 
-    subject: ids.NodeId
-    exit_code: int
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TableCutOff(Event):
+    """The platform's table cannot be reached from this node."""
 
-class FaultStarted(_Event, kw_only=True):
-    """A trial began to disturb a node, a link or the platform.
+    failures: int
 
-    Attributes:
-        subjects: Nodes that feel it; empty for the platform.
-    """
 
-    kind: str
-    subjects: tuple[ids.NodeId, ...] = ()
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TableRestored(Event):
+    """The platform's table answers again."""
 
+    cut_off_ms: float
 
-class FaultEnded(_Event, kw_only=True):
-    """A trial undid a fault."""
 
-    kind: str
-    subjects: tuple[ids.NodeId, ...] = ()
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LinkChanged(Event):
+    """A connection to another node opened or was lost."""
 
+    node_id: ids.NodeId
+    address: str
+    is_open: bool
 
-ALL = tuple(_Event.__subclasses__())
-Event = typing.Union[ALL]  # noqa: UP007
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PeerRejected(Event):
+    """A stranger tried to join, gossip or change something."""
 
-class Entry(msgspec.Struct, frozen=True, kw_only=True):
-    """One line of a record.
+    address: str
 
-    Attributes:
-        sequence: Counts the events of one recorder from 1.
-        wall_ms: Since 1970; comparable between VMs up to clock skew.
-        now_ms: Since boot; comparable between processes of one machine.
-    """
 
-    node_id: ids.NodeId
-    sequence: int
-    wall_ms: float
-    now_ms: float
-    event: Event
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class InternalFault(Event):
+    """A fault in the program itself; always worth a report."""
 
+    where: str
 
-class Occurrence(msgspec.Struct, frozen=True):
-    """An event placed on the one time axis of a merged history."""
 
-    at_ms: float
-    node_id: ids.NodeId
-    event: Event
+_WARNINGS = (
+    CallRefused,
+    LinkChanged,
+    PeerRejected,
+    TableCutOff,
+    TargetCold,
+    TargetEjected,
+)
 
 
-History = typing.Sequence[Occurrence]
+def level_of(event: Event) -> Level:
+    """Return how urgent ``event`` is."""
+    match event:
+        case InternalFault():
+            return Level.ERROR
+        case LinkChanged(is_open=True):
+            return Level.INFO
+        case _ if isinstance(event, _WARNINGS):
+            return Level.WARNING
+    return Level.INFO
--- /dev/null
+++ b/src/parsleystile/nettransport.py
@@ -0,0 +1,51 @@
+"""The transport of a node in service: TCP links and UDP datagrams."""
+
+from parsleystile.gen import ttypes
+from parsleystile import link
+from parsleystile import transport
+
+
+class NetTransport(transport.Transport):
+    """Sends calls and control requests by links, gossip by datagrams."""
+
+    def __init__(self, links: link.Links) -> None:
+        self._links = links
+
+    def call(
+        self,
+        to: transport.Address,
+        call: ttypes.Call,
+        on_answer: transport.OnAnswer,
+    ) -> transport.PendingCall:
+        """Send a call; see ``Transport.call``."""
+        return self._links.call(to, call, on_answer)
+
+    def control(
+        self,
+        to: transport.Address,
+        kind: str,
+        payload: bytes,
+        timeout_ms: float,
+        on_reply: transport.OnControl,
+    ) -> None:
+        """Send a control request; see ``Transport.control``."""
+        self._links.control(to, kind, payload, timeout_ms, on_reply)
+
+    def handle_control(
+        self, kind: str, handler: transport.ControlHandler
+    ) -> None:
+        """Serve control requests of one kind."""
+        self._links.handle_control(kind, handler)
+
+    def send_datagram(self, to: transport.Address, payload: bytes) -> None:
+        """Send one datagram."""
+        raise NotImplementedError
+
+    def handle_datagrams(self, handler: transport.DatagramHandler) -> None:
+        """Receive datagrams."""
+        raise NotImplementedError
+
+
+def net_transport(links: link.Links) -> NetTransport:
+    """Create the transport of a node."""
+    return NetTransport(links)
--- a/src/parsleystile/targetclient.py
+++ b/src/parsleystile/targetclient.py
@@ -5,6 +5,7 @@
 call.
 """
 
+import abc
 import asyncio
 import collections
 import dataclasses
@@ -56,6 +57,20 @@
 OnTargetAnswer = typing.Callable[[TargetAnswer | errors.Refusal], None]
 
 
+class TargetCaller(abc.ABC):
+    """Sends requests to the target; faked in driven runs."""
+
+    @abc.abstractmethod
+    def send(
+        self, request: TargetRequest, on_answer: OnTargetAnswer
+    ) -> transport.PendingCall:
+        """Start a request; ``on_answer`` is called once unless cancelled.
+
+        The refusal has outcome ``NOT_RUN`` only if no byte of the request
+        was written to the target.
+        """
+
+
 class _Transfer(transport.PendingCall):
     """One request under way on one handle."""
 
@@ -115,7 +130,7 @@
         self.client.abandon(self)
 
 
-class TargetClient:
+class TargetClient(TargetCaller):
     """Sends requests to one target; each ends in exactly one answer.
 
     Args:
@@ -139,15 +154,9 @@
     def send(
         self, request: TargetRequest, on_answer: OnTargetAnswer
     ) -> transport.PendingCall:
-        """Start a request.
-
-        The refusal has outcome ``NOT_RUN`` only if no byte of the request
-        was written to the target.
-        """
+        """Start a request; see ``TargetCaller.send``."""
         handle = self._idle.pop() if self._idle else _new_handle()
-        transfer = _Transfer(
-            self, handle, on_answer, request.method == 'HEAD'
-        )
+        transfer = _Transfer(self, handle, on_answer, request.method == 'HEAD')
         _set_request(handle, request, transfer)
         self._transfers[handle] = transfer
         self._multi.add_handle(handle)
@@ -321,4 +330,3 @@
 def target_client(max_body_bytes: int) -> TargetClient:
     """Create a client on the running event loop."""
     return TargetClient(asyncio.get_running_loop(), max_body_bytes)
-
--- a/src/parsleystile/wire.py
+++ b/src/parsleystile/wire.py
@@ -23,11 +23,7 @@
 _MAX_DETAIL_CHARS = 200
 
 Message = (
-    ttypes.Call
-    | ttypes.Answer
-    | ttypes.Cancel
-    | ttypes.Hello
-    | ttypes.Control
+    ttypes.Call | ttypes.Answer | ttypes.Cancel | ttypes.Hello | ttypes.Control
 )
 
 
@@ -102,7 +98,9 @@
     _check_fields(call, call.__slots__)
     _check_headers(call.headers)
     if not 0 <= call.importance < len(context.Importance):
-        raise errors.FrameError(f'Call frame with importance {call.importance}')
+        raise errors.FrameError(
+            f'Call frame with importance {call.importance}'
+        )
     if not 0.0 <= call.draw < 1.0:
         raise errors.FrameError(f'Call frame with draw {call.draw}')
     if call.depth < 1 or call.retry_allowance < 0:
@@ -125,9 +123,7 @@
 
 def _check_headers(headers: list[str]) -> None:
     if len(headers) % 2:
-        raise errors.FrameError(
-            f'header list of odd length {len(headers)}'
-        )
+        raise errors.FrameError(f'header list of odd length {len(headers)}')
 
 
 class FrameDecoder:
@@ -166,7 +162,10 @@
 
 
 def refusal_answer(
-    call_id: int, refusal: errors.Refusal, retry_unspent: int, load: ttypes.Load
+    call_id: int,
+    refusal: errors.Refusal,
+    retry_unspent: int,
+    load: ttypes.Load,
 ) -> ttypes.Answer:
     """Create the answer frame that carries a refusal."""
     return ttypes.Answer(
--- /dev/null
+++ b/stubs/target.py
@@ -0,0 +1,225 @@
+"""A stand-in target: announces itself, answers calls, makes child calls.
+
+Run as ``python -m stubs.target --service catalogue --node-port 7002``. Each
+``--child PATH`` is called through the node beside it, one after another,
+for each call answered. ``POST /control`` changes its behaviour.
+"""
+
+import argparse
+import asyncio
+import json
+import pathlib
+import secrets
+import signal
+import sys
+
+import msgspec
+from tornado import curl_httpclient
+from tornado import web
+
+_HEARTBEAT_S = 1.0
+_CONTEXT_HEADER = 'X-Parsleystile-Context'
+_TIMEOUT_HEADER = 'X-Request-Timeout-Ms'
+_MS_PER_S = 1000.0
+
+
+class Behaviour(msgspec.Struct, forbid_unknown_fields=True):
+    """How the target answers from now on.
+
+    Attributes:
+        work_ms: Time that a call takes, children aside.
+        cold_factor: Multiplies ``work_ms`` while the target is cold.
+        cold_calls: Calls until it is warm again.
+        error_share: Every so many calls, 1/share, fail with status 500.
+        cut_after_read: Close the connection in place of an answer.
+    """
+
+    work_ms: float = 0.0
+    cold_factor: float = 1.0
+    cold_calls: int = 0
+    error_share: float = 0.0
+    cut_after_read: bool = False
+
+
+class Target:
+    """What the handlers share: behaviour, counts and the way out."""
+
+    def __init__(self, options: argparse.Namespace) -> None:
+        self.options = options
+        self.instance = secrets.token_hex(8)
+        self.behaviour = Behaviour(work_ms=options.work_ms)
+        self.running = 0
+        self.peak = 0
+        self.executed = 0
+        self.cancelled = 0
+        self.is_leaving = False
+        self.http = curl_httpclient.CurlAsyncHTTPClient(
+            force_instance=True, max_clients=1000
+        )
+        self._record = None
+        if options.record:
+            path = pathlib.Path(options.record)
+            self._record = path.open('a', buffering=1)
+
+    def note(self, what: str, request) -> None:
+        """Append one line on a request to the record, if there is one."""
+        if self._record is not None:
+            line = {
+                'event': what,
+                'target': self.options.name,
+                'path': request.path,
+                'headers': list(request.headers.get_all()),
+                'body': request.body.decode('latin-1'),
+            }
+            self._record.write(json.dumps(line) + '\n')
+
+    async def announce(self, port: int) -> None:
+        """Tell the node beside us what we are, until we leave."""
+        said = {
+            'service': self.options.service,
+            'instance': self.instance,
+            'port': port,
+            'slots': self.options.slots,
+        }
+        while not self.is_leaving:
+            await self._post('announce', json.dumps(said))
+            await asyncio.sleep(_HEARTBEAT_S)
+
+    async def leave(self, grace_s: float) -> None:
+        """Leave the fleet, then wait until nothing runs here."""
+        self.is_leaving = True
+        await self._post('leave', '')
+        for _ in range(int(grace_s * 100)):
+            if not self.running:
+                return
+            await asyncio.sleep(0.01)
+
+    async def _post(self, what: str, body: str) -> None:
+        url = f'http://127.0.0.1:{self.options.node_port}/.parsleystile/{what}'
+        await self.http.fetch(url, method='POST', body=body, raise_error=False)
+
+    async def call_child(self, path: str, headers) -> int:
+        """Call another service through the node; return the status."""
+        answer = await self.http.fetch(
+            f'http://127.0.0.1:{self.options.node_port}{path}',
+            headers={_CONTEXT_HEADER: headers.get(_CONTEXT_HEADER, '')},
+            request_timeout=60,
+            raise_error=False,
+        )
+        return answer.code
+
+
+class _CallHandler(web.RequestHandler):
+    def initialize(self, target: Target) -> None:
+        self.target = target
+        self.task: asyncio.Task | None = None
+
+    def on_connection_close(self) -> None:
+        if self.task is not None:
+            self.target.cancelled += 1
+            self.target.note('cancelled', self.request)
+            self.task.cancel()
+
+    async def _serve(self) -> None:
+        target = self.target
+        target.running += 1
+        target.executed += 1
+        target.peak = max(target.peak, target.running)
+        target.note('executed', self.request)
+        self.task = asyncio.current_task()
+        try:
+            await self._answer()
+        except asyncio.CancelledError:
+            if not self._finished:
+                self._finished = True
+        finally:
+            target.running -= 1
+
+    async def _answer(self) -> None:
+        target = self.target
+        behaviour = target.behaviour
+        work_ms = behaviour.work_ms
+        if behaviour.cold_calls > 0:
+            behaviour.cold_calls -= 1
+            work_ms *= behaviour.cold_factor
+        if work_ms:
+            await asyncio.sleep(work_ms / _MS_PER_S)
+        if behaviour.cut_after_read:
+            self.request.connection.stream.close()
+            return
+        for path in target.options.child:
+            status = await target.call_child(path, self.request.headers)
+            if status >= 400:
+                self.set_status(502)
+                self.write(f'child {path} answered {status}')
+                return
+        share = behaviour.error_share
+        if share and target.executed % max(1, round(1 / share)) == 0:
+            self.set_status(500)
+        self.set_header('X-Target', target.options.name)
+        self.write(self.request.body or b'x' * target.options.answer_bytes)
+
+    get = post = put = delete = patch = _serve
+
+
+class _ControlHandler(web.RequestHandler):
+    def initialize(self, target: Target) -> None:
+        self.target = target
+
+    def get(self) -> None:
+        target = self.target
+        self.write(
+            {
+                'running': target.running,
+                'peak': target.peak,
+                'executed': target.executed,
+                'cancelled': target.cancelled,
+            }
+        )
+
+    def post(self) -> None:
+        self.target.behaviour = msgspec.json.decode(
+            self.request.body, type=Behaviour
+        )
+
+
+def _options(argv: list[str]) -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--service', required=True)
+    parser.add_argument('--node-port', type=int, required=True)
+    parser.add_argument('--port', type=int, default=0)
+    parser.add_argument('--name', default='target')
+    parser.add_argument('--slots', type=int, default=50)
+    parser.add_argument('--work-ms', type=float, default=0.0)
+    parser.add_argument('--answer-bytes', type=int, default=200)
+    parser.add_argument('--child', action='append', default=[])
+    parser.add_argument('--record', default='')
+    parser.add_argument('--grace-s', type=float, default=10.0)
+    return parser.parse_args(argv)
+
+
+async def _main(options: argparse.Namespace) -> None:
+    target = Target(options)
+    app = web.Application(
+        [
+            ('/control', _ControlHandler, {'target': target}),
+            ('/.*', _CallHandler, {'target': target}),
+        ],
+        log_function=lambda handler: None,
+    )
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stopping.set)
+    server = app.listen(options.port, '127.0.0.1')
+    sockets = list(server._sockets.values())
+    port = sockets[0].getsockname()[1]
+    print(json.dumps({'port': port}), flush=True)
+    heartbeat = loop.create_task(target.announce(port))
+    await stopping.wait()
+    heartbeat.cancel()
+    await target.leave(options.grace_s)
+    server.stop()
+
+
+if __name__ == '__main__':
+    asyncio.run(_main(_options(sys.argv[1:])))
