--- a/src/parsleystile/cli.py
+++ b/src/parsleystile/cli.py
@@ -17,6 +17,7 @@
 from parsleystile import errors
 from parsleystile import exitcodes
 from parsleystile import logs
+from parsleystile import overview
 from parsleystile import settings as node_settings
 
 PROGRAM = 'parsleystile'
@@ -34,7 +35,7 @@
 ) -> expression.Result[commands.Command, errors.UsageError]:
     """Turn arguments into a command; help is an error without a problem."""
     if argv in (['--help'], ['-h'], ['help']):
-        return expression.Error(errors.UsageError('', console.overview()))
+        return expression.Error(errors.UsageError('', overview.text()))
     shown = io.StringIO()
     try:
         # Fire pages its help through another program on a terminal.
--- a/src/parsleystile/console.py
+++ b/src/parsleystile/console.py
@@ -5,7 +5,6 @@
 and ``--change-id``.
 """
 
-import inspect
 import ipaddress
 import os
 import typing
@@ -363,40 +362,3 @@
                 f'form: {form!r} is unknown; write text, json or html'
             ) from None
         return commands.Report(self._options, chosen, output)
-
-
-def _command_line(words: str, method: typing.Callable) -> str:
-    names = [
-        name.upper() if p.default is p.empty else f'[{name.upper()}]'
-        for name, p in inspect.signature(method).parameters.items()
-    ]
-    summary = (method.__doc__ or '').partition('\n')[0]
-    return f'  {" ".join([words, *names]):<52}{summary}'
-
-
-def _methods(group: object) -> typing.Iterator[tuple[str, typing.Callable]]:
-    for name in vars(type(group)):
-        method = getattr(group, name)
-        if not name.startswith('_') and callable(method):
-            yield name, method
-
-
-def overview() -> str:
-    """Return every command and option, a line each."""
-    console = Console()
-    lines = [f'{Console.__doc__}', '', 'Commands:']
-    lines += [_command_line(n, m) for n, m in _methods(console)]
-    for group_name, group in vars(console).items():
-        if group_name.startswith('_'):
-            continue
-        lines += [
-            _command_line(f'{group_name} {name}', method)
-            for name, method in _methods(group)
-        ]
-    lines += ['', 'Options before or after a command:']
-    options = inspect.signature(Console.__init__).parameters.values()
-    for option in options:
-        if option.kind is option.KEYWORD_ONLY:
-            flag = option.name.replace('_', '-')
-            lines.append(f'  --{flag}={option.default}')
-    return '\n'.join(lines) + '\n'
--- a/src/parsleystile/objectives.py
+++ b/src/parsleystile/objectives.py
@@ -178,18 +178,47 @@
     return burns
 
 
-def refusal_burns(whole: Total, objectives: Objectives) -> list[Burn]:
-    """Judge refusals of requests that were inside the rate."""
-    allowed = objectives.refused_inside_rate_ratio
-    return [
-        burn_of(
-            window.name,
-            row[burn.Count.DEMANDED],
-            row[burn.Count.NOT_RUN],
-            allowed,
+def refusal_burns(
+    whole: Total, objectives: Objectives, refused_inside_rate: int = 0
+) -> list[Burn]:
+    """Judge refusals of requests that were inside the rate.
+
+    Args:
+        whole: Sum of all nodes.
+        objectives: The objectives in force.
+        refused_inside_rate: Refusals for rate that were wrong, found by
+            ``refused_inside`` over ``burn.SERIES_WINDOW``.
+    """
+    burns = []
+    for index, window in enumerate(burn.WINDOWS):
+        row = whole.windows[index]
+        wrong = refused_inside_rate if index >= burn.SERIES_WINDOW else 0
+        burns.append(
+            burn_of(
+                window.name,
+                row[burn.Count.DEMANDED] + wrong,
+                row[burn.Count.NOT_RUN] + wrong,
+                objectives.refused_inside_rate_ratio,
+            )
         )
-        for window, row in zip(burn.WINDOWS, whole.windows, strict=True)
-    ]
+    return burns
+
+
+def refused_inside(
+    series: typing.Iterable[burn.Row], rate_per_s: float
+) -> int:
+    """Return how many refusals for rate the fleet's demand did not justify.
+
+    In a bucket where all nodes together let through less than the rate,
+    up to the rest of the rate was refused wrongly. The burst is left out
+    of account, so the figure is a lower bound.
+    """
+    allowed = rate_per_s * burn.WINDOWS[burn.SERIES_WINDOW].bucket_ms / 1000
+    wrong = 0
+    for row in series:
+        room = max(0, int(allowed) - row[burn.Count.DEMANDED])
+        wrong += min(room, row[burn.Count.RATE_LIMITED])
+    return wrong
 
 
 def longest_dip_ms(
--- a/src/parsleystile/operate.py
+++ b/src/parsleystile/operate.py
@@ -341,7 +341,11 @@
             self._progress(str(error))
         if not found:
             raise _failure(failed[0])
-        made = report.make(found, document.objectives, len(failed))
+        rates = {
+            name: organisation.rate_per_s * document.preset.rate_factor
+            for name, organisation in document.organisations.items()
+        }
+        made = report.make(found, document.objectives, len(failed), rates)
         text = report.render_as(made, form.value)
         if output:
             pathlib.Path(output).write_text(text, encoding='utf-8')
--- a/src/parsleystile/report.py
+++ b/src/parsleystile/report.py
@@ -32,6 +32,9 @@
 
     Attributes:
         goodput: Answered over demanded in each window; None if idle.
+        refused_inside_rate: Refusals for rate in the last hour although
+            the fleet let through less than the rate; a lower bound. None
+            where no rate is known.
     """
 
     name: str
@@ -41,6 +44,7 @@
     not_run: list[int]
     unknown: list[int]
     over_rate: list[int]
+    refused_inside_rate: int | None = None
 
 
 class Report(msgspec.Struct, frozen=True, kw_only=True):
@@ -97,6 +101,7 @@
     whole: objectives.Total,
     by_organisation: dict[ids.OrganisationId, objectives.Total],
     goals: objectives.Objectives,
+    wrong: int,
 ) -> list[Line]:
     kinds = objectives.Objective
     goodput = f'at least {_percent(goals.goodput_ratio)}'
@@ -113,13 +118,15 @@
     ]
     lines += [
         _line(kinds.REFUSED_INSIDE_RATE, found, refused)
-        for found in objectives.refusal_burns(whole, goals)
+        for found in objectives.refusal_burns(whole, goals, wrong)
     ]
     found = objectives.recovery_burn(whole, goals)
     return [*lines, _line(kinds.RECOVERY, found, recovery)]
 
 
-def _share(name: str, total: objectives.Total) -> Share:
+def _share(
+    name: str, total: objectives.Total, wrong: int | None = None
+) -> Share:
     def column(count: burn.Count) -> list[int]:
         return [row[count] for row in total.windows]
 
@@ -136,6 +143,7 @@
         not_run=column(burn.Count.NOT_RUN),
         unknown=column(burn.Count.UNKNOWN),
         over_rate=column(burn.Count.OVER_RATE),
+        refused_inside_rate=wrong,
     )
 
 
@@ -161,6 +169,7 @@
     snapshots: typing.Sequence[burn.Snapshot],
     goals: objectives.Objectives,
     nodes_missing: int = 0,
+    rates: typing.Mapping[ids.OrganisationId, float] | None = None,
 ) -> Report:
     """Judge the counts of many nodes.
 
@@ -168,19 +177,25 @@
         snapshots: One from each node that answered.
         goals: The objectives in force.
         nodes_missing: How many nodes did not answer.
+        rates: Requests a second that each organisation may make.
     """
     whole = objectives.total(snapshots)
     names = sorted({n for s in snapshots for n in s.organisations})
     by_organisation = {n: objectives.total(snapshots, n) for n in names}
     by_domain = _by_domain(snapshots)
+    wrong = {
+        name: objectives.refused_inside(found.series, (rates or {})[name])
+        for name, found in by_organisation.items()
+        if name in (rates or {})
+    }
     reasons = sorted(whole.reasons.items(), key=lambda r: (-r[1], r[0]))
     return Report(
         nodes=whole.nodes,
         nodes_missing=nodes_missing,
         windows=[window.name for window in burn.WINDOWS],
-        lines=_lines(whole, by_organisation, goals),
+        lines=_lines(whole, by_organisation, goals, sum(wrong.values())),
         organisations=[
-            _share(name or _OPEN_ROUTES, found)
+            _share(name or _OPEN_ROUTES, found, wrong.get(name))
             for name, found in by_organisation.items()
         ],
         domains=[_share(name, found) for name, found in by_domain.items()],
@@ -208,7 +223,13 @@
     kind: str, windows: list[str], shares: list[Share]
 ) -> render.Table:
     headings = [kind, *(f'good {window}' for window in windows)]
-    headings += ['demanded 1 h', 'not run 1 h', 'unknown 1 h', 'over rate 1 h']
+    headings += [
+        'demanded 1 h',
+        'not run 1 h',
+        'unknown 1 h',
+        'over rate 1 h',
+        'refused inside rate 1 h',
+    ]
     at = burn.SERIES_WINDOW
     rows = [
         (
@@ -218,6 +239,7 @@
             share.not_run[at],
             share.unknown[at],
             share.over_rate[at],
+            share.refused_inside_rate,
         )
         for share in shares
     ]
--- a/tests/test_objectives.py
+++ b/tests/test_objectives.py
@@ -93,3 +93,15 @@
     latency[6] = 1  # 32 to 63 ms
     assert objectives.percentile_ms(latency, 0.5) == 4
     assert objectives.percentile_ms(latency, 1.0) == 64
+
+
+def test_refusals_for_rate_are_wrong_as_far_as_the_rate_had_room():
+    def row(demanded, rate_limited):
+        made = [0] * burn.COUNTS
+        made[burn.Count.DEMANDED] = demanded
+        made[burn.Count.RATE_LIMITED] = rate_limited
+        return made
+
+    # One request a second is 60 in a bucket.
+    series = [row(60, 30), row(50, 30), row(50, 4), row(0, 0)]
+    assert objectives.refused_inside(series, 1.0) == 10 + 4
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -40,7 +40,8 @@
         _snapshot('stock-1', 'savo-1', 1, 0.999),
         _snapshot('stock-2', 'savo-2', 2, 0.9),
     ]
-    return report.make(snapshots, objectives.Objectives(), 1)
+    rates = {'kuopio-households': 2.0, 'drivers': 0.5}
+    return report.make(snapshots, objectives.Objectives(), 1, rates)
 
 
 def test_text(made, snapshot):
