Find dead members by gossip, domains behind a cut by silence

Cause: nodes must agree within seconds on who takes work. Ruled out: death declared across failure domains, since a cut would evict all of the other side; only a domain's own members judge one of theirs, the rest hold a domain that is silent for 2.5 s as unreachable from here, which the first answer undoes. Random probes alone: the tail at 16 nodes goes over 3 s, two ring neighbours bound it. Before: no detection. A leave counted members that died as confirming it; found by test_a_leave_is_confirmed_in_spite_of_loss_and_dead_members.

--- a/src/parsleystile/_memberlist.py
+++ b/src/parsleystile/_memberlist.py
@@ -29,6 +29,11 @@
     return int.from_bytes(digest, 'big')
 
 
+def position_of(node_id: ids.NodeId) -> int:
+    """Return the place of a node in its domain's ring."""
+    return _hash(f'ring|{node_id}')
+
+
 def bucket_of(node_id: ids.NodeId) -> int:
     """Return the bucket of a node, below ``MAX_BUCKETS``."""
     return _hash(node_id) % MAX_BUCKETS
@@ -70,6 +75,8 @@
         self._services: dict[
             ids.ServiceName, dict[ids.NodeId, members.Member]
         ] = {}
+        self._rosters: dict[ids.FailureDomainId, list[members.Member]] = {}
+        self._domain_versions: dict[ids.FailureDomainId, int] = {}
         self._buckets = [0] * MAX_BUCKETS
         self._bucket_nodes: list[set[ids.NodeId]] = [
             set() for _ in range(MAX_BUCKETS)
@@ -87,6 +94,10 @@
         """Return every member that is not known to be dead."""
         return self._live.values()
 
+    def dead(self) -> list[members.Member]:
+        """Return the members remembered as dead."""
+        return [e.member for e in self._entries.values() if e.dead_until_ms]
+
     def domains(self) -> typing.Collection[ids.FailureDomainId]:
         """Return the failure domains with members that are not dead."""
         return self._domains.keys()
@@ -97,6 +108,18 @@
         """Return the members of a failure domain that are not dead."""
         return self._domains.get(domain, {})
 
+    def roster(self, domain: ids.FailureDomainId) -> list[members.Member]:
+        """Return the same as a list, not to be changed, for drawing."""
+        roster = self._rosters.get(domain)
+        if roster is None:
+            roster = list(self.in_domain(domain).values())
+            self._rosters[domain] = roster
+        return roster
+
+    def domain_version(self, domain: ids.FailureDomainId) -> int:
+        """Return a number that grows when a domain's members change."""
+        return self._domain_versions.get(domain, 0)
+
     def serving(
         self, service: ids.ServiceName
     ) -> typing.Collection[members.Member]:
@@ -147,6 +170,7 @@
         self._live[member.node_id] = member
         domain = self._domains.setdefault(member.failure_domain, {})
         domain[member.node_id] = member
+        self._touch(member.failure_domain)
         if member.service and member.state < members.MemberState.LEAVING:
             served = self._services.setdefault(member.service, {})
             served[member.node_id] = member
@@ -161,9 +185,14 @@
         if self._live.pop(node_id, None) is None:
             return
         _discard(self._domains, entry.member.failure_domain, node_id)
+        self._touch(entry.member.failure_domain)
         if _discard(self._services, entry.member.service, node_id):
             self.version += 1
 
+    def _touch(self, domain: ids.FailureDomainId) -> None:
+        self._rosters.pop(domain, None)
+        self._domain_versions[domain] = self.domain_version(domain) + 1
+
     def digests(self) -> list[int]:
         """Return one digest of 32 bits for each bucket."""
         count = bucket_count(len(self._live))
--- /dev/null
+++ b/src/parsleystile/_rumours.py
@@ -0,0 +1,70 @@
+"""News on its way through the fleet, a bounded number in each datagram."""
+
+import dataclasses
+import math
+import typing
+
+Item = typing.TypeVar('Item')
+
+# Each node passes an item on this often, times the logarithm of the size.
+RETRANSMIT_FACTOR = 2
+
+
+@dataclasses.dataclass(slots=True)
+class _Rumour(typing.Generic[Item]):
+    item: Item
+    sent: int = 0
+
+
+def transmissions(size: int) -> int:
+    """Return how often one node passes on an item in a fleet of ``size``."""
+    return RETRANSMIT_FACTOR * math.ceil(math.log2(size + 2))
+
+
+class Rumours(typing.Generic[Item]):
+    """Items by key; a newer item of a key replaces the older one."""
+
+    def __init__(self) -> None:
+        self._by_key: dict[str, _Rumour[Item]] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_key)
+
+    def put(self, key: str, item: Item) -> None:
+        """Start spreading an item."""
+        self._by_key[key] = _Rumour(item)
+
+    def drop(self, key: str) -> None:
+        """Stop spreading what is known under ``key``."""
+        self._by_key.pop(key, None)
+
+    def pick(
+        self,
+        limit: int,
+        size: int,
+        is_wanted: typing.Callable[[Item], bool] = lambda item: True,
+    ) -> list[Item]:
+        """Return the items to send next, those sent least first.
+
+        Args:
+            limit: At most so many items.
+            size: Members in the fleet.
+            is_wanted: Whether an item may go to this receiver.
+        """
+        if not self._by_key:
+            return []
+        wanted = [
+            (rumour.sent, key)
+            for key, rumour in self._by_key.items()
+            if is_wanted(rumour.item)
+        ]
+        wanted.sort()
+        picked = []
+        bound = transmissions(size)
+        for _, key in wanted[:limit]:
+            rumour = self._by_key[key]
+            rumour.sent += 1
+            picked.append(rumour.item)
+            if rumour.sent >= bound:
+                del self._by_key[key]
+        return picked
--- /dev/null
+++ b/src/parsleystile/_view.py
@@ -0,0 +1,179 @@
+"""One node's view of the fleet, and the datagrams it is about to send."""
+
+import dataclasses
+
+from parsleystile import _gossip_messages as messages
+from parsleystile import _memberlist
+from parsleystile import _rumours
+from parsleystile import _suspicion
+from parsleystile import ids
+from parsleystile import members
+from parsleystile import transport
+
+# News beyond this size of the fleet is dropped.
+MAX_MEMBERS = 16_384
+MAX_PENDING_WITHDRAWN = 4096
+
+
+class View:
+    """Merges news and spreads what was new."""
+
+    def __init__(self, me: members.Member) -> None:
+        self.me = me
+        self.outbox: list[tuple[transport.Address, messages.Message]] = []
+        self.config_version = ids.ConfigVersion(0)
+        self.reach = _suspicion.Reachability()
+        self._withdrawn: frozenset[ids.KeyId] = frozenset()
+        self.reset(0.0)
+
+    def reset(self, now_ms: float) -> None:
+        """Forget everyone but this node."""
+        self.list = _memberlist.MemberList()
+        self.suspicions = _suspicion.Suspicions()
+        self._news: _rumours.Rumours[messages.Update] = _rumours.Rumours()
+        self._key_news: _rumours.Rumours[ids.KeyId] = _rumours.Rumours()
+        self._config_versions: dict[ids.NodeId, ids.ConfigVersion] = {}
+        self.list.merge(self.me, now_ms)
+        self.spread_self()
+
+    def become(self, now_ms: float, **changes: object) -> None:
+        """Announce this node anew, under a new incarnation."""
+        incarnation = changes.pop('incarnation', self.me.incarnation + 1)
+        self.me = dataclasses.replace(
+            self.me, incarnation=incarnation, **changes
+        )
+        self.list.merge(self.me, now_ms)
+        self.spread_self()
+
+    def spread_self(self) -> None:
+        """Tell again who this node is."""
+        self._news.put(self.me.node_id, messages.Update(self.me))
+
+    def merge(self, update: messages.Update, now_ms: float) -> bool:
+        """Take news of a member in; False if it is none."""
+        member = update.member
+        if member.node_id == self.me.node_id:
+            self._defend(member, now_ms)
+            return False
+        is_suspect = member.state is members.MemberState.SUSPECT
+        if is_suspect and not self._is_suspicion_news(update, now_ms):
+            return False
+        if not is_suspect:
+            if not self._is_wanted(member):
+                return False
+            if not self.list.merge(member, now_ms):
+                return False
+            self.suspicions.clear(member.node_id)
+            self.reach.restore(member.node_id)
+            if member.state is members.MemberState.DEAD:
+                self._config_versions.pop(member.node_id, None)
+        self._news.put(member.node_id, update)
+        return True
+
+    def _is_wanted(self, member: members.Member) -> bool:
+        if self.list.get(member.node_id) is not None:
+            return True
+        # Tombstones that nobody here needs would be passed on for ever.
+        is_dead = member.state is members.MemberState.DEAD
+        return not is_dead and len(self.list) < MAX_MEMBERS
+
+    def _is_suspicion_news(
+        self, update: messages.Update, now_ms: float
+    ) -> bool:
+        member = update.member
+        known = self.list.get(member.node_id)
+        if known is None and not self._is_wanted(member):
+            return False
+        is_repeated = (
+            known is not None
+            and known.state is members.MemberState.SUSPECT
+            and known.incarnation == member.incarnation
+        )
+        if not is_repeated and not self.list.merge(member, now_ms):
+            return False
+        if member.failure_domain != self.me.failure_domain:
+            return not is_repeated
+        return self.suspicions.witness(
+            member.node_id, member.incarnation, update.witness, now_ms
+        )
+
+    def _defend(self, member: members.Member, now_ms: float) -> None:
+        mine = self.me
+        if (member.incarnation, member.state) <= (
+            mine.incarnation,
+            mine.state,
+        ):
+            return
+        # Another life of this node, or a doubt about this one.
+        self.become(
+            now_ms, incarnation=ids.Incarnation(member.incarnation + 1)
+        )
+
+    def set_withdrawn(self, key_ids: frozenset[ids.KeyId]) -> None:
+        """Spread keys that are newly withdrawn, drop those settled."""
+        for key_id in self._withdrawn - key_ids:
+            self._key_news.drop(key_id)
+        for key_id in key_ids - self._withdrawn:
+            self._key_news.put(key_id, key_id)
+        self._withdrawn = key_ids
+
+    def unknown_withdrawn(
+        self, key_ids: tuple[ids.KeyId, ...]
+    ) -> tuple[ids.KeyId, ...]:
+        """Return those of ``key_ids`` that this node does not hold."""
+        if not key_ids or len(self._withdrawn) >= MAX_PENDING_WITHDRAWN:
+            return ()
+        return tuple(k for k in key_ids if k not in self._withdrawn)
+
+    def withdrawn(self) -> frozenset[ids.KeyId]:
+        """Return the keys withdrawn ahead of the document."""
+        return self._withdrawn
+
+    def config_version_of(self, node_id: ids.NodeId) -> ids.ConfigVersion:
+        """Return the version that a member last said it has in force."""
+        if node_id == self.me.node_id:
+            return self.config_version
+        return self._config_versions.get(node_id, ids.ConfigVersion(0))
+
+    def note_config_version(
+        self, node_id: ids.NodeId, version: ids.ConfigVersion
+    ) -> None:
+        """Remember what a member says it has in force."""
+        if version > self.config_version_of(node_id):
+            self._config_versions[node_id] = version
+
+    def send(
+        self,
+        to: transport.Address,
+        body: messages.Body,
+        receiver: members.Member | None = None,
+        first: tuple[messages.Update, ...] = (),
+        withdrawn: tuple[ids.KeyId, ...] = (),
+    ) -> None:
+        """Put a datagram in the outbox, with news for the receiver."""
+        size = len(self.list)
+        is_near = (
+            receiver is not None
+            and receiver.failure_domain == self.me.failure_domain
+        )
+
+        def is_wanted(update: messages.Update) -> bool:
+            # Only its own domain decides on a suspected member.
+            is_suspect = update.member.state is members.MemberState.SUSPECT
+            return is_near or not is_suspect
+
+        room = messages.MAX_UPDATES - len(first)
+        news = self._news.pick(room, size, is_wanted) if room > 0 else []
+        if not withdrawn:
+            withdrawn = tuple(
+                self._key_news.pick(messages.MAX_WITHDRAWN, size)
+            )
+        message = messages.Message(
+            self.me.node_id,
+            self.me.incarnation,
+            self.config_version,
+            body,
+            first + tuple(news),
+            withdrawn,
+        )
+        self.outbox.append((to, message))
--- a/src/parsleystile/membership.py
+++ b/src/parsleystile/membership.py
@@ -1,16 +1,41 @@
-"""Who is in the fleet: a state machine without I/O."""
+"""Who is in the fleet: what a node hears, and what it concludes.
 
+A state machine without I/O, after SWIM. ``handle`` takes an event and
+returns actions; ``_detection`` holds the part that runs on timers.
+"""
+
+import collections
 import dataclasses
 import random
+import typing
 
+from parsleystile import _detection
+from parsleystile import _gossip_messages as messages
 from parsleystile import _memberlist
+from parsleystile import _probes
+from parsleystile import _view
 from parsleystile import ids
 from parsleystile import members
+from parsleystile import transport
+
+TICK_MS = 100
+# Buckets that one digest exchange reconciles; the rest wait for the next.
+BUCKETS_PER_EXCHANGE = 4
+# Pings that one question about a configuration version may cause.
+VERSION_PINGS = 200
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tick:
-    """Time has passed; sent every ``TICK_MS``."""
+    """Time has passed; to be sent every ``TICK_MS``."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """A datagram came in, with a valid fleet proof."""
+
+    message: messages.Message
+    source: transport.Address
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,73 +68,335 @@
     """This node acts on this version of the document from now on."""
 
     version: ids.ConfigVersion
-    domains_out: tuple[ids.FailureDomainId, ...]
+    domains_out: tuple[ids.FailureDomainId, ...] = ()
 
 
-Event = Tick | Announce | Leave | Learned | ConfigInForce
+@dataclasses.dataclass(frozen=True, slots=True)
+class WithdrawnKeys:
+    """All keys withdrawn here that the document still holds."""
+
+    key_ids: frozenset[ids.KeyId]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskVersions:
+    """Somebody waits for a version to be in force everywhere."""
+
+    version: ids.ConfigVersion
+
+
+Event = (
+    Tick
+    | Received
+    | Announce
+    | Leave
+    | Learned
+    | ConfigInForce
+    | WithdrawnKeys
+    | AskVersions
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Send:
+    """Send one datagram."""
+
+    to: transport.Address
+    message: messages.Message
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaveConfirmed:
-    """The fleet knows that this node gets no new work."""
+    """This node's leaving was spread.
+
+    Attributes:
+        acked: Members that confirmed it.
+        asked: Members that were told directly.
+    """
+
+    acked: int
+    asked: int
 
 
-Action = LeaveConfirmed
+@dataclasses.dataclass(frozen=True, slots=True)
+class FetchConfig:
+    """A peer has a newer version of the document in force."""
+
+    version: ids.ConfigVersion
+    peer: transport.Address
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WithdrawKeys:
+    """Other members know these keys to be withdrawn."""
+
+    key_ids: tuple[ids.KeyId, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rejoin:
+    """This process slept so long that it starts from the table again."""
+
+
+Action = Send | LeaveConfirmed | FetchConfig | WithdrawKeys | Rejoin
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DomainInForce:
+    """How far a version of the document has got in a failure domain."""
+
+    domain: ids.FailureDomainId
+    in_force: int
+    total: int
+    waiting: tuple[ids.NodeId, ...]
 
 
 class Membership:
     """Knows the members; callers refresh when ``version`` changes."""
 
     def __init__(self, me: members.Member, rng: random.Random) -> None:
-        self._me = me
         self._rng = rng
-        self._list = _memberlist.MemberList()
+        self._view = _view.View(me)
+        self._detector = _detection.Detector(self._view, rng)
         self._domains_out: frozenset[ids.FailureDomainId] = frozenset()
         self._own_version = 0
-        self._list.merge(me, 0.0)
+        self._cache_version = -1
+        self._cache: dict[ids.ServiceName, list[members.Member]] = {}
 
     @property
     def me(self) -> members.Member:
         """This node as it announces itself."""
-        return self._me
+        return self._view.me
 
     @property
     def version(self) -> int:
         """Grows whenever ``members_of`` may answer differently."""
-        return self._own_version + self._list.version
+        view = self._view
+        return self._own_version + view.list.version + view.reach.version
 
     def members_of(self, service: ids.ServiceName) -> list[members.Member]:
-        """Return the members of a service that may get new work."""
+        """Return the members of a service that may get new work.
+
+        The list stays the same object until ``version`` changes; it is not
+        to be changed.
+        """
+        if self._cache_version != self.version:
+            self._cache = {}
+            self._cache_version = self.version
+        found = self._cache.get(service)
+        if found is None:
+            serving = self._view.list.serving(service)
+            found = [m for m in serving if self._is_usable(m)]
+            self._cache[service] = found
+        return found
+
+    def everyone(self) -> list[members.Member]:
+        """Return every member that is not known to be dead."""
+        return list(self._view.list.live())
+
+    def known(self, node_id: ids.NodeId) -> members.Member | None:
+        """Return what is known of a node, also if it is dead."""
+        return self._view.list.get(node_id)
+
+    def unreachable_domains(
+        self,
+    ) -> typing.Collection[ids.FailureDomainId]:
+        """Return the failure domains that this node can't reach."""
+        return self._view.reach.silent_domains()
+
+    def in_force(self, version: ids.ConfigVersion) -> list[DomainInForce]:
+        """Return how far a version has got, as told by the members."""
+        waiting: dict[ids.FailureDomainId, list[ids.NodeId]] = {}
+        totals: collections.Counter[ids.FailureDomainId] = (
+            collections.Counter()
+        )
+        for member in self._view.list.live():
+            totals[member.failure_domain] += 1
+            late = waiting.setdefault(member.failure_domain, [])
+            if self._view.config_version_of(member.node_id) < version:
+                late.append(member.node_id)
         return [
-            m
-            for m in self._list.serving(service)
-            if m.failure_domain not in self._domains_out
+            DomainInForce(
+                domain,
+                total - len(waiting[domain]),
+                total,
+                tuple(sorted(waiting[domain])),
+            )
+            for domain, total in sorted(totals.items())
         ]
 
     def handle(self, event: Event, now_ms: float) -> list[Action]:
         """Take one event in and return what is to be done."""
         match event:
+            case Received(message=message, source=source):
+                return self._received(message, source, now_ms)
             case Tick():
-                self._list.forget_dead(now_ms)
+                return self._tick(now_ms)
             case Announce(service=service, slots=slots):
-                self._become(now_ms, service=service, slots=slots)
+                self._view.become(now_ms, service=service, slots=slots)
             case Leave():
-                self._become(now_ms, state=members.MemberState.LEAVING)
-                return [LeaveConfirmed()]
+                self._view.become(now_ms, state=members.MemberState.LEAVING)
+                self._detector.leave(now_ms)
             case Learned(members=learned):
                 for member in learned:
-                    self._list.merge(member, now_ms)
-            case ConfigInForce(domains_out=domains_out):
+                    self._view.merge(messages.Update(member), now_ms)
+            case ConfigInForce(version=version, domains_out=domains_out):
+                self._view.config_version = version
                 self._domains_out = frozenset(domains_out)
                 self._own_version += 1
-        return []
+            case WithdrawnKeys(key_ids=key_ids):
+                self._view.set_withdrawn(key_ids)
+            case AskVersions(version=version):
+                self._ask_versions(version, now_ms)
+            case _:
+                typing.assert_never(event)
+        return self._drain()
+
+    def _is_usable(self, member: members.Member) -> bool:
+        domain = member.failure_domain
+        if domain in self._domains_out:
+            return False
+        if member.node_id == self._view.me.node_id:
+            return True
+        reach = self._view.reach
+        return not (reach.is_silent(domain) or reach.is_lost(member.node_id))
+
+    def _drain(self) -> list[Action]:
+        outbox = self._view.outbox
+        self._view.outbox = []
+        return [Send(to, message) for to, message in outbox]
+
+    def _tick(self, now_ms: float) -> list[Action]:
+        self._detector.tick(now_ms)
+        actions = self._drain()
+        left = self._detector.take_leave_result()
+        if left is not None:
+            actions.append(LeaveConfirmed(left.acked, left.asked))
+        if self._detector.take_rejoin():
+            actions.append(Rejoin())
+        return actions
+
+    def _received(
+        self,
+        message: messages.Message,
+        source: transport.Address,
+        now_ms: float,
+    ) -> list[Action]:
+        for update in message.updates:
+            self._view.merge(update, now_ms)
+        news = self._note_sender(message)
+        self._answer(message, source, now_ms)
+        return self._drain() + news
+
+    def _note_sender(self, message: messages.Message) -> list[Action]:
+        view = self._view
+        news: list[Action] = []
+        fresh = view.unknown_withdrawn(message.withdrawn)
+        if fresh:
+            news.append(WithdrawKeys(fresh))
+        sender = view.list.get(message.sender)
+        if sender is None:
+            return news
+        view.note_config_version(message.sender, message.config_version)
+        if message.config_version > view.config_version:
+            news.append(FetchConfig(message.config_version, sender.link))
+        return news
+
+    def _answer(
+        self,
+        message: messages.Message,
+        source: transport.Address,
+        now_ms: float,
+    ) -> None:
+        match message.body:
+            case messages.Ping(sequence=sequence):
+                self._answer_ping(message, source, sequence)
+            case messages.Ack():
+                self._detector.acked(message.body, now_ms)
+            case messages.PingRequest(sequence=sequence, subject=subject):
+                member = self._view.list.get(subject)
+                if member is not None:
+                    self._detector.probe(
+                        member,
+                        _probes.Purpose.RELAY,
+                        now_ms,
+                        relay_to=source,
+                        relay_sequence=sequence,
+                    )
+            case messages.DigestOffer(digests=digests):
+                self._compare(digests, source)
+            case messages.RecordsRequest(count=count, buckets=buckets):
+                self._send_records(buckets, count, source)
+            case messages.Records():
+                pass
+            case _:
+                typing.assert_never(message.body)
+
+    def _answer_ping(
+        self,
+        message: messages.Message,
+        source: transport.Address,
+        sequence: int,
+    ) -> None:
+        known = self._view.list.get(message.sender)
+        is_stranger = known is None or known.incarnation < message.incarnation
+        about: tuple[messages.Update, ...] = ()
+        if (
+            known is not None
+            and known.state is members.MemberState.DEAD
+            and not is_stranger
+        ):
+            # It lives after all; told so, it takes a new incarnation.
+            about = (messages.Update(known),)
+        self._view.send(
+            source, messages.Ack(sequence, is_stranger), known, about
+        )
 
-    def _become(self, now_ms: float, **changes: object) -> None:
-        incarnation = ids.Incarnation(self._me.incarnation + 1)
-        self._me = dataclasses.replace(
-            self._me, incarnation=incarnation, **changes
+    def _compare(
+        self, digests: tuple[int, ...], source: transport.Address
+    ) -> None:
+        count = len(digests)
+        if not 0 < count <= _memberlist.MAX_BUCKETS or count & (count - 1):
+            return
+        mine = self._view.list.folded(count)
+        differing = [i for i in range(count) if mine[i] != digests[i]]
+        if not differing:
+            return
+        picked = self._rng.sample(
+            differing, min(BUCKETS_PER_EXCHANGE, len(differing))
         )
-        self._list.merge(self._me, now_ms)
+        self._send_records(tuple(picked), count, source)
+        request = messages.RecordsRequest(count, tuple(picked))
+        self._view.send(source, request)
+
+    def _send_records(
+        self,
+        buckets: tuple[int, ...],
+        count: int,
+        source: transport.Address,
+    ) -> None:
+        if not 0 < count <= _memberlist.MAX_BUCKETS:
+            return
+        updates = [
+            messages.Update(member)
+            for bucket in buckets[:BUCKETS_PER_EXCHANGE]
+            if 0 <= bucket < count
+            for member in self._view.list.in_bucket(bucket, count)
+        ]
+        for start in range(0, len(updates), messages.MAX_UPDATES):
+            part = tuple(updates[start : start + messages.MAX_UPDATES])
+            self._view.send(source, messages.Records(), None, part)
+
+    def _ask_versions(self, version: ids.ConfigVersion, now_ms: float) -> None:
+        late = [
+            m
+            for m in self._view.list.live()
+            if self._view.config_version_of(m.node_id) < version
+            and m.node_id != self._view.me.node_id
+        ]
+        count = min(VERSION_PINGS, len(late))
+        for member in self._rng.sample(late, count):
+            self._detector.probe(member, _probes.Purpose.REACH, now_ms)
 
 
 def membership(me: members.Member, rng: random.Random) -> Membership:
--- /dev/null
+++ b/stubs/gossipnetwork.py
@@ -0,0 +1,196 @@
+"""A network in memory for driven runs of membership, with faults."""
+
+import dataclasses
+import heapq
+import random
+import typing
+
+from parsleystile import _gossip_messages as messages
+from parsleystile import clock
+from parsleystile import ids
+from parsleystile import members
+from parsleystile import membership
+from parsleystile import transport
+
+NEAR_MS = 0.5
+FAR_MS = 1.5
+
+
+@dataclasses.dataclass
+class Node:
+    """A node, its state machine and what was done with its actions."""
+
+    address: transport.Address
+    domain: str
+    machine: membership.Membership
+    is_dead: bool = False
+    paused_until_ms: float = 0.0
+    actions: list[membership.Action] = dataclasses.field(default_factory=list)
+
+
+def member_of(
+    node_id: str,
+    domain: str,
+    port: int,
+    incarnation: int,
+    service: str = 'stock',
+) -> members.Member:
+    """Return the record of a node at a made-up address."""
+    address = transport.Address('10.0.0.1', port)
+    return members.Member(
+        ids.NodeId(node_id),
+        ids.VmId(f'vm-{port}'),
+        ids.RegionId('savo'),
+        ids.FailureDomainId(domain),
+        ids.ServiceName(service),
+        20,
+        address,
+        address,
+        ids.Incarnation(incarnation),
+    )
+
+
+class Network:
+    """Delivers datagrams between nodes after a delay, or not at all.
+
+    Attributes:
+        loss: Share of datagrams lost.
+        doubled: Share of datagrams delivered again, up to 5 s later.
+        cuts: Pairs of domains between which nothing passes.
+        tap: Called with each datagram that is sent, if set.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.clock = clock.manual_clock(1_000_000.0)
+        self.nodes: dict[str, Node] = {}
+        self.loss = 0.0
+        self.doubled = 0.0
+        self.cuts: set[frozenset[str]] = set()
+        self.tap: typing.Callable[[Node, messages.Message], None] | None = None
+        self._by_address: dict[transport.Address, Node] = {}
+        self._events: list[tuple[float, int, typing.Callable[[], None]]] = []
+        self._order = 0
+        self._next_port = 1
+
+    @property
+    def now_ms(self) -> float:
+        """The time of the run."""
+        return self.clock.now_ms()
+
+    def add(self, node_id: str, domain: str, service: str = 'stock') -> Node:
+        """Start a node, anew if it existed; it knows only itself."""
+        old = self.nodes.get(node_id)
+        port = old.address.port if old else self._next_port
+        self._next_port += 0 if old else 1
+        me = member_of(node_id, domain, port, int(self.now_ms), service)
+        machine = membership.membership(
+            me, random.Random(self.rng.getrandbits(32))
+        )
+        node = Node(me.gossip, domain, machine)
+        if old:
+            old.is_dead = True
+        self.nodes[node_id] = node
+        self._by_address[node.address] = node
+        self._at(self.rng.random() * membership.TICK_MS, self._ticker(node))
+        return node
+
+    def introduce(self) -> None:
+        """Let every node know all others."""
+        everyone = tuple(n.machine.me for n in self.live())
+        for node in self.live():
+            self.handle(node, membership.Learned(everyone))
+
+    def live(self) -> list[Node]:
+        """Return the nodes that run."""
+        return [n for n in self.nodes.values() if not n.is_dead]
+
+    def handle(self, node: Node, event: membership.Event) -> None:
+        """Give an event to a node and carry out what it wants done."""
+        for action in node.machine.handle(event, self.now_ms):
+            if isinstance(action, membership.Send):
+                self._send(node, action)
+            else:
+                node.actions.append(action)
+
+    def run(self, for_ms: float) -> None:
+        """Let time pass."""
+        until_ms = self.now_ms + for_ms
+        while self._events and self._events[0][0] <= until_ms:
+            at_ms, _, act = heapq.heappop(self._events)
+            self.clock.advance(max(0.0, at_ms - self.now_ms))
+            act()
+        self.clock.advance(until_ms - self.now_ms)
+
+    def run_until(
+        self, is_done: typing.Callable[[], bool], limit_ms: float
+    ) -> float:
+        """Let time pass until ``is_done``; return how long it took."""
+        start_ms = self.now_ms
+        while not is_done() and self.now_ms - start_ms < limit_ms:
+            self.run(50.0)
+        return self.now_ms - start_ms
+
+    def _at(self, in_ms: float, act: typing.Callable[[], None]) -> None:
+        self._order += 1
+        event = (self.now_ms + in_ms, self._order, act)
+        heapq.heappush(self._events, event)
+
+    def _ticker(self, node: Node) -> typing.Callable[[], None]:
+        def act() -> None:
+            if node.is_dead:
+                return
+            if node.paused_until_ms > self.now_ms:
+                self._at(node.paused_until_ms - self.now_ms, act)
+                return
+            self.handle(node, membership.Tick())
+            self._at(membership.TICK_MS, act)
+
+        return act
+
+    def _send(self, sender: Node, send: membership.Send) -> None:
+        if self.tap:
+            self.tap(sender, send.message)
+        receiver = self._by_address.get(send.to)
+        if receiver is None or sender.is_dead:
+            return
+        is_near = receiver.domain == sender.domain
+        delay_ms = (NEAR_MS if is_near else FAR_MS) * self.rng.uniform(0.8, 2)
+        if self.rng.random() >= self.loss:
+            self._deliver(sender, send, delay_ms)
+        if self.rng.random() < self.doubled:
+            self._deliver(sender, send, self.rng.uniform(0, 5000))
+
+    def _deliver(
+        self, sender: Node, send: membership.Send, delay_ms: float
+    ) -> None:
+        def act() -> None:
+            receiver = self._by_address[send.to]
+            pair = frozenset((sender.domain, receiver.domain))
+            if receiver.is_dead or pair in self.cuts:
+                return
+            if receiver.paused_until_ms > self.now_ms:
+                self._at(receiver.paused_until_ms - self.now_ms, act)
+                return
+            received = membership.Received(send.message, sender.address)
+            self.handle(receiver, received)
+
+        self._at(delay_ms, act)
+
+
+def network(
+    sizes: typing.Mapping[str, int], seed: int, service: str = 'stock'
+) -> Network:
+    """Create a network of nodes that know each other.
+
+    Args:
+        sizes: Number of nodes by failure domain.
+        seed: Of everything that is random in the run.
+        service: Of every node's target.
+    """
+    created = Network(seed)
+    for domain, size in sizes.items():
+        for i in range(size):
+            created.add(f'{domain}-{i}', domain, service)
+    created.introduce()
+    return created
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,352 @@
+import dataclasses
+import random
+
+import pytest
+
+from parsleystile import _gossip_messages as messages
+from parsleystile import ids
+from parsleystile import members
+from parsleystile import membership
+from parsleystile import transport
+from stubs import gossipnetwork
+
+SIZES = {'a': 5, 'b': 5, 'c': 6}
+SERVICE = ids.ServiceName('stock')
+BOUND_MS = 3000
+
+
+def _used_by(node):
+    return {m.node_id for m in node.machine.members_of(SERVICE)}
+
+
+def _is_unused(network, gone):
+    return lambda: all(not _used_by(n) & gone for n in network.live())
+
+
+def _agree(network):
+    names = {n.machine.me.node_id for n in network.live()}
+    return lambda: all(_used_by(n) == names for n in network.live())
+
+
+def _kill(network, gone):
+    for node_id in gone:
+        network.nodes[node_id].is_dead = True
+
+
+def _is_known_dead(network, node_id, live):
+    return any(
+        n.machine.known(node_id).state is members.MemberState.DEAD
+        for n in live
+    )
+
+
+@pytest.mark.parametrize('seed', range(8))
+def test_a_dead_vm_is_out_of_use_within_bound(seed):
+    network = gossipnetwork.network(SIZES, seed)
+    network.run(3000)
+    _kill(network, {'b-1'})
+    took_ms = network.run_until(_is_unused(network, {'b-1'}), 10_000)
+    assert took_ms <= BOUND_MS
+    assert _agree(network)()
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_a_leaving_node_is_out_of_use_and_confirmed(seed):
+    network = gossipnetwork.network(SIZES, seed)
+    network.run(3000)
+    node = network.nodes['a-0']
+    network.handle(node, membership.Leave())
+    took_ms = network.run_until(_is_unused(network, {'a-0'}), 10_000)
+    assert took_ms <= 300
+    network.run(500)
+    assert node.actions == [membership.LeaveConfirmed(15, 15)]
+
+
+def test_a_leave_is_confirmed_in_spite_of_loss_and_dead_members():
+    network = gossipnetwork.network(SIZES, 5)
+    network.run(3000)
+    network.loss = 0.3
+    _kill(network, {'b-1'})
+    node = network.nodes['a-0']
+    network.handle(node, membership.Leave())
+    network.run(2500)
+    [confirmed] = node.actions
+    assert 10 <= confirmed.acked <= 14
+    assert _is_unused(network, {'a-0'})()
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_a_lost_domain_is_out_of_use_within_bound(seed):
+    network = gossipnetwork.network(SIZES, seed)
+    network.run(3000)
+    gone = {n for n in network.nodes if n.startswith('c')}
+    _kill(network, gone)
+    took_ms = network.run_until(_is_unused(network, gone), 10_000)
+    assert took_ms <= BOUND_MS
+    assert _agree(network)()
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_a_cut_evicts_nobody_and_heals_within_seconds(seed):
+    network = gossipnetwork.network(SIZES, seed)
+    network.run(3000)
+    network.cuts = {frozenset('ac'), frozenset('bc')}
+    network.run(60_000)
+    assert _used_by(network.nodes['c-0']) == {f'c-{i}' for i in range(6)}
+    for node in network.live():
+        assert len(node.machine.everyone()) == 16
+    restarted = network.add('b-0', 'b')
+    network.handle(
+        restarted, membership.Learned((network.nodes['a-1'].machine.me,))
+    )
+    network.run(5000)
+    network.cuts = set()
+    assert network.run_until(_agree(network), 20_000) <= BOUND_MS
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_what_happened_behind_a_cut_is_learned_after_it(seed):
+    network = gossipnetwork.network(SIZES, seed)
+    network.run(3000)
+    network.cuts = {frozenset('ab'), frozenset('ac')}
+    network.run(5000)
+    network.handle(network.nodes['b-0'], membership.Leave())
+    _kill(network, {'c-0'})
+    network.run(60_000)
+    network.cuts = set()
+    gone = {'b-0', 'c-0'}
+    names = set(network.nodes) - gone
+    took_ms = network.run_until(
+        lambda: all(_used_by(n) == names for n in network.live()), 20_000
+    )
+    assert took_ms <= 2 * BOUND_MS
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_a_paused_process_evicts_nobody_and_comes_back(seed):
+    network = gossipnetwork.network(SIZES, seed)
+    network.run(3000)
+    paused = network.nodes['b-2']
+    before = paused.machine.me.incarnation
+    paused.paused_until_ms = network.now_ms + 10_000
+    network.run(9_900)
+    assert _is_unused(network, {'b-2'})() is False, (
+        'the paused node still uses itself'
+    )
+    others = [n for n in network.live() if n is not paused]
+    assert all('b-2' not in _used_by(n) for n in others)
+    network.run(200)
+    assert network.run_until(_agree(network), 10_000) <= BOUND_MS
+    assert paused.machine.me.incarnation > before
+    network.run(5000)
+    assert _agree(network)()
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_loss_of_a_third_evicts_nobody(seed):
+    network = gossipnetwork.network(SIZES, seed)
+    network.loss = 0.3
+    for _ in range(60):
+        network.run(1000)
+        for node in network.live():
+            dead = [
+                n
+                for n in network.nodes
+                if node.machine.known(n).state is members.MemberState.DEAD
+            ]
+            assert dead == []
+    _kill(network, {'a-3'})
+    took_ms = network.run_until(_is_unused(network, {'a-3'}), 10_000)
+    assert took_ms <= 2 * BOUND_MS
+
+
+def test_doubled_and_old_datagrams_bring_nobody_back():
+    network = gossipnetwork.network(SIZES, 3)
+    network.doubled = 0.5
+    network.run(5000)
+    _kill(network, {'a-3'})
+    network.run_until(_is_unused(network, {'a-3'}), 10_000)
+    for _ in range(60):
+        network.run(200)
+        assert _is_unused(network, {'a-3'})()
+
+
+def test_a_dead_incarnation_never_returns_and_a_restart_does():
+    network = gossipnetwork.network(SIZES, 1)
+    network.run(2000)
+    old = network.nodes['a-3'].machine.me
+    _kill(network, {'a-3'})
+    network.run(6000)
+    for node in network.live():
+        network.handle(node, membership.Learned((old,)))
+    network.run(3000)
+    assert _is_unused(network, {'a-3'})()
+    restarted = network.add('a-3', 'a')
+    seed = network.nodes['c-1'].machine.me
+    network.handle(restarted, membership.Learned((seed,)))
+    assert network.run_until(_agree(network), 20_000) <= 2 * BOUND_MS
+
+
+def test_a_restart_with_a_clock_behind_takes_a_higher_incarnation():
+    network = gossipnetwork.network({'a': 3, 'b': 3}, 1)
+    network.run(2000)
+    ahead = ids.Incarnation(int(network.now_ms) + 1_000_000)
+    old = dataclasses.replace(
+        network.nodes['a-1'].machine.me, incarnation=ahead
+    )
+    _kill(network, {'a-1'})
+    for node in network.live():
+        network.handle(node, membership.Learned((old,)))
+    network.run(6000)
+    restarted = network.add('a-1', 'a')
+    network.handle(
+        restarted, membership.Learned((network.nodes['b-0'].machine.me,))
+    )
+    assert network.run_until(_agree(network), 20_000) <= 2 * BOUND_MS
+    assert restarted.machine.me.incarnation > ahead
+
+
+@pytest.mark.parametrize('seed', range(2))
+def test_a_rack_of_a_domain_goes_at_once_and_nobody_else(seed):
+    network = gossipnetwork.network({'a': 30, 'b': 30}, seed)
+    network.run(2000)
+    gone = {f'a-{i}' for i in range(12)}
+    _kill(network, gone)
+    took_ms = network.run_until(_is_unused(network, gone), 20_000)
+    assert took_ms <= 3 * BOUND_MS
+    network.run(3000)
+    assert _agree(network)()
+
+
+def test_a_cut_inside_a_domain_is_seen_round_and_heals():
+    network = gossipnetwork.network(SIZES, 2)
+    network.run(3000)
+    lone = network.nodes['a-0']
+    network.cuts = {frozenset('ab'), frozenset('ac')}
+    lone.domain = 'c'
+    network.run(20_000)
+    assert _used_by(network.nodes['a-1']) == {f'a-{i}' for i in range(1, 5)}
+    network.cuts = set()
+    lone.domain = 'a'
+    assert network.run_until(_agree(network), 30_000) <= 4 * BOUND_MS
+
+
+def test_a_node_cut_off_from_everyone_evicts_nobody():
+    network = gossipnetwork.network(SIZES, 4)
+    network.run(3000)
+    lone = network.nodes['a-0']
+    lone.domain = 'nowhere'
+    network.cuts = {frozenset((d, 'nowhere')) for d in 'abc'}
+    network.run(20_000)
+    assert not _is_known_dead(network, 'a-1', [lone])
+    assert not _is_known_dead(network, 'b-1', [lone])
+    assert 'a-0' not in _used_by(network.nodes['a-1'])
+    network.cuts = set()
+    lone.domain = 'a'
+    assert network.run_until(_agree(network), 30_000) <= 2 * BOUND_MS
+
+
+def test_one_view_evicts_a_bounded_share():
+    record = gossipnetwork.member_of('a-0', 'a', 1, 1)
+    machine = membership.membership(record, random.Random(1))
+    others = tuple(
+        gossipnetwork.member_of(f'a-{i}', 'a', i + 1, 1) for i in range(1, 40)
+    )
+    far = gossipnetwork.member_of('b-0', 'b', 99, 1)
+    machine.handle(membership.Learned((*others, far)), 0.0)
+    for now_ms in range(0, 9000, 100):
+        for action in machine.handle(membership.Tick(), now_ms):
+            body = action.message.body
+            if action.to == far.gossip and isinstance(body, messages.Ping):
+                ack = messages.Message(
+                    far.node_id, 1, 0, messages.Ack(body.sequence)
+                )
+                machine.handle(membership.Received(ack, far.gossip), now_ms)
+    states = [machine.known(m.node_id).state for m in others]
+    assert 1 <= states.count(members.MemberState.DEAD) <= 8
+    assert states.count(members.MemberState.SUSPECT) > 0
+
+
+def test_a_domain_taken_out_is_not_offered():
+    network = gossipnetwork.network(SIZES, 1)
+    node = network.nodes['a-0']
+    before = node.machine.version
+    network.handle(node, membership.ConfigInForce(7, ('a', 'b')))
+    assert _used_by(node) == {f'c-{i}' for i in range(6)}
+    assert node.machine.version > before
+
+
+def test_versions_in_force_are_learned_and_newer_ones_fetched():
+    network = gossipnetwork.network(SIZES, 1)
+    network.run(1000)
+    for node_id in network.nodes.keys() - {'c-1'}:
+        node = network.nodes[node_id]
+        network.handle(node, membership.ConfigInForce(3))
+    asker = network.nodes['a-0']
+    network.handle(asker, membership.AskVersions(3))
+    network.run(100)
+    told = {d.domain: d for d in asker.machine.in_force(3)}
+    assert told['c'].waiting == ('c-1',)
+    assert (told['c'].in_force, told['c'].total) == (5, 6)
+    assert told['a'].waiting == ()
+    network.run(1000)
+    fetches = network.nodes['c-1'].actions
+    assert fetches
+    assert {f.version for f in fetches} == {3}
+
+
+def test_withdrawn_keys_reach_everyone_also_after_a_cut():
+    network = gossipnetwork.network(SIZES, 1)
+    network.cuts = {frozenset('ac'), frozenset('bc')}
+    network.run(4000)
+    held = {n: set() for n in network.nodes}
+
+    def settle():
+        for name, node in network.nodes.items():
+            for action in node.actions:
+                if isinstance(action, membership.WithdrawKeys):
+                    held[name].update(action.key_ids)
+            node.actions.clear()
+            event = membership.WithdrawnKeys(frozenset(held[name]))
+            network.handle(node, event)
+        return all('k5' in keys for keys in held.values())
+
+    held['a-0'].add('k5')
+    network.run_until(settle, 10_000)
+    near = [n for n in held if not n.startswith('c')]
+    assert all('k5' in held[n] for n in near)
+    assert 'k5' not in held['c-0']
+    network.cuts = set()
+    assert network.run_until(settle, 30_000) <= 3 * BOUND_MS
+
+
+def test_versions_of_the_list_stand_still_while_nothing_happens():
+    network = gossipnetwork.network(SIZES, 1)
+    network.run(3000)
+    node = network.nodes['a-0'].machine
+    before, listed = node.version, node.members_of(SERVICE)
+    network.run(20_000)
+    assert node.version == before
+    assert node.members_of(SERVICE) is listed
+
+
+def test_datagrams_carry_a_bounded_number_of_updates():
+    network = gossipnetwork.network({'a': 40, 'b': 40}, 1)
+    sizes = []
+    network.tap = lambda node, message: sizes.append(len(message.updates))
+    _kill(network, {f'b-{i}' for i in range(20)})
+    network.run(5000)
+    assert max(sizes) == messages.MAX_UPDATES
+
+
+def test_an_unasked_ack_proves_nothing():
+    record = gossipnetwork.member_of('a-0', 'a', 1, 1)
+    machine = membership.membership(record, random.Random(1))
+    other = gossipnetwork.member_of('b-0', 'b', 2, 1)
+    machine.handle(membership.Learned((other,)), 0.0)
+    stale = messages.Message(other.node_id, 1, 0, messages.Ack(1))
+    for now_ms in range(0, 6000, 100):
+        machine.handle(membership.Tick(), now_ms)
+        source = transport.Address('10.0.0.1', 2)
+        machine.handle(membership.Received(stale, source), now_ms)
+    assert machine.unreachable_domains() == {'b'}
