--- a/src/parsleystile/_gossip_messages.py
+++ b/src/parsleystile/_gossip_messages.py
@@ -1,11 +1,15 @@
 """What members tell each other; one datagram carries one ``Message``."""
 
 import dataclasses
+import typing
 
 from parsleystile import ids
 from parsleystile import members
 
 MAX_UPDATES = 8
+# Leaves room in a datagram for the body and the withdrawn keys.
+MAX_UPDATE_BYTES = 1000
+_FIXED_RECORD_BYTES = 60
 MAX_WITHDRAWN = 16
 
 
@@ -88,3 +92,34 @@
     body: Body
     updates: tuple[Update, ...] = ()
     withdrawn: tuple[ids.KeyId, ...] = ()
+
+
+def _update_bytes(update: Update) -> int:
+    member = update.member
+    names = (
+        member.node_id,
+        member.vm,
+        member.region,
+        member.failure_domain,
+        member.service,
+        member.link.host,
+        member.gossip.host,
+        update.witness,
+    )
+    return _FIXED_RECORD_BYTES + sum(map(len, names))
+
+
+def chunks(updates: list[Update]) -> typing.Iterator[tuple[Update, ...]]:
+    """Split updates so that each part fits in a datagram."""
+    part: list[Update] = []
+    size_bytes = 0
+    for update in updates:
+        needed_bytes = _update_bytes(update)
+        is_full = size_bytes + needed_bytes > MAX_UPDATE_BYTES
+        if part and (is_full or len(part) >= MAX_UPDATES):
+            yield tuple(part)
+            part, size_bytes = [], 0
+        part.append(update)
+        size_bytes += needed_bytes
+    if part:
+        yield tuple(part)
--- a/src/parsleystile/_view.py
+++ b/src/parsleystile/_view.py
@@ -163,7 +163,10 @@
             return is_near or not is_suspect
 
         room = messages.MAX_UPDATES - len(first)
+        if isinstance(body, messages.DigestOffer):
+            room = 0
         news = self._news.pick(room, size, is_wanted) if room > 0 else []
+        updates = next(messages.chunks([*first, *news]), ())
         if not withdrawn:
             withdrawn = tuple(
                 self._key_news.pick(messages.MAX_WITHDRAWN, size)
@@ -173,7 +176,7 @@
             self.me.incarnation,
             self.config_version,
             body,
-            first + tuple(news),
+            updates,
             withdrawn,
         )
         self.outbox.append((to, message))
--- a/src/parsleystile/membership.py
+++ b/src/parsleystile/membership.py
@@ -383,8 +383,7 @@
             if 0 <= bucket < count
             for member in self._view.list.in_bucket(bucket, count)
         ]
-        for start in range(0, len(updates), messages.MAX_UPDATES):
-            part = tuple(updates[start : start + messages.MAX_UPDATES])
+        for part in messages.chunks(updates):
             self._view.send(source, messages.Records(), None, part)
 
     def _ask_versions(self, version: ids.ConfigVersion, now_ms: float) -> None:
