Judge recorded histories against each promise

Ruled out: temporal-logic monitors and process mining (no joins over requests, targets and nodes; see docs/design/history-checking.md); assertions inside each test (a promise restated weakly each time). Before: none. After: fourteen pure checkers, shown on hand-made histories to accept good ones and reject bad ones. Conclusion: checkers reject all bad histories written so far; nothing is said yet of the system itself.

--- /dev/null
+++ b/src/parsleystile/checks.py
@@ -0,0 +1,56 @@
+"""Checks a recorded history against everything that parsleystile promises.
+
+Operators can run it on the records of a rehearsal; tests run it on every
+history that they make. A checker that finds nothing to judge in a history
+accepts it, so whoever reads a verdict also reads ``evidence``.
+"""
+
+import collections
+import typing
+
+from parsleystile import call_checks
+from parsleystile import events
+from parsleystile import fleet_checks
+from parsleystile import load_checks
+from parsleystile import promises
+from parsleystile.promises import Promise
+
+Checker = typing.Callable[
+    [events.History, promises.Bounds], list[promises.Violation]
+]
+
+CHECKERS: dict[Promise, Checker] = {
+    Promise.RETRIES_BOUNDED: call_checks.check_retries_bounded,
+    Promise.IMPORTANT_SHED_LAST: load_checks.check_important_shed_last,
+    Promise.ORGANISATION_ISOLATED: call_checks.check_organisation_isolated,
+    Promise.KEY_CONFIDENTIAL: call_checks.check_key_confidential,
+    Promise.KEY_WITHDRAWN: fleet_checks.check_key_withdrawn,
+    Promise.RATE_LIMITED: load_checks.check_rate_limited,
+    Promise.COLD_TARGET_SPARED: load_checks.check_cold_target_spared,
+    Promise.DOMAIN_OUT_IDLE: fleet_checks.check_domain_out_idle,
+    Promise.ANSWER_WHOLE: call_checks.check_answer_whole,
+    Promise.NOT_RUN_TRUE: call_checks.check_not_run_true,
+    Promise.AT_MOST_ONCE: call_checks.check_at_most_once,
+    Promise.LEAVING_TARGET_IDLE: fleet_checks.check_leaving_target_idle,
+    Promise.STOP_GRACEFUL: fleet_checks.check_stop_graceful,
+    Promise.CONFIG_DURABLE: fleet_checks.check_config_durable,
+}
+
+
+def check(
+    history: events.History,
+    bounds: promises.Bounds = promises.DEFAULT_BOUNDS,
+) -> list[promises.Violation]:
+    """Return every violation of every promise, by time."""
+    found = [
+        violation
+        for checker in CHECKERS.values()
+        for violation in checker(history, bounds)
+    ]
+    return sorted(found, key=lambda violation: violation.at_ms)
+
+
+def evidence(history: events.History) -> dict[str, int]:
+    """Return how many events of each kind a history holds."""
+    kinds = collections.Counter(type(at.event).__name__ for at in history)
+    return dict(sorted(kinds.items()))
--- a/src/parsleystile/events.py
+++ b/src/parsleystile/events.py
@@ -151,10 +151,11 @@
 
 
 class Admitted(_Event, kw_only=True):
-    """A node let a call pass; once at ingress, once at the guard.
+    """A node let a call pass: at ingress all checks, at a guard to a slot.
 
     Attributes:
         rank: Admission rank of the call.
+        retry_allowance: Retries that the call and its subtree may spend.
     """
 
     stage: Stage
@@ -164,6 +165,7 @@
     rank: float
     key_id: ids.KeyId = _KEYLESS
     depth: int = 1
+    retry_allowance: int = 0
 
 
 class Refused(_Event, kw_only=True):
@@ -367,3 +369,8 @@
 
 
 History = typing.Sequence[Occurrence]
+
+
+def of_kind(history: History, kind: type[_Event]) -> list[Occurrence]:
+    """Return the occurrences of one kind of event, in order."""
+    return [at for at in history if isinstance(at.event, kind)]
--- /dev/null
+++ b/tests/test_checks.py
@@ -0,0 +1,496 @@
+"""Each checker accepts a good history and rejects bad ones."""
+
+import pytest
+
+from parsleystile import checks
+from parsleystile import context
+from parsleystile import errors
+from parsleystile import events
+from parsleystile import promises
+from parsleystile.promises import Promise
+from tests import histories as h
+
+_CRITICAL = context.Importance.CRITICAL
+_SHEDDABLE = context.Importance.SHEDDABLE
+_NOT_RUN = errors.Outcome.NOT_RUN
+_UNKNOWN = errors.Outcome.UNKNOWN
+
+
+def _timed(*pairs):
+    return [h.at(at_ms, event) for at_ms, event in pairs]
+
+
+def _taken_at(*times_ms):
+    head = (0, h.limits(rate_per_s=10, burst=2))
+    return _timed(head, *((t, h.taken()) for t in times_ms))
+
+
+def _run_at(*times_ms):
+    pairs = [(0, h.limits(rate_per_s=10, burst=2))]
+    for number, at_ms in enumerate(times_ms):
+        pairs.append((at_ms - 1, h.sent(f'r{number}')))
+        pairs.append((at_ms, h.executed(f'r{number}')))
+    return _timed(*pairs)
+
+
+def _load(critical_shed, sheddable_shed, of=20):
+    history = []
+    for importance, count in (
+        (_CRITICAL, critical_shed),
+        (_SHEDDABLE, sheddable_shed),
+    ):
+        history += _timed(*[(10, h.shed(importance))] * count)
+        passed = h.admitted(importance)
+        history += _timed(*[(10, passed)] * (of - count))
+    return history
+
+
+_STARTED = events.NodeStarted()
+_STOP = events.StopPlanned(subject='n2')
+
+
+def _stopped(exit_code=0):
+    return events.NodeStopped(subject='n2', exit_code=exit_code)
+
+
+def _fault(kind='pause', node='n1'):
+    return events.FaultStarted(kind=kind, subjects=(node,))
+
+
+def _healed(kind='pause', node='n1'):
+    return events.FaultEnded(kind=kind, subjects=(node,))
+
+
+_CHILD = {'root_request_id': 'r1', 'call_path': 'book/stock'}
+
+GOOD = {
+    'retry within the allowance': (
+        Promise.RETRIES_BOUNDED,
+        _timed(
+            (0, h.sent(retry_allowance=1)),
+            (1, h.admitted(retry_allowance=1)),
+            (2, h.executed()),
+            (3, h.executed(target='t2')),
+            (4, h.sent('c1', **_CHILD)),
+            (5, h.executed('c1', **_CHILD)),
+        ),
+    ),
+    'sheddable goes first': (Promise.IMPORTANT_SHED_LAST, _load(2, 10)),
+    'too few calls to judge': (
+        Promise.IMPORTANT_SHED_LAST,
+        _load(5, 0, of=9),
+    ),
+    'runs for its own organisation': (
+        Promise.ORGANISATION_ISOLATED,
+        _timed((0, h.sent()), (1, h.called()), (2, h.executed(token='x'))),
+    ),
+    'open route without a key': (
+        Promise.ORGANISATION_ISOLATED,
+        _timed(
+            (0, h.sent(organisation='', key='', is_open=True)),
+            (1, h.called(organisation='')),
+            (2, h.executed(token='x')),
+        ),
+    ),
+    'headers without the key': (
+        Promise.KEY_CONFIDENTIAL,
+        _timed((0, h.sent()), (1, h.executed(headers=('accept: */*',)))),
+    ),
+    'key used until its bound': (
+        Promise.KEY_WITHDRAWN,
+        _timed(
+            (0, events.KeyWithdrawn(key_id='k1')),
+            (2900, h.sent()),
+            (2950, h.admitted()),
+            (3500, h.executed()),
+            (4000, h.sent('r2')),
+        ),
+    ),
+    'burst, then rate': (
+        Promise.RATE_LIMITED,
+        _taken_at(5, 6, 105, 205, 1000, 1000),
+    ),
+    'limits raised': (
+        Promise.RATE_LIMITED,
+        _taken_at(1, 2)
+        + _timed((3, h.limits(rate_per_s=10, burst=50)))
+        + _timed((5003, h.taken()), *[(5003, h.taken())] * 49),
+    ),
+    'runs within rate': (Promise.RATE_LIMITED, _run_at(10, 20, 210)),
+    'cold target in its slots': (
+        Promise.COLD_TARGET_SPARED,
+        _timed(
+            (0, h.capacity(1, told=True)),
+            (1, h.executed('r1')),
+            (2, h.ended('r1')),
+            (3, h.executed('r2')),
+            (4, h.capacity(4, told=False)),
+            (5, h.executed('r3')),
+        ),
+    ),
+    'turned cold a moment ago': (
+        Promise.COLD_TARGET_SPARED,
+        _timed(
+            (0, h.capacity(4, told=True)),
+            (10, h.capacity(1, told=False)),
+            (11, h.executed('r1')),
+            (12, h.executed('r2')),
+        ),
+    ),
+    'domain out, other domain and back': (
+        Promise.DOMAIN_OUT_IDLE,
+        _timed(
+            (0, h.announced()),
+            (0, h.announced('t2', 'd2')),
+            (1, events.DomainOut(failure_domain='d1')),
+            (2000, h.executed()),
+            (9000, h.executed(target='t2')),
+            (9001, events.DomainIn(failure_domain='d1')),
+            (9002, h.executed()),
+        ),
+    ),
+    'crossed answers': (
+        Promise.ANSWER_WHOLE,
+        _timed(
+            (0, h.ended('r2', digest='b')),
+            (1, h.ended('r1', digest='a')),
+            (2, h.answered('r1', 'a')),
+            (3, h.answered('r2', 'b')),
+        ),
+    ),
+    'not run and unknown': (
+        Promise.NOT_RUN_TRUE,
+        _timed(
+            (0, h.answered('r1', outcome=_NOT_RUN)),
+            (1, h.executed('r2')),
+            (2, h.answered('r2', outcome=_UNKNOWN)),
+        ),
+    ),
+    'idempotent twice, non-idempotent once': (
+        Promise.AT_MOST_ONCE,
+        _timed(
+            (0, h.sent('r1')),
+            (1, h.executed('r1')),
+            (2, h.executed('r1')),
+            (3, h.sent('r2', idempotent=False, idempotency_key='i')),
+            (4, h.executed('r2')),
+            (5, h.sent('r3', idempotent=False, idempotency_key='j')),
+            (6, h.executed('r3')),
+        ),
+    ),
+    'leaving, and back': (
+        Promise.LEAVING_TARGET_IDLE,
+        _timed(
+            (0, events.TargetLeaving(target_id='t1')),
+            (2000, h.executed()),
+            (9000, h.announced()),
+            (9001, h.executed()),
+        ),
+    ),
+    'planned stop after the answers': (
+        Promise.STOP_GRACEFUL,
+        _timed(
+            (0, h.sent('r1')),
+            (1, _STOP),
+            (2, h.answered('r1')),
+            (3, h.sent('r2')),
+            (4, h.answered('r2', outcome=_NOT_RUN)),
+            (5, _stopped()),
+        ),
+    ),
+    'kill beside a planned stop': (
+        Promise.STOP_GRACEFUL,
+        _timed(
+            (0, h.sent('r1')),
+            (1, _STOP),
+            (2, _fault('kill')),
+            (3, _stopped()),
+        ),
+    ),
+    'in force everywhere in time': (
+        Promise.CONFIG_DURABLE,
+        _timed((0, _STARTED), (1, h.in_force(1)), (2, h.accepted(2)))
+        + [h.at(3, _STARTED, 'n2'), h.at(4, h.in_force(2), 'n2')]
+        + _timed((90, h.in_force(2)), (9000, h.taken())),
+    ),
+    'paused node catches up': (
+        Promise.CONFIG_DURABLE,
+        _timed(
+            (0, _STARTED),
+            (1, _fault()),
+            (2, h.accepted(2)),
+            (8000, _healed()),
+            (9000, h.in_force(2)),
+            (99000, h.taken()),
+        ),
+    ),
+}
+
+BAD = {
+    'retry over the allowance, seen by targets': (
+        Promise.RETRIES_BOUNDED,
+        _timed((0, h.sent()), (1, h.executed()), (2, h.executed())),
+    ),
+    'two parents each make the child call': (
+        Promise.RETRIES_BOUNDED,
+        _timed(
+            (0, h.sent()),
+            (1, h.executed('c1', **_CHILD)),
+            (2, h.executed('c2', **_CHILD)),
+        ),
+    ),
+    'retry over the allowance, told by nodes': (
+        Promise.RETRIES_BOUNDED,
+        _timed(
+            (0, h.admitted(retry_allowance=0)),
+            (
+                1,
+                events.Retried(
+                    root_id='root',
+                    depth=2,
+                    after=errors.Reason.SHED,
+                    allowance_left=0,
+                ),
+            ),
+        ),
+    ),
+    'critical goes first': (Promise.IMPORTANT_SHED_LAST, _load(10, 2)),
+    'runs for another organisation': (
+        Promise.ORGANISATION_ISOLATED,
+        _timed(
+            (0, h.sent()),
+            (1, h.called(organisation='other')),
+            (2, h.executed(token='x')),
+        ),
+    ),
+    'child runs for another organisation': (
+        Promise.ORGANISATION_ISOLATED,
+        _timed(
+            (0, h.sent()),
+            (1, h.sent('c1', organisation='', **_CHILD)),
+            (2, h.called('y', organisation='other')),
+            (3, h.executed('c1', token='y', **_CHILD)),
+        ),
+    ),
+    'runs without a valid key': (
+        Promise.ORGANISATION_ISOLATED,
+        _timed((0, h.sent(organisation='')), (1, h.executed())),
+    ),
+    'runs though nobody sent it': (
+        Promise.ORGANISATION_ISOLATED,
+        _timed((1, h.executed())),
+    ),
+    'key in a header': (
+        Promise.KEY_CONFIDENTIAL,
+        _timed(
+            (0, h.sent()),
+            (1, h.executed(headers=('x-api-key: secret-of-org',))),
+        ),
+    ),
+    'key in the path of a child call': (
+        Promise.KEY_CONFIDENTIAL,
+        _timed(
+            (0, h.sent()),
+            (1, h.executed('c1', path='/a?k=secret-of-org')),
+        ),
+    ),
+    'withdrawn key admitted': (
+        Promise.KEY_WITHDRAWN,
+        _timed((0, events.KeyWithdrawn(key_id='k1')), (3001, h.admitted())),
+    ),
+    'withdrawn key seen to run': (
+        Promise.KEY_WITHDRAWN,
+        _timed(
+            (0, events.KeyWithdrawn(key_id='k1')),
+            (3001, h.sent()),
+            (3002, h.executed()),
+        ),
+    ),
+    'withdrawn key issued again': (
+        Promise.KEY_WITHDRAWN,
+        _timed(
+            (0, events.KeyWithdrawn(key_id='k1')),
+            (1, events.KeyIssued(key_id='k1', organisation='org')),
+        ),
+    ),
+    'over the burst': (Promise.RATE_LIMITED, _taken_at(5, 6, 7)),
+    'over the rate after a quiet time': (
+        Promise.RATE_LIMITED,
+        _taken_at(5000, 5001, 5050),
+    ),
+    'split over two nodes': (
+        Promise.RATE_LIMITED,
+        _taken_at(1, 2) + [h.at(3, h.taken(), 'n2')],
+    ),
+    'targets run more than may pass': (
+        Promise.RATE_LIMITED,
+        _run_at(10, 11, 12),
+    ),
+    'started with too much': (
+        Promise.COLD_TARGET_SPARED,
+        _timed(
+            (0, h.capacity(1, told=True)),
+            (1, h.executed('r1')),
+            (2, h.executed('r2')),
+        ),
+    ),
+    'turned cold long ago': (
+        Promise.COLD_TARGET_SPARED,
+        _timed(
+            (0, h.capacity(4, told=True)),
+            (10, h.capacity(1, told=False)),
+            (2011, h.executed('r1')),
+            (2012, h.executed('r2')),
+        ),
+    ),
+    'domain out still works': (
+        Promise.DOMAIN_OUT_IDLE,
+        _timed(
+            (0, h.announced()),
+            (1, events.DomainOut(failure_domain='d1')),
+            (3002, h.executed()),
+        ),
+    ),
+    'taken out twice, counted from the first': (
+        Promise.DOMAIN_OUT_IDLE,
+        _timed(
+            (0, h.announced()),
+            (1, events.DomainOut(failure_domain='d1')),
+            (3000, events.DomainOut(failure_domain='d1')),
+            (3002, h.executed()),
+        ),
+    ),
+    "another request's answer": (
+        Promise.ANSWER_WHOLE,
+        _timed((0, h.ended('r2', digest='b')), (1, h.answered('r1', 'b'))),
+    ),
+    'answer cut short': (
+        Promise.ANSWER_WHOLE,
+        _timed((0, h.ended()), (1, h.answered(digest='part'))),
+    ),
+    'answered twice': (
+        Promise.ANSWER_WHOLE,
+        _timed((0, h.ended()), (1, h.answered()), (2, h.answered())),
+    ),
+    'said not run, had run': (
+        Promise.NOT_RUN_TRUE,
+        _timed((0, h.executed()), (1, h.answered(outcome=_NOT_RUN))),
+    ),
+    'said not run, ran later': (
+        Promise.NOT_RUN_TRUE,
+        _timed((0, h.answered(outcome=_NOT_RUN)), (1, h.executed())),
+    ),
+    'run twice by the system': (
+        Promise.AT_MOST_ONCE,
+        _timed(
+            (0, h.sent(idempotent=False)),
+            (1, h.executed()),
+            (2, h.executed(target='t2')),
+        ),
+    ),
+    "run twice by its caller's retry": (
+        Promise.AT_MOST_ONCE,
+        _timed(
+            (0, h.sent(idempotent=False, idempotency_key='i')),
+            (1, h.sent('r2', idempotent=False, idempotency_key='i')),
+            (2, h.executed('r1')),
+            (3, h.executed('r2')),
+        ),
+    ),
+    'leaving target gets work': (
+        Promise.LEAVING_TARGET_IDLE,
+        _timed(
+            (0, events.TargetLeaving(target_id='t1')),
+            (3001, h.executed()),
+        ),
+    ),
+    'planned stop cuts a request': (
+        Promise.STOP_GRACEFUL,
+        _timed(
+            (0, h.sent()),
+            (1, _STOP),
+            (2, h.answered(outcome=_UNKNOWN)),
+            (3, _stopped()),
+        ),
+    ),
+    'request never ends': (
+        Promise.STOP_GRACEFUL,
+        _timed((0, h.sent()), (1, _STOP), (3, _stopped())),
+    ),
+    'request cut after an older fault': (
+        Promise.STOP_GRACEFUL,
+        _timed(
+            (0, _fault()),
+            (1, _healed()),
+            (2, h.sent()),
+            (3, _STOP),
+            (4, _stopped()),
+        ),
+    ),
+    'planned stop fails': (
+        Promise.STOP_GRACEFUL,
+        _timed((1, _STOP), (3, _stopped(exit_code=-9))),
+    ),
+    'not in force in time': (
+        Promise.CONFIG_DURABLE,
+        _timed(
+            (0, _STARTED),
+            (1, h.in_force(1)),
+            (2, h.accepted(2)),
+            (4000, h.in_force(2)),
+        ),
+    ),
+    'reverted': (
+        Promise.CONFIG_DURABLE,
+        _timed((1, h.in_force(2)), (2, h.in_force(1))),
+    ),
+    'a new node acts by an old version': (
+        Promise.CONFIG_DURABLE,
+        _timed(
+            (0, h.accepted(2)),
+            (5000, _STARTED),
+            (5001, h.in_force(1)),
+            (9000, h.taken()),
+        ),
+    ),
+    'two presets in force': (
+        Promise.CONFIG_DURABLE,
+        _timed((1, h.in_force(2)), (2, h.in_force(2, preset='peak'))),
+    ),
+    'two changes accepted as one version': (
+        Promise.CONFIG_DURABLE,
+        _timed((1, h.accepted(2, 'a')), (2, h.accepted(2, 'b'))),
+    ),
+    'accepted preset is not the one in force': (
+        Promise.CONFIG_DURABLE,
+        _timed((1, h.accepted(2, preset='peak')), (2, h.in_force(2))),
+    ),
+}
+
+
+def test_every_promise_has_a_checker_and_histories_of_both_kinds():
+    assert set(checks.CHECKERS) == set(Promise)
+    assert {promise for promise, _ in GOOD.values()} == set(Promise)
+    assert {promise for promise, _ in BAD.values()} == set(Promise)
+
+
+@pytest.mark.parametrize('name', GOOD)
+def test_a_good_history_is_accepted(name):
+    promise, history = GOOD[name]
+    assert checks.CHECKERS[promise](history, promises.Bounds()) == []
+
+
+@pytest.mark.parametrize('name', BAD)
+def test_a_bad_history_is_rejected(name):
+    promise, history = BAD[name]
+    found = checks.check(history)
+    assert promise in {violation.promise for violation in found}
+
+
+def test_evidence_counts_kinds():
+    history = _timed((0, h.sent()), (1, h.executed()), (2, h.executed()))
+    assert checks.evidence(history) == {'Executed': 2, 'RequestSent': 1}
+
+
+def test_an_empty_history_breaks_nothing():
+    assert checks.check([]) == []
