Bound the drift of the usual service time

Cause: with 2 and 4 times the true slots declared the limit crept to the declared count (40 of 10): the usual time rose along with the limit. Ruled out: learning only downwards, a ratchet on noise that pinned the limit at 1; a looser bound (rise at 1.5, drift 0.25). Conclusion: drift at most 0.15 above the best, rise below 0.2.

--- a/bench/chain.py
+++ b/bench/chain.py
@@ -86,15 +86,20 @@
         self._tier = tier
         self._busy = 0
         self._waiting: collections.deque = collections.deque()
+        self.workers = tier.workers
         self.slowdown = 1.0
+        # Loss of speed per waiting call and worker.
+        self.thrash = 0.0
 
     def submit(self, work: typing.Callable, *args: typing.Any) -> None:
         """Call ``work`` once a worker has spent its own time."""
-        if self._busy >= self._tier.workers:
+        if self._busy >= self.workers:
             self._waiting.append((work, args))
             return
         self._busy += 1
+        crowding = len(self._waiting) / self.workers
         mean_ms = self._tier.own_ms * self.slowdown
+        mean_ms *= 1.0 + self.thrash * crowding
         own_ms = mean_ms * (0.5 + self._rng.expovariate(2.0))
         self._loop.after(own_ms, work, *args)
 
--- a/src/parsleystile/concurrency.py
+++ b/src/parsleystile/concurrency.py
@@ -6,7 +6,9 @@
 # A target that just started is trusted with this many calls.
 COLD_LIMIT = 2.0
 FLOOR = 1.0
-FALL = 0.5
+# A fall goes by the slowness, within these factors.
+DEEPEST_FALL = 0.5
+LEAST_FALL = 0.8
 # Growth per quiet window, and near the limit that lately proved too high.
 FAST_RISE = 1.25
 SLOW_RISE = 1.02
@@ -20,18 +22,22 @@
 # The limit grows only while at least this share of it is in use.
 USED_SHARE = 0.7
 # Slowness is the logarithm of a service time over the usual one of the
-# route. Above this mean the limit stays; it is a factor of 1.5.
-RISE_SLOWNESS = 0.4
+# route. Above this mean the limit stays; a factor of 1.2.
+RISE_SLOWNESS = 0.2
 # Cumulative sums over answers: what they lose with each, and the alarm.
 SLOWNESS_SLACK = 0.5
 SLOWNESS_ALARM = 4.0
 SLOWNESS_CLIP = 2.0
 ERROR_SLACK = 0.2
 ERROR_ALARM = 3.0
-# How fast the usual time follows: down, and up while slots are free or not.
-LEARN_DOWN = 0.05
-LEARN_UP = 0.05
-LEARN_UP_LOADED = 0.01
+# How fast the usual time follows, and how far above its best it may drift:
+# else it would creep up with the limit and hide the load.
+LEARN = 0.05
+LEARN_ALONE = 0.2
+FIRST_ANSWERS = 10
+DRIFT_BOUND = 0.15
+# How fast the best time is forgotten, per answer of a half idle target.
+FORGET = 0.002
 # If halving the limit took away less of the slowness than this factor,
 # load is not what makes the target slow.
 LEAST_RELIEF = 0.25
@@ -43,6 +49,15 @@
 _SHORTEST_MS = 0.01
 
 
+@dataclasses.dataclass(slots=True)
+class _Usual:
+    """Logarithms of the service time of a route in ms."""
+
+    mean: float
+    best: float
+    answers: int = 1
+
+
 @dataclasses.dataclass(slots=True)
 class _Window:
     """Answers since the last decision to raise."""
@@ -77,8 +92,7 @@
     def __init__(self) -> None:
         self._slots = 0
         self._limit = 0.0
-        # Mean logarithm of the service time in ms by route.
-        self._usual: dict[str, float] = {}
+        self._usual: dict[str, _Usual] = {}
         self._window = _Window()
         self._relief: _Relief | None = None
         self._slow_sum = 0.0
@@ -119,7 +133,7 @@
             return
         self._error_sum += 1.0 - ERROR_SLACK
         if self._error_sum > ERROR_ALARM:
-            self._fall(0.0, now_ms)
+            self._fall(SLOWNESS_CLIP, now_ms)
 
     def answered(
         self,
@@ -163,7 +177,7 @@
         patience_ms = max(SILENCE_FLOOR_MS, SILENCE_FACTOR * self._answer_ms)
         if now_ms - self._last_answer_ms > patience_ms:
             self._last_answer_ms = now_ms
-            self._fall(0.0, now_ms)
+            self._fall(SLOWNESS_CLIP, now_ms)
 
     def _learn(self, route: str, own_ms: float, in_flight: int) -> float:
         """Fold one time into the usual one; return its slowness."""
@@ -172,17 +186,26 @@
         if usual is None:
             if len(self._usual) >= MAX_ROUTES:
                 self._usual.clear()
-            self._usual[route] = time
+            self._usual[route] = _Usual(time, time)
             return 0.0
-        slowness = time - usual
+        slowness = time - usual.mean
         slowness = min(SLOWNESS_CLIP, max(-SLOWNESS_CLIP, slowness))
-        if slowness < 0.0:
-            weight = LEARN_DOWN
-        elif in_flight <= 1 or 2 * in_flight <= self._limit:
-            weight = LEARN_UP
-        else:
-            weight = LEARN_UP_LOADED
-        self._usual[route] = usual + weight * slowness
+        usual.answers += 1
+        if usual.answers <= FIRST_ANSWERS:
+            usual.mean += slowness / usual.answers
+            usual.best = usual.mean
+            return slowness
+        if self._limit <= FLOOR:
+            # Alone at the target, a call shows the unloaded time.
+            usual.mean += LEARN_ALONE * slowness
+            usual.best = usual.mean
+            return slowness
+        mean = usual.mean + LEARN * slowness
+        if mean < usual.best:
+            usual.best = mean
+        elif 2 * in_flight <= self._limit + 1.0:
+            usual.best += FORGET * (mean - usual.best)
+        usual.mean = min(mean, usual.best + DRIFT_BOUND)
         return slowness
 
     def _weigh_relief(self, slowness: float, now_ms: float) -> None:
@@ -204,8 +227,9 @@
         self, slowness: float, limit_before: float, now_ms: float
     ) -> None:
         """Take the present times as usual and undo the last fall."""
-        for route in self._usual:
-            self._usual[route] += slowness
+        for usual in self._usual.values():
+            usual.mean += slowness
+            usual.best += slowness
         self._limit = min(float(self._slots), limit_before)
         self._caution = math.inf
         self._reset(now_ms)
@@ -214,9 +238,10 @@
         before = self._limit
         self._caution = CAUTION_SHARE * before
         self._caution_until_ms = now_ms + CAUTION_MS
-        self._limit = max(FLOOR, FALL * before)
+        factor = min(LEAST_FALL, max(DEEPEST_FALL, math.exp(-slowness)))
+        self._limit = max(FLOOR, factor * before)
         self._relief = None
-        if slowness > 0.0:
+        if slowness < SLOWNESS_CLIP:
             self._relief = _Relief(before, slowness)
         self._reset(now_ms)
         self._changed_ms = now_ms
