Agree on one document by compare-and-swap and spread it by gossip

Cause: operators change what all nodes act on, while the table and links fail. A row of withdrawn keys in the table: a withdrawal during an outage is held by other members instead. Before: the document was polled from the table every 0.5 s by each node.

--- /dev/null
+++ b/src/parsleystile/controlplane.py
@@ -0,0 +1,155 @@
+"""What the nodes of a fleet share, put together for one node."""
+
+import dataclasses
+import random
+import typing
+
+import msgspec
+
+from parsleystile import changes
+from parsleystile import clock as clocks
+from parsleystile import configservice
+from parsleystile import configstore
+from parsleystile import errors
+from parsleystile import fleetconfig
+from parsleystile import ids
+from parsleystile import keys
+from parsleystile import memberservice
+from parsleystile import membership
+from parsleystile import metrics as metric
+from parsleystile import table
+from parsleystile import transport
+from parsleystile import withdrawals
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """What a control plane is built on.
+
+    Attributes:
+        put_in_force: Makes the node act on a document.
+        peers: Links to ask while neither table nor members are known.
+    """
+
+    machine: membership.Membership
+    key_ring: keys.KeyRing
+    put_in_force: configservice.PutInForce
+    clock: clocks.Clock
+    rng: random.Random
+    network: transport.Transport
+    rows: table.TableClient
+    metrics: metric.Metrics
+    peers: tuple[transport.Address, ...] = ()
+
+
+class ControlPlane:
+    """Members, configuration and keys of one node.
+
+    Attributes:
+        members: Gossip and joining.
+        config: The document and changes of it.
+    """
+
+    def __init__(self, parts: Parts) -> None:
+        self._parts = parts
+        self.members = memberservice.member_service(
+            parts.machine,
+            parts.clock,
+            parts.rng,
+            parts.network,
+            parts.rows,
+            parts.metrics,
+            parts.peers,
+        )
+        self.config = configservice.config_service(
+            parts.clock,
+            parts.rng,
+            parts.network,
+            parts.rows,
+            parts.metrics,
+            self._put_in_force,
+        )
+        self._withdrawals = withdrawals.withdrawals(
+            parts.clock,
+            parts.rng,
+            parts.key_ring,
+            parts.machine,
+            self.members,
+            self.config,
+            parts.network,
+            parts.metrics,
+        )
+        self.members.on_config = self.config.fetch
+
+    def close(self) -> None:
+        """Stop what is under way."""
+        self.members.close()
+        self.config.close()
+        self._withdrawals.close()
+
+    def tick(self) -> None:
+        """Do what is due; to be called every ``membership.TICK_MS``."""
+        now_ms = self._parts.clock.now_ms()
+        self.members.tick(now_ms)
+        self.config.tick(now_ms, len(self._parts.machine.everyone()))
+        self._withdrawals.tick(now_ms)
+
+    def leave(self, on_left: typing.Callable[[], None]) -> None:
+        """Tell the fleet that this node gets no new work."""
+        self.members.leave(lambda confirmed: on_left())
+
+    async def submit(
+        self, request: configstore.ChangeRequest
+    ) -> configservice.ChangeResult:
+        """Make a change; digests in it are fingerprints of keys."""
+        request = self._based(self._sealed(request))
+        result = await self.config.submit(request)
+        is_away = isinstance(result.error, errors.TableError)
+        match request.change:
+            case changes.WithdrawKey(key_id=key_id) if is_away:
+                return await self._withdrawals.withdraw(
+                    key_id, request.operator
+                )
+        return result
+
+    def in_force(
+        self, version: ids.ConfigVersion
+    ) -> list[membership.DomainInForce]:
+        """Return how far a version has got, and ask those that lag."""
+        told = self._parts.machine.in_force(version)
+        if any(domain.waiting for domain in told):
+            self.members.handle(membership.AskVersions(version))
+        return told
+
+    def _put_in_force(self, config: fleetconfig.FleetConfig) -> None:
+        self._parts.put_in_force(config)
+        self._withdrawals.refresh()
+
+    def _sealed(
+        self, request: configstore.ChangeRequest
+    ) -> configstore.ChangeRequest:
+        change = request.change
+        if not isinstance(change, changes.IssueKey | changes.PutOperator):
+            return request
+        digest = self._parts.key_ring.digest_of(change.digest)
+        return msgspec.structs.replace(
+            request, change=msgspec.structs.replace(change, digest=digest)
+        )
+
+    def _based(
+        self, request: configstore.ChangeRequest
+    ) -> configstore.ChangeRequest:
+        change = request.change
+        if request.based_on is not None:
+            return request
+        if isinstance(change, changes.ApplyDocument):
+            # Edited from this version; others' changes since are kept.
+            return msgspec.structs.replace(
+                request, based_on=change.document.version or None
+            )
+        return request
+
+
+def control_plane(parts: Parts) -> ControlPlane:
+    """Create the control plane of a node that knows nobody yet."""
+    return ControlPlane(parts)
--- /dev/null
+++ b/src/parsleystile/drain.py
@@ -0,0 +1,163 @@
+"""A planned stop, step by step, without I/O.
+
+Leaving is announced and confirmed before the guard refuses anything, so
+that hardly a call meets a refusal; what is in flight is then finished, and
+grants and leases are handed back last.
+"""
+
+import dataclasses
+import enum
+import typing
+
+# Nodes that heard nothing of the leave still send for as long.
+QUIET_MS = 500.0
+# A call may take its whole deadline, and so may the calls that it waits on.
+LIMIT_MS = 30_000.0
+HAND_BACK_LIMIT_MS = 1_000.0
+
+
+class Phase(enum.Enum):
+    """How far a planned stop has come."""
+
+    SERVING = 'serving'
+    ANNOUNCING = 'announcing'
+    DRAINING = 'draining'
+    HANDING_BACK = 'handing-back'
+    STOPPED = 'stopped'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopRequested:
+    """SIGTERM came, or an operator asked for a drain.
+
+    Attributes:
+        is_final: The process ends after it.
+    """
+
+    is_final: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaveConfirmed:
+    """The fleet knows that this node gets no new work."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandedBack:
+    """Grants and leases are given up."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed.
+
+    Attributes:
+        in_flight: Calls under way at this node, of every kind.
+    """
+
+    in_flight: int
+
+
+Event = StopRequested | LeaveConfirmed | HandedBack | Tick
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnnounceLeave:
+    """Tell the fleet."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefuseNew:
+    """Refuse new calls and take no new connections of callers."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandBack:
+    """Give up grants and leases."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Exit:
+    """End the process.
+
+    Attributes:
+        calls_cut: Calls still in flight; 0 unless the limit passed.
+        drained_ms: How long the planned stop took.
+    """
+
+    calls_cut: int
+    drained_ms: float
+
+
+Action = AnnounceLeave | RefuseNew | HandBack | Exit
+
+
+class Drain:
+    """The planned stop of one node."""
+
+    def __init__(self) -> None:
+        self.phase = Phase.SERVING
+        self._is_final = False
+        self._started_ms = 0.0
+        self._busy_ms = 0.0
+        self._handing_back_ms = 0.0
+        self._in_flight = 0
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self.phase is not Phase.SERVING
+
+    def handle(self, event: Event, now_ms: float) -> list[Action]:
+        """Take one event in and return what is to be done."""
+        match event:
+            case StopRequested(is_final=is_final):
+                return self._stop(is_final, now_ms)
+            case LeaveConfirmed():
+                if self.phase is not Phase.ANNOUNCING:
+                    return []
+                self.phase = Phase.DRAINING
+                self._busy_ms = now_ms
+                return [RefuseNew()]
+            case HandedBack():
+                return self._exit(now_ms)
+            case Tick(in_flight=in_flight):
+                self._in_flight = in_flight
+                return self._tick(now_ms)
+            case _:
+                typing.assert_never(event)
+
+    def _stop(self, is_final: bool, now_ms: float) -> list[Action]:
+        self._is_final = self._is_final or is_final
+        if self.is_leaving:
+            return []
+        self.phase = Phase.ANNOUNCING
+        self._started_ms = now_ms
+        return [AnnounceLeave()]
+
+    def _tick(self, now_ms: float) -> list[Action]:
+        if self.phase is Phase.HANDING_BACK:
+            is_late = now_ms - self._handing_back_ms >= HAND_BACK_LIMIT_MS
+            return self._exit(now_ms) if is_late else []
+        if self.phase is not Phase.DRAINING or not self._is_final:
+            return []
+        if self._in_flight:
+            self._busy_ms = now_ms
+        is_quiet = now_ms - self._busy_ms >= QUIET_MS
+        is_late = now_ms - self._started_ms >= LIMIT_MS
+        if not is_quiet and not is_late:
+            return []
+        self.phase = Phase.HANDING_BACK
+        self._handing_back_ms = now_ms
+        return [HandBack()]
+
+    def _exit(self, now_ms: float) -> list[Action]:
+        if self.phase is not Phase.HANDING_BACK:
+            return []
+        self.phase = Phase.STOPPED
+        return [Exit(self._in_flight, now_ms - self._started_ms)]
+
+
+def drain() -> Drain:
+    """Create the planned stop of a node that serves."""
+    return Drain()
--- /dev/null
+++ b/src/parsleystile/memberservice.py
@@ -0,0 +1,185 @@
+"""The shell around ``membership``: datagrams, joining, seed rows."""
+
+import random
+import typing
+
+from parsleystile import _tasks
+from parsleystile import clock as clocks
+from parsleystile import errors
+from parsleystile import gossipcodec
+from parsleystile import ids
+from parsleystile import members
+from parsleystile import membership
+from parsleystile import metrics as metric
+from parsleystile import seedrows
+from parsleystile import table
+from parsleystile import transport
+
+FETCH_KIND = 'members.fetch'
+FETCH_TIMEOUT_MS = 1000
+# Seeds asked at once by a node that knows nobody.
+SEEDS_ASKED = 3
+JOIN_PERIOD_MS = 1000.0
+
+OnLeft = typing.Callable[[membership.LeaveConfirmed], None]
+OnConfig = typing.Callable[[ids.ConfigVersion, transport.Address], None]
+OnWithdrawn = typing.Callable[[tuple[ids.KeyId, ...]], None]
+
+
+class MemberService:
+    """Carries out what a ``Membership`` decides.
+
+    Attributes:
+        on_config: Called when a peer has a newer document in force.
+        on_withdrawn: Called with keys that peers know as withdrawn.
+    """
+
+    def __init__(
+        self,
+        machine: membership.Membership,
+        clock: clocks.Clock,
+        rng: random.Random,
+        network: transport.Transport,
+        rows: table.TableClient,
+        metrics: metric.Metrics,
+        peers: typing.Sequence[transport.Address] = (),
+    ) -> None:
+        self.on_config: OnConfig | None = None
+        self.on_withdrawn: OnWithdrawn | None = None
+        self._machine = machine
+        self._clock = clock
+        self._rng = rng
+        self._network = network
+        self._seeds = seedrows.seed_rows(rows, clock, rng)
+        self._metrics = metrics
+        self._peers = tuple(peers)
+        self._tasks = _tasks.tasks()
+        self._next_join_ms = 0.0
+        self._next_write_ms = 0.0
+        self._has_written = False
+        self._on_left: OnLeft | None = None
+        network.handle_datagrams(self._datagram)
+        network.handle_control(FETCH_KIND, self._serve_fetch)
+
+    def close(self) -> None:
+        """Stop what is under way."""
+        self._tasks.close()
+
+    def tick(self, now_ms: float) -> None:
+        """Do what is due; to be called every ``membership.TICK_MS``."""
+        self.handle(membership.Tick())
+        is_alone = len(self._machine.everyone()) == 1
+        if is_alone and now_ms >= self._next_join_ms:
+            self._next_join_ms = now_ms + JOIN_PERIOD_MS
+            self._tasks.start('join', self._join)
+        if now_ms >= self._next_write_ms:
+            self._schedule_write(now_ms)
+            self._tasks.start('seed', self._write_seed)
+
+    def handle(self, event: membership.Event) -> None:
+        """Give an event to the machine and carry its actions out."""
+        for action in self._machine.handle(event, self._clock.now_ms()):
+            self._perform(action)
+
+    def leave(self, on_left: OnLeft) -> None:
+        """Tell the fleet that this node gets no new work."""
+        self._on_left = on_left
+        self.handle(membership.Leave())
+
+    def _perform(self, action: membership.Action) -> None:
+        match action:
+            case membership.Send(to=to, message=message):
+                self._metrics.incr('gossip.sent')
+                payload = gossipcodec.encode(message)
+                self._network.send_datagram(to, payload)
+            case membership.FetchConfig(version=version, peer=peer):
+                if self.on_config is not None:
+                    self.on_config(version, peer)
+            case membership.WithdrawKeys(key_ids=key_ids):
+                if self.on_withdrawn is not None:
+                    self.on_withdrawn(key_ids)
+            case membership.LeaveConfirmed():
+                on_left, self._on_left = self._on_left, None
+                if on_left is not None:
+                    on_left(action)
+            case membership.Rejoin():
+                self._next_join_ms = 0.0
+            case _:
+                typing.assert_never(action)
+
+    def _datagram(self, payload: bytes, source: transport.Address) -> None:
+        try:
+            message = gossipcodec.decode(payload)
+        except errors.FrameError:
+            self._metrics.incr('gossip.malformed')
+            return
+        if message.sender == self._machine.me.node_id:
+            # Another process runs under this node's id.
+            self._metrics.incr('gossip.own_id')
+            return
+        self.handle(membership.Received(message, source))
+
+    async def _join(self) -> None:
+        found = await self._seeds.addresses(self._machine.me)
+        asked = (found or [])[:SEEDS_ASKED]
+        if not found:
+            # Without the table, the peers of the settings have to do.
+            count = min(SEEDS_ASKED, len(self._peers))
+            asked = self._rng.sample(self._peers, count)
+        for address in asked:
+            self._ask(address)
+
+    def _ask(self, address: transport.Address) -> None:
+        def on_reply(reply: bytes | errors.Refusal) -> None:
+            if isinstance(reply, errors.Refusal):
+                return
+            learned = self._decode_view(reply)
+            if learned:
+                self.handle(membership.Learned(learned))
+
+        self._network.control(
+            address,
+            FETCH_KIND,
+            gossipcodec.encode_view([self._machine.me]),
+            FETCH_TIMEOUT_MS,
+            on_reply,
+        )
+
+    def _serve_fetch(
+        self, payload: bytes, reply: typing.Callable[[bytes], None]
+    ) -> None:
+        learned = self._decode_view(payload)
+        if learned:
+            self.handle(membership.Learned(learned))
+        reply(gossipcodec.encode_view(self._machine.everyone()))
+
+    def _decode_view(self, payload: bytes) -> tuple[members.Member, ...]:
+        try:
+            return gossipcodec.decode_view(payload)
+        except errors.FrameError:
+            self._metrics.incr('gossip.malformed')
+            return ()
+
+    def _schedule_write(self, now_ms: float) -> None:
+        period_ms = seedrows.period_ms(len(self._machine.everyone()))
+        if not self._has_written:
+            # The first node of a fleet has to be found by the second.
+            period_ms = JOIN_PERIOD_MS
+        self._next_write_ms = now_ms + period_ms * self._rng.uniform(0.5, 1.5)
+
+    async def _write_seed(self) -> None:
+        if await self._seeds.write(self._machine.me):
+            self._has_written = True
+
+
+def member_service(
+    machine: membership.Membership,
+    clock: clocks.Clock,
+    rng: random.Random,
+    network: transport.Transport,
+    rows: table.TableClient,
+    metrics: metric.Metrics,
+    peers: typing.Sequence[transport.Address] = (),
+) -> MemberService:
+    """Create the service around a membership machine."""
+    return MemberService(machine, clock, rng, network, rows, metrics, peers)
--- /dev/null
+++ b/stubs/controlfleet.py
@@ -0,0 +1,194 @@
+"""Control planes over a network and a table in memory, driven by hand."""
+
+import asyncio
+import random
+
+from parsleystile import clock as clocks
+from parsleystile import controlplane
+from parsleystile import errors
+from parsleystile import fleetconfig
+from parsleystile.gen import ttypes
+from parsleystile import keys
+from parsleystile import membership
+from parsleystile import metrics
+from parsleystile import transport
+from stubs import gossipnetwork
+from stubs import memorytable
+from stubs import tablestate
+
+SECRET = b's' * 32
+_TURNS_PER_STEP = 20
+
+
+class MemoryTransport(transport.Transport):
+    """Delivers at the next turn of the loop, or not at all."""
+
+    def __init__(self, fleet: 'Fleet', address: transport.Address) -> None:
+        self._fleet = fleet
+        self._address = address
+        self.controls: dict[str, transport.ControlHandler] = {}
+        self.on_datagram: transport.DatagramHandler | None = None
+
+    def call(
+        self,
+        to: transport.Address,
+        call: ttypes.Call,
+        on_answer: transport.OnAnswer,
+    ) -> transport.PendingCall:
+        """Not part of a control plane."""
+        raise NotImplementedError
+
+    def control(
+        self,
+        to: transport.Address,
+        kind: str,
+        payload: bytes,
+        timeout_ms: float,
+        on_reply: transport.OnControl,
+    ) -> None:
+        """Send a control request."""
+        loop = asyncio.get_running_loop()
+        peer = self._fleet.reach(self._address, to)
+        if peer is None:
+            refusal = errors.not_run(errors.Reason.UNREACHABLE, str(to))
+            loop.call_soon(on_reply, refusal)
+            return
+
+        def reply(answer: bytes) -> None:
+            loop.call_soon(on_reply, answer)
+
+        loop.call_soon(peer.controls[kind], payload, reply)
+
+    def handle_control(
+        self, kind: str, handler: transport.ControlHandler
+    ) -> None:
+        """Serve control requests of one kind."""
+        self.controls[kind] = handler
+
+    def send_datagram(self, to: transport.Address, payload: bytes) -> None:
+        """Send one datagram."""
+        peer = self._fleet.reach(self._address, to)
+        if peer is not None and peer.on_datagram is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(peer.on_datagram, payload, self._address)
+
+    def handle_datagrams(self, handler: transport.DatagramHandler) -> None:
+        """Receive datagrams."""
+        self.on_datagram = handler
+
+
+class ControlNode:
+    """One node's control plane and what it has in force.
+
+    Attributes:
+        versions: Every version that was put in force here, in order.
+    """
+
+    def __init__(
+        self,
+        fleet: 'Fleet',
+        node_id: str,
+        domain: str,
+        port: int,
+        peers: tuple[transport.Address, ...],
+    ) -> None:
+        incarnation = int(fleet.clock.wall_ms())
+        self.me = gossipnetwork.member_of(node_id, domain, port, incarnation)
+        self.network = MemoryTransport(fleet, self.me.link)
+        self.key_ring = keys.key_ring(SECRET)
+        self.versions: list[int] = []
+        self.config = fleetconfig.FleetConfig()
+        rng = random.Random(fleet.rng.getrandbits(32))
+        self.machine = membership.membership(self.me, rng)
+        self.plane = controlplane.control_plane(
+            controlplane.Parts(
+                machine=self.machine,
+                key_ring=self.key_ring,
+                put_in_force=self._put_in_force,
+                clock=fleet.clock,
+                rng=rng,
+                network=self.network,
+                rows=memorytable.memory_table(fleet.table, domain),
+                metrics=metrics.memory_metrics(),
+                peers=peers,
+            )
+        )
+
+    def _put_in_force(self, config: fleetconfig.FleetConfig) -> None:
+        self.versions.append(config.version)
+        self.config = config
+        self.key_ring.load(config)
+        event = membership.ConfigInForce(config.version, config.domains_out)
+        self.plane.members.handle(event)
+
+
+class Fleet:
+    """Nodes that are ticked together.
+
+    Attributes:
+        cuts: Pairs of failure domains between which nothing passes.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.clock = clocks.manual_clock(1_000_000.0)
+        self.table = tablestate.table_state(seed)
+        self.nodes: dict[str, ControlNode] = {}
+        self.cuts: set[frozenset[str]] = set()
+        self._by_address: dict[transport.Address, ControlNode] = {}
+        self._next_port = 1
+
+    def add(
+        self,
+        node_id: str,
+        domain: str,
+        peers: tuple[transport.Address, ...] = (),
+    ) -> ControlNode:
+        """Start a node that knows nobody."""
+        node = ControlNode(self, node_id, domain, self._next_port, peers)
+        self._next_port += 1
+        self.nodes[node_id] = node
+        self._by_address[node.me.link] = node
+        return node
+
+    def stop(self, node_id: str) -> None:
+        """End a node without a word."""
+        node = self.nodes.pop(node_id)
+        del self._by_address[node.me.link]
+        node.plane.close()
+
+    def reach(
+        self, sender: transport.Address, to: transport.Address
+    ) -> MemoryTransport | None:
+        """Return the transport of a node, if ``sender`` can reach it."""
+        source = self._by_address.get(sender)
+        peer = self._by_address.get(to)
+        if source is None or peer is None:
+            return None
+        domains = (source.me.failure_domain, peer.me.failure_domain)
+        return None if frozenset(domains) in self.cuts else peer.network
+
+    async def run(self, for_ms: float) -> None:
+        """Let time pass, tick by tick."""
+        until_ms = self.clock.now_ms() + for_ms
+        while self.clock.now_ms() < until_ms:
+            self.clock.advance(membership.TICK_MS)
+            for node in list(self.nodes.values()):
+                node.plane.tick()
+            for _ in range(_TURNS_PER_STEP):
+                await asyncio.sleep(0)
+
+    def close(self) -> None:
+        """End every node."""
+        for node_id in list(self.nodes):
+            self.stop(node_id)
+
+
+async def fleet(sizes: dict[str, int], seed: int) -> Fleet:
+    """Create a fleet whose nodes have found each other by the table."""
+    created = Fleet(seed)
+    for domain, size in sizes.items():
+        for i in range(size):
+            created.add(f'{domain}-{i}', domain)
+    await created.run(8000)
+    return created
