--- a/src/parsleystile/keys.py
+++ b/src/parsleystile/keys.py
@@ -64,6 +64,7 @@
         self._operators: dict[bytes, ids.OperatorName] = {}
         self._seen: dict[bytes, ids.OrganisationId] = {}
         self._withdrawn: set[ids.KeyId] = set()
+        self._bootstrap: dict[bytes, ids.OperatorName] = {}
         self._config = fleetconfig.FleetConfig()
 
     def load(self, config: fleetconfig.FleetConfig) -> None:
@@ -114,6 +115,14 @@
         shown = _fingerprint(presented)
         return self._operators.get(_keyed(self._salt, shown))
 
+    def set_bootstrap(
+        self, name: ids.OperatorName, key_fingerprint: str
+    ) -> None:
+        """Let an operator in while the document names none."""
+        digest = bytes.fromhex(self.digest_of(key_fingerprint))
+        self._bootstrap = {digest: name}
+        self._rebuild()
+
     def digest_of(self, key_fingerprint: str) -> str:
         """Return what the document holds for a key's fingerprint."""
         return stored_digest(self._salt, key_fingerprint)
@@ -125,10 +134,11 @@
             for key_id, key in self._config.keys.items()
             if key_id not in self._withdrawn
         }
+        # A key from the settings opens an empty document and no other.
         self._operators = {
             bytes.fromhex(operator.digest): name
             for name, operator in self._config.operators.items()
-        }
+        } or self._bootstrap
 
 
 def key_ring(fleet_secret: bytes) -> KeyRing:
--- /dev/null
+++ b/src/parsleystile/operators.py
@@ -0,0 +1,410 @@
+"""The listener for operators: what a node knows, and changes of it."""
+
+import dataclasses
+import typing
+
+import expression
+import msgspec
+from tornado import httpserver
+from tornado import netutil
+from tornado import web
+
+from parsleystile import changes
+from parsleystile import configservice
+from parsleystile import configstore
+from parsleystile import controlplane
+from parsleystile import errors
+from parsleystile import fleetconfig
+from parsleystile import ids
+from parsleystile import keys
+from parsleystile import logevents
+from parsleystile import logs
+from parsleystile import members
+from parsleystile import membership
+from parsleystile import metrics as metric
+from parsleystile import transport
+
+KEY_HEADER = 'X-Operator-Key'
+MAX_BODY_BYTES = 4 * 1024 * 1024
+_PROBLEM_TYPE = 'application/problem+json'
+
+
+class MemberAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """A member as this node sees it."""
+
+    node_id: ids.NodeId
+    vm: ids.VmId
+    region: ids.RegionId
+    failure_domain: ids.FailureDomainId
+    service: ids.ServiceName
+    slots: int
+    state: str
+    is_reachable: bool
+    link: str
+    incarnation: ids.Incarnation
+
+
+class StatusAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """A node in short.
+
+    Attributes:
+        pending_withdrawals: Keys withdrawn ahead of the document.
+    """
+
+    node_id: ids.NodeId
+    failure_domain: ids.FailureDomainId
+    phase: str
+    calls_in_flight: int
+    config_version: ids.ConfigVersion
+    active_preset: ids.PresetName
+    domains_out: tuple[ids.FailureDomainId, ...]
+    members: int
+    unreachable_domains: list[ids.FailureDomainId]
+    pending_withdrawals: list[ids.KeyId]
+
+
+class ConfigAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """The document in force here."""
+
+    version: ids.ConfigVersion
+    document: fleetconfig.FleetConfig
+
+
+class HistoryAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Accepted changes, oldest first.
+
+    Attributes:
+        is_complete: The table answered; if not, these are the changes
+            that this node remembers.
+    """
+
+    records: list[configstore.ChangeRecord]
+    is_complete: bool
+
+
+class ChangeAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """What became of a change.
+
+    Attributes:
+        key_id: Of the key that the change issued.
+    """
+
+    outcome: str
+    version: ids.ConfigVersion
+    reason: str = ''
+    path: str = ''
+    key_id: str = ''
+
+
+class InForceAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """How far a version has got in one failure domain."""
+
+    in_force: int
+    total: int
+    waiting: tuple[ids.NodeId, ...]
+
+
+class Problem(msgspec.Struct, frozen=True, kw_only=True):
+    """Why a request was not served."""
+
+    title: str
+    status: int
+    detail: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sources:
+    """What the listener shows and does.
+
+    Attributes:
+        phase: How far a planned stop has come.
+        explain: Returns what the node remembers of a call.
+        burn: Returns the node's counters of objectives.
+        drain: Begins a planned stop that keeps the process running.
+    """
+
+    plane: controlplane.ControlPlane
+    machine: membership.Membership
+    key_ring: keys.KeyRing
+    metrics: metric.Metrics
+    calls_in_flight: typing.Callable[[], int]
+    phase: typing.Callable[[], str]
+    explain: typing.Callable[[ids.RootId], msgspec.Struct]
+    burn: typing.Callable[[], msgspec.Struct]
+    drain: typing.Callable[[], None]
+
+
+class _Handler(web.RequestHandler):
+    """Base of all requests: JSON, and a key with every one of them."""
+
+    needs_key = True
+
+    def initialize(self, sources: Sources) -> None:
+        self.sources = sources
+        self.operator = ids.OperatorName('')
+
+    def prepare(self) -> None:
+        self.set_header('Cache-Control', 'no-store')
+        if not self.needs_key:
+            return
+        presented = self.request.headers.get(KEY_HEADER, '')
+        found = self.sources.key_ring.authenticate_operator(presented)
+        if found is None:
+            self.sources.metrics.incr('operators.rejected')
+            peer = self.request.remote_ip or ''
+            logs.event(
+                logevents.PeerRejected(
+                    address=peer, why='no operator has the key shown'
+                )
+            )
+            self.problem(401, 'operator key missing or rejected')
+            return
+        self.operator = found
+
+    def answer(self, document: typing.Any) -> None:
+        """Finish with a JSON document."""
+        self.set_header('Content-Type', 'application/json')
+        self.finish(msgspec.json.encode(document))
+
+    def problem(self, status: int, title: str, detail: str = '') -> None:
+        """Finish with a problem document."""
+        self.set_status(status)
+        self.set_header('Content-Type', _PROBLEM_TYPE)
+        told = Problem(title=title, status=status, detail=detail)
+        self.finish(msgspec.json.encode(told))
+
+    def write_error(self, status_code: int, **kwargs: object) -> None:
+        self.problem(status_code, self._reason)
+
+
+class _Missing(_Handler):
+    needs_key = False
+
+    def prepare(self) -> None:
+        self.problem(404, f'no resource {self.request.path[:200]}')
+
+
+class _Health(_Handler):
+    needs_key = False
+
+    def get(self) -> None:
+        self.answer({'phase': self.sources.phase()})
+
+
+class _Status(_Handler):
+    def get(self) -> None:
+        sources = self.sources
+        me = sources.machine.me
+        config = sources.plane.config.state.config
+        self.answer(
+            StatusAnswer(
+                node_id=me.node_id,
+                failure_domain=me.failure_domain,
+                phase=sources.phase(),
+                calls_in_flight=sources.calls_in_flight(),
+                config_version=config.version,
+                active_preset=config.active_preset,
+                domains_out=config.domains_out,
+                members=len(sources.machine.everyone()),
+                unreachable_domains=sorted(
+                    sources.machine.unreachable_domains()
+                ),
+                pending_withdrawals=sorted(sources.key_ring.pending),
+            )
+        )
+
+
+class _Members(_Handler):
+    def get(self) -> None:
+        machine = self.sources.machine
+        silent = machine.unreachable_domains()
+        everyone = sorted(machine.everyone(), key=lambda m: m.node_id)
+        self.answer([_member_answer(m, silent) for m in everyone])
+
+
+class _Config(_Handler):
+    def get(self) -> None:
+        config = self.sources.plane.config.state.config
+        self.answer(ConfigAnswer(version=config.version, document=config))
+
+
+class _History(_Handler):
+    async def get(self) -> None:
+        service = self.sources.plane.config
+        match await service.history():
+            case expression.Result(tag='ok', ok=records):
+                told = HistoryAnswer(records=records, is_complete=True)
+            case _:
+                records = list(service.state.records)
+                told = HistoryAnswer(records=records, is_complete=False)
+        self.answer(told)
+
+
+class _Changes(_Handler):
+    async def post(self) -> None:
+        match _decode_request(self.request.body):
+            case expression.Result(tag='ok', ok=request):
+                pass
+            case expression.Result(error=error):
+                self.answer(_refusal(error))
+                return
+        if request.operator != self.operator:
+            error = errors.SettingsError(
+                'operator',
+                f'{request.operator!r} is not the owner of the key shown',
+            )
+            self.answer(_refusal(error))
+            return
+        result = await self.sources.plane.submit(request)
+        logs.event(
+            logevents.ChangeDecided(
+                change_id=request.change_id,
+                operator=request.operator,
+                change=changes.path_of(request.change),
+                outcome=result.outcome.value,
+                version=result.version,
+                why=str(result.error or ''),
+            )
+        )
+        self.answer(self._change_answer(request.change, result))
+
+    def _change_answer(
+        self, change: changes.Change, result: configservice.ChangeResult
+    ) -> ChangeAnswer:
+        told = _answer_of(result)
+        is_accepted = result.outcome is configservice.ChangeOutcome.ACCEPTED
+        if is_accepted and isinstance(change, changes.IssueKey):
+            digest = self.sources.key_ring.digest_of(change.digest)
+            config = self.sources.plane.config.state.config
+            for key_id, key in config.keys.items():
+                if key.digest == digest:
+                    return msgspec.structs.replace(told, key_id=key_id)
+        return told
+
+
+class _InForce(_Handler):
+    def get(self, version: str) -> None:
+        told = self.sources.plane.in_force(ids.ConfigVersion(int(version)))
+        self.answer(
+            {
+                d.domain: InForceAnswer(
+                    in_force=d.in_force, total=d.total, waiting=d.waiting
+                )
+                for d in told
+            }
+        )
+
+
+class _Explain(_Handler):
+    def get(self, root_id: str) -> None:
+        self.answer(self.sources.explain(ids.RootId(root_id)))
+
+
+class _Burn(_Handler):
+    def get(self) -> None:
+        self.answer(self.sources.burn())
+
+
+class _Drain(_Handler):
+    def post(self) -> None:
+        self.sources.drain()
+        self.answer({'phase': self.sources.phase()})
+
+
+def _member_answer(
+    member: members.Member,
+    silent: typing.Container[ids.FailureDomainId],
+) -> MemberAnswer:
+    return MemberAnswer(
+        node_id=member.node_id,
+        vm=member.vm,
+        region=member.region,
+        failure_domain=member.failure_domain,
+        service=member.service,
+        slots=member.slots,
+        state=member.state.name.lower(),
+        is_reachable=member.failure_domain not in silent,
+        link=str(member.link),
+        incarnation=member.incarnation,
+    )
+
+
+def _decode_request(
+    body: bytes,
+) -> expression.Result[configstore.ChangeRequest, errors.SettingsError]:
+    try:
+        return expression.Ok(
+            msgspec.json.decode(body, type=configstore.ChangeRequest)
+        )
+    except msgspec.MsgspecError as exc:
+        return expression.Error(errors.settings_error(exc, 'request'))
+
+
+def _refusal(error: errors.SettingsError) -> ChangeAnswer:
+    outcome = configservice.ChangeOutcome.REFUSED
+    return _answer_of(configservice.ChangeResult(outcome, error=error))
+
+
+def _answer_of(result: configservice.ChangeResult) -> ChangeAnswer:
+    match result.error:
+        case errors.SettingsError(path=path, problem=problem):
+            return ChangeAnswer(
+                outcome=result.outcome.value,
+                version=result.version,
+                reason=problem,
+                path=path,
+            )
+    return ChangeAnswer(
+        outcome=result.outcome.value,
+        version=result.version,
+        reason=str(result.error or ''),
+    )
+
+
+def operator_application(sources: Sources) -> web.Application:
+    """Create the HTTP application of a node's operator listener."""
+    arguments = {'sources': sources}
+    routes = [
+        (r'/v1/health', _Health),
+        (r'/v1/status', _Status),
+        (r'/v1/members', _Members),
+        (r'/v1/config', _Config),
+        (r'/v1/config/history', _History),
+        (r'/v1/changes', _Changes),
+        (r'/v1/changes/(\d{1,12})/in-force', _InForce),
+        (r'/v1/explain/([A-Za-z0-9._-]{1,64})', _Explain),
+        (r'/v1/burn', _Burn),
+        (r'/v1/drain', _Drain),
+    ]
+    return web.Application(
+        [(path, handler, arguments) for path, handler in routes],
+        default_handler_class=_Missing,
+        default_handler_args=arguments,
+        log_function=lambda handler: None,
+    )
+
+
+class OperatorListener:
+    """The listener of one node for operators."""
+
+    def __init__(self, sources: Sources) -> None:
+        self._server = httpserver.HTTPServer(
+            operator_application(sources), max_body_size=MAX_BODY_BYTES
+        )
+
+    def listen(self, host: str, port: int) -> transport.Address:
+        """Open the listener; return the address bound."""
+        [sock] = netutil.bind_sockets(port, host)
+        self._server.add_socket(sock)
+        bound = sock.getsockname()
+        return transport.Address(bound[0], bound[1])
+
+    async def close(self) -> None:
+        """Close the listener and its connections."""
+        self._server.stop()
+        await self._server.close_all_connections()
+
+
+def operator_listener(sources: Sources) -> OperatorListener:
+    """Create a listener that is still closed."""
+    return OperatorListener(sources)
--- a/src/parsleystile/settings.py
+++ b/src/parsleystile/settings.py
@@ -16,6 +16,10 @@
 Millis = typing.Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
 Count = typing.Annotated[int, msgspec.Meta(ge=1)]
 _NAME = msgspec.Meta(pattern='^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$')
+# An IPv4 number and a port.
+Peer = typing.Annotated[
+    str, msgspec.Meta(pattern=r'^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$')
+]
 
 
 class _Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -66,11 +70,25 @@
     calls_in_flight: Count = 8192
 
 
+class BootstrapOperator(_Section, kw_only=True):
+    """Who may make the first changes, while the document names nobody.
+
+    Attributes:
+        fingerprint: Digest of the operator's key, in hex, as printed when
+            the key was made.
+    """
+
+    name: str
+    fingerprint: typing.Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{64}$')]
+
+
 class NodeSettings(_Section, kw_only=True):
     """Everything that a node is told at start.
 
     Attributes:
         fleet_secret_file: File with the secret that nodes share.
+        peers: Links of other nodes, as ``IP-NUMBER:PORT``, to ask while
+            the table can't be reached at start.
     """
 
     identity: Identity
@@ -79,6 +97,8 @@
     listeners: Listeners = Listeners()
     statsd: StatsdSettings | None = None
     limits: Limits = Limits()
+    peers: tuple[Peer, ...] = ()
+    bootstrap_operator: BootstrapOperator | None = None
 
 
 def _check_host(path: str, host: str) -> errors.SettingsError | None:
