--- a/src/parsleystile/configservice.py
+++ b/src/parsleystile/configservice.py
@@ -29,6 +29,7 @@
 # The head is polled in case no peer can tell of a new version: at least so
 # far apart, and in the whole fleet no more often than this.
 POLL_PERIOD_MS = 5000.0
+EMPTY_POLL_PERIOD_MS = 500.0
 POLLS_PER_S = 20.0
 SUBMIT_TRIES = 8
 _MS_PER_S = 1000.0
@@ -116,7 +117,11 @@
         """Poll the table when it is time."""
         if now_ms < self._next_poll_ms:
             return
-        period_ms = max(POLL_PERIOD_MS, fleet_size * _MS_PER_S / POLLS_PER_S)
+        has_document = self.state.config.version > 0
+        period_ms = max(
+            POLL_PERIOD_MS if has_document else EMPTY_POLL_PERIOD_MS,
+            fleet_size * _MS_PER_S / POLLS_PER_S,
+        )
         self._next_poll_ms = now_ms + period_ms * self._rng.uniform(0.5, 1.5)
         self._tasks.start('poll', self.poll)
 
--- a/src/parsleystile/daemon.py
+++ b/src/parsleystile/daemon.py
@@ -5,21 +5,31 @@
 import random
 import secrets
 import signal
+import typing
 
+from parsleystile import burn
 from parsleystile import clock as clocks
+from parsleystile import controlplane
+from parsleystile import explain
+from parsleystile import gossip
 from parsleystile import httpfront
+from parsleystile import ids
 from parsleystile import link
 from parsleystile import logevents
 from parsleystile import logs
+from parsleystile import membership
 from parsleystile import metrics as metric
 from parsleystile import nettransport
 from parsleystile import node as nodes
-from parsleystile import rendezvous
+from parsleystile import observer
+from parsleystile import operators
+from parsleystile import plannedstop
 from parsleystile import settings as node_settings
 from parsleystile import tableclient
 from parsleystile import targetclient
 from parsleystile import targetwatch
 from parsleystile import ticker
+from parsleystile import transport
 from parsleystile import wire
 
 # The target beside a node is reached over the loopback interface only.
@@ -37,17 +47,23 @@
         self._rng = random.Random(secrets.randbits(64))
         self._ticker = ticker.ticker(self._clock)
         self._metrics = _metrics(settings.statsd)
-        self._stopping = asyncio.Event()
+        self._stopped = asyncio.Event()
+        self._stop_requested = False
+        self._planned_stop: plannedstop.PlannedStop | None = None
 
     async def run(self) -> None:
         """Serve until told to stop, then stop without cutting a call."""
         await self._start()
-        await self._stopping.wait()
+        if self._stop_requested:
+            self._planned_stop.request()
+        await self._stopped.wait()
         await self._stop()
 
     def stop(self) -> None:
         """Begin the planned stop."""
-        self._stopping.set()
+        self._stop_requested = True
+        if self._planned_stop is not None:
+            self._planned_stop.request()
 
     async def _start(self) -> None:
         settings = self._settings
@@ -66,6 +82,11 @@
             self._metrics,
         )
         address = await self._links.listen(listeners.host, listeners.link_port)
+        self._datagrams = gossip.datagrams(secret, self._metrics)
+        gossip_address = await self._datagrams.listen(
+            listeners.host, listeners.gossip_port
+        )
+        network = nettransport.net_transport(self._links, self._datagrams)
         self._target = targetclient.target_client(limits.body_bytes)
         self._table = tableclient.table_client(
             settings.table.url,
@@ -78,17 +99,23 @@
             nodes.Environment(
                 identity=identity,
                 link=address,
-                gossip=address,
+                gossip=gossip_address,
                 secret=secret,
                 clock=self._clock,
                 rng=self._rng,
                 wheel=self._ticker.wheel,
-                transport=nettransport.net_transport(self._links),
+                transport=network,
                 target=self._target,
                 table=self._table,
                 metrics=self._metrics,
             )
         )
+        self._observer = observer.observer(
+            identity.node_id,
+            identity.failure_domain,
+            self._clock.now_ms(),
+            logs.event,
+        )
         self._links.handle_calls(self.node.guard.submit)
         self._callers = self._front(self.node.ingress.handle)
         self._targets = self._front(self.node.egress.handle)
@@ -96,7 +123,14 @@
             listeners.host, listeners.caller_port
         )
         target_port = self._targets.listen(_LOOPBACK, listeners.target_port)
-        self._poll = rendezvous.rendezvous(self.node, self._table)
+        self._plane = self._control_plane(network)
+        self._planned_stop = self._make_planned_stop()
+        self._operators = self._operator_listener()
+        operator_address = self._operators.listen(
+            listeners.host, listeners.operator_port
+        )
+        self._ticker.every(membership.TICK_MS, self._plane.tick)
+        self._ticker.every(plannedstop.TICK_PERIOD_MS, self._planned_stop.tick)
         self._ticker.every(nodes.WATCH_PERIOD_MS, self._watch_target)
         for front in (self._callers, self._targets):
             self._ticker.every(_SWEEP_PERIOD_MS, front.sweep)
@@ -107,8 +141,8 @@
                 caller_address=f'{listeners.host}:{caller_port}',
                 target_address=f'{_LOOPBACK}:{target_port}',
                 link_address=str(address),
-                gossip_address='',
-                operator_address='',
+                gossip_address=str(gossip_address),
+                operator_address=str(operator_address),
             )
         )
 
@@ -117,16 +151,91 @@
             handle, self._clock, self._metrics, self._settings.limits
         )
 
+    def _control_plane(
+        self, network: transport.Transport
+    ) -> controlplane.ControlPlane:
+        bootstrap = self._settings.bootstrap_operator
+        if bootstrap is not None:
+            self.node.key_ring.set_bootstrap(
+                bootstrap.name, bootstrap.fingerprint
+            )
+        return controlplane.control_plane(
+            controlplane.Parts(
+                machine=self.node.membership,
+                key_ring=self.node.key_ring,
+                put_in_force=self.node.put_in_force,
+                clock=self._clock,
+                rng=self._rng,
+                network=network,
+                rows=self._table,
+                metrics=self._metrics,
+                peers=tuple(map(_peer_address, self._settings.peers)),
+            )
+        )
+
+    def _make_planned_stop(self) -> plannedstop.PlannedStop:
+        return plannedstop.planned_stop(
+            plannedstop.Steps(
+                announce_leave=self._plane.leave,
+                refuse_new=self._refuse_new,
+                calls_in_flight=self._calls_in_flight,
+                hand_back=_hand_back_nothing,
+                end=self._stopped.set,
+            ),
+            self._clock,
+        )
+
+    def _operator_listener(self) -> operators.OperatorListener:
+        return operators.operator_listener(
+            operators.Sources(
+                plane=self._plane,
+                machine=self.node.membership,
+                key_ring=self.node.key_ring,
+                metrics=self._metrics,
+                calls_in_flight=self._calls_in_flight,
+                phase=lambda: self._planned_stop.phase.value,
+                explain=self._explain,
+                burn=self._burn,
+                drain=lambda: self._planned_stop.request(is_final=False),
+            )
+        )
+
+    def _explain(self, root_id: ids.RootId) -> explain.Explanation:
+        return self._observer.calls.explain(root_id, self._clock.now_ms())
+
+    def _burn(self) -> burn.Snapshot:
+        return self._observer.burn.snapshot(self._clock.now_ms())
+
+    def _refuse_new(self) -> None:
+        self.node.refuse_new()
+        self._callers.stop_listening()
+
+    def _calls_in_flight(self) -> int:
+        return self.node.calls_in_flight + self._callers.open_count
+
     def _watch_target(self) -> None:
         self.node.handle_target(targetwatch.Tick())
 
     async def _stop(self) -> None:
-        self._poll.close()
+        self._plane.close()
         self._ticker.close()
+        self._datagrams.close()
+        await self._operators.close()
+        await self._callers.close()
+        await self._targets.close()
         await self._links.close()
         self._target.close()
 
 
+def _peer_address(peer: str) -> transport.Address:
+    host, _, port = peer.rpartition(':')
+    return transport.Address(host, int(port))
+
+
+def _hand_back_nothing(on_done: typing.Callable[[], None]) -> None:
+    on_done()
+
+
 def _metrics(settings: node_settings.StatsdSettings | None) -> metric.Metrics:
     if settings is None:
         return metric.memory_metrics()
--- a/src/parsleystile/guard.py
+++ b/src/parsleystile/guard.py
@@ -76,6 +76,7 @@
         self._base_url = ''
         self._service = ids.ServiceName('')
         self._tick_due_ms = float('inf')
+        self._closed_for: errors.Reason | None = None
         self.on_unreachable: typing.Callable[[], None] = lambda: None
 
     def target_up(
@@ -95,6 +96,10 @@
         """Refuse new calls; those in flight run to their end."""
         self._handle(admission.Drain())
 
+    def refuse_new(self, reason: errors.Reason | None) -> None:
+        """Refuse every new call for ``reason``; None takes calls again."""
+        self._closed_for = reason
+
     def set_level_cap(self, level: float) -> None:
         """Cap the admission level, as the preset in force asks."""
         self._handle(admission.Level(level))
@@ -140,6 +145,8 @@
         return guarded
 
     def _check(self, call: ttypes.Call) -> errors.Refusal | None:
+        if self._closed_for is not None:
+            return errors.not_run(self._closed_for, 'no new work here')
         if not self._base_url or call.callee_service != self._service:
             return errors.not_run(
                 errors.Reason.NO_TARGET,
--- a/src/parsleystile/httpfront.py
+++ b/src/parsleystile/httpfront.py
@@ -122,6 +122,8 @@
                 status, headers, body = _answer_parts(
                     reply, self._start.method
                 )
+        if self._front.is_closing:
+            headers['Connection'] = 'close'
         try:
             self._connection.write_headers(
                 httputil.ResponseStartLine('HTTP/1.1', status, ''),
@@ -177,6 +179,7 @@
 
     Attributes:
         clock: Stamps the arrival of each request.
+        is_closing: Answers ask the caller to close the connection.
     """
 
     def __init__(
@@ -189,6 +192,7 @@
         self.clock = clock
         self.metrics = metrics
         self._on_exchange = on_exchange
+        self.is_closing = False
         self._open: set[exchanges.Exchange] = set()
         self._server = httpserver.HTTPServer(
             self,
@@ -245,7 +249,8 @@
         return len(self._open)
 
     def stop_listening(self) -> None:
-        """Take no more connections; open ones go on."""
+        """Take no more connections; open ones end with their next answer."""
+        self.is_closing = True
         self._server.stop()
 
     async def close(self) -> None:
--- a/src/parsleystile/nettransport.py
+++ b/src/parsleystile/nettransport.py
@@ -1,6 +1,7 @@
 """The transport of a node in service: TCP links and UDP datagrams."""
 
 from parsleystile.gen import ttypes
+from parsleystile import gossip
 from parsleystile import link
 from parsleystile import transport
 
@@ -8,8 +9,9 @@
 class NetTransport(transport.Transport):
     """Sends calls and control requests by links, gossip by datagrams."""
 
-    def __init__(self, links: link.Links) -> None:
+    def __init__(self, links: link.Links, datagrams: gossip.Datagrams) -> None:
         self._links = links
+        self._datagrams = datagrams
 
     def call(
         self,
@@ -39,13 +41,15 @@
 
     def send_datagram(self, to: transport.Address, payload: bytes) -> None:
         """Send one datagram."""
-        raise NotImplementedError
+        self._datagrams.send_datagram(to, payload)
 
     def handle_datagrams(self, handler: transport.DatagramHandler) -> None:
         """Receive datagrams."""
-        raise NotImplementedError
+        self._datagrams.handle_datagrams(handler)
 
 
-def net_transport(links: link.Links) -> NetTransport:
+def net_transport(
+    links: link.Links, datagrams: gossip.Datagrams
+) -> NetTransport:
     """Create the transport of a node."""
-    return NetTransport(links)
+    return NetTransport(links, datagrams)
--- a/src/parsleystile/node.py
+++ b/src/parsleystile/node.py
@@ -10,6 +10,7 @@
 from parsleystile import deadlines
 from parsleystile import dispatcher
 from parsleystile import egress
+from parsleystile import errors
 from parsleystile import exchange as exchanges
 from parsleystile import filters
 from parsleystile import fleetconfig
@@ -73,14 +74,16 @@
         egress: Takes requests of the target beside this node.
         guard: Takes calls of other nodes for that target.
         membership: Who is in the fleet.
+        key_ring: Whose key a caller shows.
     """
 
     def __init__(self, env: Environment) -> None:
         self._env = env
         self._config = fleetconfig.FleetConfig()
-        self._key_ring = keys.key_ring(env.secret)
+        self.key_ring = keys.key_ring(env.secret)
         self._watch = targetwatch.target_watch()
         self._seen_members = -1
+        self._is_leaving = False
         self._services: frozenset[ids.ServiceName] = frozenset()
         self.membership = membership.membership(_first_self(env), env.rng)
         calls = inflight.calls_in_flight(env.make_token)
@@ -101,7 +104,7 @@
         shedder = shedding.shedder(env.rng)
         rules = filters.Rules(
             config=self.config,
-            key_ring=self._key_ring,
+            key_ring=self.key_ring,
             quota=_NoQuota(),
             shedder=shedder,
             calls=calls,
@@ -141,13 +144,33 @@
         if config.version <= self._config.version:
             return
         self._config = config
-        self._key_ring.load(config)
+        self.key_ring.load(config)
         self.guard.set_level_cap(config.preset.admission_level)
         self._balancer.set_domains_out(frozenset(config.domains_out))
+        self._close_guard()
         event = membership.ConfigInForce(config.version, config.domains_out)
         self.membership.handle(event, self._env.clock.now_ms())
         self.refresh_members()
 
+    def refuse_new(self) -> None:
+        """Take no new work: this node is leaving."""
+        self._is_leaving = True
+        self._close_guard()
+
+    @property
+    def calls_in_flight(self) -> int:
+        """Calls that wait or run at this node's target."""
+        return self.guard.in_flight
+
+    def _close_guard(self) -> None:
+        # Senders that have not heard yet must not get through.
+        if self._is_leaving:
+            self.guard.refuse_new(errors.Reason.LEAVING)
+        elif self._env.identity.failure_domain in self._config.domains_out:
+            self.guard.refuse_new(errors.Reason.DOMAIN_OUT)
+        else:
+            self.guard.refuse_new(None)
+
     def refresh_members(self) -> None:
         """Tell the balancer of members that changed."""
         if self.membership.version == self._seen_members:
--- /dev/null
+++ b/src/parsleystile/plannedstop.py
@@ -0,0 +1,86 @@
+"""Carries out a planned stop; ``drain`` decides on its steps."""
+
+import dataclasses
+import typing
+
+from parsleystile import clock as clocks
+from parsleystile import drain
+from parsleystile import logevents
+from parsleystile import logs
+
+TICK_PERIOD_MS = 50.0
+
+_Done = typing.Callable[[], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Steps:
+    """What a node does in a planned stop.
+
+    Attributes:
+        announce_leave: Tells the fleet; calls back once confirmed.
+        refuse_new: Refuses calls and takes no connections of callers.
+        calls_in_flight: Returns how many calls are under way.
+        hand_back: Gives up grants and leases; calls back when done.
+        end: Ends the process.
+    """
+
+    announce_leave: typing.Callable[[_Done], None]
+    refuse_new: typing.Callable[[], None]
+    calls_in_flight: typing.Callable[[], int]
+    hand_back: typing.Callable[[_Done], None]
+    end: typing.Callable[[], None]
+
+
+class PlannedStop:
+    """The planned stop of one node."""
+
+    def __init__(self, steps: Steps, clock: clocks.Clock) -> None:
+        self._steps = steps
+        self._clock = clock
+        self._drain = drain.drain()
+
+    @property
+    def phase(self) -> drain.Phase:
+        """How far the stop has come."""
+        return self._drain.phase
+
+    def request(self, is_final: bool = True) -> None:
+        """Begin, or end the process after a drain that has begun."""
+        self._handle(drain.StopRequested(is_final))
+
+    def tick(self) -> None:
+        """Go on; to be called every ``TICK_PERIOD_MS``."""
+        if self._drain.is_leaving:
+            self._handle(drain.Tick(self._steps.calls_in_flight()))
+
+    def _handle(self, event: drain.Event) -> None:
+        for action in self._drain.handle(event, self._clock.now_ms()):
+            self._perform(action)
+
+    def _perform(self, action: drain.Action) -> None:
+        match action:
+            case drain.AnnounceLeave():
+                in_flight = self._steps.calls_in_flight()
+                logs.event(logevents.NodeDraining(calls_in_flight=in_flight))
+                self._steps.announce_leave(
+                    lambda: self._handle(drain.LeaveConfirmed())
+                )
+            case drain.RefuseNew():
+                self._steps.refuse_new()
+            case drain.HandBack():
+                self._steps.hand_back(lambda: self._handle(drain.HandedBack()))
+            case drain.Exit(calls_cut=calls_cut, drained_ms=drained_ms):
+                logs.event(
+                    logevents.NodeStopped(
+                        calls_cut=calls_cut, drained_ms=drained_ms
+                    )
+                )
+                self._steps.end()
+            case _:
+                typing.assert_never(action)
+
+
+def planned_stop(steps: Steps, clock: clocks.Clock) -> PlannedStop:
+    """Create the planned stop of a node that serves."""
+    return PlannedStop(steps, clock)
