--- a/src/parsleystile/link.py
+++ b/src/parsleystile/link.py
@@ -86,7 +86,8 @@
                 self._receive(message)
         except errors.FrameError as exc:
             self._metrics.incr('link.frame_errors')
-            self.close(str(exc))
+            self.on_frame_error(exc)
+            self.close()
 
     def _receive(self, message: wire.Message) -> None:
         if self.is_ready:
@@ -103,17 +104,24 @@
             return False
         if channel.get_write_buffer_size() > _MAX_BUFFERED_BYTES:
             self._metrics.incr('link.overflows')
-            self.close('peer does not read')
+            self.close()
             return False
         channel.write(wire.encode(kind, message))
         return True
 
-    def close(self, why: str) -> None:
-        """Close the connection; queued bytes are dropped."""
-        del why
+    def close(self) -> None:
+        """Close the connection at once; queued bytes are dropped."""
         if self._transport is not None:
             self._transport.abort()
 
+    def finish(self) -> None:
+        """Close the connection once all queued bytes are written."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def on_frame_error(self, exc: errors.FrameError) -> None:
+        """Take note of why the connection is about to be closed."""
+
     def on_hello(self, hello: ttypes.Hello) -> None:
         raise NotImplementedError
 
@@ -139,21 +147,23 @@
         metrics: metric.Metrics,
         on_call: CallHandler,
         controls: dict[str, transport.ControlHandler],
-        live: set['_ServerLink'],
+        on_open: typing.Callable[['_ServerLink'], None],
+        on_close: typing.Callable[['_ServerLink'], None],
     ) -> None:
         super().__init__(settings, metrics)
         self._on_call = on_call
         self._controls = controls
-        self._live = live
+        self._on_open = on_open
+        self._on_close = on_close
         self._client_nonce = b''
         self._pending: dict[int, transport.PendingCall] = {}
 
     def connection_made(self, transport_: asyncio.BaseTransport) -> None:
         super().connection_made(transport_)
-        self._live.add(self)
+        self._on_open(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._live.discard(self)
+        self._on_close(self)
         # The callers are gone: nobody can take these answers.
         for pending in list(self._pending.values()):
             pending.cancel()
@@ -404,7 +414,8 @@
                 self._metrics,
                 self._serve_call,
                 self._controls,
-                self._accepted,
+                self._opened,
+                self._accepted.discard,
             )
 
         loop = asyncio.get_running_loop()
@@ -412,6 +423,16 @@
         name = self._server.sockets[0].getsockname()
         return transport.Address(name[0], name[1])
 
+    def _opened(self, accepted: _ServerLink) -> None:
+        self._accepted.add(accepted)
+        self._expect_handshake(accepted)
+
+    def _expect_handshake(self, connection: _Connection) -> None:
+        self._wheel.add(
+            self._clock.now_ms() + _HANDSHAKE_TIMEOUT_MS,
+            functools.partial(_close_unless_ready, connection),
+        )
+
     def _serve_call(
         self,
         call: ttypes.Call,
@@ -475,10 +496,12 @@
             self._metrics.incr('link.connect_failures')
             link.fail(f'no link to {to}: {type(exc).__name__}')
             return
-        self._wheel.add(
-            self._clock.now_ms() + _HANDSHAKE_TIMEOUT_MS,
-            functools.partial(_close_unless_ready, link),
-        )
+        self._expect_handshake(link)
+
+    @property
+    def accepted_count(self) -> int:
+        """Connections of other nodes now open, proved or not."""
+        return len(self._accepted)
 
     @property
     def accepted_call_count(self) -> int:
@@ -492,12 +515,12 @@
         for task in list(self._connecting):
             task.cancel()
         for link in [*self._links.values(), *self._accepted]:
-            link.close('node stops')
+            link.finish()
 
 
-def _close_unless_ready(link: _ClientLink) -> None:
+def _close_unless_ready(link: _Connection) -> None:
     if not link.is_ready:
-        link.close('handshake took too long')
+        link.close()
 
 
 def links(
--- a/src/parsleystile/wire.py
+++ b/src/parsleystile/wire.py
@@ -111,10 +111,11 @@
         )
     if not 0.0 <= call.draw < 1.0:
         raise errors.FrameError(f'Call frame with draw {call.draw}')
-    if call.depth < 1 or call.retry_allowance < 0:
+    if min(call.depth - 1, call.retry_allowance, call.deadline_ms) < 0:
         raise errors.FrameError(
             f'Call frame with depth {call.depth},'
-            f' retry allowance {call.retry_allowance}'
+            f' retry allowance {call.retry_allowance},'
+            f' deadline {call.deadline_ms} ms'
         )
 
 
--- /dev/null
+++ b/tests/test_link.py
@@ -0,0 +1,234 @@
+import asyncio
+import contextlib
+
+from parsleystile import clock
+from parsleystile import deadlines
+from parsleystile import errors
+from parsleystile.gen import ttypes
+from parsleystile import link
+from parsleystile import metrics
+from parsleystile import transport
+from parsleystile import wire
+from tests import asyncutil
+
+_LOAD = ttypes.Load(1, 2, 0, 3.0)
+
+
+def call(path='/x', body=b''):
+    return ttypes.Call(
+        call_id=0,
+        root_id='r',
+        organisation='lava',
+        importance=1,
+        deadline_ms=1000,
+        depth=1,
+        retry_allowance=2,
+        idempotent=True,
+        draw=0.5,
+        caller_service='',
+        callee_service='yard',
+        route='yard',
+        method='GET',
+        path=path,
+        headers=[],
+        body=body,
+        idempotency_key='',
+    )
+
+
+def answer(body):
+    return ttypes.Answer(
+        call_id=0,
+        outcome=errors.Outcome.ANSWERED,
+        status=200,
+        headers=[],
+        body=body,
+        reason=0,
+        detail='',
+        retry_after_ms=0,
+        retry_unspent=0,
+        load=_LOAD,
+        is_final=False,
+    )
+
+
+class _End:
+    """One node's links."""
+
+    def __init__(self, secret=b's'):
+        self.metrics = metrics.memory_metrics()
+        self.wheel = deadlines.DeadlineWheel()
+        self.clock = clock.manual_clock()
+        self.links = link.links(
+            link.LinkSettings('n', secret, 200_000),
+            self.clock,
+            self.wheel,
+            self.metrics,
+        )
+        self.calls = []
+        self.cancelled = []
+        self.links.handle_calls(self._serve)
+
+    def _serve(self, received, on_answer):
+        self.calls.append((received, on_answer))
+        cancelled = self.cancelled
+
+        class Pending(transport.PendingCall):
+            def cancel(self):
+                cancelled.append(received.path)
+
+        return Pending()
+
+
+@contextlib.asynccontextmanager
+async def _pair(secret=b's'):
+    client, server = _End(), _End(secret)
+    address = await server.links.listen('127.0.0.1', 0)
+    try:
+        yield client, server, address
+    finally:
+        await client.links.close()
+        await server.links.close()
+        await asyncio.sleep(0)
+
+
+def test_crossed_answers_reach_their_own_callers():
+    async def body():
+        async with _pair() as (client, server, address):
+            boxes = [asyncutil.Box() for _ in range(3)]
+            for i, box in enumerate(boxes):
+                client.links.call(address, call(f'/{i}'), box.put)
+            await asyncutil.until(lambda: len(server.calls) == 3)
+            for received, on_answer in reversed(server.calls):
+                on_answer(answer(received.path.encode()))
+            bodies = [(await box.get()).body for box in boxes]
+            assert bodies == [b'/0', b'/1', b'/2']
+
+    asyncutil.run(body())
+
+
+def test_a_cancelled_call_is_cancelled_there_and_its_answer_dropped():
+    async def body():
+        async with _pair() as (client, server, address):
+            box, other = asyncutil.Box(), asyncutil.Box()
+            pending = client.links.call(address, call('/gone'), box.put)
+            await asyncutil.until(lambda: server.calls)
+            pending.cancel()
+            await asyncutil.until(lambda: server.cancelled == ['/gone'])
+            server.calls[0][1](answer(b'late'))
+            client.links.call(address, call('/next'), other.put)
+            await asyncutil.until(lambda: len(server.calls) == 2)
+            server.calls[1][1](answer(b'next'))
+            assert (await other.get()).body == b'next'
+            assert box.count == 0
+            assert client.metrics.counters['link.late_answers'] == 1
+
+    asyncutil.run(body())
+
+
+def test_a_lost_link_leaves_sent_calls_unknown():
+    async def body():
+        async with _pair() as (client, server, address):
+            box = asyncutil.Box()
+            client.links.call(address, call(), box.put)
+            await asyncutil.until(lambda: server.calls)
+            await server.links.close()
+            refusal = await box.get()
+            assert refusal.outcome is errors.Outcome.UNKNOWN
+            assert refusal.reason is errors.Reason.LINK_LOST
+            await asyncutil.until(lambda: server.cancelled == ['/x'])
+
+    asyncutil.run(body())
+
+
+def test_no_listener_is_not_run_and_the_next_call_tries_anew():
+    async def body():
+        client, server = _End(), _End()
+        address = await server.links.listen('127.0.0.1', 0)
+        await server.links.close()
+        box = asyncutil.Box()
+        client.links.call(address, call(), box.put)
+        refusal = await box.get()
+        assert refusal.outcome is errors.Outcome.NOT_RUN
+        again = _End()
+        await again.links.listen(address.host, address.port)
+        second = asyncutil.Box()
+        client.links.call(address, call(), second.put)
+        await asyncutil.until(lambda: again.calls)
+        again.calls[0][1](answer(b'ok'))
+        assert (await second.get()).body == b'ok'
+        await client.links.close()
+        await again.links.close()
+
+    asyncutil.run(body())
+
+
+def test_a_node_without_the_secret_gets_no_call_and_makes_none():
+    async def body():
+        async with _pair(secret=b'other') as (client, server, address):
+            box = asyncutil.Box()
+            client.links.call(address, call(), box.put)
+            refusal = await box.get()
+            assert refusal.outcome is errors.Outcome.NOT_RUN
+            assert server.calls == []
+            assert client.metrics.counters['link.rejected_proofs'] == 1
+
+    asyncutil.run(body())
+
+
+def test_a_stranger_that_skips_the_handshake_is_closed():
+    async def body():
+        async with _pair() as (_, server, address):
+            reader, writer = await asyncio.open_connection(
+                address.host, address.port
+            )
+            writer.write(wire.encode(wire.FrameKind.CALL, call()))
+            assert await reader.read() == b''
+            assert server.calls == []
+            assert server.metrics.counters['link.frame_errors'] == 1
+            writer.close()
+
+    asyncutil.run(body())
+
+
+def test_a_stranger_that_says_nothing_is_closed():
+    async def body():
+        async with _pair() as (_, server, address):
+            reader, writer = await asyncio.open_connection(
+                address.host, address.port
+            )
+            await asyncutil.until(lambda: server.links.accepted_count == 1)
+            server.wheel.expire(server.clock.advance(2000.0))
+            assert await reader.read() == b''
+            writer.close()
+
+    asyncutil.run(body())
+
+
+def test_control_requests_are_answered_or_expire():
+    async def body():
+        async with _pair() as (client, server, address):
+            server.links.handle_control('echo', lambda p, reply: reply(p + p))
+            server.links.handle_control('mute', lambda p, reply: None)
+            box, mute = asyncutil.Box(), asyncutil.Box()
+            client.links.control(address, 'echo', b'a', 500, box.put)
+            assert await box.get() == b'aa'
+            client.links.control(address, 'mute', b'a', 500, mute.put)
+            client.wheel.expire(client.clock.advance(600.0))
+            refusal = await mute.get()
+            assert refusal.outcome is errors.Outcome.UNKNOWN
+
+    asyncutil.run(body())
+
+
+def test_answers_of_a_closing_node_arrive_whole():
+    async def body():
+        async with _pair() as (client, server, address):
+            box = asyncutil.Box()
+            client.links.call(address, call(), box.put)
+            await asyncutil.until(lambda: server.calls)
+            server.calls[0][1](answer(b'x' * 100_000))
+            await server.links.close()
+            assert (await box.get()).body == b'x' * 100_000
+
+    asyncutil.run(body())
