Tell the observer and the trial record what becomes of each call

The paths of a call now feed burn counters, the call log and, in a trial (setting history_file), the recorded history. The test of guard refusals follows the new signature and checks the same.

--- a/src/parsleystile/daemon.py
+++ b/src/parsleystile/daemon.py
@@ -12,6 +12,7 @@
 from parsleystile import controlplane
 from parsleystile import explain
 from parsleystile import gossip
+from parsleystile import history
 from parsleystile import httpfront
 from parsleystile import ids
 from parsleystile import link
@@ -95,6 +96,13 @@
             self._rng,
             tableclient.TableLimits(timeout_ms=settings.table.timeout_ms),
         )
+        self._observer = observer.observer(
+            identity.node_id,
+            identity.failure_domain,
+            self._clock.now_ms(),
+            logs.event,
+            self._history_recorder(),
+        )
         self.node = nodes.build_node(
             nodes.Environment(
                 identity=identity,
@@ -108,14 +116,9 @@
                 target=self._target,
                 table=self._table,
                 metrics=self._metrics,
+                observed=self._observer,
             )
         )
-        self._observer = observer.observer(
-            identity.node_id,
-            identity.failure_domain,
-            self._clock.now_ms(),
-            logs.event,
-        )
         self._links.handle_calls(self.node.guard.submit)
         self._callers = self._front(self.node.ingress.handle)
         self._targets = self._front(self.node.egress.handle)
@@ -200,6 +203,18 @@
             )
         )
 
+    def _history_recorder(self) -> history.Recorder | None:
+        path = self._settings.history_file
+        if not path:
+            return None
+        # Unbuffered: a killed node must not take its record along.
+        return history.file_recorder(
+            self._settings.identity.node_id,
+            self._clock,
+            path,
+            buffer_entries=1,
+        )
+
     def _explain(self, root_id: ids.RootId) -> explain.Explanation:
         return self._observer.calls.explain(root_id, self._clock.now_ms())
 
@@ -225,6 +240,8 @@
         await self._targets.close()
         await self._links.close()
         self._target.close()
+        if self._observer.recorder is not None:
+            self._observer.recorder.close()
 
 
 def _peer_address(peer: str) -> transport.Address:
--- a/src/parsleystile/dispatcher.py
+++ b/src/parsleystile/dispatcher.py
@@ -13,6 +13,7 @@
 from parsleystile import ids
 from parsleystile import members
 from parsleystile import metrics as metric
+from parsleystile import observer
 from parsleystile import retries
 from parsleystile import shedding
 from parsleystile import transport
@@ -39,6 +40,7 @@
     clock: clocks.Clock
     wheel: deadlines.DeadlineWheel
     metrics: metric.Metrics
+    observed: observer.Observer
 
 
 class _Attempts:
@@ -137,6 +139,7 @@
         self._lent = exchange.ledger.lend()
         call = _call_of(exchange, self._lent, context.remaining_ms(now_ms))
         parts.balancer.sent(member.node_id)
+        parts.observed.sent(context, member.node_id, self._tries, now_ms)
         serial = self._serial
 
         def on_answer(result: ttypes.Answer | errors.Refusal) -> None:
@@ -215,6 +218,9 @@
         match parts.retries.decide(failure, exchange.ledger):
             case retries.Retry(delay_ms):
                 parts.metrics.incr('retries.sent')
+                parts.observed.retried(
+                    context, refusal.reason, exchange.ledger.unspent, now_ms
+                )
                 self._serial += 1
                 serial = self._serial
 
--- a/src/parsleystile/egress.py
+++ b/src/parsleystile/egress.py
@@ -9,6 +9,7 @@
 from parsleystile import exchange as exchanges
 from parsleystile import filters
 from parsleystile import metrics as metric
+from parsleystile import observer
 from parsleystile import targetwatch
 
 ANNOUNCE_PATH = '/.parsleystile/announce'
@@ -42,7 +43,9 @@
         sender: dispatcher.Dispatcher,
         on_target_event: OnTargetEvent,
         metrics: metric.Metrics,
+        observed: observer.Observer,
     ) -> None:
+        self._observed = observed
         self._filters = filters.child_filters(rules)
         self._calls = rules.calls
         self._clock = rules.clock
@@ -74,6 +77,7 @@
         exchange.finish(exchanges.Answer(204, [], b''))
 
     def _call(self, exchange: exchanges.Exchange) -> None:
+        exchange.observe = self._done
         refusal = filters.run(self._filters, exchange)
         if refusal is not None:
             name = refusal.reason.name.lower()
@@ -94,12 +98,18 @@
         parent.child_started(exchange, exchange.arrived_ms)
         self._sender.dispatch(exchange, on_level)
 
+    def _done(
+        self, exchange: exchanges.Exchange, reply: exchanges.Reply
+    ) -> None:
+        self._observed.child_done(exchange, reply, self._clock.now_ms())
+
 
 def egress(
     rules: filters.Rules,
     sender: dispatcher.Dispatcher,
     on_target_event: OnTargetEvent,
     metrics: metric.Metrics,
+    observed: observer.Observer,
 ) -> Egress:
     """Create the egress of a node."""
-    return Egress(rules, sender, on_target_event, metrics)
+    return Egress(rules, sender, on_target_event, metrics, observed)
--- a/src/parsleystile/exchange.py
+++ b/src/parsleystile/exchange.py
@@ -75,6 +75,7 @@
         'ledger',
         'lent',
         'method',
+        'observe',
         'on_done',
         'organisation',
         'path',
@@ -115,6 +116,7 @@
         self.lent = 0
         self.cancel_send: typing.Callable[[], None] | None = None
         self.settle: typing.Callable[[Reply], None] | None = None
+        self.observe: typing.Callable[[Exchange, Reply], None] | None = None
 
     def finish(self, reply: 'Reply') -> None:
         """Hand the reply to the caller; later replies are dropped."""
@@ -124,15 +126,20 @@
         if self.state is ExchangeState.OPEN:
             self.state = ExchangeState.DONE
             self.on_done(self, reply)
+            if self.observe is not None:
+                self.observe(self, reply)
 
     def cancel(self) -> None:
         """Give up on the answer: the caller is gone."""
         if self.state is not ExchangeState.OPEN:
             return
         self.state = ExchangeState.CANCELLED
+        refusal = errors.unknown(errors.Reason.CANCELLED, 'caller left')
         settle, self.settle = self.settle, None
         if settle is not None:
-            settle(errors.unknown(errors.Reason.CANCELLED, 'caller left'))
+            settle(refusal)
+        if self.observe is not None:
+            self.observe(self, refusal)
         if self.cancel_send is not None:
             self.cancel_send()
 
--- a/src/parsleystile/guard.py
+++ b/src/parsleystile/guard.py
@@ -13,6 +13,7 @@
 from parsleystile import ids
 from parsleystile import inflight
 from parsleystile import metrics as metric
+from parsleystile import observer
 from parsleystile import targetclient
 from parsleystile import transport
 from parsleystile import wire
@@ -62,6 +63,7 @@
         clock: clocks.Clock,
         wheel: deadlines.DeadlineWheel,
         metrics: metric.Metrics,
+        observed: observer.Observer,
         weight_of: typing.Callable[[ids.OrganisationId], float],
     ) -> None:
         self._queue = queue
@@ -70,6 +72,7 @@
         self._clock = clock
         self._wheel = wheel
         self._metrics = metrics
+        self._observed = observed
         self._weight_of = weight_of
         self._keys = itertools.count(1)
         self._waiting: dict[int, _GuardedCall] = {}
@@ -84,6 +87,7 @@
     ) -> None:
         """Open for a target that announced itself; it starts cold."""
         self._service = service
+        self.target_id = ids.TargetId(f'{service}:{port}')
         self._base_url = f'http://{_TARGET_HOST}:{port}'
         self._handle(admission.Announce(slots))
 
@@ -163,6 +167,7 @@
         if self._waiting.pop(guarded.key, None) is None:
             return
         self._metrics.incr('guard.cancelled')
+        self._observed.cancelled(guarded.context)
         running = guarded.running
         if running is not None:
             if running.transfer is not None:
@@ -199,6 +204,14 @@
         now_ms = self._clock.now_ms()
         running = self._calls.start(guarded.context, self._service, now_ms)
         guarded.running = running
+        load = self._queue.load(now_ms)
+        self._observed.target_called(
+            guarded.context,
+            self.target_id,
+            running.token,
+            (load.in_flight, load.limit),
+            now_ms,
+        )
         call = guarded.call
         remaining_ms = guarded.context.remaining_ms(now_ms)
         headers = [
@@ -225,6 +238,9 @@
 
     def _refuse(self, guarded: _GuardedCall, refusal: errors.Refusal) -> None:
         self._metrics.incr(f'guard.refused.{refusal.reason.name.lower()}')
+        self._observed.guard_refused(
+            guarded.context, self._service, refusal, self._clock.now_ms()
+        )
         guarded.on_answer(self._refusal_answer(guarded.call, refusal))
 
     def _refusal_answer(
@@ -299,7 +315,10 @@
     clock: clocks.Clock,
     wheel: deadlines.DeadlineWheel,
     metrics: metric.Metrics,
+    observed: observer.Observer,
     weight_of: typing.Callable[[ids.OrganisationId], float],
 ) -> Guard:
     """Create a guard that has no target yet."""
-    return Guard(queue, calls, client, clock, wheel, metrics, weight_of)
+    return Guard(
+        queue, calls, client, clock, wheel, metrics, observed, weight_of
+    )
--- a/src/parsleystile/link.py
+++ b/src/parsleystile/link.py
@@ -20,6 +20,8 @@
 from parsleystile import errors
 from parsleystile.gen import ttypes
 from parsleystile import ids
+from parsleystile import logevents
+from parsleystile import logs
 from parsleystile import metrics as metric
 from parsleystile import transport
 from parsleystile import wire
@@ -86,7 +88,8 @@
                 self._receive(message)
         except errors.FrameError as exc:
             self._metrics.incr('link.frame_errors')
-            self.on_frame_error(exc)
+            peer = self._transport.get_extra_info('peername')
+            logs.event(logevents.PeerRejected(address=str(peer), why=str(exc)))
             self.close()
 
     def _receive(self, message: wire.Message) -> None:
@@ -119,9 +122,6 @@
         if self._transport is not None:
             self._transport.close()
 
-    def on_frame_error(self, exc: errors.FrameError) -> None:
-        """Take note of why the connection is about to be closed."""
-
     def on_hello(self, hello: ttypes.Hello) -> None:
         raise NotImplementedError
 
--- a/src/parsleystile/node.py
+++ b/src/parsleystile/node.py
@@ -22,6 +22,7 @@
 from parsleystile import members
 from parsleystile import membership
 from parsleystile import metrics as metric
+from parsleystile import observer
 from parsleystile import retries
 from parsleystile import settings as node_settings
 from parsleystile import shedding
@@ -54,6 +55,7 @@
     target: targetclient.TargetCaller
     table: table.TableClient
     metrics: metric.Metrics
+    observed: observer.Observer
     make_token: inflight.TokenSource = inflight.secret_token
 
 
@@ -94,6 +96,7 @@
             env.clock,
             env.wheel,
             env.metrics,
+            env.observed,
             self._weight_of,
         )
         self.guard.on_unreachable = self._target_unreachable
@@ -122,13 +125,14 @@
                 clock=env.clock,
                 wheel=env.wheel,
                 metrics=env.metrics,
+                observed=env.observed,
             )
         )
         self.ingress = ingress.ingress(
-            rules, sender, _send_unclaimed, env.metrics
+            rules, sender, _send_unclaimed, env.metrics, env.observed
         )
         self.egress = egress.egress(
-            rules, sender, self.handle_target, env.metrics
+            rules, sender, self.handle_target, env.metrics, env.observed
         )
 
     def now_ms(self) -> float:
--- a/src/parsleystile/observer.py
+++ b/src/parsleystile/observer.py
@@ -7,9 +7,12 @@
 import typing
 
 from parsleystile import burn
+from parsleystile import context
 from parsleystile import errors
+from parsleystile import events
 from parsleystile import exchange as exchanges
 from parsleystile import explain
+from parsleystile import history
 from parsleystile import ids
 from parsleystile import logevents
 
@@ -45,6 +48,7 @@
     Attributes:
         calls: Steps of recent calls.
         burn: Counts of root requests.
+        recorder: Takes the history of a trial; None in service.
     """
 
     def __init__(
@@ -52,11 +56,99 @@
         calls: explain.CallLog,
         recorder: burn.BurnRecorder,
         log_event: LogEvent,
+        history_recorder: history.Recorder | None,
     ) -> None:
         self.calls = calls
         self.burn = recorder
+        self.recorder = history_recorder
         self._log_event = log_event
 
+    def root_admitted(
+        self, exchange: exchanges.Exchange, now_ms: float
+    ) -> None:
+        """Take note of a request from outside that passed the filters."""
+        call = exchange.context
+        if self.recorder is not None:
+            self.recorder.record(_admitted(events.Stage.INGRESS, call))
+        if explain.is_sampled(call.root_id):
+            step = explain.Received(
+                call.organisation,
+                exchange.route.service,
+                call.depth,
+                call.remaining_ms(now_ms),
+            )
+            self.calls.note(call.root_id, step, now_ms)
+
+    def sent(
+        self,
+        call: context.CallContext,
+        node_id: ids.NodeId,
+        attempt: int,
+        now_ms: float,
+    ) -> None:
+        """Take note of a try of a call."""
+        if explain.is_sampled(call.root_id):
+            step = explain.Sent(node_id, attempt)
+            self.calls.note(call.root_id, step, now_ms)
+
+    def retried(
+        self,
+        call: context.CallContext,
+        reason: errors.Reason,
+        allowance_left: int,
+        now_ms: float,
+    ) -> None:
+        """Take note that a refused try will be followed by another."""
+        if self.recorder is not None:
+            self.recorder.record(
+                events.Retried(
+                    root_id=call.root_id,
+                    depth=call.depth,
+                    after=reason,
+                    allowance_left=allowance_left,
+                )
+            )
+        step = explain.Retried(reason, allowance_left)
+        self.calls.note(call.root_id, step, now_ms)
+
+    def target_called(
+        self,
+        call: context.CallContext,
+        target_id: ids.TargetId,
+        token: ids.ContextToken,
+        load: tuple[int, int],
+        now_ms: float,
+    ) -> None:
+        """Take note that the guard is about to send a call to its target.
+
+        Args:
+            call: What travels with the call.
+            target_id: The target.
+            token: That the target gets.
+            load: Calls at the target, this one included, and the limit.
+            now_ms: Now.
+        """
+        if self.recorder is not None:
+            self.recorder.record(_admitted(events.Stage.GUARD, call))
+            self.recorder.record(
+                events.TargetCalled(
+                    target_id=target_id,
+                    root_id=call.root_id,
+                    token=token,
+                    organisation=call.organisation,
+                    depth=call.depth,
+                )
+            )
+        if explain.is_sampled(call.root_id):
+            self.calls.note(call.root_id, explain.Admitted(*load), now_ms)
+
+    def cancelled(self, call: context.CallContext) -> None:
+        """Take note that nobody waits for a call at the target any more."""
+        if self.recorder is not None:
+            self.recorder.record(
+                events.Cancelled(root_id=call.root_id, depth=call.depth)
+            )
+
     def root_done(
         self,
         exchange: exchanges.Exchange,
@@ -88,6 +180,9 @@
             now_ms,
         )
         stage = _STAGES.get(reply.reason, explain.Stage.CALL)
+        self._record_refusal(
+            events.Stage.INGRESS, exchange.context, exchange, reply
+        )
         self._refused(exchange, reply, stage, now_ms)
 
     def child_done(
@@ -99,32 +194,50 @@
         """Take note of how a call of the target beside this node ended."""
         if isinstance(reply, errors.Refusal):
             stage = _STAGES.get(reply.reason, explain.Stage.EGRESS)
+            self._record_refusal(
+                events.Stage.EGRESS, exchange.context, exchange, reply
+            )
             self._refused(exchange, reply, stage, now_ms)
 
     def guard_refused(
         self,
-        root_id: ids.RootId,
-        organisation: ids.OrganisationId,
+        call: context.CallContext,
         service: ids.ServiceName,
         refusal: errors.Refusal,
         now_ms: float,
     ) -> None:
         """Take note of a call that the guard of this node refused."""
+        self._record_refusal(events.Stage.GUARD, call, call, refusal)
         self._note(
-            root_id,
-            organisation,
+            call.root_id,
+            call.organisation,
             service,
             refusal,
             explain.Stage.ADMIT,
             now_ms,
         )
 
-    def step(
-        self, root_id: ids.RootId, step: explain.Step, now_ms: float
+    def _record_refusal(
+        self,
+        stage: events.Stage,
+        call: context.CallContext | None,
+        owner: exchanges.Exchange | context.CallContext,
+        refusal: errors.Refusal,
     ) -> None:
-        """Remember a step of a call if this call is followed."""
-        if explain.is_sampled(root_id):
-            self.calls.note(root_id, step, now_ms)
+        if self.recorder is None:
+            return
+        self.recorder.record(
+            events.Refused(
+                stage=stage,
+                root_id=_NO_ROOT if call is None else call.root_id,
+                organisation=owner.organisation,
+                importance=_importance_of(call),
+                rank=0.0 if call is None else call.rank,
+                outcome=refusal.outcome,
+                reason=refusal.reason,
+                depth=1 if call is None else call.depth,
+            )
+        )
 
     def _refused(
         self,
@@ -171,15 +284,35 @@
         )
 
 
+def _importance_of(call: context.CallContext | None) -> context.Importance:
+    return context.Importance.NORMAL if call is None else call.importance
+
+
+def _admitted(
+    stage: events.Stage, call: context.CallContext
+) -> events.Admitted:
+    return events.Admitted(
+        stage=stage,
+        root_id=call.root_id,
+        organisation=call.organisation,
+        importance=call.importance,
+        rank=call.rank,
+        depth=call.depth,
+        retry_allowance=call.retry_allowance,
+    )
+
+
 def observer(
     node_id: ids.NodeId,
     failure_domain: ids.FailureDomainId,
     now_ms: float,
     log_event: LogEvent,
+    history_recorder: history.Recorder | None = None,
 ) -> Observer:
     """Create the observer of a node that has seen no call yet."""
     return Observer(
         explain.call_log(node_id),
         burn.burn_recorder(node_id, failure_domain, now_ms),
         log_event,
+        history_recorder,
     )
--- a/src/parsleystile/settings.py
+++ b/src/parsleystile/settings.py
@@ -89,6 +89,8 @@
         fleet_secret_file: File with the secret that nodes share.
         peers: Links of other nodes, as ``IP-NUMBER:PORT``, to ask while
             the table can't be reached at start.
+        history_file: Where each decision is recorded in a trial; empty
+            for no record, as in service.
     """
 
     identity: Identity
@@ -99,6 +101,7 @@
     limits: Limits = Limits()
     peers: tuple[Peer, ...] = ()
     bootstrap_operator: BootstrapOperator | None = None
+    history_file: str = ''
 
 
 def _check_host(path: str, host: str) -> errors.SettingsError | None:
--- a/tests/test_observer.py
+++ b/tests/test_observer.py
@@ -1,11 +1,14 @@
 import pytest
 
 from parsleystile import burn
+from parsleystile import clock
 from parsleystile import context
 from parsleystile import errors
+from parsleystile import events as history_events
 from parsleystile import exchange as exchanges
 from parsleystile import explain
 from parsleystile import fleetconfig
+from parsleystile import history
 from parsleystile import observer
 
 
@@ -85,7 +88,30 @@
 
 def test_a_guard_refusal_names_its_stage(seen, events):
     refusal = errors.not_run(errors.Reason.QUEUE_FULL)
-    seen.guard_refused('r9', 'homes', 'stock', refusal, 14.0)
+    seen.guard_refused(_exchange('r9').context, 'stock', refusal, 14.0)
     (entry,) = seen.calls.explain('r9', 20.0).entries
     assert 'refused at admit' in entry.text
     assert events[0].evidence == 'stage=admit'
+
+
+def test_a_trial_records_each_decision_on_a_call():
+    recorder = history.memory_recorder('n1', clock.manual_clock())
+    seen = observer.observer('n1', 'd', 0.0, lambda event: None, recorder)
+    exchange = _exchange('r')
+    call = exchange.context
+    seen.root_admitted(exchange, 11.0)
+    seen.target_called(call, 'stock:1', 'token', (1, 2), 12.0)
+    seen.retried(call, errors.Reason.SHED, 1, 13.0)
+    seen.cancelled(call)
+    refusal = errors.not_run(errors.Reason.SHED)
+    seen.guard_refused(call, 'stock', refusal, 14.0)
+    seen.root_done(exchange, refusal, 15.0)
+    assert [type(entry.event) for entry in recorder.entries] == [
+        history_events.Admitted,
+        history_events.Admitted,
+        history_events.TargetCalled,
+        history_events.Retried,
+        history_events.Cancelled,
+        history_events.Refused,
+        history_events.Refused,
+    ]
