Share organisations' rate and burst over the fleet by leased parts

Cause: no organisation may get more than its rate and burst over all VMs in any window, whatever fails, and few calls inside the rate may be refused. Ruled out: static rate/N (safe only while N is exact, refuses under skew); a rate split per failure domain that is moved by table writes (slow, and the number of domains must be agreed); floors per node (need a bound on N). Before: no limit at all. After: quotas are cut into equal parts owned by nodes under leases; owners lend short grants of rate, capacity and tokens; tokens move only together with capacity, loans are charged until they surely lapsed. Deputies' promises carry a lease through a platform outage.

--- /dev/null
+++ b/bench/quotaworld.py
@@ -0,0 +1,313 @@
+"""Many nodes' quota decisions on a driven clock, network and table."""
+
+import dataclasses
+import heapq
+import itertools
+import random
+import typing
+
+import msgspec
+
+from parsleystile import errors
+from parsleystile import fleetconfig
+from parsleystile import ids
+from parsleystile import leases
+from parsleystile import members
+from parsleystile import quota
+from parsleystile import quotaborrower
+from parsleystile import tableio
+from parsleystile import transport
+from stubs import tablestate
+
+TICK_MS = 20.0
+NEAR_MS = 0.5
+FAR_MS = 1.5
+TABLE_MS = 4.0
+# Until views of members follow what happened.
+VIEW_MS = 1_000.0
+NOWHERE = transport.Address('127.0.0.1', 0)
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+@dataclasses.dataclass(slots=True)
+class Take:
+    """One decision on a call."""
+
+    at_ms: float
+    organisation: str
+    is_admitted: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Host:
+    """A VM with its node, which may be dead or paused."""
+
+    member: members.Member
+    node: quota.QuotaNode
+    is_alive: bool = True
+    paused_until_ms: float = 0.0
+    clock_skew_ms: float = 0.0
+
+
+class World:
+    """Drives nodes; every message and table request takes its time."""
+
+    def __init__(
+        self, seed: int, domains: list[str], config: fleetconfig.FleetConfig
+    ) -> None:
+        self.now_ms = 0.0
+        self.rng = random.Random(seed)
+        self.config = config
+        self.table = tablestate.table_state(seed)
+        self.hosts: dict[str, Host] = {}
+        self.takes: list[Take] = []
+        self.cuts: set[frozenset[str]] = set()
+        self.messages = 0
+        self.message_bytes = 0
+        self._queue: list[tuple[float, int, typing.Callable[[], None]]] = []
+        self._order = itertools.count()
+        for index, domain in enumerate(domains):
+            self.add_host(f'n{index}', domain)
+        self._schedule(0.0, self._tick_all)
+
+    def add_host(self, name: str, domain: str) -> None:
+        """Start a node; one of that name must not be running."""
+        member = members.Member(
+            ids.NodeId(name),
+            ids.VmId(name),
+            ids.RegionId('r'),
+            ids.FailureDomainId(domain),
+            ids.ServiceName('s'),
+            1,
+            NOWHERE,
+            NOWHERE,
+            ids.Incarnation(1),
+        )
+        skew_ms = self.rng.uniform(0, 1e6)
+        host = Host(member, None, clock_skew_ms=skew_ms)
+        host.node = quota.quota_node(
+            ids.NodeId(name),
+            ids.FailureDomainId(domain),
+            random.Random(self.rng.getrandbits(64)),
+            lambda: self.config,
+            lambda: self._schedule(0.0, lambda: self._pump(host)),
+            self._time_of(host),
+        )
+        self.hosts[name] = host
+        self._announce()
+
+    def kill(self, name: str) -> None:
+        """End a node without a word; others notice after a second."""
+        self.hosts[name].is_alive = False
+        self._schedule(VIEW_MS, self._announce)
+
+    def stop(self, name: str) -> None:
+        """End a node in order."""
+        host = self.hosts[name]
+        self._perform(host, host.node.stop(self._time_of(host)))
+        host.is_alive = False
+        self._announce()
+
+    def pause(self, name: str, for_ms: float) -> None:
+        """Let a process stand still, as a debugger or hypervisor would."""
+        self.hosts[name].paused_until_ms = self.now_ms + for_ms
+
+    def set_config(self, config: fleetconfig.FleetConfig) -> None:
+        """Put a configuration in force at every node."""
+        self.config = config
+
+    def call(self, name: str, organisation: str) -> None:
+        """Let a call arrive at a node; it may wait for its decision."""
+        host = self.hosts[name]
+        if not self._is_running(host):
+            return
+
+        def on_take(refusal: errors.Refusal | None) -> None:
+            self.takes.append(Take(self.now_ms, organisation, refusal is None))
+
+        host.node.take(
+            ids.OrganisationId(organisation), self._time_of(host), on_take
+        )
+
+    def at(self, at_ms: float, action: typing.Callable[[], None]) -> None:
+        """Do something at a time."""
+        self._schedule(at_ms - self.now_ms, action)
+
+    def run_until(self, until_ms: float) -> None:
+        """Let time pass."""
+        while self._queue and self._queue[0][0] <= until_ms:
+            at_ms, _, action = heapq.heappop(self._queue)
+            self.now_ms = max(self.now_ms, at_ms)
+            action()
+        self.now_ms = max(self.now_ms, until_ms)
+
+    def _schedule(
+        self, delay_ms: float, action: typing.Callable[[], None]
+    ) -> None:
+        entry = (self.now_ms + delay_ms, next(self._order), action)
+        heapq.heappush(self._queue, entry)
+
+    def _time_of(self, host: Host) -> float:
+        return self.now_ms + host.clock_skew_ms
+
+    def _is_running(self, host: Host) -> bool:
+        return host.is_alive and self.now_ms >= host.paused_until_ms
+
+    def _when_running(
+        self, host: Host, action: typing.Callable[[], None]
+    ) -> None:
+        if not host.is_alive:
+            return
+        if self.now_ms < host.paused_until_ms:
+            delay_ms = host.paused_until_ms - self.now_ms
+            self._schedule(delay_ms, lambda: self._when_running(host, action))
+            return
+        action()
+
+    def cut(self, one: str, other: str) -> None:
+        """Lose every message between two failure domains."""
+        self.cuts.add(frozenset({one, other}))
+        self._schedule(VIEW_MS, self._announce)
+
+    def heal(self) -> None:
+        """Let every message through again."""
+        self.cuts.clear()
+        self._schedule(VIEW_MS, self._announce)
+
+    def _announce(self) -> None:
+        for host in self.hosts.values():
+            seen = [
+                other.member
+                for other in self.hosts.values()
+                if other.is_alive and not self._is_cut(host, other)
+            ]
+            host.node.set_members(seen)
+
+    def _is_cut(self, one: Host, other: Host) -> bool:
+        domains = {one.member.failure_domain, other.member.failure_domain}
+        return frozenset(domains) in self.cuts
+
+    def _tick_all(self) -> None:
+        for host in list(self.hosts.values()):
+            if self._is_running(host):
+                actions = host.node.tick(self._time_of(host))
+                self._perform(host, actions)
+        self._schedule(TICK_MS, self._tick_all)
+
+    def _pump(self, host: Host) -> None:
+        if self._is_running(host):
+            self._perform(host, host.node.pump(self._time_of(host)))
+
+    def _perform(self, host: Host, actions: list[quota.Action]) -> None:
+        for action in actions:
+            match action:
+                case quotaborrower.SendAsk():
+                    self._send_ask(host, action)
+                case leases.AskPromise():
+                    self._ask_promise(host, action)
+                case _:
+                    self._ask_table(host, action)
+
+    def _deliver(
+        self, origin: Host, to: Host, action: typing.Callable[[], None]
+    ) -> None:
+        if self._is_cut(origin, to):
+            return
+        domain = origin.member.failure_domain
+        is_near = domain == to.member.failure_domain
+        base_ms = NEAR_MS if is_near else FAR_MS
+        delay_ms = base_ms * self.rng.uniform(0.8, 1.6)
+        self._schedule(delay_ms, lambda: self._when_running(to, action))
+
+    def _send_ask(self, host: Host, action: quotaborrower.SendAsk) -> None:
+        lender = self.hosts.get(action.to)
+        if lender is None:
+            return
+        self._count(action.ask)
+
+        def answer() -> None:
+            grants = lender.node.on_ask(action.ask, self._time_of(lender))
+            self._count(grants)
+            event = quota.GrantsReceived(action.to, action.ask.seq, grants)
+            self._deliver(lender, host, lambda: self._handle(host, event))
+
+        self._deliver(host, lender, answer)
+
+    def _ask_promise(self, host: Host, action: leases.AskPromise) -> None:
+        deputy = self.hosts.get(action.to)
+        if deputy is None:
+            return
+
+        def answer() -> None:
+            reply = deputy.node.on_promise_ask(
+                action.ask, self._time_of(deputy)
+            )
+            event = leases.PromiseReplied(
+                action.ask.prefix,
+                action.to,
+                action.asked_at_ms,
+                reply.is_promised,
+            )
+            self._deliver(deputy, host, lambda: self._handle(host, event))
+
+        self._deliver(host, deputy, answer)
+
+    def _handle(self, host: Host, event: quota.Event) -> None:
+        self._perform(host, host.node.handle(event, self._time_of(host)))
+
+    def _count(self, message: object) -> None:
+        self.messages += 1
+        self.message_bytes += len(_ENCODER.encode(message))
+
+    def _ask_table(self, host: Host, request: tableio.Request) -> None:
+        domain = host.member.failure_domain
+        delay_ms = TABLE_MS * self.rng.uniform(0.5, 2.0)
+        if self.table.faults.outage_for(domain) is not tablestate.Outage.NONE:
+            event = _failed(request)
+            self._schedule(
+                delay_ms,
+                lambda: self._when_running(
+                    host, lambda: self._handle(host, event)
+                ),
+            )
+            return
+        delay_ms += self.table.faults.delay_ms * self.rng.random()
+        answer_ms = TABLE_MS * self.rng.uniform(0.5, 2.0)
+        answer_ms += self.table.faults.answer_delay_ms * self.rng.random()
+
+        def apply() -> None:
+            event = self._apply(request)
+            self._schedule(
+                answer_ms,
+                lambda: self._when_running(
+                    host, lambda: self._handle(host, event)
+                ),
+            )
+
+        self._schedule(delay_ms, apply)
+
+    def _apply(self, request: tableio.Request) -> tableio.Event:
+        match request:
+            case tableio.Scan(prefixes):
+                rows = tuple(tuple(self.table.scan(p)) for p in prefixes)
+                return tableio.Scanned(prefixes, rows)
+            case tableio.Read(key):
+                return tableio.ReadDone(key, True, self.table.read(key))
+            case tableio.Swap(writes):
+                result = self.table.transact(list(writes))
+                outcome = tableio.SwapOutcome.WRITTEN
+                if isinstance(result, errors.VersionConflictError):
+                    outcome = tableio.SwapOutcome.CONFLICT
+                elif self.table.loses_answer():
+                    outcome = tableio.SwapOutcome.UNKNOWN
+                return tableio.Swapped(request, outcome)
+
+
+def _failed(request: tableio.Request) -> tableio.Event:
+    match request:
+        case tableio.Scan(prefixes):
+            return tableio.Scanned(prefixes, None)
+        case tableio.Read(key):
+            return tableio.ReadDone(key, False, None)
+        case tableio.Swap():
+            return tableio.Swapped(request, tableio.SwapOutcome.UNAVAILABLE)
--- /dev/null
+++ b/src/parsleystile/leasewatch.py
@@ -0,0 +1,202 @@
+"""What a node knows of other nodes' leases, and when it may revoke one."""
+
+import dataclasses
+import random
+
+import msgspec
+
+from parsleystile import ids
+from parsleystile import leases
+from parsleystile import table
+from parsleystile import tableio
+
+# A row in a final state is removed after this time.
+KEEP_MS = 600_000.0
+# A new process gives no promise until any write that an earlier process of
+# the same node left under way has taken effect and could be seen.
+QUIET_MS = 3_000.0
+
+_HELD = leases.LeaseState.HELD
+
+
+@dataclasses.dataclass(slots=True)
+class Sighting:
+    """A lease row, since when it was seen unchanged, and when last read."""
+
+    row: leases.LeaseRow
+    version: int
+    since_ms: float
+    read_at_ms: float
+
+
+class LeaseWatch:
+    """Sightings of lease rows, promises given, revocations under way."""
+
+    def __init__(
+        self,
+        prefix: str,
+        node_id: ids.NodeId,
+        rng: random.Random,
+        now_ms: float,
+    ) -> None:
+        self._prefix = prefix
+        self._node_id = node_id
+        self._rng = rng
+        self._born_ms = now_ms
+        self._sightings: dict[ids.NodeId, Sighting] = {}
+        self._promised_ms: dict[ids.NodeId, float] = {}
+        # True while the write is under way, False while in doubt or done
+        # and not yet seen in the table.
+        self._revoking: dict[ids.NodeId, bool] = {}
+
+    def observe(self, rows: tuple[table.Row, ...], now_ms: float) -> None:
+        """Take in all lease rows, as read by an answer that came now."""
+        found = {ids.NodeId(r.key.removeprefix(self._prefix)) for r in rows}
+        for node_id in self._sightings.keys() - found:
+            self._forget(node_id)
+        for row in rows:
+            self.observe_one(row, now_ms)
+
+    def observe_one(self, row: table.Row, now_ms: float) -> None:
+        """Take in one lease row, as read by an answer that came now."""
+        node_id = ids.NodeId(row.key.removeprefix(self._prefix))
+        found = leases.decode_row(row.value)
+        old = self._sightings.get(node_id)
+        if old is not None and old.row == found:
+            old.read_at_ms = now_ms
+            return
+        if old is not None and self._is_older(row, found, old):
+            return
+        self._forget(node_id)
+        self._sightings[node_id] = Sighting(found, row.version, now_ms, now_ms)
+
+    def watched(self) -> list[str]:
+        """Return the keys of the leases that this node may revoke early."""
+        return [
+            self._prefix + node_id
+            for node_id, sighting in self._sightings.items()
+            if self._node_id in sighting.row.deputies
+        ]
+
+    def epoch_of(self, owner: ids.NodeId) -> str | None:
+        """Return the epoch that holds the lease of ``owner``, if any."""
+        sighting = self._sightings.get(owner)
+        if sighting is None or sighting.row.state is not _HELD:
+            return None
+        return sighting.row.epoch
+
+    @staticmethod
+    def _is_older(
+        row: table.Row, found: leases.LeaseRow, seen: Sighting
+    ) -> bool:
+        # Answers of reads may cross.
+        return found.epoch == seen.row.epoch and row.version < seen.version
+
+    def _forget(self, node_id: ids.NodeId) -> None:
+        self._sightings.pop(node_id, None)
+        if self._revoking.get(node_id) is False:
+            del self._revoking[node_id]
+
+    def is_free(
+        self,
+        owner: ids.NodeId,
+        epoch: str,
+        clear_ms: float,
+        now_ms: float,
+    ) -> bool:
+        """Return whether what ``owner`` held under ``epoch`` is free.
+
+        True only if the epoch has ended for good and, after a release,
+        ``clear_ms`` have passed.
+        """
+        sighting = self._sightings.get(owner)
+        if sighting is None or sighting.row.epoch != epoch:
+            return True
+        match sighting.row.state:
+            case leases.LeaseState.HELD:
+                return False
+            case leases.LeaseState.REVOKED:
+                return True
+            case leases.LeaseState.RELEASED:
+                return now_ms >= sighting.since_ms + clear_ms
+
+    def promise(
+        self, ask: leases.PromiseAsk, now_ms: float
+    ) -> leases.PromiseReply:
+        """Promise not to revoke a lease, unless that has begun."""
+        if ask.holder in self._revoking:
+            return leases.PromiseReply(False)
+        sighting = self._sightings.get(ask.holder)
+        if sighting is None or sighting.row.epoch != ask.epoch:
+            return leases.PromiseReply(False)
+        is_early = sighting.read_at_ms < self._born_ms + QUIET_MS
+        if is_early or sighting.row.state is not _HELD:
+            return leases.PromiseReply(False)
+        until_ms = now_ms + leases.PROMISE_MS + leases.MARGIN_MS
+        self._promised_ms[ask.holder] = until_ms
+        return leases.PromiseReply(True)
+
+    def revoke_lapsed(self, now_ms: float) -> list[tableio.Swap]:
+        """Return the writes that revoke or remove rows, a row each."""
+        swaps = []
+        for node_id, sighting in self._sightings.items():
+            if self._may_revoke(node_id, sighting, now_ms):
+                self._revoking[node_id] = True
+                swaps.append(self._revocation(node_id, sighting))
+            elif self._may_remove(sighting, now_ms):
+                key = self._prefix + node_id
+                write = table.Write(key, None, sighting.version)
+                swaps.append(tableio.Swap((write,)))
+        return swaps
+
+    def on_swapped(self, event: tableio.Swapped) -> None:
+        """Take in what became of a revocation."""
+        key = event.swap.writes[0].key
+        node_id = ids.NodeId(key.removeprefix(self._prefix))
+        if node_id not in self._revoking:
+            return
+        match event.outcome:
+            case tableio.SwapOutcome.WRITTEN | tableio.SwapOutcome.UNKNOWN:
+                # No promise until the row is seen changed.
+                self._revoking[node_id] = False
+            case _:
+                del self._revoking[node_id]
+
+    def _may_revoke(
+        self, node_id: ids.NodeId, sighting: Sighting, now_ms: float
+    ) -> bool:
+        if sighting.row.state is not _HELD or self._revoking.get(node_id):
+            return False
+        age_ms = now_ms - sighting.since_ms - leases.MARGIN_MS
+        if age_ms < leases.LEASE_MS:
+            return False
+        deputies = sighting.row.deputies
+        if deputies and self._node_id not in deputies:
+            return age_ms >= leases.EXTENSION_MS
+        return now_ms >= self._promised_ms.get(node_id, 0.0)
+
+    def _may_remove(self, sighting: Sighting, now_ms: float) -> bool:
+        if sighting.row.state is _HELD:
+            return False
+        # One node in some tens finds the time for it on any one scan.
+        is_old = now_ms >= sighting.since_ms + KEEP_MS
+        return is_old and self._rng.random() < 1 / 16
+
+    def _revocation(
+        self, node_id: ids.NodeId, sighting: Sighting
+    ) -> tableio.Swap:
+        row = leases.LeaseRow(
+            sighting.row.epoch,
+            f'{self._rng.getrandbits(64):016x}',
+            leases.LeaseState.REVOKED,
+        )
+        key = self._prefix + node_id
+        value = msgspec.msgpack.encode(row)
+        return tableio.Swap((table.Write(key, value, sighting.version),))
+
+
+def lease_watch(
+    prefix: str, node_id: ids.NodeId, rng: random.Random, now_ms: float
+) -> LeaseWatch:
+    """Create a watch that has seen nothing yet, in a new process."""
+    return LeaseWatch(prefix, node_id, rng, now_ms)
--- /dev/null
+++ b/src/parsleystile/parts.py
@@ -0,0 +1,343 @@
+"""Parts of something shared, each owned by one node under its lease.
+
+Rows ``<prefix><shard>/<part>`` name the owners. A part is claimed only when
+its row says that it was given up and what its owner handed out has lapsed,
+or when the lease of its owner has ended. Who claims is only a matter of
+taste: the rows and the leases keep owners apart.
+"""
+
+import dataclasses
+import random
+import zlib
+
+import msgspec
+
+from parsleystile import ids
+from parsleystile import leasewatch
+from parsleystile import table
+from parsleystile import tableio
+
+# The next in rank claims a part that has been free for so long.
+RANK_DELAY_MS = 4_000.0
+# An uneven spread over failure domains is evened out after this time.
+UNEVEN_MS = 5_000.0
+# Parts of a shard given up at once; each is out of use for a while.
+MOVED_AT_ONCE = 2
+
+
+class PartRow(msgspec.Struct, frozen=True):
+    """Value of the row of one part.
+
+    Attributes:
+        owner: Node that owns the part; empty if it was given up.
+        epoch: Lease epoch of the owner.
+        nonce: Unique to one write.
+        is_first: Nobody owned the part before.
+    """
+
+    owner: ids.NodeId
+    epoch: str
+    nonce: str
+    is_first: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class PartId:
+    """One part of one shard."""
+
+    shard: int
+    part: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Layout:
+    """How something is cut; fixed for the life of the fleet.
+
+    Attributes:
+        prefix: Of the rows; ends with a slash.
+        shards: Number of shards.
+        parts: Parts of each shard.
+        clear_ms: How long a part that was given up stays unused, until
+            what was handed out of it has lapsed.
+        by_domain: Every failure domain gets its share of each shard.
+    """
+
+    prefix: str
+    shards: int
+    parts: int
+    clear_ms: float
+    by_domain: bool = True
+
+    def key(self, part: PartId) -> str:
+        """Return the key of the row of a part."""
+        return f'{self.prefix}{part.shard:03d}/{part.part:02d}'
+
+    def part_of(self, key: str) -> PartId:
+        """Return the part of a row key."""
+        shard, _, part = key.removeprefix(self.prefix).partition('/')
+        return PartId(int(shard), int(part))
+
+
+@dataclasses.dataclass(slots=True)
+class Seen:
+    """A part's row and since when it was seen unchanged."""
+
+    row: PartRow
+    version: int
+    since_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class View:
+    """What a node knows when it decides on claims.
+
+    Attributes:
+        node_id: This node.
+        failure_domain: Where it runs.
+        epoch: Its lease epoch; None while the lease does not hold.
+        domains: Of the members that are alive, this node included.
+        watch: Leases as last seen, read after the part rows.
+    """
+
+    node_id: ids.NodeId
+    failure_domain: ids.FailureDomainId
+    epoch: str | None
+    domains: dict[ids.NodeId, ids.FailureDomainId]
+    watch: leasewatch.LeaseWatch
+
+
+class PartMap:
+    """Owners of all parts as last read, and the decisions on claims."""
+
+    def __init__(self, layout: Layout, rng: random.Random) -> None:
+        self.layout = layout
+        self.read_at_ms: float | None = None
+        self._rng = rng
+        self._seen: dict[PartId, Seen] = {}
+        self._free_since_ms: dict[PartId, float] = {}
+        self._uneven_since_ms: dict[int, float] = {}
+        self._claiming: set[int] = set()
+        self._released: dict[PartId, int] = {}
+        self._owners: dict[int, dict[ids.NodeId, int]] = {}
+
+    def observe(self, rows: tuple[table.Row, ...], now_ms: float) -> None:
+        """Take in all rows, as read by an answer that came now."""
+        for row in rows:
+            part = self.layout.part_of(row.key)
+            old = self._seen.get(part)
+            if old is not None and row.version <= old.version:
+                continue
+            found = msgspec.msgpack.decode(row.value, type=PartRow)
+            self._seen[part] = Seen(found, row.version, now_ms)
+        self.read_at_ms = now_ms
+        self._recount_owners()
+
+    def learn_owners(self, owners: dict[PartId, ids.NodeId]) -> None:
+        """Take owners from another node, while none were ever read."""
+        if self.read_at_ms is None:
+            self._owners = _count_owners(owners)
+
+    def owners(self, shard: int) -> dict[ids.NodeId, int]:
+        """Return the owners of a shard and their numbers of parts."""
+        return self._owners.get(shard, {})
+
+    def rows(self) -> dict[PartId, Seen]:
+        """Return what was seen of every part."""
+        return self._seen
+
+    def owned(self, node_id: ids.NodeId, epoch: str) -> dict[PartId, PartRow]:
+        """Return the parts that their rows say a holder owns."""
+        return {
+            part: seen.row
+            for part, seen in self._seen.items()
+            if seen.row.owner == node_id
+            and seen.row.epoch == epoch
+            and self._released.get(part, 0) < seen.version
+        }
+
+    def wants_any(self, view: View, now_ms: float) -> bool:
+        """Return whether this node would claim parts if it had a lease."""
+        return any(
+            self._wanted(shard, view, now_ms)
+            for shard in range(self.layout.shards)
+        )
+
+    def claims(self, view: View, now_ms: float) -> list[tableio.Swap]:
+        """Return the writes that claim free parts, a shard each."""
+        if view.epoch is None:
+            return []
+        swaps = []
+        for shard in range(self.layout.shards):
+            if shard in self._claiming:
+                continue
+            wanted = self._wanted(shard, view, now_ms)
+            if wanted:
+                self._claiming.add(shard)
+                swaps.append(self._claim(wanted, view))
+        return swaps
+
+    def releases(self, view: View, now_ms: float) -> list[PartId]:
+        """Return the parts to give up so that every domain has its share.
+
+        The caller stops using them at once and then writes
+        ``release_swap``.
+        """
+        if view.epoch is None:
+            return []
+        surplus: list[PartId] = []
+        for shard in range(self.layout.shards):
+            surplus += self._surplus(shard, view, now_ms)
+        return surplus
+
+    def release_swap(self, part: PartId) -> tableio.Swap:
+        """Return the write that gives up a part; it is not ours any more."""
+        version = self._seen[part].version
+        self._released[part] = version
+        row = PartRow(ids.NodeId(''), '', self._nonce())
+        write = table.Write(
+            self.layout.key(part), msgspec.msgpack.encode(row), version
+        )
+        return tableio.Swap((write,))
+
+    def unwritten_releases(self, view: View) -> list[PartId]:
+        """Return parts given up whose rows still name this node."""
+        return [
+            part
+            for part, version in self._released.items()
+            if self._seen[part].version == version
+            and self._seen[part].row.epoch == view.epoch
+        ]
+
+    def on_swapped(self, event: tableio.Swapped) -> None:
+        """Take in what became of a claim; a later scan tells the rows."""
+        part = self.layout.part_of(event.swap.writes[0].key)
+        self._claiming.discard(part.shard)
+
+    def _recount_owners(self) -> None:
+        self._owners = _count_owners(
+            {
+                part: seen.row.owner
+                for part, seen in self._seen.items()
+                if seen.row.owner
+            }
+        )
+
+    def _is_free(self, part: PartId, view: View, now_ms: float) -> bool:
+        seen = self._seen.get(part)
+        if seen is None:
+            return True
+        if not seen.row.owner:
+            return now_ms >= seen.since_ms + self.layout.clear_ms
+        return view.watch.is_free(
+            seen.row.owner, seen.row.epoch, self.layout.clear_ms, now_ms
+        )
+
+    def _free_parts(
+        self, shard: int, view: View, now_ms: float
+    ) -> list[PartId]:
+        free = []
+        for number in range(self.layout.parts):
+            part = PartId(shard, number)
+            if self._is_free(part, view, now_ms):
+                self._free_since_ms.setdefault(part, now_ms)
+                free.append(part)
+            else:
+                self._free_since_ms.pop(part, None)
+        return free
+
+    def _domain_counts(
+        self, shard: int, view: View
+    ) -> dict[ids.FailureDomainId, int]:
+        domains = view.domains
+        counts = dict.fromkeys(domains.values(), 0)
+        for owner, parts in self.owners(shard).items():
+            if owner in domains:
+                counts[domains[owner]] += parts
+        return counts
+
+    def _wanted(self, shard: int, view: View, now_ms: float) -> list[PartId]:
+        free = self._free_parts(shard, view, now_ms)
+        if not free:
+            return []
+        counts = self._domain_counts(shard, view)
+        for part in free:
+            seen = self._seen.get(part)
+            if seen is not None and seen.row.owner in view.domains:
+                counts[view.domains[seen.row.owner]] -= 1
+        domains = sorted(counts)
+        most = -(-self.layout.parts // len(domains))
+        room = most - counts[view.failure_domain]
+        if room <= 0 or not self._is_my_turn(shard, free, view, now_ms):
+            return []
+        # Domains start at different parts, so that claims rarely clash.
+        start = (shard + domains.index(view.failure_domain)) % len(domains)
+        free.sort(key=lambda part: (part.part - start) % len(domains))
+        return free[:room]
+
+    def _is_my_turn(
+        self, shard: int, free: list[PartId], view: View, now_ms: float
+    ) -> bool:
+        here = view.failure_domain
+        local = [n for n, domain in view.domains.items() if domain == here]
+        live = {
+            seen.row.owner
+            for part, seen in self._seen.items()
+            if part.shard == shard and part not in free
+        }
+        owners_here = [node_id for node_id in local if node_id in live]
+        if owners_here:
+            return view.node_id == min(owners_here)
+        ranked = sorted(local, key=lambda n: _weight(shard, n))
+        rank = ranked.index(view.node_id)
+        since_ms = min(self._free_since_ms[part] for part in free)
+        return now_ms >= since_ms + rank * RANK_DELAY_MS
+
+    def _claim(self, wanted: list[PartId], view: View) -> tableio.Swap:
+        writes = []
+        for part in wanted:
+            seen = self._seen.get(part)
+            row = PartRow(
+                view.node_id, view.epoch, self._nonce(), seen is None
+            )
+            version = table.ABSENT if seen is None else seen.version
+            value = msgspec.msgpack.encode(row)
+            writes.append(table.Write(self.layout.key(part), value, version))
+        return tableio.Swap(tuple(writes))
+
+    def _surplus(self, shard: int, view: View, now_ms: float) -> list[PartId]:
+        counts = self._domain_counts(shard, view)
+        least = self.layout.parts // len(counts)
+        most = -(-self.layout.parts // len(counts))
+        surplus = counts[view.failure_domain] - most
+        if surplus <= 0 or min(counts.values()) >= least:
+            self._uneven_since_ms.pop(shard, None)
+            return []
+        since_ms = self._uneven_since_ms.setdefault(shard, now_ms)
+        if now_ms < since_ms + UNEVEN_MS:
+            return []
+        del self._uneven_since_ms[shard]
+        mine = self.owned(view.node_id, view.epoch)
+        ours = sorted(p for p in mine if p.shard == shard)
+        return ours[: min(surplus, MOVED_AT_ONCE)]
+
+    def _nonce(self) -> str:
+        return f'{self._rng.getrandbits(64):016x}'
+
+
+def _count_owners(
+    owners: dict[PartId, ids.NodeId],
+) -> dict[int, dict[ids.NodeId, int]]:
+    counts: dict[int, dict[ids.NodeId, int]] = {}
+    for part, owner in owners.items():
+        shard = counts.setdefault(part.shard, {})
+        shard[owner] = shard.get(owner, 0) + 1
+    return counts
+
+
+def _weight(shard: int, node_id: ids.NodeId) -> int:
+    return zlib.crc32(f'{shard}/{node_id}'.encode())
+
+
+def part_map(layout: Layout, rng: random.Random) -> PartMap:
+    """Create a map of parts whose owners are not known yet."""
+    return PartMap(layout, rng)
--- /dev/null
+++ b/src/parsleystile/quota.py
@@ -0,0 +1,239 @@
+"""Rate and burst of every organisation across all VMs: one node's part.
+
+A state machine without I/O: events and the time go in, actions come out.
+It owns parts of quotas under the node's lease, lends of them to other nodes
+and to itself, and borrows what the calls that arrive here need.
+"""
+
+import dataclasses
+import random
+import typing
+import zlib
+
+from parsleystile import fleetconfig
+from parsleystile import ids
+from parsleystile import leases
+from parsleystile import members as member_types
+from parsleystile import ownership
+from parsleystile import parts
+from parsleystile import quotaborrower
+from parsleystile import quotalender
+from parsleystile import quotawire
+
+PRUNE_MS = 1_000.0
+NO_QUOTA = quotalender.Quota(0.0, 0.0)
+
+LAYOUT = parts.Layout(
+    quotawire.PART_PREFIX, quotawire.SHARDS, quotawire.PARTS, leases.CLEAR_MS
+)
+PLAN = ownership.Plan(
+    LAYOUT, quotawire.LEASE_PREFIX, ownership.deputies_nearby
+)
+
+GetConfig = typing.Callable[[], fleetconfig.FleetConfig]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GrantsReceived:
+    """Event: a lender's reply; None if there was none."""
+
+    lender: ids.NodeId
+    seq: int
+    grants: quotawire.Grants | None
+
+
+Action = ownership.Action | quotaborrower.SendAsk
+Event = ownership.Event | GrantsReceived
+
+
+class Quotas:
+    """Quotas by the configuration in force at this node."""
+
+    def __init__(self, get_config: GetConfig) -> None:
+        self._get_config = get_config
+        self._config: fleetconfig.FleetConfig | None = None
+        self._quotas: dict[ids.OrganisationId, quotalender.Quota] = {}
+
+    def refresh(self) -> bool:
+        """Return whether the configuration has changed."""
+        config = self._get_config()
+        if config is self._config:
+            return False
+        self._config = config
+        preset = config.presets.get(config.active_preset)
+        factor = 1.0 if preset is None else preset.rate_factor
+        self._quotas = {
+            organisation: quotalender.Quota(
+                limits.rate_per_s * factor, float(limits.burst)
+            )
+            for organisation, limits in config.organisations.items()
+        }
+        return True
+
+    def of(self, organisation: ids.OrganisationId) -> quotalender.Quota | None:
+        """Return the quota of an organisation; None if it has none."""
+        return self._quotas.get(organisation)
+
+
+class QuotaNode:
+    """The quotas as one node sees, lends and borrows them.
+
+    Attributes:
+        try_take: Takes a token for an organisation at once or refuses.
+        take: The same, waiting a little for a grant.
+        needs_pump: Asks are due; the shell calls ``pump`` soon.
+    """
+
+    def __init__(
+        self,
+        node_id: ids.NodeId,
+        failure_domain: ids.FailureDomainId,
+        rng: random.Random,
+        get_config: GetConfig,
+        on_due: typing.Callable[[], None],
+        now_ms: float,
+    ) -> None:
+        self._node_id = node_id
+        self._failure_domain = failure_domain
+        self._quotas = Quotas(get_config)
+        self._quotas.refresh()
+        self._domains: dict[ids.NodeId, ids.FailureDomainId] = {}
+        self._lender_order: dict[int, list[ids.NodeId]] = {}
+        self._next_prune_ms = now_ms
+        self.ownership = ownership.ownership(
+            PLAN, node_id, failure_domain, rng, now_ms
+        )
+        self.lender = quotalender.lender(self._quotas.of)
+        self.borrower = quotaborrower.borrower(
+            node_id, self._quotas.of, self._lenders_of, rng, on_due
+        )
+        self.try_take = self.borrower.try_take
+        self.take = self.borrower.take
+
+    def set_members(self, members: list[member_types.Member]) -> None:
+        """Take in who is alive."""
+        self._domains = {m.node_id: m.failure_domain for m in members}
+        self._lender_order.clear()
+        self.ownership.set_members(members)
+
+    def tick(self, now_ms: float) -> list[Action]:
+        """Do what time has made due; wanted every 20 ms or so."""
+        if self._quotas.refresh():
+            self.lender.refresh_quotas(now_ms)
+        actions: list[Action] = list(self.ownership.tick(now_ms))
+        self._apply_changes(now_ms)
+        if now_ms >= self._next_prune_ms:
+            self._next_prune_ms = now_ms + PRUNE_MS
+            self.lender.prune(now_ms)
+        self.borrower.tick(now_ms)
+        return actions + self.pump(now_ms)
+
+    def pump(self, now_ms: float) -> list[quotaborrower.SendAsk]:
+        """Return the asks that are due; those to this node are answered."""
+        to_send = []
+        asks = self.borrower.due_asks(now_ms)
+        while asks:
+            local = [a for a in asks if a.to == self._node_id]
+            to_send += [a for a in asks if a.to != self._node_id]
+            for action in local:
+                grants = self.on_ask(action.ask, now_ms)
+                self._on_grants(self._node_id, action.ask.seq, grants, now_ms)
+            asks = self.borrower.due_asks(now_ms) if local else []
+        return to_send
+
+    def handle(self, event: Event, now_ms: float) -> list[Action]:
+        """Take in a result of the table, a deputy or a lender."""
+        match event:
+            case GrantsReceived(lender, seq, grants):
+                self._on_grants(lender, seq, grants, now_ms)
+                return self.pump(now_ms)
+            case _:
+                actions = list(self.ownership.handle(event, now_ms))
+                self._apply_changes(now_ms)
+                return actions
+
+    def on_ask(
+        self, ask: quotawire.Ask, now_ms: float
+    ) -> quotawire.Grants | None:
+        """Answer a borrower; None if the ask is stale."""
+        lease = self.ownership.lease
+        return self.lender.lend(
+            ask, lease.epoch, lease.valid_until_ms(), now_ms
+        )
+
+    def on_promise_ask(
+        self, ask: leases.PromiseAsk, now_ms: float
+    ) -> leases.PromiseReply:
+        """Answer a holder that names this node as deputy."""
+        return self.ownership.watch.promise(ask, now_ms)
+
+    def stop(self, now_ms: float) -> list[Action]:
+        """Give back what is borrowed and give up what is owned."""
+        self.borrower.stop(now_ms)
+        actions: list[Action] = list(self.pump(now_ms))
+        actions += self.ownership.stop(now_ms)
+        self._apply_changes(now_ms)
+        return actions
+
+    def _on_grants(
+        self,
+        lender: ids.NodeId,
+        seq: int,
+        grants: quotawire.Grants | None,
+        now_ms: float,
+    ) -> None:
+        if grants is None:
+            self.borrower.on_failed(lender, seq, now_ms)
+            return
+        if not grants.epoch:
+            self.ownership.rescan_soon(now_ms)
+        self.borrower.on_grants(lender, seq, grants, now_ms)
+
+    def _apply_changes(self, now_ms: float) -> None:
+        for change in self.ownership.take_changes():
+            match change:
+                case ownership.Gained(part, row):
+                    self.lender.add_part(
+                        part.shard, part.part, row.is_first, now_ms
+                    )
+                case ownership.Lost(part):
+                    self.lender.remove_part(part.shard, part.part, now_ms)
+                case ownership.EpochEnded():
+                    self.lender.clear()
+        if self.ownership.part_map.read_at_ms is not None:
+            self._lender_order.clear()
+
+    def _lenders_of(self, shard: int) -> list[ids.NodeId]:
+        """Return the owners of a shard's parts, the nearest first."""
+        order = self._lender_order.get(shard)
+        if order is None:
+            owners = self.ownership.part_map.owners(shard)
+            order = sorted(owners, key=self._distance)
+            self._lender_order[shard] = order
+        return order
+
+    def _distance(self, owner: ids.NodeId) -> tuple[bool, bool, int]:
+        is_far = self._domains.get(owner) != self._failure_domain
+        spread = zlib.crc32(f'{self._node_id}/{owner}'.encode())
+        return owner != self._node_id, is_far, spread
+
+
+def quota_node(
+    node_id: ids.NodeId,
+    failure_domain: ids.FailureDomainId,
+    rng: random.Random,
+    get_config: GetConfig,
+    on_due: typing.Callable[[], None],
+    now_ms: float,
+) -> QuotaNode:
+    """Create the quotas of a node that owns and holds nothing yet.
+
+    Args:
+        node_id: This node.
+        failure_domain: Where it runs.
+        rng: Source of epochs, nonces and jitter.
+        get_config: Returns the configuration in force here.
+        on_due: Called when ``pump`` has something to send.
+        now_ms: Time of the start.
+    """
+    return QuotaNode(node_id, failure_domain, rng, get_config, on_due, now_ms)
--- /dev/null
+++ b/src/parsleystile/quotaborrower.py
@@ -0,0 +1,456 @@
+"""The borrower's side of quotas: takes at this node, out of short grants."""
+
+import dataclasses
+import random
+import typing
+
+from parsleystile import errors
+from parsleystile import ids
+from parsleystile import quotabucket
+from parsleystile import quotalender
+from parsleystile import quotawire
+
+# Everything held is asked for anew after this time.
+ROUND_MS = 1_000.0
+# An organisation unused for so long gives everything back.
+IDLE_MS = 400.0
+ASK_TIMEOUT_MS = 200.0
+# A lender that did not answer is left alone for so long.
+DOWN_MS = 500.0
+# A call waits for a grant at most so long.
+WAIT_MS = 100.0
+MAX_WAITING = 256
+SWEEP_GAP_MS = 5.0
+# Least time between sweeps that only refill ahead of need.
+AHEAD_GAP_MS = 100.0
+# While calls wait, the next lender is asked after this time.
+HEDGE_MS = 30.0
+SHORTEST_RETRY_MS = 20.0
+LONGEST_RETRY_MS = 200.0
+RETRY_JITTER = 0.5
+_RATE_HEADROOM = 1.25
+_STOCK_S = 0.5
+
+LendersOf = typing.Callable[[int], list[ids.NodeId]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendAsk:
+    """Action: send ``ask`` to the lender ``to``."""
+
+    to: ids.NodeId
+    ask: quotawire.Ask
+
+
+@dataclasses.dataclass(slots=True)
+class _Lender:
+    """What the borrower knows of one lender."""
+
+    seq: int = 0
+    asked_at_ms: float | None = None
+    asked: tuple[ids.OrganisationId, ...] = ()
+    pending: dict[ids.OrganisationId, None] = dataclasses.field(
+        default_factory=dict
+    )
+    down_until_ms: float = 0.0
+    epoch: str = ''
+
+
+class Borrower:
+    """Answers each take at once, and borrows ahead of demand."""
+
+    def __init__(
+        self,
+        node_id: ids.NodeId,
+        quota_of: quotalender.QuotaOf,
+        lenders_of: LendersOf,
+        rng: random.Random,
+        on_due: typing.Callable[[], None],
+    ) -> None:
+        self._node_id = node_id
+        self._process = f'{rng.getrandbits(64):016x}'
+        self._quota_of = quota_of
+        self._lenders_of = lenders_of
+        self._rng = rng
+        self._on_due = on_due
+        self._states: dict[ids.OrganisationId, quotabucket.Bucket] = {}
+        self._lenders: dict[ids.NodeId, _Lender] = {}
+        self._urgent: dict[ids.OrganisationId, None] = {}
+        self._is_stopping = False
+        self.asks_sent = 0
+
+    @property
+    def organisations(self) -> int:
+        """Organisations with state here."""
+        return len(self._states)
+
+    def try_take(
+        self, organisation: ids.OrganisationId, now_ms: float
+    ) -> errors.Refusal | None:
+        """Take one token; None if the call may run.
+
+        Args:
+            organisation: On whose behalf the call would run.
+            now_ms: Must have been read just before.
+        """
+        state = self._states.get(organisation)
+        if state is None:
+            return self._refuse_first(organisation, now_ms)
+        state.attempts += 1
+        if now_ms >= state.next_change_ms:
+            state.settle(now_ms)
+        tokens = state.tokens + (now_ms - state.at_ms) * state.rate_per_ms
+        if tokens > state.burst:
+            tokens = state.burst
+        state.at_ms = now_ms
+        if tokens >= 1.0 and not state.waiting:
+            state.tokens = tokens = tokens - 1.0
+            if tokens < state.low_water:
+                self._refill_ahead(state, now_ms)
+            return None
+        state.tokens = tokens
+        self._make_urgent(state, now_ms)
+        return self._refusal(state, now_ms)
+
+    def take(
+        self,
+        organisation: ids.OrganisationId,
+        now_ms: float,
+        on_take: quotabucket.OnTake,
+    ) -> None:
+        """Take one token, waiting up to ``WAIT_MS`` for a grant.
+
+        ``on_take`` is called exactly once, at once where that is possible.
+        """
+        refusal = self.try_take(organisation, now_ms)
+        state = self._states.get(organisation)
+        if refusal is None or state is None or not self._may_wait(state):
+            on_take(refusal)
+            return
+        state.waiting.append(quotabucket.Waiter(now_ms + WAIT_MS, on_take))
+
+    def tick(self, now_ms: float) -> None:
+        """Start rounds that are due and end what has waited too long."""
+        for lender_id, lender in list(self._lenders.items()):
+            asked_at_ms = lender.asked_at_ms
+            if asked_at_ms is None:
+                continue
+            if now_ms >= asked_at_ms + ASK_TIMEOUT_MS:
+                self.on_failed(lender_id, lender.seq, now_ms)
+        for state in list(self._states.values()):
+            self._tick_one(state, now_ms)
+
+    def due_asks(self, now_ms: float) -> list[SendAsk]:
+        """Return the asks to send now."""
+        for organisation in list(self._urgent):
+            state = self._states.get(organisation)
+            if state is None or state.sweep is not None:
+                del self._urgent[organisation]
+            elif self._may_sweep(state, now_ms):
+                del self._urgent[organisation]
+                self._start_sweep(state, now_ms)
+        asks = []
+        for lender_id, lender in list(self._lenders.items()):
+            if lender.pending and lender.asked_at_ms is None:
+                asks.append(self._ask(lender_id, lender, now_ms))
+        return asks
+
+    def on_grants(
+        self,
+        lender_id: ids.NodeId,
+        seq: int,
+        grants: quotawire.Grants,
+        now_ms: float,
+    ) -> None:
+        """Take in a reply; one that comes late is not counted on."""
+        lender = self._lenders.get(lender_id)
+        if lender is None or lender.seq != seq or lender.asked_at_ms is None:
+            return
+        if not grants.epoch:
+            self.on_failed(lender_id, seq, now_ms)
+            return
+        until_ms = lender.asked_at_ms + grants.life_ms
+        asked, lender.asked = lender.asked, ()
+        lender.asked_at_ms = None
+        lender.epoch = grants.epoch
+        for item in grants.items:
+            state = self._states.get(item.organisation)
+            if state is not None:
+                self._apply(state, lender_id, item, until_ms, now_ms)
+        for organisation in asked:
+            self._next_lender(organisation, now_ms)
+
+    def on_failed(
+        self, lender_id: ids.NodeId, seq: int, now_ms: float
+    ) -> None:
+        """Take in that an ask was not answered."""
+        lender = self._lenders.get(lender_id)
+        if lender is None or lender.seq != seq or lender.asked_at_ms is None:
+            return
+        asked, lender.asked = lender.asked, ()
+        lender.asked_at_ms = None
+        lender.down_until_ms = now_ms + DOWN_MS
+        stranded = [*asked, *lender.pending]
+        lender.pending.clear()
+        for organisation in stranded:
+            self._next_lender(organisation, now_ms)
+
+    def stop(self, now_ms: float) -> None:
+        """Refuse whoever waits; the asks now due give everything back."""
+        self._is_stopping = True
+        for state in list(self._states.values()):
+            self._refuse_waiting(state, now_ms)
+            if state.sweep is None:
+                self._start_sweep(state, now_ms)
+
+    def _refuse_first(
+        self, organisation: ids.OrganisationId, now_ms: float
+    ) -> errors.Refusal | None:
+        if organisation == ids.OPEN_ORGANISATION:
+            return None
+        if self._quota_of(organisation) is None:
+            return errors.not_run(
+                errors.Reason.RATE_LIMITED,
+                f'organisation {organisation!r} has no quota',
+            )
+        state = quotabucket.Bucket(organisation, now_ms)
+        state.attempts = 1
+        state.counted_ms = now_ms - quotabucket.SHORTEST_COUNT_MS
+        state.sweep_at_ms = now_ms - ROUND_MS
+        self._states[organisation] = state
+        self._make_urgent(state, now_ms)
+        return self._refusal(state, now_ms)
+
+    def _refusal(
+        self, state: quotabucket.Bucket, now_ms: float
+    ) -> errors.Refusal:
+        quota = self._quota_of(state.organisation)
+        rate_per_s = quota.rate_per_s if quota else 0.0
+        after_ms = max(state.retry_at_ms - now_ms, 1e3 / max(rate_per_s, 1.0))
+        spread = 1.0 + RETRY_JITTER * self._rng.random()
+        return errors.not_run(
+            errors.Reason.RATE_LIMITED,
+            'rate and burst are used up',
+            int(after_ms * spread) + 1,
+        )
+
+    def _make_urgent(self, state: quotabucket.Bucket, now_ms: float) -> None:
+        state.used_ms = now_ms
+        if state.sweep is not None or state.organisation in self._urgent:
+            return
+        self._urgent[state.organisation] = None
+        if self._may_sweep(state, now_ms):
+            self._on_due()
+
+    def _refill_ahead(self, state: quotabucket.Bucket, now_ms: float) -> None:
+        if now_ms >= state.sweep_at_ms + AHEAD_GAP_MS:
+            self._make_urgent(state, now_ms)
+
+    @staticmethod
+    def _may_wait(state: quotabucket.Bucket) -> bool:
+        # An organisation far above its rate is told so at once.
+        return len(state.waiting) < MAX_WAITING and (
+            len(state.waiting) <= 2 + state.burst or not state.retry_at_ms
+        )
+
+    @staticmethod
+    def _may_sweep(state: quotabucket.Bucket, now_ms: float) -> bool:
+        earliest_ms = max(state.sweep_at_ms + SWEEP_GAP_MS, state.retry_at_ms)
+        return now_ms >= earliest_ms
+
+    def _tick_one(self, state: quotabucket.Bucket, now_ms: float) -> None:
+        state.settle(now_ms)
+        self._serve_waiting(state, now_ms)
+        if state.attempts != state.attempts_ticked:
+            state.attempts_ticked = state.attempts
+            state.used_ms = now_ms
+        if state.sweep is not None:
+            self._hedge(state, now_ms)
+            return
+        is_idle = self._is_idle(state, now_ms)
+        if is_idle and not state.holdings:
+            del self._states[state.organisation]
+            return
+        gap_ms = IDLE_MS if is_idle else ROUND_MS
+        if now_ms >= state.sweep_at_ms + gap_ms:
+            self._start_sweep(state, now_ms)
+
+    def _hedge(self, state: quotabucket.Bucket, now_ms: float) -> None:
+        if state.waiting and now_ms >= state.asked_at_ms + HEDGE_MS:
+            self._next_lender(state.organisation, now_ms)
+
+    def _start_sweep(self, state: quotabucket.Bucket, now_ms: float) -> None:
+        shard = quotawire.shard_of(state.organisation)
+        lenders = list(self._lenders_of(shard))
+        others = [h for h in state.holdings if h not in lenders]
+        state.sweep = lenders + others
+        state.sweep_at_ms = now_ms
+        state.retry_at_ms = 0.0
+        state.retry_after_ms = LONGEST_RETRY_MS
+        state.count_demand(now_ms)
+        self._next_lender(state.organisation, now_ms)
+
+    def _next_lender(
+        self, organisation: ids.OrganisationId, now_ms: float
+    ) -> None:
+        state = self._states.get(organisation)
+        if state is None or state.sweep is None:
+            return
+        while state.sweep:
+            lender_id = state.sweep.pop(0)
+            lender = self._lenders.setdefault(lender_id, _Lender())
+            if now_ms < lender.down_until_ms:
+                continue
+            if lender_id in state.holdings or self._is_short(state, now_ms):
+                state.asked_at_ms = now_ms
+                lender.pending[organisation] = None
+                if lender.asked_at_ms is None:
+                    self._on_due()
+                return
+        state.sweep = None
+        if self._is_short(state, now_ms):
+            after_ms = max(state.retry_after_ms, SHORTEST_RETRY_MS)
+            state.retry_at_ms = now_ms + min(after_ms, LONGEST_RETRY_MS)
+        if state.waiting:
+            self._make_urgent(state, now_ms)
+
+    def _is_short(self, state: quotabucket.Bucket, now_ms: float) -> bool:
+        if self._is_idle(state, now_ms):
+            return False
+        state.settle(now_ms)
+        want = self._want_per_s(state)
+        if state.rate_per_ms * 1e3 < 0.95 * want:
+            return True
+        return self._want_stock(state) > state.tokens
+
+    def _want_per_s(self, state: quotabucket.Bucket) -> float:
+        quota = self._quota_of(state.organisation)
+        if quota is None:
+            return 0.0
+        return min(_RATE_HEADROOM * state.demand_per_s, quota.rate_per_s)
+
+    def _want_stock(self, state: quotabucket.Bucket) -> float:
+        """Return the tokens that are worth holding now."""
+        quota = self._quota_of(state.organisation)
+        burst = quota.burst if quota else 0.0
+        ahead = max(1.0, state.demand_per_s * _STOCK_S)
+        return min(burst, len(state.waiting) + ahead)
+
+    def _ask(
+        self, lender_id: ids.NodeId, lender: _Lender, now_ms: float
+    ) -> SendAsk:
+        lender.seq += 1
+        lender.asked_at_ms = now_ms
+        lender.asked = tuple(lender.pending)
+        lender.pending.clear()
+        items = [
+            self._item(self._states[organisation], lender_id, now_ms)
+            for organisation in lender.asked
+            if organisation in self._states
+        ]
+        self.asks_sent += 1
+        return SendAsk(
+            lender_id,
+            quotawire.Ask(
+                self._node_id,
+                self._process,
+                lender.seq,
+                lender.epoch,
+                items,
+            ),
+        )
+
+    def _is_idle(self, state: quotabucket.Bucket, now_ms: float) -> bool:
+        if self._is_stopping:
+            return True
+        return now_ms >= state.used_ms + IDLE_MS and not state.waiting
+
+    def _item(
+        self, state: quotabucket.Bucket, lender_id: ids.NodeId, now_ms: float
+    ) -> quotawire.AskItem:
+        state.settle(now_ms)
+        is_idle = self._is_idle(state, now_ms)
+        stock = 0.0 if is_idle else self._want_stock(state)
+        want_per_s = 0.0 if is_idle else self._want_per_s(state)
+        held = state.holdings.get(lender_id)
+        other_per_s = state.rate_per_ms * 1e3 - (
+            held.rate_per_s if held else 0
+        )
+        want_per_s = max(0.0, want_per_s - other_per_s)
+        returned = state.shrink(held, want_per_s, stock)
+        want_tokens = max(0.0, stock - state.tokens)
+        room = (state.rate_per_ms * 1e3 + want_per_s) * quotabucket.ROOM_S
+        held_burst = held.burst if held else 0.0
+        return quotawire.AskItem(
+            state.organisation,
+            held.rate_per_s if held else 0.0,
+            held_burst,
+            held.until_ms - now_ms if held else 0.0,
+            returned,
+            state.demand_per_s,
+            want_per_s,
+            held_burst + want_tokens + (0.0 if is_idle else room),
+            want_tokens,
+            max(0, len(state.waiting) - int(state.tokens)),
+        )
+
+    def _apply(
+        self,
+        state: quotabucket.Bucket,
+        lender_id: ids.NodeId,
+        item: quotawire.GrantItem,
+        until_ms: float,
+        now_ms: float,
+    ) -> None:
+        state.settle(now_ms)
+        if item.rate_per_s > 0 or item.burst > 0:
+            state.holdings[lender_id] = quotabucket.Holding(
+                item.rate_per_s,
+                item.burst,
+                until_ms,
+                self._lenders[lender_id].epoch,
+            )
+        else:
+            state.holdings.pop(lender_id, None)
+        state.tokens += item.tokens
+        state.recount()
+        # A grant that came too late lapses here and now.
+        state.settle(now_ms)
+        if item.retry_after_ms:
+            shortest_ms = min(state.retry_after_ms, item.retry_after_ms)
+            state.retry_after_ms = shortest_ms
+        self._serve_waiting(state, now_ms)
+
+    def _serve_waiting(self, state: quotabucket.Bucket, now_ms: float) -> None:
+        while state.waiting and state.tokens >= 1.0:
+            state.tokens -= 1.0
+            state.waiting.popleft().on_take(None)
+        while state.waiting and now_ms >= state.waiting[0].until_ms:
+            refusal = self._refusal(state, now_ms)
+            state.waiting.popleft().on_take(refusal)
+
+    def _refuse_waiting(
+        self, state: quotabucket.Bucket, now_ms: float
+    ) -> None:
+        while state.waiting:
+            refusal = self._refusal(state, now_ms)
+            state.waiting.popleft().on_take(refusal)
+
+
+def borrower(
+    node_id: ids.NodeId,
+    quota_of: quotalender.QuotaOf,
+    lenders_of: LendersOf,
+    rng: random.Random,
+    on_due: typing.Callable[[], None],
+) -> Borrower:
+    """Create a borrower that holds nothing.
+
+    Args:
+        node_id: This node.
+        quota_of: Quota of an organisation now; None if it has none.
+        lenders_of: Owners of a shard's parts, the nearest first.
+        rng: Source of jitter.
+        on_due: Called when ``due_asks`` has something to send.
+    """
+    return Borrower(node_id, quota_of, lenders_of, rng, on_due)
