Run quota decisions on transport, table and clock

Cause: the node needs the quotas behind Rules.quota and ticks of its own. Ruled out: the arrival time that the filters pass as the time of a take: it may be older than a pause or a slow request body, so the service reads the clock itself.

--- /dev/null
+++ b/src/parsleystile/promiseservice.py
@@ -0,0 +1,88 @@
+"""Carries deputies' promises between nodes, for every kind of lease."""
+
+import typing
+
+import msgspec
+
+from parsleystile import clock as clocks
+from parsleystile import errors
+from parsleystile import ids
+from parsleystile import leases
+from parsleystile import ownership
+from parsleystile import transport
+
+PROMISE_KIND = 'lease-promise'
+_TIMEOUT_MS = 500.0
+
+OnReply = typing.Callable[[leases.PromiseReplied], None]
+Addresses = dict[ids.NodeId, transport.Address]
+
+
+class PromiseService:
+    """Asks deputies and answers holders."""
+
+    def __init__(
+        self, network: transport.Transport, clock: clocks.Clock
+    ) -> None:
+        self._network = network
+        self._clock = clock
+        self._served: dict[str, ownership.Ownership] = {}
+        network.handle_control(PROMISE_KIND, self._on_ask)
+
+    def serve(self, prefix: str, owner: ownership.Ownership) -> None:
+        """Answer asks about leases under ``prefix`` from ``owner``."""
+        self._served[prefix] = owner
+
+    def ask(
+        self,
+        action: leases.AskPromise,
+        addresses: Addresses,
+        on_reply: OnReply,
+    ) -> None:
+        """Send an ask; ``on_reply`` is called if the deputy answers."""
+        address = addresses.get(action.to)
+        if address is None:
+            return
+
+        def on_answer(answer: bytes | errors.Refusal) -> None:
+            if isinstance(answer, errors.Refusal):
+                return
+            try:
+                reply = msgspec.msgpack.decode(
+                    answer, type=leases.PromiseReply
+                )
+            except msgspec.DecodeError:
+                return
+            on_reply(
+                leases.PromiseReplied(
+                    action.ask.prefix,
+                    action.to,
+                    action.asked_at_ms,
+                    reply.is_promised,
+                )
+            )
+
+        payload = msgspec.msgpack.encode(action.ask)
+        self._network.control(
+            address, PROMISE_KIND, payload, _TIMEOUT_MS, on_answer
+        )
+
+    def _on_ask(
+        self, payload: bytes, reply: typing.Callable[[bytes], None]
+    ) -> None:
+        promised = leases.PromiseReply(False)
+        try:
+            ask = msgspec.msgpack.decode(payload, type=leases.PromiseAsk)
+        except msgspec.DecodeError:
+            ask = None
+        if ask is not None and ask.prefix in self._served:
+            watch = self._served[ask.prefix].watch
+            promised = watch.promise(ask, self._clock.now_ms())
+        reply(msgspec.msgpack.encode(promised))
+
+
+def promise_service(
+    network: transport.Transport, clock: clocks.Clock
+) -> PromiseService:
+    """Create the service of one node."""
+    return PromiseService(network, clock)
--- a/src/parsleystile/quotaborrower.py
+++ b/src/parsleystile/quotaborrower.py
@@ -28,8 +28,9 @@
 SHORTEST_RETRY_MS = 20.0
 LONGEST_RETRY_MS = 200.0
 RETRY_JITTER = 0.5
-_RATE_HEADROOM = 1.25
-_STOCK_S = 0.5
+# Share of the rate wanted that is not worth asking further for.
+_ENOUGH = 0.95
+NOTHING = quotalender.Quota(0.0, 0.0)
 
 LendersOf = typing.Callable[[int], list[ids.NodeId]]
 
@@ -318,23 +319,10 @@
         if self._is_idle(state, now_ms):
             return False
         state.settle(now_ms)
-        want = self._want_per_s(state)
-        if state.rate_per_ms * 1e3 < 0.95 * want:
+        quota = self._quota_of(state.organisation) or NOTHING
+        if state.rate_per_ms * 1e3 < _ENOUGH * state.want_per_s(quota):
             return True
-        return self._want_stock(state) > state.tokens
-
-    def _want_per_s(self, state: quotabucket.Bucket) -> float:
-        quota = self._quota_of(state.organisation)
-        if quota is None:
-            return 0.0
-        return min(_RATE_HEADROOM * state.demand_per_s, quota.rate_per_s)
-
-    def _want_stock(self, state: quotabucket.Bucket) -> float:
-        """Return the tokens that are worth holding now."""
-        quota = self._quota_of(state.organisation)
-        burst = quota.burst if quota else 0.0
-        ahead = max(1.0, state.demand_per_s * _STOCK_S)
-        return min(burst, len(state.waiting) + ahead)
+        return state.want_stock(quota) > state.tokens
 
     def _ask(
         self, lender_id: ids.NodeId, lender: _Lender, now_ms: float
@@ -369,30 +357,10 @@
         self, state: quotabucket.Bucket, lender_id: ids.NodeId, now_ms: float
     ) -> quotawire.AskItem:
         state.settle(now_ms)
-        is_idle = self._is_idle(state, now_ms)
-        stock = 0.0 if is_idle else self._want_stock(state)
-        want_per_s = 0.0 if is_idle else self._want_per_s(state)
-        held = state.holdings.get(lender_id)
-        other_per_s = state.rate_per_ms * 1e3 - (
-            held.rate_per_s if held else 0
-        )
-        want_per_s = max(0.0, want_per_s - other_per_s)
-        returned = state.shrink(held, want_per_s, stock)
-        want_tokens = max(0.0, stock - state.tokens)
-        room = (state.rate_per_ms * 1e3 + want_per_s) * quotabucket.ROOM_S
-        held_burst = held.burst if held else 0.0
-        return quotawire.AskItem(
-            state.organisation,
-            held.rate_per_s if held else 0.0,
-            held_burst,
-            held.until_ms - now_ms if held else 0.0,
-            returned,
-            state.demand_per_s,
-            want_per_s,
-            held_burst + want_tokens + (0.0 if is_idle else room),
-            want_tokens,
-            max(0, len(state.waiting) - int(state.tokens)),
-        )
+        quota = self._quota_of(state.organisation)
+        if quota is None or self._is_idle(state, now_ms):
+            quota = NOTHING
+        return state.ask_item(lender_id, quota, now_ms)
 
     def _apply(
         self,
--- a/src/parsleystile/quotabucket.py
+++ b/src/parsleystile/quotabucket.py
@@ -6,11 +6,16 @@
 
 from parsleystile import errors
 from parsleystile import ids
+from parsleystile import quotalender
+from parsleystile import quotawire
 
 SMOOTHING_MS = 1_000.0
 SHORTEST_COUNT_MS = 50.0
 # Capacity for what comes in while an ask is under way.
 ROOM_S = 0.1
+RATE_HEADROOM = 1.25
+# Tokens are held ahead for the calls of so long.
+STOCK_S = 0.5
 EPSILON = 1e-9
 
 OnTake = typing.Callable[[errors.Refusal | None], None]
@@ -26,6 +31,9 @@
     epoch: str
 
 
+_NOT_HELD = Holding(0.0, 0.0, 0.0, '')
+
+
 @dataclasses.dataclass(slots=True)
 class Waiter:
     """A call that waits for a token."""
@@ -129,6 +137,45 @@
         self.recount()
         return before - self.tokens
 
+    def want_per_s(self, quota: quotalender.Quota) -> float:
+        """Return the rate that is worth holding now."""
+        return min(RATE_HEADROOM * self.demand_per_s, quota.rate_per_s)
+
+    def want_stock(self, quota: quotalender.Quota) -> float:
+        """Return the tokens that are worth holding now."""
+        ahead = max(1.0, self.demand_per_s * STOCK_S)
+        return min(quota.burst, len(self.waiting) + ahead)
+
+    def ask_item(
+        self, lender: ids.NodeId, quota: quotalender.Quota, now_ms: float
+    ) -> quotawire.AskItem:
+        """Give up what is not needed of a lender and ask for the rest.
+
+        The bucket must be settled; a quota of nothing gives up all.
+        """
+        held = self.holdings.get(lender)
+        stock = self.want_stock(quota)
+        others_per_s = self.rate_per_ms * 1e3
+        if held is not None:
+            others_per_s -= held.rate_per_s
+        want_per_s = max(0.0, self.want_per_s(quota) - others_per_s)
+        returned = self.shrink(held, want_per_s, stock)
+        held = held or _NOT_HELD
+        want_tokens = max(0.0, stock - self.tokens)
+        room = (others_per_s + want_per_s) * ROOM_S if stock else 0.0
+        return quotawire.AskItem(
+            self.organisation,
+            held.rate_per_s,
+            held.burst,
+            max(0.0, held.until_ms - now_ms),
+            returned,
+            self.demand_per_s,
+            want_per_s,
+            held.burst + want_tokens + room,
+            want_tokens,
+            max(0, len(self.waiting) - int(self.tokens)),
+        )
+
     def recount(self) -> None:
         """Add up the holdings; cut the tokens to the capacity."""
         holdings = self.holdings.values()
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -1,8 +1,8 @@
 import random
 
 import hypothesis
-import pytest
 from hypothesis import strategies as st
+import pytest
 
 from bench import quotaworld
 from parsleystile import fleetconfig
