Drive retries and the guard's queue against the checkers

Cause: the mechanisms need runs in which their absence is seen. Ruled out: fixed scenarios only; hypothesis draws trees, fates, loads and warm-ups. Before: none.

--- /dev/null
+++ b/tests/driven.py
@@ -0,0 +1,87 @@
+"""Driven runs: real decisions, a manual clock, plans made by hypothesis.
+
+A plan is plain data that fixes the orders, delays and faults of a run; the
+run turns it into a history. Whatever plan is tried, the history must hold
+up; with one mechanism switched off, some plan must break it.
+"""
+
+import heapq
+import itertools
+import random
+
+import hypothesis
+
+from parsleystile import checks
+from parsleystile import clock
+from parsleystile import history
+
+_SETTINGS = hypothesis.settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    # Plans are small as drawn; shrinking a slow run would take minutes.
+    phases=[hypothesis.Phase.explicit, hypothesis.Phase.generate],
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+class Scheduler:
+    """Runs callbacks in the order of their times, on a manual clock."""
+
+    def __init__(self):
+        self.clock = clock.manual_clock()
+        self._queue = []
+        self._numbers = itertools.count()
+        self._recorders = {}
+
+    @property
+    def now_ms(self):
+        return self.clock.now_ms()
+
+    def after(self, delay_ms, callback, *args):
+        at_ms = self.now_ms + delay_ms
+        heapq.heappush(
+            self._queue, (at_ms, next(self._numbers), callback, args)
+        )
+
+    def run(self, until_ms):
+        while self._queue and self._queue[0][0] <= until_ms:
+            at_ms, _, callback, args = heapq.heappop(self._queue)
+            self.clock.advance(at_ms - self.now_ms)
+            callback(*args)
+        self.clock.advance(max(0.0, until_ms - self.now_ms))
+
+    def record(self, node_id, event):
+        if node_id not in self._recorders:
+            self._recorders[node_id] = history.memory_recorder(
+                node_id, self.clock
+            )
+        self._recorders[node_id].record(event)
+
+    def history(self):
+        return history.merge(r.entries for r in self._recorders.values())
+
+
+def violations(past, promises):
+    return [v for v in checks.check(past) if v.promise in promises]
+
+
+def assert_holds(plans, run, promises, examples=100):
+    """Try plans; no history may violate one of ``promises``."""
+
+    @hypothesis.settings(_SETTINGS, max_examples=examples)
+    @hypothesis.given(plans)
+    def hold(plan):
+        assert violations(run(plan), promises) == []
+
+    hold()
+
+
+def assert_breaks(plans, run, promise, examples=1000):
+    """Find a plan whose history violates ``promise``."""
+    hypothesis.find(
+        plans,
+        lambda plan: bool(violations(run(plan), {promise})),
+        settings=hypothesis.settings(_SETTINGS, max_examples=examples),
+        random=random.Random(1),
+    )
