Judge a fall of the limit by calls from before and after it

Cause: tests drove a target that turned cold (20 -> 3 calls borne) and one with 200 slots declared of 10 true. The relief of a fall was measured against the first answers only, which are the fastest, and was taken for none; the limit went back to 15 or 20 on a target bearing 3. Before: 15 calls in flight 1.5 s after turning cold. Conclusion: falls are trials; a limit that cannot rise for 10 s is tried.

--- a/bench/admission.py
+++ b/bench/admission.py
@@ -25,9 +25,7 @@
     )
     for queued in (10, 100, 1000):
         value = min(_queued_us(queued) for _ in range(ROUNDS))
-        yield bench.Result(
-            f'admission_event_queued_{queued}_us', value, 'us'
-        )
+        yield bench.Result(f'admission_event_queued_{queued}_us', value, 'us')
     for count in (5, 50, 500):
         value = min(_choose_us(count) for _ in range(ROUNDS))
         yield bench.Result(f'balancer_choose_of_{count}_us', value, 'us')
--- a/src/parsleystile/admission.py
+++ b/src/parsleystile/admission.py
@@ -286,7 +286,6 @@
             running.route,
             event.service_ms,
             event.child_ms,
-            len(self._running) + 1,
             now_ms,
         )
 
--- a/src/parsleystile/concurrency.py
+++ b/src/parsleystile/concurrency.py
@@ -6,9 +6,11 @@
 # A target that just started is trusted with this many calls.
 COLD_LIMIT = 2.0
 FLOOR = 1.0
-# A fall goes by the slowness, within these factors.
-DEEPEST_FALL = 0.5
-LEAST_FALL = 0.8
+FALL = 0.5
+# Once the target is found too loaded, the limit is what slowness implies,
+# within these parts of the limit before.
+DEEPEST_CUT = 0.5
+LEAST_CUT = 0.8
 # Growth per quiet window, and near the limit that lately proved too high.
 FAST_RISE = 1.25
 SLOW_RISE = 1.02
@@ -38,10 +40,13 @@
 DRIFT_BOUND = 0.15
 # How fast the best time is forgotten, per answer of a half idle target.
 FORGET = 0.002
-# If halving the limit took away less of the slowness than this factor,
-# load is not what makes the target slow.
-LEAST_RELIEF = 0.25
-RELIEF_ANSWERS = 4
+# Slowness caused by load goes along with a fall of the limit. If less than
+# this part of it does, load is not what makes the target slow.
+LEAST_RELIEF = 0.5
+RELIEF_ANSWERS = 8
+# A limit that could not rise for so long is lowered on trial.
+BLOCKED_MS = 10_000.0
+TRIAL_ANSWERS = 24
 # Without any answer for this many times the usual, the target is stuck.
 SILENCE_FACTOR = 5.0
 SILENCE_FLOOR_MS = 200.0
@@ -68,14 +73,36 @@
     peak_in_flight: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class _Mean:
+    """A running mean."""
+
+    total: float = 0.0
+    count: int = 0
+
+    def add(self, value: float) -> None:
+        self.total += value
+        self.count += 1
+
+    @property
+    def value(self) -> float:
+        return self.total / self.count if self.count else 0.0
+
+
 @dataclasses.dataclass(slots=True)
 class _Relief:
-    """Whether the last fall made the target faster."""
+    """Whether a fall of the limit makes the target faster.
+
+    Attributes:
+        before: Slowness of calls started before the fall.
+        after: Slowness of calls started since.
+        needed: Answers to wait for.
+    """
 
     limit_before: float
-    slowness_before: float
-    answers: int = 0
-    slowness: float = 0.0
+    before: _Mean
+    needed: int
+    after: _Mean = dataclasses.field(default_factory=_Mean)
 
 
 class ConcurrencyLimit:
@@ -95,7 +122,10 @@
         self._usual: dict[str, _Usual] = {}
         self._window = _Window()
         self._relief: _Relief | None = None
-        self._slow_sum = 0.0
+        # Slowness since its sum last did not exceed the slack.
+        self._excess = _Mean()
+        self._blocked = _Mean()
+        self._blocked_since_ms = math.inf
         self._error_sum = 0.0
         self._caution = math.inf
         self._caution_until_ms = 0.0
@@ -139,15 +169,10 @@
             return
         self._error_sum += 1.0 - ERROR_SLACK
         if self._error_sum > ERROR_ALARM:
-            self._fall(SLOWNESS_CLIP, now_ms)
+            self._fall(now_ms)
 
     def answered(
-        self,
-        route: str,
-        service_ms: float,
-        child_ms: float,
-        in_flight: int,
-        now_ms: float,
+        self, route: str, service_ms: float, child_ms: float, now_ms: float
     ) -> None:
         """Learn from one answer.
 
@@ -155,26 +180,27 @@
             route: Calls of one route are compared with each other only.
             service_ms: From start to answer.
             child_ms: Part of it spent waiting for child calls.
-            in_flight: Calls at the target, this one with them.
             now_ms: Now.
         """
         self._last_answer_ms = now_ms
         if self._answer_ms == 0.0:
             self._answer_ms = service_ms
         self._answer_ms += LEARN * (service_ms - self._answer_ms)
-        # What started before the last fall tells of the load before it.
+        own_ms = max(service_ms - child_ms, _SHORTEST_MS)
         if now_ms - service_ms < self._changed_ms:
+            # It tells of the load before the last fall.
+            if self._relief is not None:
+                self._relief.before.add(self._slowness(route, own_ms))
             return
         self._error_sum = max(0.0, self._error_sum - ERROR_SLACK)
-        slowness = self._learn(route, service_ms - child_ms, in_flight)
-        self._slow_sum = max(0.0, self._slow_sum + slowness - SLOWNESS_SLACK)
+        slowness = self._learn(route, own_ms)
         window = self._window
         window.answers += 1
         window.slowness += slowness
         if self._relief is not None:
-            self._weigh_relief(slowness, now_ms)
-        elif self._slow_sum > SLOWNESS_ALARM:
-            self._fall(window.slowness / window.answers, now_ms)
+            self._weigh_relief(self._relief, slowness, now_ms)
+        elif self._is_alarming(slowness):
+            self._fall_on_trial(self._excess, RELIEF_ANSWERS, now_ms)
         elif now_ms - window.start_ms >= WINDOW_MS:
             self._end_window(now_ms)
 
@@ -185,19 +211,26 @@
         patience_ms = max(SILENCE_FLOOR_MS, SILENCE_FACTOR * self._answer_ms)
         if now_ms - self._last_answer_ms > patience_ms:
             self._last_answer_ms = now_ms
-            self._fall(SLOWNESS_CLIP, now_ms)
+            self._fall(now_ms)
+
+    def _slowness(self, route: str, own_ms: float) -> float:
+        """Return the clipped logarithm of a time over the usual one."""
+        usual = self._usual.get(route)
+        if usual is None:
+            return 0.0
+        slowness = math.log(own_ms) - usual.mean
+        return min(SLOWNESS_CLIP, max(-SLOWNESS_CLIP, slowness))
 
-    def _learn(self, route: str, own_ms: float, in_flight: int) -> float:
+    def _learn(self, route: str, own_ms: float) -> float:
         """Fold one time into the usual one; return its slowness."""
-        time = math.log(max(own_ms, _SHORTEST_MS))
         usual = self._usual.get(route)
         if usual is None:
             if len(self._usual) >= MAX_ROUTES:
                 self._usual.clear()
+            time = math.log(own_ms)
             self._usual[route] = _Usual(time, time)
             return 0.0
-        slowness = time - usual.mean
-        slowness = min(SLOWNESS_CLIP, max(-SLOWNESS_CLIP, slowness))
+        slowness = self._slowness(route, own_ms)
         usual.answers += 1
         if usual.answers <= FIRST_ANSWERS:
             usual.mean += slowness / usual.answers
@@ -211,53 +244,68 @@
         mean = usual.mean + LEARN * slowness
         if mean < usual.best:
             usual.best = mean
-        elif 2 * in_flight <= self._limit + 1.0:
+        elif 2 * self._window.peak_in_flight <= self._limit:
             usual.best += FORGET * (mean - usual.best)
         usual.mean = min(mean, usual.best + DRIFT_BOUND)
         return slowness
 
-    def _weigh_relief(self, slowness: float, now_ms: float) -> None:
-        relief = self._relief
-        relief.answers += 1
-        relief.slowness += slowness
-        if relief.answers < RELIEF_ANSWERS:
+    def _is_alarming(self, slowness: float) -> bool:
+        excess = self._excess
+        excess.add(slowness)
+        beyond = excess.total - SLOWNESS_SLACK * excess.count
+        if beyond <= 0.0:
+            excess.total = 0.0
+            excess.count = 0
+        return beyond > SLOWNESS_ALARM
+
+    def _weigh_relief(
+        self, relief: _Relief, slowness: float, now_ms: float
+    ) -> None:
+        relief.after.add(slowness)
+        if relief.after.count < relief.needed:
             return
         self._relief = None
-        after = relief.slowness / relief.answers
-        if after < SLOWNESS_SLACK:
-            self._reset(now_ms)
-        elif relief.slowness_before - after < LEAST_RELIEF:
-            self._accept(after, relief.limit_before, now_ms)
+        before = relief.before.value
+        after = relief.after.value
+        by_load = min(before, math.log(relief.limit_before / self._limit))
+        if before - after < LEAST_RELIEF * by_load or by_load <= 0.0:
+            self._accept(after, relief.limit_before)
+        elif after > SLOWNESS_SLACK:
+            self._fall_on_trial(relief.after, RELIEF_ANSWERS, now_ms)
+            return
         else:
-            self._fall(after, now_ms)
+            part = min(LEAST_CUT, max(DEEPEST_CUT, math.exp(-before)))
+            self._limit = max(self._limit, part * relief.limit_before)
+        self._reset(now_ms)
 
-    def _accept(
-        self, slowness: float, limit_before: float, now_ms: float
-    ) -> None:
+    def _accept(self, slowness: float, limit_before: float) -> None:
         """Take the present times as usual and undo the last fall."""
         for usual in self._usual.values():
             usual.mean += slowness
             usual.best += slowness
         self._limit = min(float(self._slots), limit_before)
         self._caution = math.inf
-        self._reset(now_ms)
 
-    def _fall(self, slowness: float, now_ms: float) -> None:
-        before = self._limit
-        self._caution = CAUTION_SHARE * before
+    def _fall_on_trial(
+        self, before: _Mean, needed: int, now_ms: float
+    ) -> None:
+        limit_before = self._limit
+        self._fall(now_ms)
+        self._relief = _Relief(limit_before, before, needed)
+
+    def _fall(self, now_ms: float) -> None:
+        self._caution = CAUTION_SHARE * self._limit
         self._caution_until_ms = now_ms + CAUTION_MS
-        factor = min(LEAST_FALL, max(DEEPEST_FALL, math.exp(-slowness)))
-        self._limit = max(FLOOR, factor * before)
+        self._limit = max(FLOOR, FALL * self._limit)
         self._relief = None
-        if slowness < SLOWNESS_CLIP:
-            self._relief = _Relief(before, slowness)
         self._reset(now_ms)
         self._changed_ms = now_ms
 
     def _reset(self, now_ms: float) -> None:
         self._window = _Window(now_ms)
-        self._slow_sum = 0.0
+        self._excess = _Mean()
         self._error_sum = 0.0
+        self._blocked_since_ms = math.inf
 
     def _end_window(self, now_ms: float) -> None:
         window = self._window
@@ -267,9 +315,23 @@
         is_used = window.peak_in_flight >= USED_SHARE * int(self._limit)
         is_slow = window.slowness > RISE_SLOWNESS * window.answers
         self._window = _Window(now_ms)
-        if is_used and not is_slow:
+        if not is_used:
+            return
+        if is_slow:
+            self._note_blocked(window, now_ms)
+        else:
+            self._blocked_since_ms = math.inf
             self._rise(now_ms)
 
+    def _note_blocked(self, window: _Window, now_ms: float) -> None:
+        if self._blocked_since_ms == math.inf:
+            self._blocked_since_ms = now_ms
+            self._blocked = _Mean()
+        self._blocked.total += window.slowness
+        self._blocked.count += window.answers
+        if now_ms - self._blocked_since_ms >= BLOCKED_MS:
+            self._fall_on_trial(self._blocked, TRIAL_ANSWERS, now_ms)
+
     def _rise(self, now_ms: float) -> None:
         if self._limit < self._caution or now_ms > self._caution_until_ms:
             raised = max(self._limit * FAST_RISE, self._limit + 1.0)
