--- a/bench/observe.py
+++ b/bench/observe.py
@@ -1,10 +1,10 @@
 """What the call log, the burn counters and the log cost a call."""
 
-import dataclasses
 import time
 import tracemalloc
 import typing
 
+import bench
 from parsleystile import burn
 from parsleystile import errors
 from parsleystile import explain
@@ -13,17 +13,6 @@
 _REPEATS = 5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Result:
-    """One measured figure."""
-
-    name: str
-    value: float
-    unit: str
-    baseline: float | None = None
-    ratio: float | None = None
-
-
 def _best_us(once: typing.Callable[[int], None]) -> float:
     """Return the least time of one call in microseconds."""
     times = []
@@ -89,16 +78,18 @@
     return float(len(burn.encode(recorder.snapshot(3_600_000.0))))
 
 
-def run() -> typing.Iterator[Result]:
+def run() -> typing.Iterator[bench.Result]:
     """Yield the cost of each note that a call leaves."""
     answered = _record_us(errors.Outcome.ANSWERED, errors.Reason.NONE)
-    yield Result('burn_record_answered', answered, 'us')
+    yield bench.Result('burn_record_answered', answered, 'us')
     refused = _record_us(errors.Outcome.NOT_RUN, errors.Reason.SHED)
-    yield Result('burn_record_refused', refused, 'us')
-    yield Result('call_log_note', _note_us(), 'us')
-    yield Result('call_log_is_sampled', _sampled_us(), 'us')
+    yield bench.Result('burn_record_refused', refused, 'us')
+    yield bench.Result('call_log_note', _note_us(), 'us')
+    yield bench.Result('call_log_is_sampled', _sampled_us(), 'us')
     for organisations in (8, 32, 128):
         suffix = f'[organisations={organisations}]'
-        yield Result(f'burn_memory{suffix}', _burn_kib(organisations), 'KiB')
+        yield bench.Result(
+            f'burn_memory{suffix}', _burn_kib(organisations), 'KiB'
+        )
         size = _snapshot_bytes(organisations)
-        yield Result(f'burn_snapshot{suffix}', size, 'bytes')
+        yield bench.Result(f'burn_snapshot{suffix}', size, 'bytes')
--- a/src/parsleystile/logs.py
+++ b/src/parsleystile/logs.py
@@ -2,7 +2,7 @@
 
 Each line has ``time_ms`` (since 1970-01-01 UTC), ``level``, ``node`` and
 ``event``; the rest are the fields of the event's data class in
-``parsleystile.events``. Lines of libraries have the event ``message``.
+``parsleystile.logevents``. Lines of libraries have the event ``message``.
 Events of one kind are limited in rate; ``suppressed`` on a line counts the
 events of its kind that were left out before it.
 """
@@ -58,9 +58,14 @@
     return _clip(str(value))
 
 
+def name_of(kind: type[logevents.Event]) -> str:
+    """Return the name of a kind of event, such as ``call-refused``."""
+    return _KIND_BOUNDARY.sub('-', kind.__name__).lower()
+
+
 def kind(event: logevents.Event) -> str:
-    """Return the name of an event as written, such as ``call-refused``."""
-    return _KIND_BOUNDARY.sub('-', type(event).__name__).lower()
+    """Return the name of the kind that an event is of."""
+    return name_of(type(event))
 
 
 class JsonFormatter(std_logging.Formatter):
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,6 +1,8 @@
 import dataclasses
 import json
 import logging as std_logging
+import pathlib
+import re
 
 import pytest
 
@@ -113,3 +115,19 @@
     for cls in logevents.Event.__subclasses__():
         names = {field.name for field in dataclasses.fields(cls)}
         assert not names & _FORBIDDEN_FIELDS, cls
+
+
+def test_every_event_and_field_is_on_the_page():
+    page = pathlib.Path(__file__).parent.parent / 'docs' / 'LOGS.md'
+    rows = dict(
+        re.findall(r'^\| `([^`]+)` \| (.*?) \|', page.read_text(), re.M)
+    )
+    common = {f.name for f in dataclasses.fields(logevents.Event)}
+    assert common <= set(rows)
+    # Data classes with slots are made twice; the second is the one in use.
+    for cls in {
+        getattr(logevents, c.__name__)
+        for c in logevents.Event.__subclasses__()
+    }:
+        own = {f.name for f in dataclasses.fields(cls)} - common
+        assert set(re.findall('`([^`]+)`', rows[logs.name_of(cls)])) == own
