Fit the operators' client to the fleet's listener

Cause: the listener wants the operator's name and takes a base version. Ruled out: applying a file with the version in force inside it; a repeat under the same change id would then be another change.

--- a/src/parsleystile/commands.py
+++ b/src/parsleystile/commands.py
@@ -140,6 +140,11 @@
     path: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShowHistory(RemoteCommand):
+    """Show who changed what and when."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ShowAnswer(RemoteCommand):
     """Show what the first node says at a path."""
--- a/src/parsleystile/console.py
+++ b/src/parsleystile/console.py
@@ -267,7 +267,7 @@
 
     def history(self) -> commands.Command:
         """Show who changed what and when."""
-        return commands.ShowAnswer(self._options, '/v1/config/history')
+        return commands.ShowHistory(self._options)
 
 
 class SettingsGroup:
--- a/src/parsleystile/listing.py
+++ b/src/parsleystile/listing.py
@@ -1,5 +1,6 @@
 """What the command line shows of the fleet, as text for people."""
 
+import datetime
 import typing
 
 import msgspec
@@ -11,6 +12,7 @@
 from parsleystile import render
 
 Plain = typing.Any
+_DIGEST = 'digest'
 
 
 def _yes(value: bool) -> str:
@@ -155,6 +157,45 @@
     return render.text(shown)
 
 
+def _when(wall_ms: int) -> str:
+    at = datetime.datetime.fromtimestamp(wall_ms / 1000, datetime.UTC)
+    return at.strftime('%Y-%m-%d %H:%M:%S')
+
+
+def _what(change: dict[str, Plain]) -> str:
+    """Return a change on one line; digests and documents stay out."""
+    told = [str(change.get('kind', ''))]
+    for name, value in change.items():
+        if name in ('kind', _DIGEST, 'document'):
+            continue
+        told.append(_flat(value))
+    return ' '.join(told)
+
+
+def without_digests(value: Plain) -> Plain:
+    """Return plain data without the digests of keys."""
+    match value:
+        case dict():
+            return {
+                name: without_digests(found)
+                for name, found in value.items()
+                if name != _DIGEST
+            }
+        case list():
+            return [without_digests(item) for item in value]
+    return value
+
+
+def history(told: operatorclient.History) -> str:
+    """Return who changed what and when, oldest first."""
+    rows = [
+        (r.version, _when(r.at_wall_ms), r.operator, _what(r.change))
+        for r in told.records
+    ]
+    headings = ('version', 'when (UTC)', 'operator', 'change')
+    return render.text(render.table(headings, rows))
+
+
 def _flat(value: Plain) -> str:
     match value:
         case bool():
--- a/src/parsleystile/operate.py
+++ b/src/parsleystile/operate.py
@@ -144,10 +144,9 @@
             case commands.ShowConfig():
                 return await self._show_config()
             case commands.ApplyConfig(path=path):
-                document = read_document(path)
-                return await self._submit(
-                    changes.ApplyDocument(document=await self._kept(document))
-                )
+                return await self._apply(read_document(path))
+            case commands.ShowHistory():
+                return await self._history()
             case commands.ShowAnswer(path=path):
                 body = _value(await self._client.get(path))
                 answer = msgspec.json.decode(body)
@@ -165,34 +164,57 @@
                 return await self._report(form, output)
         raise TypeError(f'no way to run {command!r}')
 
+    async def _config(self) -> operatorclient.ConfigAnswer:
+        return _value(await self._client.config())
+
     async def _document(self) -> fleetconfig.FleetConfig:
-        return _value(await self._client.config()).document
-
-    async def _kept(
-        self, document: fleetconfig.FleetConfig
-    ) -> fleetconfig.FleetConfig:
-        """Keep keys and operators, which no file of the fleet holds."""
-        current = await self._document()
-        return msgspec.structs.replace(
+        return (await self._config()).document
+
+    async def _apply(self, document: fleetconfig.FleetConfig) -> Code:
+        """Apply a file; it holds no keys, so those in force are kept."""
+        current = await self._config()
+        in_force = current.document
+        # The fleet sets version and key number; the same file then makes
+        # the same change whenever it is sent.
+        kept = msgspec.structs.replace(
             document,
-            version=current.version,
-            keys=document.keys or current.keys,
-            next_key=current.next_key,
-            operators=document.operators or current.operators,
+            version=ids.ConfigVersion(0),
+            next_key=1,
+            keys=document.keys or in_force.keys,
+            operators=document.operators or in_force.operators,
         )
+        change = changes.ApplyDocument(document=kept)
+        return await self._submit(change, current.version)
+
+    async def _history(self) -> Code:
+        told = _value(await self._client.history())
+        if not told.is_complete:
+            self._progress('the table did not answer; only recent changes')
+        shown = listing.without_digests(msgspec.to_builtins(told))
+        self._show(shown, listing.history(told))
+        return _OK
 
-    async def _submit(self, change: changes.Change) -> Code:
-        answer = await self._settled(change)
+    async def _submit(
+        self, change: changes.Change, based_on: int | None = None
+    ) -> Code:
+        answer = await self._settled(change, based_on)
         if answer.outcome is operatorclient.ChangeOutcome.REFUSED:
             told = ': '.join(filter(None, (answer.path, answer.reason)))
             raise errors.CommandFailure(f'refused: {told}', Code.REFUSED)
-        self._progress(f'accepted as version {answer.version}')
+        key = f', key {answer.key_id}' if answer.key_id else ''
+        self._progress(f'accepted as version {answer.version}{key}')
         return await self._await_in_force(answer.version)
 
     async def _settled(
-        self, change: changes.Change
+        self, change: changes.Change, based_on: int | None
     ) -> operatorclient.ChangeAnswer:
         """Submit a change until its fate is known, under one change id."""
+        if not self._options.operator:
+            raise errors.CommandFailure(
+                'no operator is named; write --operator NAME or set'
+                ' PARSLEYSTILE_OPERATOR',
+                Code.USAGE,
+            )
         change_id = self._options.change_id
         change_id = change_id or _new_change_id()
         problem = ''
@@ -200,7 +222,7 @@
             if attempt:
                 self._progress(f'fate unknown ({problem}); asking again')
                 await asyncio.sleep(RETRY_PAUSE_MS / 1000)
-            got = await self._client.submit(change, change_id)
+            got = await self._client.submit(change, change_id, based_on)
             match got:
                 case expression.Result(tag='ok', ok=answer):
                     if answer.outcome is not _UNKNOWN:
@@ -274,10 +296,11 @@
         return code
 
     async def _edit_route(self, command: commands.EditRoute) -> Code:
-        document = await self._document()
-        route = document.routes.get(command.route_id)
+        current = await self._config()
+        routes = current.document.routes
+        route = routes.get(command.route_id)
         if route is None:
-            known = ', '.join(sorted(document.routes)) or 'none'
+            known = ', '.join(sorted(routes)) or 'none'
             raise errors.CommandFailure(
                 f'routes.{command.route_id}: no such route; known: {known}',
                 Code.REFUSED,
@@ -285,9 +308,8 @@
         edited = msgspec.structs.replace(
             route, **{command.field: command.value}
         )
-        return await self._submit(
-            changes.PutRoute(route_id=command.route_id, route=edited)
-        )
+        change = changes.PutRoute(route_id=command.route_id, route=edited)
+        return await self._submit(change, current.version)
 
     async def _list(self, part: commands.Listing) -> Code:
         document = await self._document()
@@ -309,8 +331,8 @@
         return _OK
 
     async def _show_config(self) -> Code:
-        document = await self._document()
-        self._show(document, render.as_json(document))
+        document = msgspec.to_builtins(await self._document())
+        print(render.as_json(listing.without_digests(document)))
         return _OK
 
     async def _status(self) -> Code:
--- a/src/parsleystile/operatorclient.py
+++ b/src/parsleystile/operatorclient.py
@@ -67,18 +67,29 @@
     UNKNOWN = 'unknown'
 
 
+class ChangeRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A change as it is sent."""
+
+    change_id: str
+    operator: str
+    change: changes.Change
+    based_on: int | None
+
+
 class ChangeAnswer(msgspec.Struct, frozen=True, kw_only=True):
     """What a node says about a change.
 
     Attributes:
         version: Version of the document with the change; 0 if none.
         path: What in the document is at fault.
+        key_id: Id of the key that the change issued.
     """
 
     outcome: ChangeOutcome
     version: ids.ConfigVersion = ids.ConfigVersion(0)
     reason: str = ''
     path: str = ''
+    key_id: str = ''
 
 
 class InForce(msgspec.Struct, frozen=True, kw_only=True):
@@ -96,6 +107,28 @@
     document: fleetconfig.FleetConfig
 
 
+class Record(msgspec.Struct, frozen=True, kw_only=True):
+    """An accepted change; ``change`` has its kind and its fields."""
+
+    version: ids.ConfigVersion
+    change_id: str
+    operator: str
+    at_wall_ms: int
+    change: dict[str, typing.Any]
+
+
+class History(msgspec.Struct, frozen=True, kw_only=True):
+    """Accepted changes, oldest first.
+
+    Attributes:
+        is_complete: The table answered; if not, these are the changes
+            that the node remembers.
+    """
+
+    records: list[Record]
+    is_complete: bool = True
+
+
 class Problem(msgspec.Struct, frozen=True):
     """An error document; nodes may leave any field out."""
 
@@ -221,6 +254,10 @@
         """Read the document in force at the first node that answers."""
         return decoded(await self.get('/v1/config'), ConfigAnswer)
 
+    async def history(self) -> expression.Result[History, OperatorError]:
+        """Read the accepted changes."""
+        return decoded(await self.get('/v1/config/history'), History)
+
     async def in_force(
         self, version: int
     ) -> expression.Result[dict[str, InForce], OperatorError]:
@@ -229,21 +266,26 @@
         return decoded(await self.get(path), dict[str, InForce])
 
     async def submit(
-        self, change: changes.Change, change_id: str
+        self,
+        change: changes.Change,
+        change_id: str,
+        based_on: int | None = None,
     ) -> expression.Result[ChangeAnswer, OperatorError]:
         """Submit a change; another node is tried only if none was sent.
 
         Args:
             change: What to change.
             change_id: Unique to this change; the fleet takes it once.
+            based_on: Version that the change was made from; a later
+                change of the same path makes this one a conflict.
         """
-        body = msgspec.json.encode(
-            {
-                'change_id': change_id,
-                'operator': self._access.operator,
-                'change': change,
-            }
+        request = ChangeRequest(
+            change_id=change_id,
+            operator=self._access.operator,
+            change=change,
+            based_on=based_on,
         )
+        body = msgspec.json.encode(request)
         got: Got = expression.Error(UnreachableError('no node was named'))
         for node in self._access.nodes:
             got = await self._send(node, '/v1/changes', body)
--- a/tests/test_operate.py
+++ b/tests/test_operate.py
@@ -97,6 +97,24 @@
                         'waiting': self.waiting,
                     }
                 }
+            case '/v1/config/history':
+                return {
+                    'records': [
+                        {
+                            'version': 7,
+                            'change_id': 'c1',
+                            'operator': 'aino',
+                            'at_wall_ms': 1_790_000_000_000,
+                            'change': {
+                                'kind': 'issue-key',
+                                'organisation': 'homes',
+                                'digest': '0' * 64,
+                            },
+                            'document_digest': '',
+                        }
+                    ],
+                    'is_complete': True,
+                }
             case '/v1/status':
                 return {'state': 'ready', 'in_flight': 3}
             case '/v1/explain/r1':
@@ -187,6 +205,7 @@
 
 def test_a_route_is_changed_in_one_property(fleet):
     assert cli.main(['route', 'idempotency', 'stock', 'yes']) == 0
+    assert fleet.changes[0]['based_on'] == 7
     route = fleet.changes[0]['change']['route']
     assert route['is_idempotent'] is True
     assert route['path_prefix'] == '/stock'
@@ -204,6 +223,7 @@
     document = fleet.changes[0]['change']['document']
     assert document['organisations']['homes']['rate_per_s'] == 9
     assert list(document['keys']) == ['k1']
+    assert fleet.changes[0]['based_on'] == 7
 
 
 def test_a_bad_file_is_not_sent(fleet, tmp_path, capsys):
@@ -223,6 +243,7 @@
         ['preset', 'list'],
         ['preset', 'show'],
         ['domain', 'list'],
+        ['config', 'history'],
         ['explain', 'r1'],
     ],
     ids=' '.join,
@@ -236,6 +257,12 @@
     assert '0' * 64 not in out
 
 
+def test_the_document_is_shown_without_digests(fleet, capsys):
+    assert cli.main(['config', 'show']) == _CODE.ACCEPTED
+    shown = json.loads(capsys.readouterr().out)
+    assert shown['keys'] == {'k1': {'organisation': 'homes'}}
+
+
 def test_status_and_report(fleet, capsys):
     assert cli.main(['target', 'status']) == _CODE.ACCEPTED
     assert 'ready' in capsys.readouterr().out
@@ -263,3 +290,10 @@
     err = capsys.readouterr().err
     assert 'check the operator key' in err
     assert 'some-other-key' not in err
+
+
+def test_a_change_needs_an_operator(fleet, capsys, monkeypatch):
+    monkeypatch.delenv('PARSLEYSTILE_OPERATOR')
+    assert cli.main(['domain', 'in', 'savo-3']) == _CODE.USAGE
+    assert '--operator' in capsys.readouterr().err
+    assert fleet.changes == []
