--- a/src/parsleystile/daemon.py
+++ b/src/parsleystile/daemon.py
@@ -25,6 +25,7 @@
 from parsleystile import observer
 from parsleystile import operators
 from parsleystile import plannedstop
+from parsleystile import quotaservice
 from parsleystile import settings as node_settings
 from parsleystile import tableclient
 from parsleystile import targetclient
@@ -134,6 +135,7 @@
         )
         self._ticker.every(membership.TICK_MS, self._plane.tick)
         self._ticker.every(plannedstop.TICK_PERIOD_MS, self._planned_stop.tick)
+        self._ticker.every(quotaservice.TICK_MS, self._tick_quota)
         self._ticker.every(nodes.WATCH_PERIOD_MS, self._watch_target)
         for front in (self._callers, self._targets):
             self._ticker.every(_SWEEP_PERIOD_MS, front.sweep)
@@ -182,7 +184,7 @@
                 announce_leave=self._plane.leave,
                 refuse_new=self._refuse_new,
                 calls_in_flight=self._calls_in_flight,
-                hand_back=_hand_back_nothing,
+                hand_back=self._hand_back,
                 end=self._stopped.set,
             ),
             self._clock,
@@ -228,6 +230,14 @@
     def _calls_in_flight(self) -> int:
         return self.node.calls_in_flight + self._callers.open_count
 
+    def _hand_back(self, on_done: typing.Callable[[], None]) -> None:
+        task = asyncio.get_running_loop().create_task(self.node.quota.stop())
+        task.add_done_callback(lambda ended: on_done())
+        self._handing_back = task
+
+    def _tick_quota(self) -> None:
+        self.node.quota.tick(self._clock.now_ms())
+
     def _watch_target(self) -> None:
         self.node.handle_target(targetwatch.Tick())
 
@@ -249,10 +259,6 @@
     return transport.Address(host, int(port))
 
 
-def _hand_back_nothing(on_done: typing.Callable[[], None]) -> None:
-    on_done()
-
-
 def _metrics(settings: node_settings.StatsdSettings | None) -> metric.Metrics:
     if settings is None:
         return metric.memory_metrics()
--- a/src/parsleystile/filters.py
+++ b/src/parsleystile/filters.py
@@ -30,15 +30,6 @@
 }
 
 
-class TakesQuota(typing.Protocol):
-    """What the rate filter asks of the fleet-wide limits."""
-
-    def try_take(
-        self, organisation: ids.OrganisationId, now_ms: float
-    ) -> errors.Refusal | None:
-        """Take one request from the organisation's rate, or refuse."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rules:
     """What the filters of a node decide by.
@@ -49,7 +40,6 @@
 
     config: typing.Callable[[], fleetconfig.FleetConfig]
     key_ring: keys.KeyRing
-    quota: TakesQuota
     shedder: shedding.Shedder
     calls: inflight.CallsInFlight
     clock: clocks.Clock
@@ -122,18 +112,12 @@
             exchange.route_id, rank, exchange.arrived_ms
         )
 
-    def limit_rate(exchange: exchanges.Exchange) -> errors.Refusal | None:
-        if exchange.organisation == ids.OPEN_ORGANISATION:
-            return None
-        return rules.quota.try_take(exchange.organisation, exchange.arrived_ms)
-
     return [
         exchanges.split_headers,
         classify,
         authenticate,
         open_root,
         shed,
-        limit_rate,
     ]
 
 
--- a/src/parsleystile/ingress.py
+++ b/src/parsleystile/ingress.py
@@ -1,14 +1,21 @@
 """Takes requests from callers outside the fleet."""
 
+import functools
 import typing
 
 from parsleystile import dispatcher
 from parsleystile import errors
 from parsleystile import exchange as exchanges
 from parsleystile import filters
+from parsleystile import ids
 from parsleystile import metrics as metric
 from parsleystile import observer
 
+# Takes one request from an organisation's rate; calls back with a refusal
+# or None, at once where that is possible.
+TakeQuota = typing.Callable[
+    [ids.OrganisationId, typing.Callable[[errors.Refusal | None], None]], None
+]
 # Claims a keyed call before it is sent; calls the function to send it.
 Claim = typing.Callable[
     [exchanges.Exchange, typing.Callable[[exchanges.Exchange], None]], None
@@ -19,6 +26,7 @@
     """Passes each request through the root filters and sends it.
 
     Args:
+        take_quota: Limits the rate of each organisation.
         claim: Holds back calls with an idempotency key until claimed.
     """
 
@@ -26,6 +34,7 @@
         self,
         rules: filters.Rules,
         sender: dispatcher.Dispatcher,
+        take_quota: TakeQuota,
         claim: Claim,
         metrics: metric.Metrics,
         observed: observer.Observer,
@@ -34,6 +43,7 @@
         self._clock = rules.clock
         self._observed = observed
         self._sender = sender
+        self._take_quota = take_quota
         self._claim = claim
         self._metrics = metrics
         self.is_draining = False
@@ -48,10 +58,33 @@
             return
         refusal = filters.run(self._filters, exchange)
         if refusal is not None:
-            name = refusal.reason.name.lower()
-            self._metrics.incr(f'ingress.refused.{name}')
-            exchange.finish(refusal)
+            self._refuse(exchange, refusal)
+        elif exchange.organisation == ids.OPEN_ORGANISATION:
+            self._admit(exchange)
+        else:
+            self._take_quota(
+                exchange.organisation,
+                functools.partial(self._taken, exchange),
+            )
+
+    def _taken(
+        self, exchange: exchanges.Exchange, refusal: errors.Refusal | None
+    ) -> None:
+        if refusal is not None:
+            self._refuse(exchange, refusal)
             return
+        self._observed.quota_taken(exchange.organisation)
+        # The caller may have gone while it waited for a grant.
+        if exchange.state is exchanges.ExchangeState.OPEN:
+            self._admit(exchange)
+
+    def _refuse(
+        self, exchange: exchanges.Exchange, refusal: errors.Refusal
+    ) -> None:
+        self._metrics.incr(f'ingress.refused.{refusal.reason.name.lower()}')
+        exchange.finish(refusal)
+
+    def _admit(self, exchange: exchanges.Exchange) -> None:
         self._observed.root_admitted(exchange, exchange.arrived_ms)
         if exchange.idempotency_key and not exchange.route.is_idempotent:
             self._claim(exchange, self._sender.dispatch)
@@ -67,9 +100,10 @@
 def ingress(
     rules: filters.Rules,
     sender: dispatcher.Dispatcher,
+    take_quota: TakeQuota,
     claim: Claim,
     metrics: metric.Metrics,
     observed: observer.Observer,
 ) -> Ingress:
     """Create the ingress of a node."""
-    return Ingress(rules, sender, claim, metrics, observed)
+    return Ingress(rules, sender, take_quota, claim, metrics, observed)
--- a/src/parsleystile/node.py
+++ b/src/parsleystile/node.py
@@ -23,6 +23,8 @@
 from parsleystile import membership
 from parsleystile import metrics as metric
 from parsleystile import observer
+from parsleystile import promiseservice
+from parsleystile import quotaservice
 from parsleystile import retries
 from parsleystile import settings as node_settings
 from parsleystile import shedding
@@ -59,15 +61,6 @@
     make_token: inflight.TokenSource = inflight.secret_token
 
 
-class _NoQuota:
-    """Limits nothing."""
-
-    def try_take(
-        self, organisation: ids.OrganisationId, now_ms: float
-    ) -> None:
-        """Admit the request."""
-
-
 class Node:
     """The decisions of one node and the paths between them.
 
@@ -77,6 +70,7 @@
         guard: Takes calls of other nodes for that target.
         membership: Who is in the fleet.
         key_ring: Whose key a caller shows.
+        quota: Rate and burst of organisations across the fleet.
     """
 
     def __init__(self, env: Environment) -> None:
@@ -108,7 +102,6 @@
         rules = filters.Rules(
             config=self.config,
             key_ring=self.key_ring,
-            quota=_NoQuota(),
             shedder=shedder,
             calls=calls,
             clock=env.clock,
@@ -128,8 +121,26 @@
                 observed=env.observed,
             )
         )
+        self._everyone: list[members.Member] = []
+        self._everyone_version = -1
+        self.quota = quotaservice.quota_service(
+            identity,
+            env.clock,
+            env.rng,
+            env.transport,
+            env.table,
+            env.metrics,
+            self.config,
+            self._all_members,
+            promiseservice.promise_service(env.transport, env.clock),
+        )
         self.ingress = ingress.ingress(
-            rules, sender, _send_unclaimed, env.metrics, env.observed
+            rules,
+            sender,
+            self.quota.take,
+            _send_unclaimed,
+            env.metrics,
+            env.observed,
         )
         self.egress = egress.egress(
             rules, sender, self.handle_target, env.metrics, env.observed
@@ -166,6 +177,14 @@
         """Calls that wait or run at this node's target."""
         return self.guard.in_flight
 
+    def _all_members(self) -> list[members.Member]:
+        # The same object until members change: readers may compare it.
+        version = self.membership.version
+        if version != self._everyone_version:
+            self._everyone = self.membership.everyone()
+            self._everyone_version = version
+        return self._everyone
+
     def _close_guard(self) -> None:
         # Senders that have not heard yet must not get through.
         if self._is_leaving:
--- a/src/parsleystile/observer.py
+++ b/src/parsleystile/observer.py
@@ -79,6 +79,11 @@
             )
             self.calls.note(call.root_id, step, now_ms)
 
+    def quota_taken(self, organisation: ids.OrganisationId) -> None:
+        """Take note of a request inside its organisation's rate."""
+        if self.recorder is not None:
+            self.recorder.record(events.QuotaTaken(organisation=organisation))
+
     def sent(
         self,
         call: context.CallContext,
