--- a/stubs/processes.py
+++ b/stubs/processes.py
@@ -30,6 +30,7 @@
 _START_LIMIT_S = 15.0
 _STOP_LIMIT_S = 15.0
 CONFIG_KEY = 'config/fleet'
+OPERATOR = 'rehearsal'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,6 +68,11 @@
     """A process of the fleet did not start or stop as it should."""
 
 
+def _environment() -> dict[str, str]:
+    path = f'{_ROOT / "src"}{os.pathsep}{_ROOT}'
+    return {**os.environ, 'PYTHONPATH': path}
+
+
 def free_ports(count: int) -> list[int]:
     """Return ports that were free for both TCP and UDP just now."""
     with contextlib.ExitStack() as stack:
@@ -111,6 +117,7 @@
         self._stack = contextlib.ExitStack()
         self._directory = directory
         self.secret = secrets.token_hex(16)
+        self.operator_key = keys.new_key()
         self.nodes: dict[str, RunningNode] = {}
         self.table_port = 0
         self._processes: list[subprocess.Popen] = []
@@ -152,10 +159,7 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 cwd=_ROOT,
-                env={
-                    **os.environ,
-                    'PYTHONPATH': f'{_ROOT / "src"}{os.pathsep}{_ROOT}',
-                },
+                env=_environment(),
             )
         self._processes.append(process)
         return process
@@ -185,6 +189,34 @@
             msgspec.json.encode(request),
         )
 
+    def command(self, *arguments: str, timeout_s: float = 60.0) -> str:
+        """Run an operator's command against all nodes; return its output.
+
+        Raises:
+            FleetError: It did not exit with 0.
+        """
+        nodes = ','.join(
+            f'{_HOST}:{node.operator_port}' for node in self.nodes.values()
+        )
+        done = subprocess.run(
+            [sys.executable, '-m', 'parsleystile', *arguments],
+            capture_output=True,
+            text=True,
+            timeout=timeout_s,
+            cwd=_ROOT,
+            env={
+                **_environment(),
+                'PARSLEYSTILE_NODES': nodes,
+                'PARSLEYSTILE_OPERATOR': OPERATOR,
+                'PARSLEYSTILE_OPERATOR_KEY': self.operator_key,
+            },
+        )
+        if done.returncode:
+            raise FleetError(
+                f'{" ".join(arguments)}: {done.returncode}: {done.stderr}'
+            )
+        return done.stdout
+
     def start_node(self, spec: NodeSpec) -> RunningNode:
         """Start a node and, unless its service is empty, its target."""
         ports = free_ports(5)
@@ -246,6 +278,10 @@
 [table]
 url = "{self.table_url}"
 
+[bootstrap_operator]
+name = "{OPERATOR}"
+fingerprint = "{keys.fingerprint(self.operator_key)}"
+
 [listeners]
 host = "{_HOST}"
 caller_port = {ports[0]}
--- a/stubs/target.py
+++ b/stubs/target.py
@@ -12,6 +12,7 @@
 import secrets
 import signal
 import sys
+import time
 
 import msgspec
 from tornado import curl_httpclient
@@ -69,6 +70,7 @@
         if self._record is not None:
             line = {
                 'event': what,
+                'at_s': time.monotonic(),
                 'target': self.options.name,
                 'path': request.path,
                 'headers': list(request.headers.get_all()),
