--- a/src/parsleystile/_detection.py
+++ b/src/parsleystile/_detection.py
@@ -21,6 +21,8 @@
 DOMAIN_LOST_MS = 2500
 # With one other member, its death and a cut look the same.
 ISOLATED_MIN_MEMBERS = 3
+# Members of a failure domain silent for so long are forgotten.
+FORGET_DOMAIN_MS = 3_600_000
 # A tick that is so late shows that this process stood still.
 PAUSE_MS = 700
 DIGEST_PERIOD_MS = 2000
@@ -323,6 +325,9 @@
                 continue
             silence_ms = reach.silence_ms(domain, now_ms)
             is_doubted = DOMAIN_DOUBT_MS <= silence_ms < DOMAIN_LOST_MS
+            if silence_ms >= FORGET_DOMAIN_MS:
+                self._forget_domain(domain, now_ms)
+                continue
             if silence_ms >= DOMAIN_LOST_MS:
                 reach.lose_domain(domain)
             if is_due or is_doubted:
@@ -330,6 +335,15 @@
                 if member is not None:
                     self.probe(member, _probes.Purpose.REACH, now_ms)
 
+    def _forget_domain(
+        self, domain: ids.FailureDomainId, now_ms: float
+    ) -> None:
+        # Nobody there is left to tell that the others died. Should they
+        # live, the seed rows lead to them.
+        for member in tuple(self._view.list.roster(domain)):
+            self._view.forget(member.node_id, now_ms)
+        self._view.reach.forget_domain(domain)
+
     def _offer_digest(self) -> None:
         domains = [
             d
--- a/src/parsleystile/_memberlist.py
+++ b/src/parsleystile/_memberlist.py
@@ -149,6 +149,10 @@
         self._add(member, now_ms)
         return True
 
+    def forget(self, node_id: ids.NodeId) -> None:
+        """Drop what is known of a node, dead or not."""
+        self._remove(node_id)
+
     def forget_dead(self, now_ms: float) -> None:
         """Drop what is remembered of members dead for long."""
         expired = [
--- a/src/parsleystile/_suspicion.py
+++ b/src/parsleystile/_suspicion.py
@@ -147,6 +147,13 @@
         self.version += 1
         return True
 
+    def forget_domain(self, domain: ids.FailureDomainId) -> None:
+        """Drop what is known of a domain."""
+        self._heard_ms.pop(domain, None)
+        if domain in self._silent:
+            self._silent.discard(domain)
+            self.version += 1
+
     def lose(self, node_id: ids.NodeId) -> None:
         """Note that a member can't be reached."""
         if node_id not in self._members:
--- a/src/parsleystile/_view.py
+++ b/src/parsleystile/_view.py
@@ -12,6 +12,8 @@
 
 # News beyond this size of the fleet is dropped.
 MAX_MEMBERS = 16_384
+# Members of one fleet forget a lost member within this time of each other.
+FORGETTING_MS = 600_000
 MAX_PENDING_WITHDRAWN = 4096
 
 
@@ -33,6 +35,7 @@
         self._news: _rumours.Rumours[messages.Update] = _rumours.Rumours()
         self._key_news: _rumours.Rumours[ids.KeyId] = _rumours.Rumours()
         self._config_versions: dict[ids.NodeId, ids.ConfigVersion] = {}
+        self._forgotten: dict[ids.NodeId, tuple[ids.Incarnation, float]] = {}
         self.list.merge(self.me, now_ms)
         self.spread_self()
 
@@ -59,7 +62,7 @@
         if is_suspect and not self._is_suspicion_news(update, now_ms):
             return False
         if not is_suspect:
-            if not self._is_wanted(member):
+            if not self._is_wanted(member, now_ms):
                 return False
             if not self.list.merge(member, now_ms):
                 return False
@@ -70,9 +73,32 @@
         self._news.put(member.node_id, update)
         return True
 
-    def _is_wanted(self, member: members.Member) -> bool:
+    def forget(self, node_id: ids.NodeId, now_ms: float) -> None:
+        """Drop a member that is out of reach for long.
+
+        Until others have forgotten it, too, what they tell of this life of
+        it is ignored.
+        """
+        member = self.list.get(node_id)
+        if member is not None:
+            until_ms = now_ms + FORGETTING_MS
+            self._forgotten[node_id] = (member.incarnation, until_ms)
+        self.list.forget(node_id)
+        self.suspicions.clear(node_id)
+        self.reach.restore(node_id)
+        self._news.drop(node_id)
+        self._config_versions.pop(node_id, None)
+
+    def remember(self, node_id: ids.NodeId) -> None:
+        """Listen to what others tell of a member again."""
+        self._forgotten.pop(node_id, None)
+
+    def _is_wanted(self, member: members.Member, now_ms: float) -> bool:
         if self.list.get(member.node_id) is not None:
             return True
+        incarnation, until_ms = self._forgotten.get(member.node_id, (-1, 0.0))
+        if member.incarnation <= incarnation and now_ms < until_ms:
+            return False
         # Tombstones that nobody here needs would be passed on for ever.
         is_dead = member.state is members.MemberState.DEAD
         return not is_dead and len(self.list) < MAX_MEMBERS
@@ -82,7 +108,7 @@
     ) -> bool:
         member = update.member
         known = self.list.get(member.node_id)
-        if known is None and not self._is_wanted(member):
+        if known is None and not self._is_wanted(member, now_ms):
             return False
         is_repeated = (
             known is not None
--- a/src/parsleystile/memberservice.py
+++ b/src/parsleystile/memberservice.py
@@ -20,6 +20,8 @@
 # Seeds asked at once by a node that knows nobody.
 SEEDS_ASKED = 3
 JOIN_PERIOD_MS = 1000.0
+# One write of the seed row in so many is followed by a look at all rows.
+WRITES_PER_SEARCH = 10
 
 OnLeft = typing.Callable[[membership.LeaveConfirmed], None]
 OnConfig = typing.Callable[[ids.ConfigVersion, transport.Address], None]
@@ -57,6 +59,7 @@
         self._next_join_ms = 0.0
         self._next_write_ms = 0.0
         self._has_written = False
+        self._writes = 0
         self._on_left: OnLeft | None = None
         network.handle_datagrams(self._datagram)
         network.handle_control(FETCH_KIND, self._serve_fetch)
@@ -120,8 +123,8 @@
         self.handle(membership.Received(message, source))
 
     async def _join(self) -> None:
-        found = await self._seeds.addresses(self._machine.me)
-        asked = (found or [])[:SEEDS_ASKED]
+        found = await self._seeds.read(self._machine.me)
+        asked = [seed.link for seed in (found or [])[:SEEDS_ASKED]]
         if not found:
             # Without the table, the peers of the settings have to do.
             count = min(SEEDS_ASKED, len(self._peers))
@@ -170,6 +173,18 @@
     async def _write_seed(self) -> None:
         if await self._seeds.write(self._machine.me):
             self._has_written = True
+        self._writes += 1
+        if self._writes % WRITES_PER_SEARCH == 0:
+            await self._search_strangers()
+
+    async def _search_strangers(self) -> None:
+        # Groups that started or lived apart for long know of each other
+        # by the rows alone.
+        for seed in await self._seeds.read(self._machine.me) or ():
+            known = self._machine.known(seed.node_id)
+            if known is None or known.link != seed.link:
+                self._ask(seed.link)
+                return
 
 
 def member_service(
--- a/src/parsleystile/membership.py
+++ b/src/parsleystile/membership.py
@@ -9,9 +9,9 @@
 import random
 import typing
 
+from parsleystile import _antientropy
 from parsleystile import _detection
 from parsleystile import _gossip_messages as messages
-from parsleystile import _memberlist
 from parsleystile import _probes
 from parsleystile import _view
 from parsleystile import ids
@@ -19,8 +19,6 @@
 from parsleystile import transport
 
 TICK_MS = 100
-# Buckets that one digest exchange reconciles; the rest wait for the next.
-BUCKETS_PER_EXCHANGE = 4
 # Pings that one question about a configuration version may cause.
 VERSION_PINGS = 200
 
@@ -239,6 +237,7 @@
                 self._detector.leave(now_ms)
             case Learned(members=learned):
                 for member in learned:
+                    self._view.remember(member.node_id)
                     self._view.merge(messages.Update(member), now_ms)
             case ConfigInForce(version=version, domains_out=domains_out):
                 self._view.config_version = version
@@ -282,6 +281,7 @@
         source: transport.Address,
         now_ms: float,
     ) -> list[Action]:
+        self._view.remember(message.sender)
         for update in message.updates:
             self._view.merge(update, now_ms)
         news = self._note_sender(message)
@@ -308,6 +308,7 @@
         source: transport.Address,
         now_ms: float,
     ) -> None:
+        view = self._view
         match message.body:
             case messages.Ping(sequence=sequence):
                 self._answer_ping(message, source, sequence)
@@ -324,9 +325,9 @@
                         relay_sequence=sequence,
                     )
             case messages.DigestOffer(digests=digests):
-                self._compare(digests, source)
+                _antientropy.compare(view, self._rng, digests, source)
             case messages.RecordsRequest(count=count, buckets=buckets):
-                self._send_records(buckets, count, source)
+                _antientropy.send_records(view, buckets, count, source)
             case messages.Records():
                 pass
             case _:
@@ -352,40 +353,6 @@
             source, messages.Ack(sequence, is_stranger), known, about
         )
 
-    def _compare(
-        self, digests: tuple[int, ...], source: transport.Address
-    ) -> None:
-        count = len(digests)
-        if not 0 < count <= _memberlist.MAX_BUCKETS or count & (count - 1):
-            return
-        mine = self._view.list.folded(count)
-        differing = [i for i in range(count) if mine[i] != digests[i]]
-        if not differing:
-            return
-        picked = self._rng.sample(
-            differing, min(BUCKETS_PER_EXCHANGE, len(differing))
-        )
-        self._send_records(tuple(picked), count, source)
-        request = messages.RecordsRequest(count, tuple(picked))
-        self._view.send(source, request)
-
-    def _send_records(
-        self,
-        buckets: tuple[int, ...],
-        count: int,
-        source: transport.Address,
-    ) -> None:
-        if not 0 < count <= _memberlist.MAX_BUCKETS:
-            return
-        updates = [
-            messages.Update(member)
-            for bucket in buckets[:BUCKETS_PER_EXCHANGE]
-            if 0 <= bucket < count
-            for member in self._view.list.in_bucket(bucket, count)
-        ]
-        for part in messages.chunks(updates):
-            self._view.send(source, messages.Records(), None, part)
-
     def _ask_versions(self, version: ids.ConfigVersion, now_ms: float) -> None:
         late = [
             m
--- a/src/parsleystile/seedrows.py
+++ b/src/parsleystile/seedrows.py
@@ -65,9 +65,7 @@
         self._clock = clock
         self._rng = rng
 
-    async def addresses(
-        self, me: members.Member
-    ) -> list[transport.Address] | None:
+    async def read(self, me: members.Member) -> list[SeedRow] | None:
         """Return whom to ask, in random order; None without an answer."""
         match await self._table.scan(PREFIX):
             case expression.Result(tag='ok', ok=rows):
@@ -77,7 +75,7 @@
         seeds = [seed for row in rows if (seed := _seed_of(row))]
         oldest_ms = self._clock.wall_ms() - STALE_MS
         found = [
-            seed.link
+            seed
             for seed in seeds
             if seed.at_wall_ms >= oldest_ms and seed.link != me.link
         ]
--- a/tests/test_controlplane.py
+++ b/tests/test_controlplane.py
@@ -265,3 +265,30 @@
         assert fleet.nodes['c-0'].versions == [count]
 
     _run(body)
+
+
+def test_groups_that_started_apart_find_each_other():
+    async def body(fleet):
+        fleet.cuts = {frozenset('ab')}
+        for domain in 'ab':
+            for i in range(2):
+                fleet.add(f'{domain}-{i}', domain)
+        await fleet.run(20_000)
+        for node in fleet.nodes.values():
+            assert len(node.machine.everyone()) == 2
+        fleet.cuts = set()
+        await fleet.run(600_000)
+        for node in fleet.nodes.values():
+            assert len(node.machine.everyone()) == 4
+
+    _run(body, sizes={})
+
+
+def test_seed_rows_cost_the_table_little():
+    async def body(fleet):
+        before = fleet.table.counts.rows_written
+        await fleet.run(120_000)
+        written = fleet.table.counts.rows_written - before
+        assert 9 * 2 <= written <= 9 * 8
+
+    _run(body)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -267,6 +267,25 @@
     assert states.count(members.MemberState.SUSPECT) > 0
 
 
+def test_a_domain_gone_for_an_hour_is_forgotten_and_may_return():
+    network = gossipnetwork.network({'a': 2, 'b': 1}, 1)
+    network.run(2000)
+    network.cuts = {frozenset('ab')}
+    node = network.nodes['a-0']
+    network.run(3_590_000)
+    assert node.machine.unreachable_domains() == {'b'}
+    assert len(node.machine.everyone()) == 3
+    network.run(20_000)
+    assert node.machine.unreachable_domains() == set()
+    assert _used_by(node) == {'a-0', 'a-1'}
+    # After the cut, a seed row leads one of them there.
+    network.run(700_000)
+    network.cuts = set()
+    seed = network.nodes['b-0'].machine.me
+    network.handle(node, membership.Learned((seed,)))
+    assert network.run_until(_agree(network), 20_000) <= 2 * BOUND_MS
+
+
 def test_a_domain_taken_out_is_not_offered():
     network = gossipnetwork.network(SIZES, 1)
     node = network.nodes['a-0']
