--- a/src/parsleystile/quota.py
+++ b/src/parsleystile/quota.py
@@ -8,7 +8,6 @@
 import dataclasses
 import random
 import typing
-import zlib
 
 from parsleystile import fleetconfig
 from parsleystile import ids
@@ -94,11 +93,12 @@
         now_ms: float,
     ) -> None:
         self._node_id = node_id
-        self._failure_domain = failure_domain
         self._quotas = Quotas(get_config)
         self._quotas.refresh()
-        self._domains: dict[ids.NodeId, ids.FailureDomainId] = {}
-        self._lender_order: dict[int, list[ids.NodeId]] = {}
+        self._rng = rng
+        self._regions: dict[ids.NodeId, ids.RegionId] = {}
+        self._shuffled_owners: dict[int, list[ids.NodeId]] = {}
+        self._map_read_at_ms: float | None = None
         self._next_prune_ms = now_ms
         self.ownership = ownership.ownership(
             PLAN, node_id, failure_domain, rng, now_ms
@@ -112,8 +112,7 @@
 
     def set_members(self, members: list[member_types.Member]) -> None:
         """Take in who is alive."""
-        self._domains = {m.node_id: m.failure_domain for m in members}
-        self._lender_order.clear()
+        self._regions = {m.node_id: m.region for m in members}
         self.ownership.set_members(members)
 
     def tick(self, now_ms: float) -> list[Action]:
@@ -200,22 +199,26 @@
                     self.lender.remove_part(part.shard, part.part, now_ms)
                 case ownership.EpochEnded():
                     self.lender.clear()
-        if self.ownership.part_map.read_at_ms is not None:
-            self._lender_order.clear()
+        read_at_ms = self.ownership.part_map.read_at_ms
+        if read_at_ms != self._map_read_at_ms:
+            self._map_read_at_ms = read_at_ms
+            self._shuffled_owners.clear()
 
     def _lenders_of(self, shard: int) -> list[ids.NodeId]:
-        """Return the owners of a shard's parts, the nearest first."""
-        order = self._lender_order.get(shard)
-        if order is None:
-            owners = self.ownership.part_map.owners(shard)
-            order = sorted(owners, key=self._distance)
-            self._lender_order[shard] = order
-        return order
-
-    def _distance(self, owner: ids.NodeId) -> tuple[bool, bool, int]:
-        is_far = self._domains.get(owner) != self._failure_domain
-        spread = zlib.crc32(f'{self._node_id}/{owner}'.encode())
-        return owner != self._node_id, is_far, spread
+        """Return the owners of a shard's parts, this region's first.
+
+        In random order, so that none is drained while another is full and
+        what comes in there is lost.
+        """
+        owners = self._shuffled_owners.get(shard)
+        if owners is None:
+            owners = list(self.ownership.part_map.owners(shard))
+            self._shuffled_owners[shard] = owners
+        self._rng.shuffle(owners)
+        return sorted(owners, key=self._is_far)
+
+    def _is_far(self, owner: ids.NodeId) -> bool:
+        return self._regions.get(owner) != self._regions.get(self._node_id)
 
 
 def quota_node(
--- a/src/parsleystile/quotaborrower.py
+++ b/src/parsleystile/quotaborrower.py
@@ -15,10 +15,17 @@
 # An organisation unused for so long gives everything back.
 IDLE_MS = 400.0
 ASK_TIMEOUT_MS = 200.0
-# A lender that did not answer is left alone for so long.
+# All organisations are looked over so often, those with waiting calls at
+# every tick.
+PASS_MS = 100.0
+# A lender that did not answer is left alone for so long, twice as long each
+# time in a row.
 DOWN_MS = 500.0
-# A call waits for a grant at most so long.
-WAIT_MS = 100.0
+LONGEST_DOWN_MS = 4_000.0
+# A call waits for a grant at most so long; where tokens come in slowly, as
+# long as one takes, within bounds.
+WAIT_MS = 300.0
+LONGEST_WAIT_MS = 1_000.0
 MAX_WAITING = 256
 SWEEP_GAP_MS = 5.0
 # Least time between sweeps that only refill ahead of need.
@@ -27,9 +34,12 @@
 HEDGE_MS = 30.0
 SHORTEST_RETRY_MS = 20.0
 LONGEST_RETRY_MS = 200.0
+LONGEST_RETRY_INSIDE_MS = 40.0
 RETRY_JITTER = 0.5
 # Share of the rate wanted that is not worth asking further for.
 _ENOUGH = 0.95
+# Share of the rate up to which demand counts as inside it, with some noise.
+_INSIDE = 1.5
 NOTHING = quotalender.Quota(0.0, 0.0)
 
 LendersOf = typing.Callable[[int], list[ids.NodeId]]
@@ -54,6 +64,7 @@
         default_factory=dict
     )
     down_until_ms: float = 0.0
+    down_ms: float = DOWN_MS / 2
     epoch: str = ''
 
 
@@ -77,6 +88,8 @@
         self._states: dict[ids.OrganisationId, quotabucket.Bucket] = {}
         self._lenders: dict[ids.NodeId, _Lender] = {}
         self._urgent: dict[ids.OrganisationId, None] = {}
+        self._waiting: dict[ids.OrganisationId, quotabucket.Bucket] = {}
+        self._next_pass_ms = 0.0
         self._is_stopping = False
         self.asks_sent = 0
 
@@ -119,7 +132,7 @@
         now_ms: float,
         on_take: quotabucket.OnTake,
     ) -> None:
-        """Take one token, waiting up to ``WAIT_MS`` for a grant.
+        """Take one token, waiting a little for a grant.
 
         ``on_take`` is called exactly once, at once where that is possible.
         """
@@ -128,7 +141,9 @@
         if refusal is None or state is None or not self._may_wait(state):
             on_take(refusal)
             return
-        state.waiting.append(quotabucket.Waiter(now_ms + WAIT_MS, on_take))
+        until_ms = now_ms + self._wait_ms(organisation)
+        state.waiting.append(quotabucket.Waiter(until_ms, on_take))
+        self._waiting[organisation] = state
 
     def tick(self, now_ms: float) -> None:
         """Start rounds that are due and end what has waited too long."""
@@ -138,8 +153,18 @@
                 continue
             if now_ms >= asked_at_ms + ASK_TIMEOUT_MS:
                 self.on_failed(lender_id, lender.seq, now_ms)
-        for state in list(self._states.values()):
-            self._tick_one(state, now_ms)
+        if now_ms >= self._next_pass_ms:
+            self._next_pass_ms = now_ms + PASS_MS
+            self._waiting.clear()
+            for state in list(self._states.values()):
+                self._tick_one(state, now_ms)
+                if state.waiting:
+                    self._waiting[state.organisation] = state
+            return
+        for state in list(self._waiting.values()):
+            state.settle(now_ms)
+            self._serve_waiting(state, now_ms)
+            self._hedge(state, now_ms)
 
     def due_asks(self, now_ms: float) -> list[SendAsk]:
         """Return the asks to send now."""
@@ -174,6 +199,7 @@
         asked, lender.asked = lender.asked, ()
         lender.asked_at_ms = None
         lender.epoch = grants.epoch
+        lender.down_ms = DOWN_MS / 2
         for item in grants.items:
             state = self._states.get(item.organisation)
             if state is not None:
@@ -190,7 +216,8 @@
             return
         asked, lender.asked = lender.asked, ()
         lender.asked_at_ms = None
-        lender.down_until_ms = now_ms + DOWN_MS
+        lender.down_ms = min(2 * lender.down_ms, LONGEST_DOWN_MS)
+        lender.down_until_ms = now_ms + lender.down_ms
         stranded = [*asked, *lender.pending]
         lender.pending.clear()
         for organisation in stranded:
@@ -216,7 +243,7 @@
             )
         state = quotabucket.Bucket(organisation, now_ms)
         state.attempts = 1
-        state.counted_ms = now_ms - quotabucket.SHORTEST_COUNT_MS
+        state.counted_ms = now_ms - quotabucket.SMOOTHING_MS
         state.sweep_at_ms = now_ms - ROUND_MS
         self._states[organisation] = state
         self._make_urgent(state, now_ms)
@@ -243,6 +270,11 @@
         if self._may_sweep(state, now_ms):
             self._on_due()
 
+    def _wait_ms(self, organisation: ids.OrganisationId) -> float:
+        quota = self._quota_of(organisation) or NOTHING
+        token_ms = 1e3 / max(quota.rate_per_s, 1.0)
+        return min(max(token_ms, WAIT_MS), LONGEST_WAIT_MS)
+
     def _refill_ahead(self, state: quotabucket.Bucket, now_ms: float) -> None:
         if now_ms >= state.sweep_at_ms + AHEAD_GAP_MS:
             self._make_urgent(state, now_ms)
@@ -277,7 +309,9 @@
             self._start_sweep(state, now_ms)
 
     def _hedge(self, state: quotabucket.Bucket, now_ms: float) -> None:
-        if state.waiting and now_ms >= state.asked_at_ms + HEDGE_MS:
+        if state.sweep is None or not state.waiting:
+            return
+        if now_ms >= state.asked_at_ms + HEDGE_MS:
             self._next_lender(state.organisation, now_ms)
 
     def _start_sweep(self, state: quotabucket.Bucket, now_ms: float) -> None:
@@ -310,11 +344,20 @@
                 return
         state.sweep = None
         if self._is_short(state, now_ms):
-            after_ms = max(state.retry_after_ms, SHORTEST_RETRY_MS)
-            state.retry_at_ms = now_ms + min(after_ms, LONGEST_RETRY_MS)
+            state.retry_at_ms = now_ms + self._retry_after_ms(state)
         if state.waiting:
             self._make_urgent(state, now_ms)
 
+    def _retry_after_ms(self, state: quotabucket.Bucket) -> float:
+        # Inside its rate, an organisation lacks tokens only until those
+        # scattered over the fleet have come back to the lenders.
+        quota = self._quota_of(state.organisation) or NOTHING
+        if state.demand_per_s <= _INSIDE * quota.rate_per_s:
+            longest_ms = LONGEST_RETRY_INSIDE_MS
+        else:
+            longest_ms = LONGEST_RETRY_MS
+        return min(max(state.retry_after_ms, SHORTEST_RETRY_MS), longest_ms)
+
     def _is_short(self, state: quotabucket.Bucket, now_ms: float) -> bool:
         if self._is_idle(state, now_ms):
             return False
@@ -417,7 +460,7 @@
     Args:
         node_id: This node.
         quota_of: Quota of an organisation now; None if it has none.
-        lenders_of: Owners of a shard's parts, the nearest first.
+        lenders_of: Owners of a shard's parts, in the order to ask.
         rng: Source of jitter.
         on_due: Called when ``due_asks`` has something to send.
     """
--- a/src/parsleystile/quotabucket.py
+++ b/src/parsleystile/quotabucket.py
@@ -10,13 +10,15 @@
 from parsleystile import quotawire
 
 SMOOTHING_MS = 1_000.0
-SHORTEST_COUNT_MS = 50.0
+SHORTEST_COUNT_MS = 250.0
 # Capacity for what comes in while an ask is under way.
 ROOM_S = 0.1
-RATE_HEADROOM = 1.25
+# What comes in at a full bucket is lost, so less rate is held than used.
+RATE_USED_SHARE = 0.8
+# Below this demand each call asks for its own token.
+LEAST_RATE_PER_S = 5.0
 # Tokens are held ahead for the calls of so long.
-STOCK_S = 0.5
-EPSILON = 1e-9
+STOCK_S = 0.25
 
 OnTake = typing.Callable[[errors.Refusal | None], None]
 
@@ -104,11 +106,11 @@
 
     def count_demand(self, now_ms: float) -> None:
         """Smooth the calls a second that arrive here."""
-        passed_ms = max(now_ms - self.counted_ms, SHORTEST_COUNT_MS)
+        passed_ms = now_ms - self.counted_ms
+        if passed_ms < SHORTEST_COUNT_MS:
+            return
         latest = self.attempts - self.attempts_counted
         weight = min(1.0, passed_ms / SMOOTHING_MS)
-        if self.demand_per_s < EPSILON:
-            weight = max(weight, 0.5)
         change = latest / passed_ms * 1e3 - self.demand_per_s
         self.demand_per_s += weight * change
         self.attempts_counted = self.attempts
@@ -139,11 +141,15 @@
 
     def want_per_s(self, quota: quotalender.Quota) -> float:
         """Return the rate that is worth holding now."""
-        return min(RATE_HEADROOM * self.demand_per_s, quota.rate_per_s)
+        if self.demand_per_s < LEAST_RATE_PER_S:
+            return 0.0
+        return min(RATE_USED_SHARE * self.demand_per_s, quota.rate_per_s)
 
     def want_stock(self, quota: quotalender.Quota) -> float:
         """Return the tokens that are worth holding now."""
-        ahead = max(1.0, self.demand_per_s * STOCK_S)
+        ahead = self.demand_per_s * STOCK_S
+        if ahead < 1.0:
+            ahead = 0.0
         return min(quota.burst, len(self.waiting) + ahead)
 
     def ask_item(
--- a/src/parsleystile/quotaservice.py
+++ b/src/parsleystile/quotaservice.py
@@ -26,6 +26,9 @@
 
 TICK_MS = 20.0
 _GAUGE_MS = 5_000.0
+# Taking in the members costs time with each, so more of them more seldom.
+_MEMBERS_MS = 200.0
+_MEMBERS_MS_EACH = 1.0
 
 GetMembers = typing.Callable[[], list[member_types.Member]]
 
@@ -54,6 +57,7 @@
         self._addresses: dict[ids.NodeId, transport.Address] = {}
         self._is_pump_due = False
         self._next_gauge_ms = 0.0
+        self._next_members_ms = 0.0
         self.node = quota.quota_node(
             identity.node_id,
             identity.failure_domain,
@@ -80,7 +84,7 @@
         organisation: ids.OrganisationId,
         on_take: quotabucket.OnTake,
     ) -> None:
-        """Take one token, waiting for a grant for up to 0.1 s.
+        """Take one token, waiting a little for a grant.
 
         ``on_take`` is called exactly once, at once where that is possible.
         """
@@ -88,7 +92,8 @@
 
     def tick(self, now_ms: float) -> None:
         """Do what time has made due; wanted every ``TICK_MS``."""
-        self._take_members()
+        if now_ms >= self._next_members_ms:
+            self._take_members(now_ms)
         self._perform(self.node.tick(now_ms))
         if now_ms >= self._next_gauge_ms:
             self._next_gauge_ms = now_ms + _GAUGE_MS
@@ -99,8 +104,10 @@
         self._perform(self.node.stop(self._clock.now_ms()))
         await self._runner.drain()
 
-    def _take_members(self) -> None:
+    def _take_members(self, now_ms: float) -> None:
         members = self._get_members()
+        period_ms = max(_MEMBERS_MS, _MEMBERS_MS_EACH * len(members))
+        self._next_members_ms = now_ms + period_ms
         self._addresses = {m.node_id: m.link for m in members}
         self.node.set_members(members)
 
