Run calls with an idempotency key at most once

Cause: callers that retry by themselves must not book or pay twice, through platform outages, lost answers, cuts and the death of any VM. Ruled out: a table row per keyed call (every call waits for the platform and none passes in an outage); claims in one node's memory alone (lost with the VM, so a whole shard would be refused on each failure). Before: the key was passed on and nothing claimed. After: a home per shard of keys, owned under a lease, keeps claims in memory and in that of its deputy, which alone may revoke the lease early; a call runs once the deputy holds its claim. Whoever takes over without a gapless copy answers "unknown" until all earlier claims have expired.

--- /dev/null
+++ b/src/parsleystile/claimwire.py
@@ -0,0 +1,156 @@
+"""Messages about claims on idempotency keys."""
+
+import enum
+import zlib
+
+import msgspec
+
+from parsleystile import ids
+
+CLAIM_KIND = 'claim'
+SETTLE_KIND = 'claim-settle'
+COPY_KIND = 'claim-copy'
+HOME_PREFIX = 'claim/home/'
+LEASE_PREFIX = 'lease/claim/'
+SHARDS = 16
+# Longer answers are not kept; a repeated call is told so.
+MAX_ANSWER_BYTES = 16_384
+MAX_KEY_CHARS = 255
+
+
+class ClaimState(enum.IntEnum):
+    """What is known of the call that claimed a key."""
+
+    RUNNING = 1
+    ANSWERED = 2
+    UNKNOWN = 3
+    # The call surely did not run; the key may be claimed again.
+    FREED = 4
+
+
+class ClaimResult(enum.IntEnum):
+    """A home's decision on a claim."""
+
+    PROCEED = 1
+    # The key's call has an answer, which comes along if it was kept.
+    ANSWERED = 2
+    RUNNING = 3
+    UNKNOWN = 4
+    # The key was used with another request.
+    MISMATCH = 5
+    # Claims made here before may be lost.
+    FORGOTTEN = 6
+    # Nothing was claimed.
+    NOT_HOME = 7
+    NO_COPY = 8
+    FULL = 9
+
+
+class ClaimKey(msgspec.Struct, frozen=True, array_like=True):
+    """What makes a repeated call the same call."""
+
+    organisation: ids.OrganisationId
+    route_id: ids.RouteId
+    key: str
+
+    @property
+    def shard(self) -> int:
+        """Shard whose home decides; the same at every node."""
+        text = f'{self.organisation}\0{self.route_id}\0{self.key}'
+        return zlib.crc32(text.encode()) % SHARDS
+
+
+class StoredAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """A target's answer; headers are names and values in turn."""
+
+    status: int
+    headers: list[str]
+    body: bytes
+
+
+class Entry(msgspec.Struct, array_like=True):
+    """A claimed key.
+
+    Attributes:
+        fingerprint: Digest of the request; another one is a misuse.
+        lasts_ms: From the claim until the call has surely ended.
+    """
+
+    key: ClaimKey
+    root_id: ids.RootId
+    fingerprint: str
+    lasts_ms: float
+    state: ClaimState = ClaimState.RUNNING
+    answer: StoredAnswer | None = None
+
+
+class ClaimAsk(msgspec.Struct, frozen=True, array_like=True):
+    """Asks the home of a key to let one call run; may be sent again."""
+
+    key: ClaimKey
+    root_id: ids.RootId
+    fingerprint: str
+    lasts_ms: float
+
+
+class ClaimReply(msgspec.Struct, frozen=True, array_like=True):
+    """The home's decision."""
+
+    result: ClaimResult
+    answer: StoredAnswer | None = None
+
+
+class Settle(msgspec.Struct, frozen=True, array_like=True):
+    """Tells the home what became of a call that claimed a key."""
+
+    key: ClaimKey
+    root_id: ids.RootId
+    state: ClaimState
+    answer: StoredAnswer | None = None
+
+
+class SettleReply(msgspec.Struct, frozen=True, array_like=True):
+    """Whether the home has taken note."""
+
+    is_noted: bool
+
+
+class CopiedShard(msgspec.Struct, frozen=True, array_like=True):
+    """A shard that a copy covers.
+
+    Attributes:
+        forgotten_ms: How long keys that are not in the copy may still have
+            been claimed before.
+    """
+
+    shard: int
+    forgotten_ms: float
+
+
+class Copy(msgspec.Struct, frozen=True, array_like=True):
+    """What a home tells a deputy, in order and without gaps.
+
+    Attributes:
+        seq: Grows by one; 1 starts over with an empty copy.
+        is_complete: The copy now holds everything that the home knows of
+            ``shards``.
+    """
+
+    home: ids.NodeId
+    epoch: str
+    seq: int
+    is_complete: bool
+    shards: list[CopiedShard]
+    entries: list[Entry]
+
+
+class CopyReply(msgspec.Struct, frozen=True, array_like=True):
+    """A deputy's reply.
+
+    Attributes:
+        is_held: The copy is held and the lease is not being revoked.
+        last_seq: Newest message that the copy holds; 0 if it has none.
+    """
+
+    is_held: bool
+    last_seq: int
--- a/src/parsleystile/leases.py
+++ b/src/parsleystile/leases.py
@@ -137,12 +137,18 @@
         self._attempt: _Attempt | None = None
         self._doubtful: list[_Attempt] = []
         self._is_busy = False
+        self._swap: tableio.Swap | None = None
         self._next_write_ms = 0.0
         self._next_promise_ms = 0.0
         self._read_at_ms: float | None = None
         self._clear_at_ms: float | None = None
         self._promised_ms: dict[ids.NodeId, float] = {}
 
+    @property
+    def deputies(self) -> tuple[ids.NodeId, ...]:
+        """The deputies that the next renewal names."""
+        return self._deputies
+
     @property
     def required_deputies(self) -> set[ids.NodeId]:
         """Every deputy that might now be entitled to revoke the lease."""
@@ -184,8 +190,10 @@
     def handle(self, event: Event, now_ms: float) -> list[Action]:
         """Take in a result of the table or a deputy's answer."""
         match event:
-            case tableio.Swapped(outcome=outcome):
-                self._on_swapped(outcome, now_ms)
+            case tableio.Swapped(swap, outcome):
+                if swap == self._swap:
+                    self._swap = None
+                    self._on_swapped(outcome, now_ms)
             case tableio.ReadDone():
                 self._on_read(event, now_ms)
             case PromiseReplied(_, deputy, asked_at_ms, is_promised):
@@ -224,7 +232,8 @@
         self._attempt = _Attempt(row, self._version + 1, now_ms)
         value = msgspec.msgpack.encode(row)
         write = table.Write(self._key, value, self._version)
-        return tableio.Swap((write,))
+        self._swap = tableio.Swap((write,))
+        return self._swap
 
     def _on_swapped(self, outcome: tableio.SwapOutcome, now_ms: float) -> None:
         self._is_busy = False
--- a/src/parsleystile/leasewatch.py
+++ b/src/parsleystile/leasewatch.py
@@ -124,18 +124,29 @@
         self, ask: leases.PromiseAsk, now_ms: float
     ) -> leases.PromiseReply:
         """Promise not to revoke a lease, unless that has begun."""
-        if ask.holder in self._revoking:
-            return leases.PromiseReply(False)
-        sighting = self._sightings.get(ask.holder)
-        if sighting is None or sighting.row.epoch != ask.epoch:
-            return leases.PromiseReply(False)
-        is_early = sighting.read_at_ms < self._born_ms + QUIET_MS
-        if is_early or sighting.row.state is not _HELD:
+        if not self.may_vouch(ask.holder, ask.epoch):
             return leases.PromiseReply(False)
         until_ms = now_ms + leases.PROMISE_MS + leases.MARGIN_MS
         self._promised_ms[ask.holder] = until_ms
         return leases.PromiseReply(True)
 
+    def may_vouch(self, holder: ids.NodeId, epoch: str) -> bool:
+        """Return whether the lease is known not to be revoked from here."""
+        if holder in self._revoking:
+            return False
+        sighting = self._sightings.get(holder)
+        if sighting is None or sighting.row.epoch != epoch:
+            return False
+        is_early = sighting.read_at_ms < self._born_ms + QUIET_MS
+        return not is_early and sighting.row.state is _HELD
+
+    def is_deputy(self, owner: ids.NodeId, epoch: str) -> bool:
+        """Return whether the lease, live or ended, names this node."""
+        sighting = self._sightings.get(owner)
+        if sighting is None or sighting.row.epoch != epoch:
+            return False
+        return self._node_id in sighting.row.deputies
+
     def revoke_lapsed(self, now_ms: float) -> list[tableio.Swap]:
         """Return the writes that revoke or remove rows, a row each."""
         swaps = []
@@ -189,6 +200,7 @@
             sighting.row.epoch,
             f'{self._rng.getrandbits(64):016x}',
             leases.LeaseState.REVOKED,
+            sighting.row.deputies,
         )
         key = self._prefix + node_id
         value = msgspec.msgpack.encode(row)
--- a/src/parsleystile/ownership.py
+++ b/src/parsleystile/ownership.py
@@ -25,7 +25,6 @@
     [ids.NodeId, dict[ids.NodeId, ids.FailureDomainId]],
     tuple[ids.NodeId, ...],
 ]
-MayClaim = typing.Callable[[parts.PartId, parts.PartRow | None, float], bool]
 Action = leases.Action
 Event = leases.Event
 
@@ -63,11 +62,13 @@
         layout: How it is cut.
         lease_prefix: Of the rows of the leases that guard it.
         choose_deputies: Picks the deputies of this node.
+        is_heir: See ``parts.View``.
     """
 
     layout: parts.Layout
     lease_prefix: str
     choose_deputies: ChooseDeputies
+    is_heir: parts.IsHeir | None = None
 
 
 class Ownership:
@@ -104,6 +105,11 @@
         self._is_scanning = False
         self._is_stopping = False
 
+    @property
+    def domains(self) -> dict[ids.NodeId, ids.FailureDomainId]:
+        """Failure domains of the members that are alive."""
+        return self._domains
+
     def set_members(self, members: list[member_types.Member]) -> None:
         """Take in who is alive."""
         domains = {
@@ -218,6 +224,7 @@
             self.lease.epoch if is_valid else None,
             self._domains,
             self.watch,
+            self._plan.is_heir,
         )
         actions: list[Action] = list(self.watch.revoke_lapsed(now_ms))
         for part in self.part_map.releases(view, now_ms):
@@ -261,12 +268,10 @@
             self.rescan_soon(now_ms)
             return []
         if key == self._plan.lease_prefix + self._node_id:
-            if not self._is_stopping:
-                had_lease = self.lease.valid_until_ms() > 0
-                self.lease.handle(event, now_ms)
-                if not had_lease:
-                    self.rescan_soon(now_ms)
-            return []
+            had_lease = self.lease.valid_until_ms() > 0
+            self.lease.handle(event, now_ms)
+            if had_lease:
+                return []
         self.watch.on_swapped(event)
         self.rescan_soon(now_ms)
         return []
--- a/src/parsleystile/parts.py
+++ b/src/parsleystile/parts.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import random
+import typing
 import zlib
 
 import msgspec
@@ -19,6 +20,8 @@
 
 # The next in rank claims a part that has been free for so long.
 RANK_DELAY_MS = 4_000.0
+# A node without the state of a part leaves it so long to one that has it.
+HEIR_MS = 8_000.0
 # An uneven spread over failure domains is evened out after this time.
 UNEVEN_MS = 5_000.0
 # Parts of a shard given up at once; each is out of use for a while.
@@ -33,12 +36,16 @@
         epoch: Lease epoch of the owner.
         nonce: Unique to one write.
         is_first: Nobody owned the part before.
+        previous_owner: Who owned it before this owner.
+        previous_epoch: Lease epoch of that node.
     """
 
     owner: ids.NodeId
     epoch: str
     nonce: str
     is_first: bool = False
+    previous_owner: ids.NodeId = ids.NodeId('')
+    previous_epoch: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
@@ -49,6 +56,9 @@
     part: int
 
 
+IsHeir = typing.Callable[[PartId, ids.NodeId, str], bool]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Layout:
     """How something is cut; fixed for the life of the fleet.
@@ -97,6 +107,8 @@
         epoch: Its lease epoch; None while the lease does not hold.
         domains: Of the members that are alive, this node included.
         watch: Leases as last seen, read after the part rows.
+        is_heir: Whether this node has the state of a part that a node
+            owned under an epoch; None if parts have no state that matters.
     """
 
     node_id: ids.NodeId
@@ -104,6 +116,7 @@
     epoch: str | None
     domains: dict[ids.NodeId, ids.FailureDomainId]
     watch: leasewatch.LeaseWatch
+    is_heir: IsHeir | None = None
 
 
 class PartMap:
@@ -182,7 +195,7 @@
         The caller stops using them at once and then writes
         ``release_swap``.
         """
-        if view.epoch is None:
+        if view.epoch is None or not self.layout.by_domain:
             return []
         surplus: list[PartId] = []
         for shard in range(self.layout.shards):
@@ -245,10 +258,15 @@
                 self._free_since_ms.pop(part, None)
         return free
 
+    def _places(self, view: View) -> dict[ids.NodeId, ids.FailureDomainId]:
+        if self.layout.by_domain:
+            return view.domains
+        return dict.fromkeys(view.domains, ids.FailureDomainId(''))
+
     def _domain_counts(
         self, shard: int, view: View
     ) -> dict[ids.FailureDomainId, int]:
-        domains = view.domains
+        domains = self._places(view)
         counts = dict.fromkeys(domains.values(), 0)
         for owner, parts in self.owners(shard).items():
             if owner in domains:
@@ -260,25 +278,28 @@
         if not free:
             return []
         counts = self._domain_counts(shard, view)
+        places = self._places(view)
+        here = places[view.node_id]
         for part in free:
             seen = self._seen.get(part)
-            if seen is not None and seen.row.owner in view.domains:
-                counts[view.domains[seen.row.owner]] -= 1
+            if seen is not None and seen.row.owner in places:
+                counts[places[seen.row.owner]] -= 1
         domains = sorted(counts)
         most = -(-self.layout.parts // len(domains))
-        room = most - counts[view.failure_domain]
+        room = most - counts[here]
         if room <= 0 or not self._is_my_turn(shard, free, view, now_ms):
             return []
         # Domains start at different parts, so that claims rarely clash.
-        start = (shard + domains.index(view.failure_domain)) % len(domains)
+        start = (shard + domains.index(here)) % len(domains)
         free.sort(key=lambda part: (part.part - start) % len(domains))
         return free[:room]
 
     def _is_my_turn(
         self, shard: int, free: list[PartId], view: View, now_ms: float
     ) -> bool:
-        here = view.failure_domain
-        local = [n for n, domain in view.domains.items() if domain == here]
+        places = self._places(view)
+        here = places[view.node_id]
+        local = [n for n, place in places.items() if place == here]
         live = {
             seen.row.owner
             for part, seen in self._seen.items()
@@ -287,19 +308,33 @@
         owners_here = [node_id for node_id in local if node_id in live]
         if owners_here:
             return view.node_id == min(owners_here)
+        since_ms = min(self._free_since_ms[part] for part in free)
+        if view.is_heir is not None:
+            seen = self._seen.get(free[0])
+            if seen is not None:
+                if view.is_heir(free[0], seen.row.owner, seen.row.epoch):
+                    return True
+                since_ms += HEIR_MS
         ranked = sorted(local, key=lambda n: _weight(shard, n))
         rank = ranked.index(view.node_id)
-        since_ms = min(self._free_since_ms[part] for part in free)
         return now_ms >= since_ms + rank * RANK_DELAY_MS
 
     def _claim(self, wanted: list[PartId], view: View) -> tableio.Swap:
         writes = []
         for part in wanted:
             seen = self._seen.get(part)
-            row = PartRow(
-                view.node_id, view.epoch, self._nonce(), seen is None
-            )
-            version = table.ABSENT if seen is None else seen.version
+            if seen is None:
+                version = table.ABSENT
+                row = PartRow(view.node_id, view.epoch, self._nonce(), True)
+            else:
+                version = seen.version
+                row = PartRow(
+                    view.node_id,
+                    view.epoch,
+                    self._nonce(),
+                    previous_owner=seen.row.owner,
+                    previous_epoch=seen.row.epoch,
+                )
             value = msgspec.msgpack.encode(row)
             writes.append(table.Write(self.layout.key(part), value, version))
         return tableio.Swap(tuple(writes))
--- a/tests/test_quotaservice.py
+++ b/tests/test_quotaservice.py
@@ -71,6 +71,7 @@
     async def body(world):
         await world.run(1_500.0)
         stopped = world.services.pop(0)
+        world.transports.pop(0)
         world.members.pop(0)
         await stopped.stop()
         assert stopped.try_take('o', world.clock.now_ms()) is not None
