--- a/src/parsleystile/daemon.py
+++ b/src/parsleystile/daemon.py
@@ -12,6 +12,7 @@
 from parsleystile import controlplane
 from parsleystile import explain
 from parsleystile import gossip
+from parsleystile import history
 from parsleystile import httpfront
 from parsleystile import ids
 from parsleystile import link
@@ -24,6 +25,7 @@
 from parsleystile import observer
 from parsleystile import operators
 from parsleystile import plannedstop
+from parsleystile import quotaservice
 from parsleystile import settings as node_settings
 from parsleystile import tableclient
 from parsleystile import targetclient
@@ -95,6 +97,13 @@
             self._rng,
             tableclient.TableLimits(timeout_ms=settings.table.timeout_ms),
         )
+        self._observer = observer.observer(
+            identity.node_id,
+            identity.failure_domain,
+            self._clock.now_ms(),
+            logs.event,
+            self._history_recorder(),
+        )
         self.node = nodes.build_node(
             nodes.Environment(
                 identity=identity,
@@ -108,14 +117,9 @@
                 target=self._target,
                 table=self._table,
                 metrics=self._metrics,
+                observed=self._observer,
             )
         )
-        self._observer = observer.observer(
-            identity.node_id,
-            identity.failure_domain,
-            self._clock.now_ms(),
-            logs.event,
-        )
         self._links.handle_calls(self.node.guard.submit)
         self._callers = self._front(self.node.ingress.handle)
         self._targets = self._front(self.node.egress.handle)
@@ -131,6 +135,7 @@
         )
         self._ticker.every(membership.TICK_MS, self._plane.tick)
         self._ticker.every(plannedstop.TICK_PERIOD_MS, self._planned_stop.tick)
+        self._ticker.every(quotaservice.TICK_MS, self._tick_quota)
         self._ticker.every(nodes.WATCH_PERIOD_MS, self._watch_target)
         for front in (self._callers, self._targets):
             self._ticker.every(_SWEEP_PERIOD_MS, front.sweep)
@@ -179,7 +184,7 @@
                 announce_leave=self._plane.leave,
                 refuse_new=self._refuse_new,
                 calls_in_flight=self._calls_in_flight,
-                hand_back=_hand_back_nothing,
+                hand_back=self._hand_back,
                 end=self._stopped.set,
             ),
             self._clock,
@@ -200,6 +205,18 @@
             )
         )
 
+    def _history_recorder(self) -> history.Recorder | None:
+        path = self._settings.history_file
+        if not path:
+            return None
+        # Unbuffered: a killed node must not take its record along.
+        return history.file_recorder(
+            self._settings.identity.node_id,
+            self._clock,
+            path,
+            buffer_entries=1,
+        )
+
     def _explain(self, root_id: ids.RootId) -> explain.Explanation:
         return self._observer.calls.explain(root_id, self._clock.now_ms())
 
@@ -213,6 +230,14 @@
     def _calls_in_flight(self) -> int:
         return self.node.calls_in_flight + self._callers.open_count
 
+    def _hand_back(self, on_done: typing.Callable[[], None]) -> None:
+        task = asyncio.get_running_loop().create_task(self.node.quota.stop())
+        task.add_done_callback(lambda ended: on_done())
+        self._handing_back = task
+
+    def _tick_quota(self) -> None:
+        self.node.quota.tick(self._clock.now_ms())
+
     def _watch_target(self) -> None:
         self.node.handle_target(targetwatch.Tick())
 
@@ -225,6 +250,8 @@
         await self._targets.close()
         await self._links.close()
         self._target.close()
+        if self._observer.recorder is not None:
+            self._observer.recorder.close()
 
 
 def _peer_address(peer: str) -> transport.Address:
@@ -232,10 +259,6 @@
     return transport.Address(host, int(port))
 
 
-def _hand_back_nothing(on_done: typing.Callable[[], None]) -> None:
-    on_done()
-
-
 def _metrics(settings: node_settings.StatsdSettings | None) -> metric.Metrics:
     if settings is None:
         return metric.memory_metrics()
