Never say not run after an attempt that may have run

Cause: an idempotent call whose first attempt ended unknown was retried; when the retry found no target or the deadline came first, the caller was told not run although a target had run the call. Ruled out: a wrong checker (the target's own record shows the execution); fault of the guard (each single attempt told the truth). Conclusion: the last refusal no longer hides an earlier attempt.

--- a/src/parsleystile/dispatcher.py
+++ b/src/parsleystile/dispatcher.py
@@ -50,6 +50,7 @@
         '_exchange',
         '_excluded',
         '_lent',
+        '_may_have_run',
         '_member',
         '_on_level',
         '_pending',
@@ -71,6 +72,7 @@
         self._tries = 0
         self._serial = 0
         self._lent = 0
+        self._may_have_run = False
         self._member: members.Member | None = None
         self._pending: transport.PendingCall | None = None
         self._deadline: deadlines.Deadline | None = None
@@ -112,7 +114,7 @@
                 errors.Reason.DEADLINE, 'refused until the deadline'
             )
         self.cancel()
-        self._exchange.finish(refusal)
+        self._exchange.finish(self._as_told(refusal))
 
     def _send(self) -> None:
         parts = self._dispatcher.parts
@@ -189,6 +191,8 @@
             refusal = result
         exchange.ledger.give_back(self._lent, unspent)
         parts.balancer.failed(node_id, refusal, now_ms, load)
+        if refusal.outcome is errors.Outcome.UNKNOWN:
+            self._may_have_run = True
         self._excluded |= {node_id}
         self._retry_or_finish(refusal, now_ms)
 
@@ -228,7 +232,13 @@
 
     def _finish(self, reply: exchanges.Reply) -> None:
         self._stop()
-        self._exchange.finish(reply)
+        self._exchange.finish(self._as_told(reply))
+
+    def _as_told(self, reply: exchanges.Reply) -> exchanges.Reply:
+        """Keep a refusal of the last attempt from hiding an earlier one."""
+        if self._may_have_run and isinstance(reply, errors.Refusal):
+            return dataclasses.replace(reply, outcome=errors.Outcome.UNKNOWN)
+        return reply
 
 
 class Dispatcher:
--- /dev/null
+++ b/tests/test_driven_fleet.py
@@ -0,0 +1,106 @@
+"""Calls through whole nodes while links and targets fail."""
+
+from hypothesis import strategies as st
+
+import pytest
+
+from parsleystile import dispatcher
+from parsleystile import exchange as exchanges
+from parsleystile import guard
+from parsleystile.promises import Promise
+from parsleystile import retries
+from tests import driven
+from tests import drivenfleet as df
+
+_REQUESTS = st.builds(
+    df.Request,
+    at_ms=st.integers(0, 200) | st.integers(3100, 3200),
+    node=st.integers(0, 5),
+    organisation=st.sampled_from(['org1', 'org2', '']),
+    path=st.sampled_from(['/a', '/book', '/open']),
+    cancel_after_ms=st.sampled_from([None, None, None, 3, 20]),
+)
+_FATES = st.lists(st.sampled_from(df.Fate), min_size=1, max_size=12)
+_PLANS = st.builds(
+    df.Plan,
+    seed=st.integers(0, 1000),
+    requests=st.lists(_REQUESTS, min_size=1, max_size=12).map(tuple),
+    links=_FATES.map(tuple),
+    targets=_FATES.map(tuple),
+    leaving=st.lists(st.integers(0, 5), max_size=2, unique=True).map(tuple),
+)
+_PROMISES = {
+    Promise.RETRIES_BOUNDED,
+    Promise.ORGANISATION_ISOLATED,
+    Promise.KEY_CONFIDENTIAL,
+    Promise.ANSWER_WHOLE,
+    Promise.NOT_RUN_TRUE,
+    Promise.AT_MOST_ONCE,
+    Promise.LEAVING_TARGET_IDLE,
+}
+
+
+def test_whole_nodes_hold_under_failing_links_and_targets():
+    driven.assert_holds(
+        _PLANS, lambda plan: df.Fleet(plan).run(), _PROMISES, examples=150
+    )
+
+
+class _Spendthrift(retries.AllowanceLedger):
+    """Copies the allowance to each child call in place of dividing it."""
+
+    def lend(self):
+        return self.unspent
+
+    def give_back(self, lent, unspent):
+        pass
+
+
+def _as_sent(exchange):
+    """Pass every header on."""
+    names, values = exchange.headers[::2], exchange.headers[1::2]
+    split = dict(zip(names, values, strict=True))
+    exchange.key = split.get(exchanges.KEY_HEADER, '')
+    exchange.token = split.get(exchanges.CONTEXT_HEADER, '')
+
+
+# What is switched off, where, by what, and the promise that then breaks.
+_SWITCHED_OFF = {
+    'dispatcher forgets earlier attempts': (
+        dispatcher._Attempts,
+        '_as_told',
+        lambda self, reply: reply,
+        Promise.NOT_RUN_TRUE,
+    ),
+    'retries are not divided': (
+        retries,
+        'allowance_ledger',
+        _Spendthrift,
+        Promise.RETRIES_BOUNDED,
+    ),
+    'unknown calls are sent again': (
+        retries,
+        '_is_safe',
+        lambda failure: True,
+        Promise.AT_MOST_ONCE,
+    ),
+    'headers are passed on': (
+        exchanges,
+        'split_headers',
+        _as_sent,
+        Promise.KEY_CONFIDENTIAL,
+    ),
+    'guard ignores that its target leaves': (
+        guard.Guard,
+        'drain',
+        lambda self: None,
+        Promise.LEAVING_TARGET_IDLE,
+    ),
+}
+
+
+@pytest.mark.parametrize('name', _SWITCHED_OFF)
+def test_without_a_mechanism_some_plan_breaks(name, monkeypatch):
+    owner, attribute, substitute, promise = _SWITCHED_OFF[name]
+    monkeypatch.setattr(owner, attribute, substitute)
+    driven.assert_breaks(_PLANS, lambda plan: df.Fleet(plan).run(), promise)
