Check whole nodes by what their observer records

Cause: the guard's own word on whom it acts for was not in the record. Ruled out: reading it from the network alone (local calls never pass it). Before: isolation was not judged in driven runs; a shed call told at ingress and at a guard counted twice. After: it is judged, calls are counted once, and ignoring context tokens breaks a plan.

--- a/src/parsleystile/load_checks.py
+++ b/src/parsleystile/load_checks.py
@@ -18,38 +18,58 @@
 _MAX_STARTS = 200
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Share:
+    """Calls of one class at one place in one window."""
+
+    node_id: ids.NodeId
+    stage: events.Stage
+    window: int
+    importance: context.Importance
+
+
+def _is_shed(event: events.Event) -> bool:
+    return isinstance(event, events.Refused) and event.reason in _SHED_REASONS
+
+
 def check_important_shed_last(
     history: events.History,
     bounds: promises.Bounds = promises.DEFAULT_BOUNDS,
 ) -> list[promises.Violation]:
     """In each window a node sheds no more of an important class."""
-    offered: collections.Counter[tuple[str, int, int]] = collections.Counter()
-    shed: collections.Counter[tuple[str, int, int]] = collections.Counter()
+    # A call may be told of more than once, say when it is shed further down.
+    offered: dict[_Share, set[ids.RootId]] = collections.defaultdict(set)
+    shed: dict[_Share, set[ids.RootId]] = collections.defaultdict(set)
     for at in history:
-        window = int(at.at_ms // bounds.shed_window_ms)
         match at.event:
-            case events.Admitted(importance=importance):
-                offered[at.node_id, window, importance] += 1
-            case events.Refused(importance=importance, reason=reason):
-                if reason in _SHED_REASONS:
-                    offered[at.node_id, window, importance] += 1
-                    shed[at.node_id, window, importance] += 1
+            case events.Admitted() | events.Refused():
+                share = _Share(
+                    at.node_id,
+                    at.event.stage,
+                    int(at.at_ms // bounds.shed_window_ms),
+                    at.event.importance,
+                )
+                offered[share].add(at.event.root_id)
+                if _is_shed(at.event):
+                    shed[share].add(at.event.root_id)
     found = []
-    for node_id, window in sorted({key[:2] for key in offered}):
-        for more, less in itertools.combinations(context.Importance, 2):
-            high, low = (node_id, window, more), (node_id, window, less)
-            if min(offered[high], offered[low]) < bounds.shed_calls:
+    for more in sorted(offered, key=lambda share: share.window):
+        for importance in context.Importance:
+            less = dataclasses.replace(more, importance=importance)
+            if importance <= more.importance or less not in offered:
+                continue
+            if min(len(offered[more]), len(offered[less])) < bounds.shed_calls:
                 continue
-            share = shed[high] / offered[high]
-            other = shed[low] / offered[low]
-            if share > other + bounds.shed_tolerance:
+            high = len(shed[more]) / len(offered[more])
+            low = len(shed[less]) / len(offered[less])
+            if high > low + bounds.shed_tolerance:
                 found.append(
                     promises.Violation(
                         Promise.IMPORTANT_SHED_LAST,
-                        window * bounds.shed_window_ms,
-                        node_id,
-                        f'shed {share:.2f} of {more.name}, '
-                        f'{other:.2f} of {less.name}',
+                        more.window * bounds.shed_window_ms,
+                        more.node_id,
+                        f'shed {high:.2f} of {more.importance.name}, '
+                        f'{low:.2f} of {importance.name}',
                     )
                 )
     return found
--- a/tests/driven.py
+++ b/tests/driven.py
@@ -51,12 +51,15 @@
             callback(*args)
         self.clock.advance(max(0.0, until_ms - self.now_ms))
 
-    def record(self, node_id, event):
+    def recorder(self, node_id):
         if node_id not in self._recorders:
             self._recorders[node_id] = history.memory_recorder(
                 node_id, self.clock
             )
-        self._recorders[node_id].record(event)
+        return self._recorders[node_id]
+
+    def record(self, node_id, event):
+        self.recorder(node_id).record(event)
 
     def history(self):
         return history.merge(r.entries for r in self._recorders.values())
--- a/tests/drivenfleet.py
+++ b/tests/drivenfleet.py
@@ -12,6 +12,7 @@
 from parsleystile import membership
 from parsleystile import metrics
 from parsleystile import node as nodes
+from parsleystile import observer
 from parsleystile import settings
 from parsleystile import targetclient
 from parsleystile import targetwatch
@@ -110,15 +111,14 @@
             return pending
         late_ms = 300.0 if fate is Fate.LATE else 0.0
 
-        def back(answer):
-            after(1.0 + late_ms, self._answer, pending, on_answer, answer)
-
-        if fate in (Fate.LOST, Fate.ANSWER_LOST):
+        is_cut = fate in (Fate.LOST, Fate.ANSWER_LOST)
+        if is_cut:
             refusal = errors.unknown(errors.Reason.LINK_LOST)
             after(2.0, self._answer, pending, on_answer, refusal)
 
-            def back(answer):
-                del answer
+        def back(answer):
+            if not is_cut:
+                after(1.0 + late_ms, self._answer, pending, on_answer, answer)
 
         if fate is not Fate.LOST:
             after(1.0 + late_ms, self._deliver, to, call, back, pending)
@@ -270,6 +270,13 @@
                 target=_Target(self, index),
                 table=memorytable.memory_table(self._table, 'd0'),
                 metrics=metrics.memory_metrics(),
+                observed=observer.observer(
+                    name,
+                    f'd{index % 2}',
+                    0.0,
+                    lambda event: None,
+                    self._scheduler.recorder(name),
+                ),
             )
         )
 
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -61,10 +61,10 @@
     return events.Admitted(importance=importance, **(defaults | fields))
 
 
-def shed(importance):
+def shed(importance, root_id='root'):
     return events.Refused(
-        stage=events.Stage.GUARD,
-        root_id='root',
+        stage=events.Stage.INGRESS,
+        root_id=root_id,
         organisation='org',
         importance=importance,
         rank=float(importance),
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -39,9 +39,12 @@
         (_CRITICAL, critical_shed),
         (_SHEDDABLE, sheddable_shed),
     ):
-        history += _timed(*[(10, h.shed(importance))] * count)
-        passed = h.admitted(importance)
-        history += _timed(*[(10, passed)] * (of - count))
+        for number in range(of):
+            root_id = f'{importance}-{number}'
+            passed = h.admitted(importance, root_id=root_id)
+            history.append(h.at(10, passed))
+            if number < count:
+                history.append(h.at(11, h.shed(importance, root_id)))
     return history
 
 
--- a/tests/test_driven_fleet.py
+++ b/tests/test_driven_fleet.py
@@ -7,6 +7,7 @@
 from parsleystile import dispatcher
 from parsleystile import exchange as exchanges
 from parsleystile import guard
+from parsleystile import inflight
 from parsleystile.promises import Promise
 from parsleystile import retries
 from tests import driven
@@ -64,6 +65,12 @@
     exchange.token = split.get(exchanges.CONTEXT_HEADER, '')
 
 
+def _latest(calls, token):
+    """Take the call that started last for the parent of any child call."""
+    del token
+    return next(reversed(calls._calls.values()), None)
+
+
 # What is switched off, where, by what, and the promise that then breaks.
 _SWITCHED_OFF = {
     'dispatcher forgets earlier attempts': (
@@ -84,6 +91,12 @@
         lambda failure: True,
         Promise.AT_MOST_ONCE,
     ),
+    'context tokens are not looked at': (
+        inflight.CallsInFlight,
+        'find',
+        _latest,
+        Promise.ORGANISATION_ISOLATED,
+    ),
     'headers are passed on': (
         exchanges,
         'split_headers',
