Count what a caller sent before it says not run

Cause: libcurl sends again by itself when a reused connection closes, and then reports on the second try alone; the trial's caller took a refused second try for a request that never left. Ruled out: the nodes (the killed one never answered). Conclusion: a fault of the witness, not of the system.

--- a/stubs/target.py
+++ b/stubs/target.py
@@ -126,15 +126,15 @@
         if trial is not None:
             trial = self.witness.child_sent(trial, path)
             shown[witness.TRIAL_HEADER] = str(trial)
-        answer = await witness.fetch(
+        fetched = await witness.fetch(
             self.http,
             httpclient.HTTPRequest(
                 f'{self.child_base}{path}', headers=shown, request_timeout=60
             ),
         )
         if trial is not None:
-            self.witness.answered(trial.request_id, answer)
-        return answer.code
+            self.witness.answered(trial.request_id, fetched)
+        return fetched.response.code
 
 
 class _CallHandler(web.RequestHandler):
--- a/stubs/witness.py
+++ b/stubs/witness.py
@@ -51,21 +51,60 @@
     return hashlib.blake2b(body, digest_size=_DIGEST_BYTES).hexdigest()
 
 
+class _Sends:
+    """Counts how often libcurl sends a request; stops the second time.
+
+    It would send again by itself when a reused connection closes before
+    the answer, and then report on the second try alone.
+    """
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def prepare(self, handle: pycurl.Curl) -> None:
+        handle.setopt(pycurl.PREREQFUNCTION, self._before_send)
+
+    def _before_send(self, *_addresses: object) -> int:
+        self.count += 1
+        return (
+            pycurl.PREREQFUNC_OK
+            if self.count == 1
+            else pycurl.PREREQFUNC_ABORT
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fetched:
+    """What came of a request.
+
+    Attributes:
+        response: With status 599 if there was no answer.
+        was_sent: Some of the request may have left.
+    """
+
+    response: httpclient.HTTPResponse
+    was_sent: bool
+
+
 async def fetch(
     http: httpclient.AsyncHTTPClient, request: httpclient.HTTPRequest
-) -> httpclient.HTTPResponse:
-    """Send a request; a lost connection comes back as status 599."""
+) -> Fetched:
+    """Send a request once."""
+    sends = _Sends()
+    request.prepare_curl_callback = sends.prepare
     try:
-        return await http.fetch(request, raise_error=False)
+        response = await http.fetch(request, raise_error=False)
     except (httpclient.HTTPError, OSError) as exc:
-        return httpclient.HTTPResponse(request, LOST_STATUS, error=exc)
+        response = httpclient.HTTPResponse(request, LOST_STATUS, error=exc)
+    return Fetched(response, sends.count > 0)
 
 
 def answered_event(
-    request_id: str, answer: httpclient.HTTPResponse
+    request_id: str, fetched: Fetched
 ) -> events.RequestAnswered:
     """Return what a caller learnt from an answer, or from its loss."""
-    if getattr(answer.error, 'errno', None) == pycurl.E_COULDNT_CONNECT:
+    answer = fetched.response
+    if not fetched.was_sent:
         return events.RequestAnswered(
             request_id=request_id,
             outcome=errors.Outcome.NOT_RUN,
@@ -172,11 +211,9 @@
         )
         return child
 
-    def answered(
-        self, request_id: str, answer: httpclient.HTTPResponse
-    ) -> None:
+    def answered(self, request_id: str, fetched: Fetched) -> None:
         """Record what became of a child call."""
-        self._record(answered_event(request_id, answer))
+        self._record(answered_event(request_id, fetched))
 
     def _record(self, event: events.Event) -> None:
         if self._recorder is not None:
--- a/tests/trial.py
+++ b/tests/trial.py
@@ -162,7 +162,7 @@
             headers['Idempotency-Key'] = idempotency_key
         port = self.nodes[via].caller_port
         size = self.rng.choice([10, 2000, 60_000])
-        answer = await witness.fetch(
+        fetched = await witness.fetch(
             self._http,
             httpclient.HTTPRequest(
                 f'http://{HOST}:{port}{path}/{number}',
@@ -172,7 +172,7 @@
                 request_timeout=10,
             ),
         )
-        event = witness.answered_event(request_id, answer)
+        event = witness.answered_event(request_id, fetched)
         self.record(event)
         return event
 
@@ -199,7 +199,7 @@
         body = json.dumps(
             {'change_id': change_id, 'operator': 'op', 'change': change}
         )
-        answer = await witness.fetch(
+        fetched = await witness.fetch(
             self._http,
             httpclient.HTTPRequest(
                 f'http://{HOST}:{self.nodes[via].operator_port}/v1/changes',
@@ -209,6 +209,7 @@
                 request_timeout=20,
             ),
         )
+        answer = fetched.response
         if answer.code != 200:
             return {'outcome': 'unknown', 'reason': str(answer.error)}
         told = json.loads(answer.body)
