--- a/tests/drivenfleet.py
+++ b/tests/drivenfleet.py
@@ -225,6 +225,11 @@
         )
 
 
+def address_of(index):
+    """Return where the node with a number is reached."""
+    return transport.Address('127.0.0.1', index)
+
+
 class Fleet:
     """Two nodes for each service; ``hook`` may alter a node once built."""
 
@@ -251,7 +256,7 @@
 
     def _build(self, index):
         name = f'n{index}'
-        address = transport.Address('127.0.0.1', index)
+        address = address_of(index)
         return nodes.build_node(
             nodes.Environment(
                 identity=settings.Identity(
