--- a/stubs/target.py
+++ b/stubs/target.py
@@ -8,9 +8,11 @@
 import argparse
 import asyncio
 import json
+import pathlib
 import secrets
 import signal
 import sys
+import time
 
 import msgspec
 from tornado import curl_httpclient
@@ -69,8 +71,25 @@
             force_instance=True, max_clients=1000
         )
         self.witness = witness.witness(
-            options.name, options.record, options.failure_domain
+            options.name, options.history, options.failure_domain
         )
+        self._record = None
+        if options.record:
+            path = pathlib.Path(options.record)
+            self._record = path.open('a', buffering=1)
+
+    def note(self, what: str, request) -> None:
+        """Append one line on a request to the record, if there is one."""
+        if self._record is not None:
+            line = {
+                'event': what,
+                'at_s': time.monotonic(),
+                'target': self.options.name,
+                'path': request.path,
+                'headers': list(request.headers.get_all()),
+                'body': request.body.decode('latin-1'),
+            }
+            self._record.write(json.dumps(line) + '\n')
 
     async def announce(self, port: int) -> None:
         """Tell the node beside us what we are, until we leave."""
@@ -145,6 +164,7 @@
     def on_connection_close(self) -> None:
         if self.task is not None:
             self.target.cancelled += 1
+            self.target.note('cancelled', self.request)
             self.target.witness.ended(self.request, b'')
             self.task.cancel()
 
@@ -153,6 +173,7 @@
         target.running += 1
         target.executed += 1
         target.peak = max(target.peak, target.running)
+        target.note('executed', self.request)
         target.witness.executed(self.request)
         self.task = asyncio.current_task()
         try:
@@ -234,6 +255,7 @@
     parser.add_argument('--child', action='append', default=[])
     parser.add_argument('--child-base', default='')
     parser.add_argument('--record', default='')
+    parser.add_argument('--history', default='')
     parser.add_argument('--failure-domain', default='')
     parser.add_argument('--grace-s', type=float, default=10.0)
     return parser.parse_args(argv)
--- a/tests/drivenfleet.py
+++ b/tests/drivenfleet.py
@@ -249,6 +249,8 @@
             said = targetwatch.Announced(service, f'i{index}', 80, 8)
             node.handle_target(said)
             _fill_retry_budgets(node)
+            # Limits across the fleet are driven on their own.
+            node.ingress._take_quota = _grant
             if hook:
                 hook(node)
         learned = tuple(node.membership.me for node in self._nodes)
@@ -417,6 +419,11 @@
         return exchanges.Exchange('POST', path, headers, b'', now_ms, on_done)
 
 
+def _grant(organisation, on_take):
+    del organisation
+    on_take(None)
+
+
 def _fill_retry_budgets(node):
     """Let each pair of services retry, as after a time without trouble."""
     policy = node.ingress._sender.parts.retries
