Follow a change of the operator's own key; make bootstrap keys

Cause: against real nodes, operator put on oneself waited 16 s and ended with 6, since the old key no longer opened the listener. Ruled out: a listener that takes the old key for a while. Before: exit code 6. After: the new key is used from acceptance on; a key that may not follow says so at once. operator keygen makes the bootstrap operator's key and fingerprint.

--- a/src/parsleystile/cli.py
+++ b/src/parsleystile/cli.py
@@ -16,6 +16,7 @@
 from parsleystile import console
 from parsleystile import errors
 from parsleystile import exitcodes
+from parsleystile import keys
 from parsleystile import logs
 from parsleystile import overview
 from parsleystile import settings as node_settings
@@ -90,9 +91,9 @@
 
 
 def _check_config(path: str) -> exitcodes.ExitCode:
-    from parsleystile import operate
+    from parsleystile import access
 
-    document = operate.read_document(path)
+    document = access.read_document(path)
     print(
         f'{path}: {len(document.organisations)} organisations,'
         f' {len(document.routes)} routes, {len(document.presets)} presets,'
@@ -110,6 +111,10 @@
             return _check_settings(path)
         case commands.CheckConfig(path=path):
             return _check_config(path)
+        case commands.MakeKey():
+            key = keys.new_key()
+            print(f'key {key}\nfingerprint {keys.fingerprint(key)}')
+            return exitcodes.ExitCode.ACCEPTED
         case commands.RemoteCommand():
             # A node starts faster without the client's modules.
             from parsleystile import operate
--- a/src/parsleystile/commands.py
+++ b/src/parsleystile/commands.py
@@ -77,6 +77,11 @@
     path: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class MakeKey(Command):
+    """Make a key for an operator without sending anything."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RemoteCommand(Command):
     """Base of commands that ask the fleet."""
--- a/src/parsleystile/console.py
+++ b/src/parsleystile/console.py
@@ -145,6 +145,10 @@
 class OperatorGroup(_Group):
     """Operators, who may change the configuration."""
 
+    def keygen(self) -> commands.Command:
+        """Make a key and its fingerprint for ``bootstrap_operator``."""
+        return commands.MakeKey()
+
     @decorators.SetParseFn(str)
     def put(self, name: str) -> commands.Command:
         """Create an operator or a new key for one; shown once."""
--- a/src/parsleystile/operate.py
+++ b/src/parsleystile/operate.py
@@ -1,7 +1,6 @@
 """Runs the commands that ask the fleet."""
 
 import asyncio
-import os
 import pathlib
 import secrets
 import sys
@@ -10,6 +9,7 @@
 import expression
 import msgspec
 
+from parsleystile import access
 from parsleystile import changes
 from parsleystile import commands
 from parsleystile import errors
@@ -21,9 +21,7 @@
 from parsleystile import operatorclient
 from parsleystile import render
 from parsleystile import report
-from parsleystile import strict
 
-KEY_VARIABLE = 'PARSLEYSTILE_OPERATOR_KEY'
 POLL_MS = 500
 CHANGE_ID_BYTES = 12
 SUBMIT_TRIES = 4
@@ -54,60 +52,27 @@
     return got.ok
 
 
+def _remedy(path: str) -> str:
+    """Return which command shows what a refused change could name."""
+    match path.partition('.')[0]:
+        case 'presets':
+            return '; see `preset list`'
+        case 'organisations':
+            return '; see `organisation list`'
+        case 'keys':
+            return '; see `key list`'
+        case 'routes':
+            return '; see `route list`'
+        case 'domains_out':
+            return '; see `domain list`'
+    return ''
+
+
 def _new_change_id() -> str:
     # The letter keeps Fire from reading the id as a number.
     return f'c{secrets.token_hex(CHANGE_ID_BYTES)}'
 
 
-def read_key(options: commands.Options) -> str:
-    """Read the operator's key from its file or the environment."""
-    if not options.key_file:
-        key = os.environ.get(KEY_VARIABLE, '').strip()
-        if key:
-            return key
-        raise errors.CommandFailure(
-            f'no operator key; set {KEY_VARIABLE} or name a --key-file',
-            Code.USAGE,
-        )
-    try:
-        key = pathlib.Path(options.key_file).read_text().strip()
-    except (OSError, UnicodeDecodeError) as exc:
-        raise errors.CommandFailure(f'key file: {exc}', Code.USAGE) from None
-    if not key:
-        raise errors.CommandFailure(
-            f'key file: {options.key_file} is empty', Code.USAGE
-        )
-    return key
-
-
-def read_document(path: str) -> fleetconfig.FleetConfig:
-    """Read a TOML document of the fleet and check it whole."""
-    try:
-        text = pathlib.Path(path).read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as exc:
-        raise errors.CommandFailure(f'file: {exc}', Code.USAGE) from None
-    got = strict.decode_toml(text, fleetconfig.FleetConfig, 'document')
-    fault = got.error if got.is_error() else fleetconfig.check(got.ok)
-    if fault is not None:
-        raise errors.CommandFailure(f'{path}: {fault}', Code.USAGE)
-    return got.ok
-
-
-def _access(options: commands.Options) -> operatorclient.Access:
-    if not options.nodes:
-        raise errors.CommandFailure(
-            'no node is named; write --nodes IP:PORT or set'
-            ' PARSLEYSTILE_NODES',
-            Code.USAGE,
-        )
-    return operatorclient.Access(
-        nodes=options.nodes,
-        operator=options.operator,
-        key=read_key(options),
-        timeout_ms=options.timeout_ms,
-    )
-
-
 class Session:
     """One command against the fleet."""
 
@@ -144,7 +109,7 @@
             case commands.ShowConfig():
                 return await self._show_config()
             case commands.ApplyConfig(path=path):
-                return await self._apply(read_document(path))
+                return await self._apply(access.read_document(path))
             case commands.ShowHistory():
                 return await self._history()
             case commands.ShowAnswer(path=path):
@@ -195,14 +160,21 @@
         return _OK
 
     async def _submit(
-        self, change: changes.Change, based_on: int | None = None
+        self,
+        change: changes.Change,
+        based_on: int | None = None,
+        own_key: str = '',
     ) -> Code:
         answer = await self._settled(change, based_on)
         if answer.outcome is operatorclient.ChangeOutcome.REFUSED:
             told = ': '.join(filter(None, (answer.path, answer.reason)))
-            raise errors.CommandFailure(f'refused: {told}', Code.REFUSED)
+            raise errors.CommandFailure(
+                f'refused: {told}{_remedy(answer.path)}', Code.REFUSED
+            )
         key = f', key {answer.key_id}' if answer.key_id else ''
         self._progress(f'accepted as version {answer.version}{key}')
+        if own_key:
+            self._client.use_key(own_key)
         return await self._await_in_force(answer.version)
 
     async def _settled(
@@ -250,6 +222,11 @@
         shown = ''
         while True:
             got = await self._client.in_force(version)
+            if got.is_error() and isinstance(
+                got.error, operatorclient.RejectedError
+            ):
+                self._progress(str(got.error))
+                return Code.NOT_YET_IN_FORCE
             domains = got.ok if got.is_ok() else {}
             line = listing.progress(domains) or 'waiting for confirmations'
             if line != shown:
@@ -275,9 +252,13 @@
     async def _put_operator(self, name: str) -> Code:
         key = keys.new_key()
         change = changes.PutOperator(name=name, digest=keys.fingerprint(key))
-        return await self._submit_with_key(change, key)
+        # An operator's old key ends with the change that makes the new.
+        own_key = key if name == self._options.operator else ''
+        return await self._submit_with_key(change, key, own_key)
 
-    async def _submit_with_key(self, change: changes.Change, key: str) -> Code:
+    async def _submit_with_key(
+        self, change: changes.Change, key: str, own_key: str = ''
+    ) -> Code:
         """Submit a change that gives a new key and show the key once."""
         if self._options.change_id:
             raise errors.CommandFailure(
@@ -286,7 +267,7 @@
                 Code.USAGE,
             )
         try:
-            code = await self._submit(change)
+            code = await self._submit(change, own_key=own_key)
         except errors.CommandFailure as exc:
             if exc.code is Code.UNKNOWN:
                 # It works if the change took effect after all.
@@ -378,7 +359,7 @@
 
 async def execute(command: commands.RemoteCommand) -> Code:
     """Run a command against the fleet on the running event loop."""
-    client = operatorclient.operator_client(_access(command.options))
+    client = operatorclient.operator_client(access.access(command.options))
     return await Session(client, command.options).run(command)
 
 
--- a/src/parsleystile/operatorclient.py
+++ b/src/parsleystile/operatorclient.py
@@ -185,6 +185,10 @@
         """The nodes that this client asks."""
         return self._access.nodes
 
+    def use_key(self, key: str) -> None:
+        """Show another key from now on: the operator's own was replaced."""
+        self._access = dataclasses.replace(self._access, key=key)
+
     async def _send(
         self, node: transport.Address, path: str, body: bytes | None
     ) -> Got:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -2,6 +2,7 @@
 
 from parsleystile import cli
 from parsleystile import exitcodes
+from parsleystile import keys
 
 _SETTINGS = """
 fleet_secret_file = "/run/parsleystile/fleet-secret"
@@ -58,3 +59,13 @@
 def test_help_exits_0_and_lists_the_commands(capsys):
     assert cli.main(['--help']) == 0
     assert 'settings' in capsys.readouterr().out
+
+
+def test_a_made_key_belongs_to_its_fingerprint(capsys):
+    assert cli.main(['operator', 'keygen']) == 0
+    key, fingerprint = (
+        line.split()[1] for line in capsys.readouterr().out.splitlines()
+    )
+    assert keys.fingerprint(key) == fingerprint
+    assert cli.main(['operator', 'keygen']) == 0
+    assert key not in capsys.readouterr().out
--- a/tests/test_operate.py
+++ b/tests/test_operate.py
@@ -15,6 +15,7 @@
 from parsleystile import exitcodes
 from parsleystile import explain
 from parsleystile import fleetconfig
+from parsleystile import keys
 
 _KEY = 'operators-own-key'
 _CODE = exitcodes.ExitCode
@@ -39,6 +40,8 @@
         # Outcomes of submitted changes; None cuts the connection.
         self.outcomes = ['accepted']
         self.waiting = []
+        # Digest of the key that replaces the operator's once it is sent.
+        self.new_digest = ''
         self.document = _DOCUMENT
         self._ready = threading.Event()
         self._thread = threading.Thread(target=self._run)
@@ -65,11 +68,14 @@
 
     def _handle(self, request):
         status, answer = 200, None
-        if request.headers.get('X-Operator-Key') != _KEY:
+        if not self._is_operator(request):
             status, answer = 401, {'detail': 'no operator has this key'}
         elif request.path == '/v1/changes':
             self.changes.append(json.loads(request.body))
             outcome = self.outcomes.pop(0)
+            change = self.changes[-1]['change']
+            if change['kind'] == 'put-operator':
+                self.new_digest = change['digest']
             if outcome is None:
                 request.connection.stream.close()
                 return
@@ -84,6 +90,12 @@
         request.connection.write_headers(line, headers, body)
         request.connection.finish()
 
+    def _is_operator(self, request):
+        shown = request.headers.get('X-Operator-Key', '')
+        if self.new_digest:
+            return keys.fingerprint(shown) == self.new_digest
+        return shown == _KEY
+
     def _get(self, path):
         match path:
             case '/v1/config':
@@ -292,6 +304,19 @@
     assert 'some-other-key' not in err
 
 
+def test_replacing_ones_own_key_goes_on_with_the_new_one(fleet, capsys):
+    assert cli.main(['operator', 'put', 'aino']) == _CODE.ACCEPTED
+    assert 'savo-1 2/2' in capsys.readouterr().err
+
+
+def test_a_change_that_cannot_be_followed_says_so(fleet, capsys):
+    # The first operator in the document ends the bootstrap key.
+    assert cli.main(['operator', 'put', 'eero']) == _CODE.NOT_YET_IN_FORCE
+    out, err = capsys.readouterr()
+    assert len(out.strip()) > 40
+    assert 'check the operator key' in err
+
+
 def test_a_change_needs_an_operator(fleet, capsys, monkeypatch):
     monkeypatch.delenv('PARSLEYSTILE_OPERATOR')
     assert cli.main(['domain', 'in', 'savo-3']) == _CODE.USAGE
