--- a/src/parsleystile/httpfront.py
+++ b/src/parsleystile/httpfront.py
@@ -117,7 +117,7 @@
         self._exchange = None
         match reply:
             case errors.Refusal():
-                status, headers, body = _problem(reply)
+                status, headers, body = _problem(reply, exchange)
             case exchanges.Answer():
                 status, headers, body = _answer_parts(
                     reply, self._start.method
@@ -150,7 +150,7 @@
 
 
 def _problem(
-    refusal: errors.Refusal,
+    refusal: errors.Refusal, exchange: exchanges.Exchange
 ) -> tuple[int, httputil.HTTPHeaders, bytes]:
     outcome = _OUTCOME_NAMES[refusal.outcome]
     name = refusal.reason.name.lower().replace('_', '-')
@@ -164,6 +164,9 @@
     headers = httputil.HTTPHeaders()
     headers['Content-Type'] = _PROBLEM_TYPE
     headers[exchanges.OUTCOME_HEADER] = outcome
+    if exchange.context is not None:
+        # What `parsleystile explain` asks for.
+        document['root_id'] = exchange.context.root_id
     if refusal.retry_after_ms > 0:
         # Retry-After has whole seconds; the document keeps the jitter.
         document['retry_after_ms'] = refusal.retry_after_ms
--- a/stubs/processes.py
+++ b/stubs/processes.py
@@ -29,6 +29,7 @@
 _ROOT = pathlib.Path(__file__).parent.parent
 _START_LIMIT_S = 15.0
 _STOP_LIMIT_S = 15.0
+OPERATOR = 'aino'
 CONFIG_KEY = 'config/fleet'
 
 
@@ -111,6 +112,8 @@
         self._stack = contextlib.ExitStack()
         self._directory = directory
         self.secret = secrets.token_hex(16)
+        # Opens the operator listeners until the document names operators.
+        self.operator_key = keys.new_key()
         self.nodes: dict[str, RunningNode] = {}
         self.table_port = 0
         self._processes: list[subprocess.Popen] = []
@@ -172,6 +175,17 @@
         )
         wait_for(lambda: listens(self.table_port), 'table', process)
 
+    def operator_environment(self) -> dict[str, str]:
+        """Return what the command line needs to act as the operator."""
+        nodes = self.nodes.values()
+        return {
+            'PARSLEYSTILE_NODES': ','.join(
+                f'{_HOST}:{node.operator_port}' for node in nodes
+            ),
+            'PARSLEYSTILE_OPERATOR': OPERATOR,
+            'PARSLEYSTILE_OPERATOR_KEY': self.operator_key,
+        }
+
     def set_table_faults(self, faults: dict[str, object]) -> None:
         """Make the table fail as told; an empty document mends it."""
         post(f'{self.table_url}/control', json.dumps(faults).encode())
@@ -253,6 +267,10 @@
 link_port = {ports[2]}
 gossip_port = {ports[3]}
 operator_port = {ports[4]}
+
+[bootstrap_operator]
+name = "{OPERATOR}"
+fingerprint = "{keys.fingerprint(self.operator_key)}"
 """
 
 
