--- a/stubs/processes.py
+++ b/stubs/processes.py
@@ -29,8 +29,8 @@
 _ROOT = pathlib.Path(__file__).parent.parent
 _START_LIMIT_S = 15.0
 _STOP_LIMIT_S = 15.0
-OPERATOR = 'aino'
 CONFIG_KEY = 'config/fleet'
+OPERATOR = 'rehearsal'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,6 +68,11 @@
     """A process of the fleet did not start or stop as it should."""
 
 
+def _environment() -> dict[str, str]:
+    path = f'{_ROOT / "src"}{os.pathsep}{_ROOT}'
+    return {**os.environ, 'PYTHONPATH': path}
+
+
 def free_ports(count: int) -> list[int]:
     """Return ports that were free for both TCP and UDP just now."""
     with contextlib.ExitStack() as stack:
@@ -112,7 +117,6 @@
         self._stack = contextlib.ExitStack()
         self._directory = directory
         self.secret = secrets.token_hex(16)
-        # Opens the operator listeners until the document names operators.
         self.operator_key = keys.new_key()
         self.nodes: dict[str, RunningNode] = {}
         self.table_port = 0
@@ -155,10 +159,7 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 cwd=_ROOT,
-                env={
-                    **os.environ,
-                    'PYTHONPATH': f'{_ROOT / "src"}{os.pathsep}{_ROOT}',
-                },
+                env=_environment(),
             )
         self._processes.append(process)
         return process
@@ -175,17 +176,6 @@
         )
         wait_for(lambda: listens(self.table_port), 'table', process)
 
-    def operator_environment(self) -> dict[str, str]:
-        """Return what the command line needs to act as the operator."""
-        nodes = self.nodes.values()
-        return {
-            'PARSLEYSTILE_NODES': ','.join(
-                f'{_HOST}:{node.operator_port}' for node in nodes
-            ),
-            'PARSLEYSTILE_OPERATOR': OPERATOR,
-            'PARSLEYSTILE_OPERATOR_KEY': self.operator_key,
-        }
-
     def set_table_faults(self, faults: dict[str, object]) -> None:
         """Make the table fail as told; an empty document mends it."""
         post(f'{self.table_url}/control', json.dumps(faults).encode())
@@ -199,6 +189,34 @@
             msgspec.json.encode(request),
         )
 
+    def command(self, *arguments: str, timeout_s: float = 60.0) -> str:
+        """Run an operator's command against all nodes; return its output.
+
+        Raises:
+            FleetError: It did not exit with 0.
+        """
+        nodes = ','.join(
+            f'{_HOST}:{node.operator_port}' for node in self.nodes.values()
+        )
+        done = subprocess.run(
+            [sys.executable, '-m', 'parsleystile', *arguments],
+            capture_output=True,
+            text=True,
+            timeout=timeout_s,
+            cwd=_ROOT,
+            env={
+                **_environment(),
+                'PARSLEYSTILE_NODES': nodes,
+                'PARSLEYSTILE_OPERATOR': OPERATOR,
+                'PARSLEYSTILE_OPERATOR_KEY': self.operator_key,
+            },
+        )
+        if done.returncode:
+            raise FleetError(
+                f'{" ".join(arguments)}: {done.returncode}: {done.stderr}'
+            )
+        return done.stdout
+
     def start_node(self, spec: NodeSpec) -> RunningNode:
         """Start a node and, unless its service is empty, its target."""
         ports = free_ports(5)
@@ -260,6 +278,10 @@
 [table]
 url = "{self.table_url}"
 
+[bootstrap_operator]
+name = "{OPERATOR}"
+fingerprint = "{keys.fingerprint(self.operator_key)}"
+
 [listeners]
 host = "{_HOST}"
 caller_port = {ports[0]}
@@ -267,10 +289,6 @@
 link_port = {ports[2]}
 gossip_port = {ports[3]}
 operator_port = {ports[4]}
-
-[bootstrap_operator]
-name = "{OPERATOR}"
-fingerprint = "{keys.fingerprint(self.operator_key)}"
 """
 
 
--- a/tests/test_cli_fleet.py
+++ b/tests/test_cli_fleet.py
@@ -34,8 +34,12 @@
 
 @pytest.fixture
 def as_operator(fleet, monkeypatch):
-    for name, value in fleet.operator_environment().items():
-        monkeypatch.setenv(name, value)
+    nodes = ','.join(
+        f'127.0.0.1:{node.operator_port}' for node in fleet.nodes.values()
+    )
+    monkeypatch.setenv('PARSLEYSTILE_NODES', nodes)
+    monkeypatch.setenv('PARSLEYSTILE_OPERATOR', processes.OPERATOR)
+    monkeypatch.setenv('PARSLEYSTILE_OPERATOR_KEY', fleet.operator_key)
 
 
 def _status(node, key):
