--- a/bench/observe.py
+++ b/bench/observe.py
@@ -64,7 +64,8 @@
     return size / 1024
 
 
-def _snapshot_bytes(organisations: int) -> float:
+def _busy_recorder(organisations: int) -> burn.BurnRecorder:
+    """Return a recorder with an hour of calls of every organisation."""
     recorder = burn.burn_recorder('n1', 'd1', 0.0)
     for number in range(organisations * 3600):
         recorder.record(
@@ -75,7 +76,37 @@
             True,
             number * 1000 / organisations,
         )
-    return float(len(burn.encode(recorder.snapshot(3_600_000.0))))
+    return recorder
+
+
+def _snapshot_ms(recorder: burn.BurnRecorder) -> float:
+    """Return the time to take and encode a snapshot."""
+    times_ms = []
+    for _ in range(_REPEATS):
+        start_ns = time.perf_counter_ns()
+        burn.encode(recorder.snapshot(3_600_000.0))
+        times_ms.append((time.perf_counter_ns() - start_ns) / 1e6)
+    return min(times_ms)
+
+
+def _call_log_kib() -> float:
+    """Return the memory of a call log whose rings are full."""
+    tracemalloc.start()
+    log = explain.call_log('n1')
+    for number in range(2 * explain.MAX_STEPS):
+        root_id = f'{number:016x}'
+        for reason in (errors.Reason.SHED, errors.Reason.RATE_LIMITED):
+            refused = explain.Refused(
+                explain.Stage.SHED,
+                errors.Outcome.NOT_RUN,
+                reason,
+                f'level {number}',
+            )
+            log.note(root_id, refused, float(number))
+        log.note(root_id, explain.Admitted(3, 20), float(number))
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return size / 1024
 
 
 def run() -> typing.Iterator[bench.Result]:
@@ -91,5 +122,9 @@
         yield bench.Result(
             f'burn_memory{suffix}', _burn_kib(organisations), 'KiB'
         )
-        size = _snapshot_bytes(organisations)
+        recorder = _busy_recorder(organisations)
+        size = len(burn.encode(recorder.snapshot(3_600_000.0)))
         yield bench.Result(f'burn_snapshot{suffix}', size, 'bytes')
+        taken_ms = _snapshot_ms(recorder)
+        yield bench.Result(f'burn_snapshot_ms{suffix}', taken_ms, 'ms')
+    yield bench.Result('call_log_memory', _call_log_kib(), 'KiB')
--- a/bench/roles.py
+++ b/bench/roles.py
@@ -53,6 +53,19 @@
     figures: tuple[Figure, ...]
 
 
+CHANGES_PER_S = CHANGES_PER_DAY / (MS_PER_DAY / 1000)
+# Largest service, if services are as uneven as one with ten times the mean.
+LARGE_SERVICE = 10 * NODES // SERVICES
+QUEUED_CALLS = 100
+# An arrival and a completion.
+GUARD_EVENTS_PER_CALL = 2
+_GUARD_MS_PER_S = CALLS_PER_NODE_PER_S * GUARD_EVENTS_PER_CALL / 1000
+_CHOICE_MS_PER_S = CALLS_PER_NODE_PER_S / 1000
+_MEMBER = 'membership.node_of_*'
+_FLEET = 'membership.fleet*'
+_QUOTA = 'quota.slope.*_nodes'
+_DOCUMENT = 'document.{}[organisations=*]'
+
 ROLES = (
     Role(
         'ingress, egress and guard',
@@ -65,7 +78,7 @@
                 bound=ADDED_P99_MS,
             ),
             Figure(
-                'processor time for calls, all nodes of a call',
+                'processor time of both nodes of a call',
                 'latency.chain1.cpu_all_nodes',
                 1,
                 'ms/s a node',
@@ -73,29 +86,143 @@
             ),
         ),
     ),
+    Role(
+        'guard: admission',
+        (
+            Figure(
+                f'decisions with {QUEUED_CALLS} calls queued',
+                'admission_event_queued_*_us',
+                QUEUED_CALLS,
+                'ms/s a node',
+                times=_GUARD_MS_PER_S,
+            ),
+        ),
+    ),
+    Role(
+        'ingress: choice of a target',
+        (
+            Figure(
+                f'choices among {LARGE_SERVICE} targets',
+                'balancer_choose_of_*_us',
+                LARGE_SERVICE,
+                'ms/s a node',
+                times=_CHOICE_MS_PER_S,
+            ),
+        ),
+    ),
+    Role(
+        'member',
+        (
+            Figure('datagrams', f'{_MEMBER}.datagrams', NODES, '1/s a node'),
+            Figure(
+                'bytes both ways',
+                f'{_MEMBER}.bytes_both_ways',
+                NODES,
+                'B/s a node',
+                bound=CONTROL_BYTES_PER_S,
+            ),
+            Figure(
+                'processor time',
+                f'{_MEMBER}.cpu',
+                NODES,
+                'ms/s a node',
+                bound=CONTROL_CPU_MS_PER_S,
+            ),
+            Figure(
+                'memory of the member list',
+                f'{_MEMBER}.memory_per_member',
+                NODES,
+                'KiB',
+                times=NODES / 1024,
+                bound=MEMORY_KIB,
+            ),
+            Figure(
+                'a death known everywhere, by a line',
+                f'{_FLEET}.death_known_everywhere',
+                NODES,
+                'ms',
+                bound=IN_FORCE_MS,
+            ),
+            Figure(
+                'views agree after a cut between regions, by a line',
+                f'{_FLEET}.views_agree_after_cut',
+                NODES,
+                'ms',
+            ),
+        ),
+    ),
+    Role(
+        'lease holder and borrower of rates',
+        (
+            Figure('messages', f'{_QUOTA}.messages', NODES, '1/s a node'),
+            Figure(
+                'bytes sent',
+                f'{_QUOTA}.sent',
+                NODES,
+                'B/s a node',
+                bound=CONTROL_BYTES_PER_S,
+            ),
+            Figure(
+                'rows written to the table',
+                f'{_QUOTA}.rows_written',
+                NODES,
+                '1/s',
+                bound=TABLE_WRITES_PER_S,
+            ),
+            Figure(
+                'reads of the table',
+                f'{_QUOTA}.table_reads',
+                NODES,
+                '1/s',
+                bound=TABLE_READS_PER_S,
+            ),
+            Figure(
+                'processor time of taking from a rate',
+                'quota.take.admitted',
+                1,
+                'ms/s a node',
+                times=_CHOICE_MS_PER_S,
+            ),
+        ),
+    ),
     Role(
         'config holder',
         (
             Figure(
                 'document, encoded',
-                'document.size_bytes[organisations=*]',
+                _DOCUMENT.format('size_bytes'),
                 ORGANISATIONS,
                 'bytes',
             ),
             Figure(
-                'processor time of changes',
-                'document.decode_ms[organisations=*]',
+                'processor time of applying changes',
+                _DOCUMENT.format('advance_ms'),
                 ORGANISATIONS,
                 'ms/s a node',
-                times=CHANGES_PER_DAY / MS_PER_DAY * 1000,
+                times=CHANGES_PER_S,
                 bound=CONTROL_CPU_MS_PER_S,
             ),
             Figure(
-                'bytes of changes, whole documents',
-                'document.size_bytes[organisations=*]',
+                'longest stop of the event loop, one change',
+                _DOCUMENT.format('advance_ms'),
+                ORGANISATIONS,
+                'ms',
+                bound=ADDED_P99_MS,
+            ),
+            Figure(
+                'changes fetched, each once',
+                'document.record_bytes',
+                1,
+                'B/s a node',
+                times=CHANGES_PER_S,
+                bound=CONTROL_BYTES_PER_S,
+            ),
+            Figure(
+                'whole documents, if every change needed one',
+                _DOCUMENT.format('size_bytes'),
                 ORGANISATIONS,
-                'bytes/s a node',
-                times=CHANGES_PER_DAY / MS_PER_DAY * 1000,
+                'B/s a node',
+                times=CHANGES_PER_S,
                 bound=CONTROL_BYTES_PER_S,
             ),
         ),
@@ -111,26 +238,34 @@
                 bound=MEMORY_KIB,
             ),
             Figure(
-                'burn snapshot of one node',
-                'burn_snapshot[organisations=*]',
-                ORGANISATIONS_PER_NODE,
-                'bytes',
-            ),
-            Figure(
-                'burn report, fetched from all nodes',
-                'burn_snapshot[organisations=*]',
-                ORGANISATIONS_PER_NODE,
-                'bytes',
-                times=NODES,
+                'memory of the call log when full',
+                'call_log_memory',
+                1,
+                'KiB',
+                bound=MEMORY_KIB,
             ),
             Figure(
                 'processor time of counting',
                 'burn_record_answered',
                 1,
                 'ms/s a node',
-                times=CALLS_PER_NODE_PER_S / 1000,
+                times=_CHOICE_MS_PER_S,
                 bound=CONTROL_CPU_MS_PER_S,
             ),
+            Figure(
+                'longest stop of the event loop, one snapshot',
+                'burn_snapshot_ms[organisations=*]',
+                ORGANISATIONS_PER_NODE,
+                'ms',
+                bound=ADDED_P99_MS,
+            ),
+            Figure(
+                'one report, fetched from all nodes',
+                'burn_snapshot[organisations=*]',
+                ORGANISATIONS_PER_NODE,
+                'MB',
+                times=NODES / 1e6,
+            ),
         ),
     ),
 )
--- a/src/parsleystile/burn.py
+++ b/src/parsleystile/burn.py
@@ -123,6 +123,8 @@
         self._buckets = buckets
         self._width = width
         self._cells = array.array('Q', bytes(8 * buckets * width))
+        # Kept along: adding up all cells would hold up calls.
+        self._total = [0] * width
         self._newest = 0
 
     def advance(self, bucket: int) -> None:
@@ -130,33 +132,35 @@
         gone = min(bucket - self._newest, self._buckets)
         for step in range(gone):
             at = ((bucket - step) % self._buckets) * self._width
-            for place in range(at, at + self._width):
-                self._cells[place] = 0
+            for place in range(self._width):
+                self._total[place] -= self._cells[at + place]
+                self._cells[at + place] = 0
         self._newest = max(self._newest, bucket)
 
     def add(self, row: typing.Sequence[int]) -> None:
+        """Add a row to the newest bucket."""
         at = (self._newest % self._buckets) * self._width
         for place, count in enumerate(row):
             self._cells[at + place] += count
+            self._total[place] += count
 
     def bump(self, place: int) -> None:
         """Add one to a counter of the newest bucket."""
         at = (self._newest % self._buckets) * self._width
         self._cells[at + place] += 1
+        self._total[place] += 1
 
     def rows(self) -> list[Row]:
         """Return a row for each bucket, newest first."""
         found = []
         for age in range(self._buckets):
             at = ((self._newest - age) % self._buckets) * self._width
-            found.append(list(self._cells[at : at + self._width]))
+            found.append(self._cells[at : at + self._width].tolist())
         return found
 
     def total(self) -> Row:
         """Return the sum of all buckets."""
-        return [
-            sum(self._cells[at :: self._width]) for at in range(self._width)
-        ]
+        return list(self._total)
 
 
 class _Account:
