Count a refusal for rate as wrong only beyond doubt

Cause: the demo's report called 364 of 468 refusals of an organisation at five times its rate wrong: a minute is too coarse for rate and burst. Ruled out: taking the burst off the minute; a flood after a quiet time is refused rightly all the same. Before: 364 counted.

--- a/src/parsleystile/burn.py
+++ b/src/parsleystile/burn.py
@@ -46,6 +46,8 @@
 )
 # The window whose single buckets a snapshot carries, for plots.
 SERIES_WINDOW = 1
+# The window whose buckets are fine enough to judge refusals for rate.
+RATE_WINDOW = 0
 
 
 class Count(enum.IntEnum):
@@ -92,11 +94,14 @@
     Attributes:
         windows: A row for each of ``WINDOWS``.
         series: Rows of the buckets of ``SERIES_WINDOW``, newest first.
+        rate_series: ``[demanded, rate limited]`` of the buckets of
+            ``RATE_WINDOW``, newest first.
         reasons: Refusals by reason name over ``SERIES_WINDOW``.
     """
 
     windows: list[Row]
     series: list[Row]
+    rate_series: list[Row]
     reasons: dict[str, int]
 
 
@@ -194,6 +199,10 @@
         return OrganisationBurn(
             windows=[ring.total() for ring in self.rings],
             series=self.rings[SERIES_WINDOW].rows(),
+            rate_series=[
+                [row[Count.DEMANDED], row[Count.RATE_LIMITED]]
+                for row in self.rings[RATE_WINDOW].rows()
+            ],
             reasons=reasons,
         )
 
--- a/src/parsleystile/objectives.py
+++ b/src/parsleystile/objectives.py
@@ -85,6 +85,8 @@
         nodes: How many nodes were summed.
         windows: A row of counts for each of ``burn.WINDOWS``.
         series: Rows of the buckets of ``burn.SERIES_WINDOW``, newest first.
+        rate_series: Demanded and rate limited in the buckets of
+            ``burn.RATE_WINDOW``, newest first.
         recent: Demanded and good of each second, newest first.
         latency: Answers by bit length of their milliseconds.
         reasons: Refusals by reason over ``burn.SERIES_WINDOW``.
@@ -93,6 +95,7 @@
     nodes: int
     windows: tuple[burn.Row, ...]
     series: tuple[burn.Row, ...]
+    rate_series: tuple[burn.Row, ...]
     recent: tuple[burn.Row, ...]
     latency: burn.Row
     reasons: dict[str, int]
@@ -136,6 +139,11 @@
             [p.windows for p in parts], len(burn.WINDOWS), width
         ),
         series=_add_tables([p.series for p in parts], series, width),
+        rate_series=_add_tables(
+            [p.rate_series for p in parts],
+            burn.WINDOWS[burn.RATE_WINDOW].buckets,
+            2,
+        ),
         recent=_add_tables(
             [s.recent for s in snapshots], burn.RECENT_SECONDS, 2
         ),
@@ -187,12 +195,12 @@
         whole: Sum of all nodes.
         objectives: The objectives in force.
         refused_inside_rate: Refusals for rate that were wrong, found by
-            ``refused_inside`` over ``burn.SERIES_WINDOW``.
+            ``refused_inside`` over ``burn.RATE_WINDOW``.
     """
     burns = []
-    for index, window in enumerate(burn.WINDOWS):
-        row = whole.windows[index]
-        wrong = refused_inside_rate if index >= burn.SERIES_WINDOW else 0
+    # Every window holds the shortest.
+    wrong = refused_inside_rate
+    for window, row in zip(burn.WINDOWS, whole.windows, strict=True):
         burns.append(
             burn_of(
                 window.name,
@@ -205,20 +213,44 @@
 
 
 def refused_inside(
-    series: typing.Iterable[burn.Row], rate_per_s: float
+    rate_series: typing.Sequence[burn.Row], rate_per_s: float, burst: int
 ) -> int:
-    """Return how many refusals for rate the fleet's demand did not justify.
+    """Return how many refusals for rate were wrong beyond doubt.
 
-    In a bucket where all nodes together let through less than the rate,
-    up to the rest of the rate was refused wrongly. The burst is left out
-    of account, so the figure is a lower bound.
+    A token bucket holds the burst and the refill since it was last full,
+    less what was taken since. Refusals of a bucket of time are wrong if a
+    token was left whenever it was last full. Nodes' buckets of time may
+    be off by one, so what their neighbours let through counts as taken.
+
+    Args:
+        rate_series: Demanded and rate limited, newest first.
+        rate_per_s: The organisation's rate.
+        burst: Its burst.
     """
-    allowed = rate_per_s * burn.WINDOWS[burn.SERIES_WINDOW].bucket_ms / 1000
-    wrong = 0
-    for row in series:
-        room = max(0, int(allowed) - row[burn.Count.DEMANDED])
-        wrong += min(room, row[burn.Count.RATE_LIMITED])
-    return wrong
+    taken = [row[0] for row in reversed(rate_series)]
+    refused = [row[1] for row in reversed(rate_series)]
+    width_s = burn.WINDOWS[burn.RATE_WINDOW].bucket_ms / 1000
+    refill = rate_per_s * width_s
+    return sum(
+        count
+        for at, count in enumerate(refused)
+        if count and _least_tokens(taken, at, refill, burst) >= 1
+    )
+
+
+def _least_tokens(
+    taken: list[int], at: int, refill: float, burst: int
+) -> float:
+    """Return the least number of tokens that may have been left."""
+    # What came before the oldest bucket of time is not known.
+    least = at * refill - sum(taken[: at + 2])
+    since = sum(taken[at + 1 : at + 2])
+    for full in range(at, -1, -1):
+        since += taken[full]
+        before = taken[full - 1] if full else 0
+        refilled = max(0, at - full - 1) * refill
+        least = min(least, burst + refilled - since - before)
+    return least
 
 
 def longest_dip_ms(
--- a/src/parsleystile/operate.py
+++ b/src/parsleystile/operate.py
@@ -344,11 +344,12 @@
             self._progress(str(error))
         if not found:
             raise _failure(failed[0])
-        rates = {
-            name: organisation.rate_per_s * document.preset.rate_factor
-            for name, organisation in document.organisations.items()
+        factor = document.preset.rate_factor
+        limits = {
+            name: report.Limit(o.rate_per_s * factor, o.burst)
+            for name, o in document.organisations.items()
         }
-        made = report.make(found, document.objectives, len(failed), rates)
+        made = report.make(found, document.objectives, len(failed), limits)
         text = report.render_as(made, form.value)
         if output:
             pathlib.Path(output).write_text(text, encoding='utf-8')
--- a/src/parsleystile/report.py
+++ b/src/parsleystile/report.py
@@ -32,9 +32,8 @@
 
     Attributes:
         goodput: Answered over demanded in each window; None if idle.
-        refused_inside_rate: Refusals for rate in the last hour although
-            the fleet let through less than the rate; a lower bound. None
-            where no rate is known.
+        refused_inside_rate: Refusals for rate in the first window that
+            were wrong beyond doubt; None where no rate is known.
     """
 
     name: str
@@ -47,6 +46,14 @@
     refused_inside_rate: int | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limit:
+    """Rate and burst of an organisation across the fleet."""
+
+    rate_per_s: float
+    burst: int
+
+
 class Report(msgspec.Struct, frozen=True, kw_only=True):
     """Everything that the report shows.
 
@@ -169,7 +176,7 @@
     snapshots: typing.Sequence[burn.Snapshot],
     goals: objectives.Objectives,
     nodes_missing: int = 0,
-    rates: typing.Mapping[ids.OrganisationId, float] | None = None,
+    limits: typing.Mapping[ids.OrganisationId, Limit] | None = None,
 ) -> Report:
     """Judge the counts of many nodes.
 
@@ -177,16 +184,19 @@
         snapshots: One from each node that answered.
         goals: The objectives in force.
         nodes_missing: How many nodes did not answer.
-        rates: Requests a second that each organisation may make.
+        limits: Rate and burst of each organisation.
     """
+    limits = limits or {}
     whole = objectives.total(snapshots)
     names = sorted({n for s in snapshots for n in s.organisations})
     by_organisation = {n: objectives.total(snapshots, n) for n in names}
     by_domain = _by_domain(snapshots)
     wrong = {
-        name: objectives.refused_inside(found.series, (rates or {})[name])
+        name: objectives.refused_inside(
+            found.rate_series, limits[name].rate_per_s, limits[name].burst
+        )
         for name, found in by_organisation.items()
-        if name in (rates or {})
+        if name in limits
     }
     reasons = sorted(whole.reasons.items(), key=lambda r: (-r[1], r[0]))
     return Report(
@@ -228,7 +238,7 @@
         'not run 1 h',
         'unknown 1 h',
         'over rate 1 h',
-        'refused inside rate 1 h',
+        'refused inside rate 5 min',
     ]
     at = burn.SERIES_WINDOW
     rows = [
