Claim idempotency keys before a call is sent, at ingress and egress

What settles a call is now a list on the exchange: a child call has both the parent's retry ledger and its claim to settle, and the second had silently replaced the first.

--- a/src/parsleystile/egress.py
+++ b/src/parsleystile/egress.py
@@ -8,6 +8,7 @@
 from parsleystile import errors
 from parsleystile import exchange as exchanges
 from parsleystile import filters
+from parsleystile import ingress
 from parsleystile import metrics as metric
 from parsleystile import observer
 from parsleystile import targetwatch
@@ -41,6 +42,7 @@
         self,
         rules: filters.Rules,
         sender: dispatcher.Dispatcher,
+        claim: ingress.Claim,
         on_target_event: OnTargetEvent,
         metrics: metric.Metrics,
         observed: observer.Observer,
@@ -50,6 +52,7 @@
         self._calls = rules.calls
         self._clock = rules.clock
         self._sender = sender
+        self._claim = claim
         self._on_target_event = on_target_event
         self._metrics = metrics
 
@@ -94,9 +97,16 @@
         def on_level(level: float) -> None:
             parent.subtree_level = min(parent.subtree_level, level)
 
-        exchange.settle = settle
+        exchange.on_settled(settle)
         parent.child_started(exchange, exchange.arrived_ms)
-        self._sender.dispatch(exchange, on_level)
+
+        def send(ready: exchanges.Exchange) -> None:
+            self._sender.dispatch(ready, on_level)
+
+        if exchange.idempotency_key and not exchange.route.is_idempotent:
+            self._claim(exchange, send)
+        else:
+            send(exchange)
 
     def _done(
         self, exchange: exchanges.Exchange, reply: exchanges.Reply
@@ -107,9 +117,10 @@
 def egress(
     rules: filters.Rules,
     sender: dispatcher.Dispatcher,
+    claim: ingress.Claim,
     on_target_event: OnTargetEvent,
     metrics: metric.Metrics,
     observed: observer.Observer,
 ) -> Egress:
     """Create the egress of a node."""
-    return Egress(rules, sender, on_target_event, metrics, observed)
+    return Egress(rules, sender, claim, on_target_event, metrics, observed)
--- a/src/parsleystile/exchange.py
+++ b/src/parsleystile/exchange.py
@@ -65,6 +65,7 @@
     """
 
     __slots__ = (
+        '_settlers',
         'arrived_ms',
         'body',
         'cancel_send',
@@ -81,7 +82,6 @@
         'path',
         'route',
         'route_id',
-        'settle',
         'state',
         'timeout_ms',
         'token',
@@ -115,14 +115,24 @@
         self.ledger = retries.allowance_ledger(0)
         self.lent = 0
         self.cancel_send: typing.Callable[[], None] | None = None
-        self.settle: typing.Callable[[Reply], None] | None = None
+        self._settlers: list[typing.Callable[[Reply], None]] = []
         self.observe: typing.Callable[[Exchange, Reply], None] | None = None
 
+    def on_settled(self, callback: typing.Callable[['Reply'], None]) -> None:
+        """Call back once with what became of the call.
+
+        Unlike the caller's reply it also comes after a cancellation.
+        """
+        self._settlers.append(callback)
+
+    def _settle(self, reply: 'Reply') -> None:
+        settlers, self._settlers = self._settlers, []
+        for callback in settlers:
+            callback(reply)
+
     def finish(self, reply: 'Reply') -> None:
         """Hand the reply to the caller; later replies are dropped."""
-        settle, self.settle = self.settle, None
-        if settle is not None:
-            settle(reply)
+        self._settle(reply)
         if self.state is ExchangeState.OPEN:
             self.state = ExchangeState.DONE
             self.on_done(self, reply)
@@ -135,9 +145,7 @@
             return
         self.state = ExchangeState.CANCELLED
         refusal = errors.unknown(errors.Reason.CANCELLED, 'caller left')
-        settle, self.settle = self.settle, None
-        if settle is not None:
-            settle(refusal)
+        self._settle(refusal)
         if self.observe is not None:
             self.observe(self, refusal)
         if self.cancel_send is not None:
--- a/src/parsleystile/idempotencyservice.py
+++ b/src/parsleystile/idempotencyservice.py
@@ -1,5 +1,6 @@
 """Runs claims on idempotency keys on a node's transport, table and clock."""
 
+import functools
 import hashlib
 import random
 import typing
@@ -172,7 +173,7 @@
             gone = errors.not_run(errors.Reason.CANCELLED, 'caller left')
             self.settle(claim, gone)
             return
-        exchange.settle = lambda reply: self.settle(claim, reply)
+        exchange.on_settled(functools.partial(self.settle, claim))
         send(exchange)
 
     def _take_members(self, now_ms: float) -> None:
--- a/src/parsleystile/node.py
+++ b/src/parsleystile/node.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import random
-import typing
 
 from parsleystile import admission
 from parsleystile import balancer
@@ -11,10 +10,10 @@
 from parsleystile import dispatcher
 from parsleystile import egress
 from parsleystile import errors
-from parsleystile import exchange as exchanges
 from parsleystile import filters
 from parsleystile import fleetconfig
 from parsleystile import guard
+from parsleystile import idempotencyservice
 from parsleystile import ids
 from parsleystile import inflight
 from parsleystile import ingress
@@ -34,6 +33,7 @@
 from parsleystile import transport
 
 WATCH_PERIOD_MS = 500.0
+TICK_PERIOD_MS = 20.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,6 +71,7 @@
         membership: Who is in the fleet.
         key_ring: Whose key a caller shows.
         quota: Rate and burst of organisations across the fleet.
+        claims: Runs calls with an idempotency key at most once.
     """
 
     def __init__(self, env: Environment) -> None:
@@ -123,6 +124,7 @@
         )
         self._everyone: list[members.Member] = []
         self._everyone_version = -1
+        promises = promiseservice.promise_service(env.transport, env.clock)
         self.quota = quotaservice.quota_service(
             identity,
             env.clock,
@@ -132,18 +134,33 @@
             env.metrics,
             self.config,
             self._all_members,
-            promiseservice.promise_service(env.transport, env.clock),
+            promises,
+        )
+        self.claims = idempotencyservice.idempotency_service(
+            identity,
+            env.clock,
+            env.rng,
+            env.transport,
+            env.table,
+            env.metrics,
+            self._all_members,
+            promises,
         )
         self.ingress = ingress.ingress(
             rules,
             sender,
             self.quota.take,
-            _send_unclaimed,
+            self.claims.claim_exchange,
             env.metrics,
             env.observed,
         )
         self.egress = egress.egress(
-            rules, sender, self.handle_target, env.metrics, env.observed
+            rules,
+            sender,
+            self.claims.claim_exchange,
+            self.handle_target,
+            env.metrics,
+            env.observed,
         )
 
     def now_ms(self) -> float:
@@ -178,6 +195,17 @@
         """Calls that wait or run at this node's target."""
         return self.guard.in_flight
 
+    def tick(self) -> None:
+        """Do what time has made due; wanted every ``TICK_PERIOD_MS``."""
+        now_ms = self._env.clock.now_ms()
+        self.quota.tick(now_ms)
+        self.claims.tick(now_ms)
+
+    async def hand_back(self) -> None:
+        """Give up grants and leases, so that others need not wait."""
+        await self.quota.stop()
+        await self.claims.stop()
+
     def _all_members(self) -> list[members.Member]:
         # The same object until members change: readers may compare it.
         version = self.membership.version
@@ -250,13 +278,6 @@
     )
 
 
-def _send_unclaimed(
-    exchange: exchanges.Exchange,
-    send: typing.Callable[[exchanges.Exchange], None],
-) -> None:
-    send(exchange)
-
-
 def build_node(env: Environment) -> Node:
     """Create a node that has no target, no peers and no document yet."""
     return Node(env)
