Size level steps by what is admitted; test choice, retries, shedding, goodput

Cause: with callers retrying hard (27 times capacity offered) the levels lie at 1.04 to 1.08, so that a step of 0.01 moved a fifth of the admitted calls, and one in 50 refused calls passed as a probe: the services above the slow one ran 1.27 calls per whole request at 3 times capacity, 1.65 at 5. Tests also showed that a target drawn twice was compared with itself, and that a failing target was not probed after its ejection. Ruled out: a faster average of the reports (100 ms), which changed little. Conclusion: steps and cuts are shares of the class shed in part; probes go only where nothing has been told for 250 ms.

--- a/bench/chain.py
+++ b/bench/chain.py
@@ -1,14 +1,10 @@
-"""A chain of services on fake targets, to drive the real decisions with.
+"""A chain of services on fake targets that drives the real decisions."""
 
-``GuardedChain`` puts the decisions between the hops. ``PlainChain`` has
-retries at each hop, timeouts and random choice of a target, no more.
-"""
-
-import collections
 import dataclasses
 import random
 import typing
 
+from bench import fakes
 from bench import loop as loops
 from parsleystile import admission
 from parsleystile import balancer
@@ -20,52 +16,17 @@
 from parsleystile import shedding
 from parsleystile import transport
 
-HOP_MS = 1.0
-HOP_RETRIES = 3
-HOP_TIMEOUT_MS = 1000.0
 _DOMAIN = ids.FailureDomainId('d')
 _REGION = ids.RegionId('r')
 _ROUTE = ids.RouteId('chain')
 _ADDRESS = transport.Address('127.0.0.1', 1)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Tier:
-    """One service of the chain.
-
-    Attributes:
-        targets: Number of targets.
-        workers: Calls that a target works on at once; more wait inside.
-        own_ms: Mean own time of a call, besides its child call.
-    """
-
-    targets: int
-    workers: int
-    own_ms: float
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Root:
-    """One attempt of a caller."""
-
-    organisation: str
-    rank: float
-    deadline_ms: float
-    on_end: typing.Callable[[bool], None]
-    is_over: bool = False
-
-    def end(self, is_ok: bool) -> None:
-        """Tell the caller, once."""
-        if not self.is_over:
-            self.is_over = True
-            self.on_end(is_ok)
-
-
 @dataclasses.dataclass(slots=True, eq=False)
 class Call:
     """A call of the tree of ``root`` to the service at ``tier``."""
 
-    root: Root
+    root: fakes.Root
     tier: int
     allowance: int
     on_answer: typing.Callable
@@ -75,42 +36,6 @@
     level: float = context.RANK_LIMIT
 
 
-class Target:
-    """Workers and an unbounded queue inside, as a plain server has."""
-
-    def __init__(
-        self, loop: loops.Loop, rng: random.Random, tier: Tier
-    ) -> None:
-        self._loop = loop
-        self._rng = rng
-        self._tier = tier
-        self._busy = 0
-        self._waiting: collections.deque = collections.deque()
-        self.workers = tier.workers
-        self.slowdown = 1.0
-        # Loss of speed per waiting call and worker.
-        self.thrash = 0.0
-
-    def submit(self, work: typing.Callable, *args: typing.Any) -> None:
-        """Call ``work`` once a worker has spent its own time."""
-        if self._busy >= self.workers:
-            self._waiting.append((work, args))
-            return
-        self._busy += 1
-        crowding = len(self._waiting) / self.workers
-        mean_ms = self._tier.own_ms * self.slowdown
-        mean_ms *= 1.0 + self.thrash * crowding
-        own_ms = mean_ms * (0.5 + self._rng.expovariate(2.0))
-        self._loop.after(own_ms, work, *args)
-
-    def release(self) -> None:
-        """Free the worker of a call that is done."""
-        self._busy -= 1
-        if self._waiting:
-            work, args = self._waiting.popleft()
-            self.submit(work, *args)
-
-
 class _Sender:
     """Sends calls to the service at one tier, with choice and retries."""
 
@@ -129,7 +54,7 @@
 
     def send(
         self,
-        root: Root,
+        root: fakes.Root,
         ledger: retries.AllowanceLedger,
         on_end: typing.Callable,
     ) -> None:
@@ -139,7 +64,7 @@
 
     def _try(
         self,
-        root: Root,
+        root: fakes.Root,
         ledger: retries.AllowanceLedger,
         on_end: typing.Callable,
         attempt: int,
@@ -196,7 +121,7 @@
             root, self._tier, lent, answered, retries.allowance_ledger(lent)
         )
         node = self._chain.nodes[self._tier][member.node_id]
-        loop.after(HOP_MS, node.arrive, call)
+        loop.after(fakes.HOP_MS, node.arrive, call)
 
 
 class _Node:
@@ -208,7 +133,7 @@
         shape = chain.tiers[tier]
         self._chain = chain
         self._loop = chain.loop
-        self.target = Target(chain.loop, chain.rng, shape)
+        self.target = fakes.Target(chain.loop, chain.rng, shape)
         self.guard = admission.admission_queue(chain.rng)
         self.sender: _Sender | None = None
         self._tick_ms = float('inf')
@@ -283,7 +208,12 @@
         load = self.guard.load(self._loop.now_ms, call.root.organisation)
         level = min(load.admission_level, call.level)
         self._loop.after(
-            HOP_MS, call.on_answer, refusal, level, load, call.ledger.unspent
+            fakes.HOP_MS,
+            call.on_answer,
+            refusal,
+            level,
+            load,
+            call.ledger.unspent,
         )
 
 
@@ -294,7 +224,7 @@
         self,
         loop: loops.Loop,
         rng: random.Random,
-        tiers: list[Tier],
+        tiers: list[fakes.Tier],
         declared_factor: float = 1.0,
         allowance: int = 2,
     ) -> None:
@@ -317,11 +247,11 @@
                 node.sender = _Sender(self, node_id, at + 1)
         self._ingress = _Sender(self, 'ingress', 0)
 
-    def targets(self, tier: int) -> list[Target]:
+    def targets(self, tier: int) -> list[fakes.Target]:
         """Return the targets of a service."""
         return [node.target for node in self.nodes[tier].values()]
 
-    def request(self, root: Root) -> None:
+    def request(self, root: fakes.Root) -> None:
         """Take a request in at ingress."""
         refusal = self._shedder.decide(
             _ROUTE, root.rank, self.loop.now_ms, root.organisation
@@ -339,64 +269,3 @@
 
         ledger = retries.allowance_ledger(self._allowance)
         self._ingress.send(root, ledger, ended)
-
-
-class PlainChain:
-    """Each hop has a timeout and retries of its own, and no more."""
-
-    def __init__(
-        self, loop: loops.Loop, rng: random.Random, tiers: list[Tier]
-    ) -> None:
-        self.loop = loop
-        self.rng = rng
-        self.started = [0] * len(tiers)
-        self._targets = [
-            [Target(loop, rng, tier) for _ in range(tier.targets)]
-            for tier in tiers
-        ]
-
-    def targets(self, tier: int) -> list[Target]:
-        """Return the targets of a service."""
-        return self._targets[tier]
-
-    def request(self, root: Root) -> None:
-        """Take a request in."""
-        self.loop.after(root.deadline_ms - self.loop.now_ms, root.end, False)
-        self._call(0, 0, root.end)
-
-    def _call(
-        self, tier: int, attempt: int, on_end: typing.Callable[[bool], None]
-    ) -> None:
-        is_settled = False
-
-        def settle(is_ok: bool) -> None:
-            nonlocal is_settled
-            if is_settled:
-                return
-            is_settled = True
-            if is_ok or attempt == HOP_RETRIES:
-                on_end(is_ok)
-            else:
-                self._call(tier, attempt + 1, on_end)
-
-        target = self.rng.choice(self._targets[tier])
-        self.started[tier] += 1
-        self.loop.after(
-            HOP_MS, target.submit, self._worked, tier, target, settle
-        )
-        self.loop.after(HOP_TIMEOUT_MS, settle, False)
-
-    def _worked(
-        self,
-        tier: int,
-        target: Target,
-        settle: typing.Callable[[bool], None],
-    ) -> None:
-        def done(is_ok: bool) -> None:
-            target.release()
-            self.loop.after(HOP_MS, settle, is_ok)
-
-        if tier + 1 == len(self._targets):
-            done(True)
-        else:
-            self._call(tier + 1, 0, done)
--- /dev/null
+++ b/bench/fakes.py
@@ -0,0 +1,78 @@
+"""Fakes that driven chains of services are made of."""
+
+import collections
+import dataclasses
+import random
+import typing
+
+from bench import loop as loops
+
+HOP_MS = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tier:
+    """One service of the chain.
+
+    Attributes:
+        targets: Number of targets.
+        workers: Calls that a target works on at once; more wait inside.
+        own_ms: Mean own time of a call, besides its child call.
+    """
+
+    targets: int
+    workers: int
+    own_ms: float
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Root:
+    """One attempt of a caller."""
+
+    organisation: str
+    rank: float
+    deadline_ms: float
+    on_end: typing.Callable[[bool], None]
+    is_over: bool = False
+
+    def end(self, is_ok: bool) -> None:
+        """Tell the caller, once."""
+        if not self.is_over:
+            self.is_over = True
+            self.on_end(is_ok)
+
+
+class Target:
+    """Workers and an unbounded queue inside, as a plain server has."""
+
+    def __init__(
+        self, loop: loops.Loop, rng: random.Random, tier: Tier
+    ) -> None:
+        self._loop = loop
+        self._rng = rng
+        self._tier = tier
+        self._busy = 0
+        self._waiting: collections.deque = collections.deque()
+        self.workers = tier.workers
+        self.slowdown = 1.0
+        # Loss of speed per waiting call and worker.
+        self.thrash = 0.0
+
+    def submit(self, work: typing.Callable, *args: typing.Any) -> None:
+        """Call ``work`` once a worker has spent its own time."""
+        if self._busy >= self.workers:
+            self._waiting.append((work, args))
+            return
+        self._busy += 1
+        crowding = len(self._waiting) / self.workers
+        mean_ms = self._tier.own_ms * self.slowdown
+        mean_ms *= 1.0 + self.thrash * crowding
+        own_ms = mean_ms * (0.5 + self._rng.expovariate(2.0))
+        self._loop.after(own_ms, work, *args)
+
+    def release(self) -> None:
+        """Free the worker of a call that is done."""
+        self._busy -= 1
+        if self._waiting:
+            work, args = self._waiting.popleft()
+            self.submit(work, *args)
--- a/bench/goodput.py
+++ b/bench/goodput.py
@@ -7,14 +7,16 @@
 
 import bench
 from bench import chain
+from bench import fakes
 from bench import loop as loops
+from bench import plainchain
 
 # The third service is the slow one; the others have room.
 TIERS = [
-    chain.Tier(2, 100, 5.0),
-    chain.Tier(2, 100, 5.0),
-    chain.Tier(2, 10, 40.0),
-    chain.Tier(2, 50, 5.0),
+    fakes.Tier(2, 100, 5.0),
+    fakes.Tier(2, 100, 5.0),
+    fakes.Tier(2, 10, 40.0),
+    fakes.Tier(2, 50, 5.0),
 ]
 SLOW_TIER = 2
 # A slot of the slow service is held for its own time, the child call of
@@ -41,7 +43,7 @@
 
     loop: loops.Loop
     rng: random.Random
-    target: chain.GuardedChain | chain.PlainChain
+    target: chain.GuardedChain | plainchain.PlainChain
     rate_per_s: float
     whole: dict[int, int] = dataclasses.field(default_factory=dict)
     first_tries: int = 0
@@ -79,7 +81,7 @@
         rank = 1.0 + self.rng.random()
         deadline_ms = self.loop.now_ms + DEADLINE_MS
         organisation = f'o{self.rng.randrange(8)}'
-        self.target.request(chain.Root(organisation, rank, deadline_ms, ended))
+        self.target.request(fakes.Root(organisation, rank, deadline_ms, ended))
 
 
 def run() -> typing.Iterator[bench.Result]:
@@ -122,7 +124,7 @@
     if guarded:
         made = chain.GuardedChain(loop, rng, TIERS)
     else:
-        made = chain.PlainChain(loop, rng, TIERS)
+        made = plainchain.PlainChain(loop, rng, TIERS)
     callers = Callers(loop, random.Random(seed + 1), made, rate_per_s)
     callers.start()
     return loop, callers
--- /dev/null
+++ b/bench/plainchain.py
@@ -0,0 +1,71 @@
+"""A chain of services with retries at each hop and nothing else."""
+
+import random
+import typing
+
+from bench import fakes
+from bench import loop as loops
+
+HOP_RETRIES = 3
+HOP_TIMEOUT_MS = 1000.0
+
+
+class PlainChain:
+    """Each hop has a timeout and retries of its own, and no more."""
+
+    def __init__(
+        self, loop: loops.Loop, rng: random.Random, tiers: list[fakes.Tier]
+    ) -> None:
+        self.loop = loop
+        self.rng = rng
+        self.started = [0] * len(tiers)
+        self._targets = [
+            [fakes.Target(loop, rng, tier) for _ in range(tier.targets)]
+            for tier in tiers
+        ]
+
+    def targets(self, tier: int) -> list[fakes.Target]:
+        """Return the targets of a service."""
+        return self._targets[tier]
+
+    def request(self, root: fakes.Root) -> None:
+        """Take a request in."""
+        self.loop.after(root.deadline_ms - self.loop.now_ms, root.end, False)
+        self._call(0, 0, root.end)
+
+    def _call(
+        self, tier: int, attempt: int, on_end: typing.Callable[[bool], None]
+    ) -> None:
+        is_settled = False
+
+        def settle(is_ok: bool) -> None:
+            nonlocal is_settled
+            if is_settled:
+                return
+            is_settled = True
+            if is_ok or attempt == HOP_RETRIES:
+                on_end(is_ok)
+            else:
+                self._call(tier, attempt + 1, on_end)
+
+        target = self.rng.choice(self._targets[tier])
+        self.started[tier] += 1
+        self.loop.after(
+            fakes.HOP_MS, target.submit, self._worked, tier, target, settle
+        )
+        self.loop.after(HOP_TIMEOUT_MS, settle, False)
+
+    def _worked(
+        self,
+        tier: int,
+        target: fakes.Target,
+        settle: typing.Callable[[bool], None],
+    ) -> None:
+        def done(is_ok: bool) -> None:
+            target.release()
+            self.loop.after(fakes.HOP_MS, settle, is_ok)
+
+        if tier + 1 == len(self._targets):
+            done(True)
+        else:
+            self._call(tier + 1, 0, done)
--- a/src/parsleystile/balancer.py
+++ b/src/parsleystile/balancer.py
@@ -65,6 +65,9 @@
 
     def cost(self, now_ms: float) -> float:
         """Return what one more call means; the lowest is best."""
+        if self.is_ejected:
+            # Its time is over: the next call that may probes it.
+            return 0.0
         load = self.load(now_ms) + FAILURE_LOAD * self.failures
         return (load + 1) / self.limit()
 
@@ -225,39 +228,17 @@
         now_ms: float,
         idempotent: bool,
     ) -> _Peer | None:
-        first = self._draw(tier, exclude, now_ms, idempotent)
-        if first is None or len(tier) == 1:
-            return first
-        second = self._draw(tier, exclude, now_ms, idempotent)
-        if second is None or second is first:
+        count = len(tier)
+        at = int(self._rng.random() * count)
+        first = _usable_from(tier, at, exclude, now_ms, idempotent)
+        if first is None or count == 1:
             return first
-        if second.cost(now_ms) < first.cost(now_ms):
+        at += 1 + int(self._rng.random() * (count - 1))
+        second = _usable_from(tier, at % count, exclude, now_ms, idempotent)
+        if second is not first and second.cost(now_ms) < first.cost(now_ms):
             return second
         return first
 
-    def _draw(
-        self,
-        tier: list[_Peer],
-        exclude: frozenset[ids.NodeId],
-        now_ms: float,
-        idempotent: bool,
-    ) -> _Peer | None:
-        """Return a random usable target: the first from a random place."""
-        count = len(tier)
-        at = int(self._rng.random() * count)
-        for _ in range(count):
-            peer = tier[at]
-            if (
-                peer.until_ms <= now_ms
-                and peer.member.node_id not in exclude
-                and (
-                    not peer.is_ejected or (idempotent and peer.in_flight == 0)
-                )
-            ):
-                return peer
-            at = at + 1 if at + 1 < count else 0
-        return None
-
     def _rebuild(self, service: ids.ServiceName) -> None:
         tiers: list[list[members.Member]] = [[], [], []]
         for member in self._usable(self._members.get(service, [])):
@@ -322,6 +303,27 @@
         return peer
 
 
+def _usable_from(
+    tier: list[_Peer],
+    at: int,
+    exclude: frozenset[ids.NodeId],
+    now_ms: float,
+    idempotent: bool,
+) -> _Peer | None:
+    """Return the first target from a place on that may get the call."""
+    count = len(tier)
+    for _ in range(count):
+        peer = tier[at]
+        if (
+            peer.until_ms <= now_ms
+            and peer.member.node_id not in exclude
+            and (not peer.is_ejected or (idempotent and peer.in_flight == 0))
+        ):
+            return peer
+        at = at + 1 if at + 1 < count else 0
+    return None
+
+
 def balancer(
     own_domain: ids.FailureDomainId,
     own_region: ids.RegionId,
--- a/src/parsleystile/levels.py
+++ b/src/parsleystile/levels.py
@@ -10,9 +10,11 @@
 LEVEL_FLOOR = 0.02
 # Share of what was served that is admitted after an overloaded window.
 ADMIT_SHARE = 0.97
-# A cut is at least this deep.
-LEAST_CUT = 0.01
-FIRST_STEP = 0.01
+# A cut is at least, and the first step up at most, this part of the class
+# that is shed in part, and no less than the floor.
+LEAST_CUT_SHARE = 0.05
+FIRST_STEP_SHARE = 0.1
+STEP_FLOOR = 0.001
 STEP_GROWTH = 1.35
 LONGEST_STEP = 0.3
 MAX_ORGANISATIONS = 1024
@@ -33,7 +35,7 @@
 
     def __init__(self) -> None:
         self.value = context.RANK_LIMIT
-        self._step = FIRST_STEP
+        self._step = STEP_FLOOR
         self._bins = [0.0] * _BINS
         self._served = 0.0
         self._next_cut_ms = 0.0
@@ -67,9 +69,10 @@
         self._served *= memory
 
     def _cut(self) -> None:
-        self._step = FIRST_STEP
-        wanted = min(self._quantile(), self.value - LEAST_CUT)
+        least_cut = max(STEP_FLOOR, LEAST_CUT_SHARE * (self.value % 1.0))
+        wanted = min(self._quantile(), self.value - least_cut)
         self.value = max(LEVEL_FLOOR, wanted)
+        self._step = max(STEP_FLOOR, FIRST_STEP_SHARE * (self.value % 1.0))
 
     def _rise(self) -> None:
         self.value = min(context.RANK_LIMIT, self.value + self._step)
--- a/src/parsleystile/shedding.py
+++ b/src/parsleystile/shedding.py
@@ -7,15 +7,14 @@
 from parsleystile import errors
 from parsleystile import ids
 
-# Reports are averaged over this time; better news counts for more, since
-# the choice of target leaves the worst-off targets alone.
+# Reports are averaged over this time.
 MEMORY_MS = 300.0
-GOOD_NEWS_WEIGHT = 3.0
 # Without reports a level is held this long, then recovers steadily.
 HOLD_MS = 500.0
 RECOVERY_PER_S = 1.0
-# One in so many refusals passes instead, so that the level is learned anew.
-PROBE_EVERY = 50
+# When nothing has been told for so long, one call passes as a probe, and
+# another after as long again.
+PROBE_MS = 250.0
 MAX_LEVELS = 8192
 RETRY_AFTER_MS = 1000
 
@@ -28,13 +27,11 @@
 
     told_ms: float
     value: float = context.RANK_LIMIT
-    refusals: int = 0
+    probe_ms: float = 0.0
 
     def fold(self, admission_level: float, now_ms: float) -> None:
         """Take in one report."""
         age_ms = max(1.0, now_ms - self.told_ms)
-        if admission_level > self.value:
-            age_ms *= GOOD_NEWS_WEIGHT
         weight = min(1.0, age_ms / MEMORY_MS)
         self.value += weight * (admission_level - self.value)
         self.told_ms = now_ms
@@ -102,8 +99,8 @@
         if rank < self.level(route_id, now_ms, organisation):
             return None
         known = self._levels[route_id, organisation]
-        known.refusals += 1
-        if known.refusals % PROBE_EVERY == 0:
+        if now_ms - max(known.told_ms, known.probe_ms) >= PROBE_MS:
+            known.probe_ms = now_ms
             return None
         retry_after_ms = int(RETRY_AFTER_MS * self._rng.uniform(0.5, 1.5))
         return errors.not_run(
