--- a/src/parsleystile/egress.py
+++ b/src/parsleystile/egress.py
@@ -87,7 +87,8 @@
         parent = self._calls.find(exchange.token)
 
         def settle(reply: exchanges.Reply) -> None:
-            del reply
+            if isinstance(reply, errors.Refusal):
+                parent.child_refused = True
             parent.child_ended(exchange, self._clock.now_ms())
             parent.ledger.give_back(exchange.lent, exchange.ledger.unspent)
 
--- a/src/parsleystile/guard.py
+++ b/src/parsleystile/guard.py
@@ -15,11 +15,11 @@
 from parsleystile import metrics as metric
 from parsleystile import observer
 from parsleystile import targetclient
+from parsleystile import targetfault
 from parsleystile import transport
 from parsleystile import wire
 
 _TARGET_HOST = '127.0.0.1'
-_FIRST_ERROR_STATUS = 500
 
 OnAnswer = typing.Callable[[ttypes.Answer], None]
 
@@ -265,14 +265,13 @@
     ) -> None:
         self._waiting.pop(guarded.key, None)
         now_ms = self._clock.now_ms()
+        # Ending the call forgets the child calls it still waits for.
+        child_ms = running.child_ms(now_ms)
         self._calls.end(running)
-        match result:
-            case errors.Refusal():
-                is_ok = False
-            case _:
-                is_ok = result.status < _FIRST_ERROR_STATUS
+        is_ok = not targetfault.is_fault(
+            result, running.child_refused, child_ms
+        )
         service_ms = now_ms - running.started_ms
-        child_ms = running.child_ms(now_ms)
         self._handle(
             admission.Complete(guarded.key, is_ok, service_ms, child_ms)
         )
--- a/src/parsleystile/inflight.py
+++ b/src/parsleystile/inflight.py
@@ -27,12 +27,14 @@
         service: Of the target that runs the call.
         ledger: Retries that the call and its children may still spend.
         children: Child calls without an answer yet.
+        child_refused: Whether a child call was refused.
         subtree_level: Lowest admission level told by an answer from below.
     """
 
     __slots__ = (
         '_child_ms',
         '_waits_since_ms',
+        'child_refused',
         'children',
         'context',
         'ledger',
@@ -56,6 +58,7 @@
         self.started_ms = started_ms
         self.ledger = retries.allowance_ledger(call_context.retry_allowance)
         self.children: set[exchange.Exchange] = set()
+        self.child_refused = False
         self._child_ms = 0.0
         self._waits_since_ms = 0.0
         self.subtree_level = context.RANK_LIMIT
