--- a/bench/goodput.py
+++ b/bench/goodput.py
@@ -1,5 +1,6 @@
 """Goodput of whole requests under load, with and without the decisions."""
 
+import collections
 import dataclasses
 import math
 import random
@@ -27,6 +28,11 @@
 CALLER_BACKOFF_MS = 100.0
 BIN_MS = 250.0
 SEED = 7
+EVEN = tuple(f'o{at}' for at in range(8))
+# One organisation asks for about 2.5 times the capacity, the seven others
+# for 0.08 of it each.
+CROWDED = EVEN[1:] + EVEN[:1] * 31
+CROWDED_FACTOR = len(CROWDED) * 0.08
 FACTORS = (0.5, 1.0, 2.0, 5.0)
 SETTLE_MS = 6_000.0
 END_MS = 12_000.0
@@ -39,6 +45,9 @@
     Attributes:
         rate_per_s: First tries a second; may be changed at any time.
         whole: Whole answers by bins of ``BIN_MS``.
+        organisations: Each request is for one of these, drawn evenly.
+        asked: First tries by organisation.
+        served: Whole answers by organisation.
     """
 
     loop: loops.Loop
@@ -48,6 +57,13 @@
     whole: dict[int, int] = dataclasses.field(default_factory=dict)
     first_tries: int = 0
     tries: int = 0
+    organisations: tuple[str, ...] = EVEN
+    asked: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    served: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
     def start(self) -> None:
         """Send the first request; the others follow."""
@@ -64,23 +80,25 @@
 
     def _next(self) -> None:
         self.first_tries += 1
-        self._send(1)
+        organisation = self.rng.choice(self.organisations)
+        self.asked[organisation] += 1
+        self._send(organisation, 1)
         self.loop.after(self._gap_ms(), self._next)
 
-    def _send(self, attempt: int) -> None:
+    def _send(self, organisation: str, attempt: int) -> None:
         self.tries += 1
 
         def ended(is_ok: bool) -> None:
             if is_ok:
                 at = int(self.loop.now_ms / BIN_MS)
                 self.whole[at] = self.whole.get(at, 0) + 1
+                self.served[organisation] += 1
             elif attempt < CALLER_TRIES:
                 wait_ms = self.rng.uniform(0.0, CALLER_BACKOFF_MS)
-                self.loop.after(wait_ms, self._send, attempt + 1)
+                self.loop.after(wait_ms, self._send, organisation, attempt + 1)
 
         rank = 1.0 + self.rng.random()
         deadline_ms = self.loop.now_ms + DEADLINE_MS
-        organisation = f'o{self.rng.randrange(8)}'
         self.target.request(fakes.Root(organisation, rank, deadline_ms, ended))
 
 
@@ -104,6 +122,12 @@
                 'ratio',
                 0.9,
             )
+    yield bench.Result(
+        'worst_served_beside_a_greedy_organisation',
+        worst_served_share(True),
+        'ratio',
+        worst_served_share(False),
+    )
     for name, trigger in TRIGGERS.items():
         ours_ms = recovery_ms(True, trigger)
         plain_ms = recovery_ms(False, trigger)
@@ -115,6 +139,17 @@
         )
 
 
+def worst_served_share(guarded: bool, seed: int = SEED) -> float:
+    """Return the least share of whole requests of a modest organisation."""
+    loop, callers = build(guarded, CROWDED_FACTOR * CAPACITY_PER_S, seed)
+    callers.organisations = CROWDED
+    loop.run(SETTLE_MS)
+    callers.asked.clear()
+    callers.served.clear()
+    loop.run(END_MS)
+    return min(callers.served[o] / callers.asked[o] for o in EVEN[1:])
+
+
 def build(
     guarded: bool, rate_per_s: float, seed: int = SEED
 ) -> tuple[loops.Loop, Callers]:
--- a/idl/parsleystile.thrift
+++ b/idl/parsleystile.thrift
@@ -8,7 +8,8 @@
   1: i32 in_flight
   2: i32 limit
   3: i32 queued
-  // Lowest admission rank refused in the whole subtree below; 3.0 admits all.
+  // Lowest admission rank refused, for the organisation of the call, in the
+  // whole subtree below; 3.0 admits all.
   4: double admission_level
 }
 
--- a/src/parsleystile/admission.py
+++ b/src/parsleystile/admission.py
@@ -158,7 +158,7 @@
     @property
     def next_tick_ms(self) -> float:
         """When the shell must send Tick at the latest; inf if never."""
-        if self._running or self._queue or not self._levels.is_at_rest:
+        if self._running or self._queue.calls or not self._levels.is_at_rest:
             return min(self._window_end_ms, self._queue.next_drop_ms)
         return math.inf
 
@@ -215,7 +215,7 @@
             actions.append(Refuse(call.call_key, refusal))
             return
         limit = self._limit.value
-        if not self._queue and len(self._running) < limit:
+        if not self._queue.calls and len(self._running) < limit:
             self._start(call.call_key, call, now_ms, actions)
             return
         if len(self._queue) >= self._bound(limit) and not self._evict(
@@ -235,7 +235,8 @@
             ),
             now_ms,
         )
-        self._fill(now_ms, actions)
+        if len(self._running) < limit:
+            self._fill(now_ms, actions)
 
     def _refusal(self, call: Arrive, now_ms: float) -> errors.Refusal | None:
         limit = self._limit.value
@@ -298,11 +299,11 @@
         queue = self._queue
         while (late := queue.pop_late(now_ms)) is not None:
             actions.append(Refuse(late.call_key, _too_late()))
-        if not queue:
+        if not queue.calls:
             return
         limit = self._limit.value
         standing_since_ms = now_ms - self._standing_ms
-        while queue and len(self._running) < limit:
+        while queue.calls and len(self._running) < limit:
             waiting = queue.pop(standing_since_ms)
             expected_ms = self._times.expected_ms(waiting.route, now_ms)
             if self._running and waiting.deadline_ms - now_ms < expected_ms:
@@ -338,7 +339,7 @@
 
     def _refuse_queue(self, actions: list[Action]) -> None:
         refusal = errors.not_run(errors.Reason.LEAVING, 'target is leaving')
-        while self._queue:
+        while self._queue.calls:
             waiting = self._queue.pop(-math.inf)
             actions.append(Refuse(waiting.call_key, refusal))
 
--- a/src/parsleystile/fairqueue.py
+++ b/src/parsleystile/fairqueue.py
@@ -75,6 +75,9 @@
     The most important class goes first; within it the organisation that
     holds the least slots for its weight; within that the oldest call or,
     if its calls have been queued for long, the newest.
+
+    Attributes:
+        calls: Calls that wait, by key; change them by methods only.
     """
 
     def __init__(self) -> None:
@@ -82,12 +85,12 @@
         self._by_class: list[dict[ids.OrganisationId, _Line]] = [
             {} for _ in range(_CLASSES)
         ]
-        self._live: dict[typing.Hashable, Waiting] = {}
+        self.calls: dict[typing.Hashable, Waiting] = {}
         self._drops: list[tuple[float, int, Waiting]] = []
         self._pushed = 0
 
     def __len__(self) -> int:
-        return len(self._live)
+        return len(self.calls)
 
     @property
     def next_drop_ms(self) -> float:
@@ -123,7 +126,7 @@
             lines[waiting.organisation] = line
         line.entries.append(waiting)
         line.live += 1
-        self._live[waiting.call_key] = waiting
+        self.calls[waiting.call_key] = waiting
         self._pushed += 1
         heapq.heappush(self._drops, (waiting.drop_ms, self._pushed, waiting))
 
@@ -178,7 +181,7 @@
 
     def remove(self, call_key: typing.Hashable) -> Waiting | None:
         """Take out one call by its key."""
-        waiting = self._live.get(call_key)
+        waiting = self.calls.get(call_key)
         if waiting is not None:
             self._take(waiting)
         return waiting
@@ -207,7 +210,7 @@
 
     def _take(self, waiting: Waiting) -> None:
         waiting.is_live = False
-        del self._live[waiting.call_key]
+        del self.calls[waiting.call_key]
         lines = self._by_class[waiting.importance]
         line = lines[waiting.organisation]
         line.live -= 1
@@ -215,7 +218,7 @@
             del lines[waiting.organisation]
         line.share.queued -= 1
         self._forget_idle(waiting.organisation, line.share)
-        if len(self._drops) > (_STALE_FACTOR * len(self._live) + _STALE_FLOOR):
+        if len(self._drops) > (_STALE_FACTOR * len(self.calls) + _STALE_FLOOR):
             self._sweep()
 
     def _sweep(self) -> None:
--- a/tests/test_goodput.py
+++ b/tests/test_goodput.py
@@ -43,3 +43,7 @@
     ran = [b - a for a, b in zip(before, callers.target.started, strict=True)]
     done = sum(callers.whole.values()) - whole
     assert max(ran) <= 1.5 * done
+
+
+def test_a_greedy_organisation_takes_nothing_from_modest_ones():
+    assert goodput.worst_served_share(True) >= 0.95
