--- a/bench/quotaworld.py
+++ b/bench/quotaworld.py
@@ -14,7 +14,7 @@
 from parsleystile import leases
 from parsleystile import members
 from parsleystile import quota
-from parsleystile import quotaborrower
+from parsleystile import quotalinks
 from parsleystile import tableio
 from parsleystile import transport
 from stubs import tablestate
@@ -201,7 +201,7 @@
     def _perform(self, host: Host, actions: list[quota.Action]) -> None:
         for action in actions:
             match action:
-                case quotaborrower.SendAsk():
+                case quotalinks.SendAsk():
                     self._send_ask(host, action)
                 case leases.AskPromise():
                     self._ask_promise(host, action)
@@ -219,7 +219,7 @@
         delay_ms = base_ms * self.rng.uniform(0.8, 1.6)
         self._schedule(delay_ms, lambda: self._when_running(to, action))
 
-    def _send_ask(self, host: Host, action: quotaborrower.SendAsk) -> None:
+    def _send_ask(self, host: Host, action: quotalinks.SendAsk) -> None:
         lender = self.hosts.get(action.to)
         if lender is None:
             return
--- a/src/parsleystile/quota.py
+++ b/src/parsleystile/quota.py
@@ -17,6 +17,7 @@
 from parsleystile import parts
 from parsleystile import quotaborrower
 from parsleystile import quotalender
+from parsleystile import quotalinks
 from parsleystile import quotawire
 
 PRUNE_MS = 1_000.0
@@ -41,7 +42,7 @@
     grants: quotawire.Grants | None
 
 
-Action = ownership.Action | quotaborrower.SendAsk
+Action = ownership.Action | quotalinks.SendAsk
 Event = ownership.Event | GrantsReceived
 
 
@@ -127,7 +128,7 @@
         self.borrower.tick(now_ms)
         return actions + self.pump(now_ms)
 
-    def pump(self, now_ms: float) -> list[quotaborrower.SendAsk]:
+    def pump(self, now_ms: float) -> list[quotalinks.SendAsk]:
         """Return the asks that are due; those to this node are answered."""
         to_send = []
         asks = self.borrower.due_asks(now_ms)
--- a/src/parsleystile/quotaborrower.py
+++ b/src/parsleystile/quotaborrower.py
@@ -1,6 +1,5 @@
 """The borrower's side of quotas: takes at this node, out of short grants."""
 
-import dataclasses
 import random
 import typing
 
@@ -8,20 +7,16 @@
 from parsleystile import ids
 from parsleystile import quotabucket
 from parsleystile import quotalender
+from parsleystile import quotalinks
 from parsleystile import quotawire
 
 # Everything held is asked for anew after this time.
 ROUND_MS = 1_000.0
 # An organisation unused for so long gives everything back.
 IDLE_MS = 400.0
-ASK_TIMEOUT_MS = 200.0
 # All organisations are looked over so often, those with waiting calls at
 # every tick.
 PASS_MS = 100.0
-# A lender that did not answer is left alone for so long, twice as long each
-# time in a row.
-DOWN_MS = 500.0
-LONGEST_DOWN_MS = 4_000.0
 # A call waits for a grant at most so long; where tokens come in slowly, as
 # long as one takes, within bounds.
 WAIT_MS = 300.0
@@ -45,29 +40,6 @@
 LendersOf = typing.Callable[[int], list[ids.NodeId]]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendAsk:
-    """Action: send ``ask`` to the lender ``to``."""
-
-    to: ids.NodeId
-    ask: quotawire.Ask
-
-
-@dataclasses.dataclass(slots=True)
-class _Lender:
-    """What the borrower knows of one lender."""
-
-    seq: int = 0
-    asked_at_ms: float | None = None
-    asked: tuple[ids.OrganisationId, ...] = ()
-    pending: dict[ids.OrganisationId, None] = dataclasses.field(
-        default_factory=dict
-    )
-    down_until_ms: float = 0.0
-    down_ms: float = DOWN_MS / 2
-    epoch: str = ''
-
-
 class Borrower:
     """Answers each take at once, and borrows ahead of demand."""
 
@@ -79,19 +51,18 @@
         rng: random.Random,
         on_due: typing.Callable[[], None],
     ) -> None:
-        self._node_id = node_id
-        self._process = f'{rng.getrandbits(64):016x}'
         self._quota_of = quota_of
         self._lenders_of = lenders_of
         self._rng = rng
         self._on_due = on_due
         self._states: dict[ids.OrganisationId, quotabucket.Bucket] = {}
-        self._lenders: dict[ids.NodeId, _Lender] = {}
+        self._links = quotalinks.lender_links(
+            node_id, f'{rng.getrandbits(64):016x}'
+        )
         self._urgent: dict[ids.OrganisationId, None] = {}
         self._waiting: dict[ids.OrganisationId, quotabucket.Bucket] = {}
         self._next_pass_ms = 0.0
         self._is_stopping = False
-        self.asks_sent = 0
 
     @property
     def organisations(self) -> int:
@@ -147,12 +118,8 @@
 
     def tick(self, now_ms: float) -> None:
         """Start rounds that are due and end what has waited too long."""
-        for lender_id, lender in list(self._lenders.items()):
-            asked_at_ms = lender.asked_at_ms
-            if asked_at_ms is None:
-                continue
-            if now_ms >= asked_at_ms + ASK_TIMEOUT_MS:
-                self.on_failed(lender_id, lender.seq, now_ms)
+        for organisation in self._links.expire(now_ms):
+            self._next_lender(organisation, now_ms)
         if now_ms >= self._next_pass_ms:
             self._next_pass_ms = now_ms + PASS_MS
             self._waiting.clear()
@@ -166,7 +133,7 @@
             self._serve_waiting(state, now_ms)
             self._hedge(state, now_ms)
 
-    def due_asks(self, now_ms: float) -> list[SendAsk]:
+    def due_asks(self, now_ms: float) -> list[quotalinks.SendAsk]:
         """Return the asks to send now."""
         for organisation in list(self._urgent):
             state = self._states.get(organisation)
@@ -175,52 +142,35 @@
             elif self._may_sweep(state, now_ms):
                 del self._urgent[organisation]
                 self._start_sweep(state, now_ms)
-        asks = []
-        for lender_id, lender in list(self._lenders.items()):
-            if lender.pending and lender.asked_at_ms is None:
-                asks.append(self._ask(lender_id, lender, now_ms))
-        return asks
+        return self._links.due(
+            lambda name, lender: self._item(name, lender, now_ms), now_ms
+        )
 
     def on_grants(
         self,
-        lender_id: ids.NodeId,
+        lender: ids.NodeId,
         seq: int,
         grants: quotawire.Grants,
         now_ms: float,
     ) -> None:
         """Take in a reply; one that comes late is not counted on."""
-        lender = self._lenders.get(lender_id)
-        if lender is None or lender.seq != seq or lender.asked_at_ms is None:
-            return
         if not grants.epoch:
-            self.on_failed(lender_id, seq, now_ms)
+            self.on_failed(lender, seq, now_ms)
+            return
+        answered = self._links.answered(lender, seq, grants.epoch)
+        if answered is None:
             return
-        until_ms = lender.asked_at_ms + grants.life_ms
-        asked, lender.asked = lender.asked, ()
-        lender.asked_at_ms = None
-        lender.epoch = grants.epoch
-        lender.down_ms = DOWN_MS / 2
+        until_ms = answered.asked_at_ms + grants.life_ms
         for item in grants.items:
             state = self._states.get(item.organisation)
             if state is not None:
-                self._apply(state, lender_id, item, until_ms, now_ms)
-        for organisation in asked:
+                self._apply(state, lender, item, until_ms, now_ms)
+        for organisation in answered.organisations:
             self._next_lender(organisation, now_ms)
 
-    def on_failed(
-        self, lender_id: ids.NodeId, seq: int, now_ms: float
-    ) -> None:
+    def on_failed(self, lender: ids.NodeId, seq: int, now_ms: float) -> None:
         """Take in that an ask was not answered."""
-        lender = self._lenders.get(lender_id)
-        if lender is None or lender.seq != seq or lender.asked_at_ms is None:
-            return
-        asked, lender.asked = lender.asked, ()
-        lender.asked_at_ms = None
-        lender.down_ms = min(2 * lender.down_ms, LONGEST_DOWN_MS)
-        lender.down_until_ms = now_ms + lender.down_ms
-        stranded = [*asked, *lender.pending]
-        lender.pending.clear()
-        for organisation in stranded:
+        for organisation in self._links.failed(lender, seq, now_ms):
             self._next_lender(organisation, now_ms)
 
     def stop(self, now_ms: float) -> None:
@@ -332,14 +282,12 @@
         if state is None or state.sweep is None:
             return
         while state.sweep:
-            lender_id = state.sweep.pop(0)
-            lender = self._lenders.setdefault(lender_id, _Lender())
-            if now_ms < lender.down_until_ms:
+            lender = state.sweep.pop(0)
+            if self._links.is_down(lender, now_ms):
                 continue
-            if lender_id in state.holdings or self._is_short(state, now_ms):
+            if lender in state.holdings or self._is_short(state, now_ms):
                 state.asked_at_ms = now_ms
-                lender.pending[organisation] = None
-                if lender.asked_at_ms is None:
+                if self._links.add(lender, organisation):
                     self._on_due()
                 return
         state.sweep = None
@@ -367,62 +315,44 @@
             return True
         return state.want_stock(quota) > state.tokens
 
-    def _ask(
-        self, lender_id: ids.NodeId, lender: _Lender, now_ms: float
-    ) -> SendAsk:
-        lender.seq += 1
-        lender.asked_at_ms = now_ms
-        lender.asked = tuple(lender.pending)
-        lender.pending.clear()
-        items = [
-            self._item(self._states[organisation], lender_id, now_ms)
-            for organisation in lender.asked
-            if organisation in self._states
-        ]
-        self.asks_sent += 1
-        return SendAsk(
-            lender_id,
-            quotawire.Ask(
-                self._node_id,
-                self._process,
-                lender.seq,
-                lender.epoch,
-                items,
-            ),
-        )
-
     def _is_idle(self, state: quotabucket.Bucket, now_ms: float) -> bool:
         if self._is_stopping:
             return True
         return now_ms >= state.used_ms + IDLE_MS and not state.waiting
 
     def _item(
-        self, state: quotabucket.Bucket, lender_id: ids.NodeId, now_ms: float
-    ) -> quotawire.AskItem:
+        self,
+        organisation: ids.OrganisationId,
+        lender: ids.NodeId,
+        now_ms: float,
+    ) -> quotawire.AskItem | None:
+        state = self._states.get(organisation)
+        if state is None:
+            return None
         state.settle(now_ms)
-        quota = self._quota_of(state.organisation)
+        quota = self._quota_of(organisation)
         if quota is None or self._is_idle(state, now_ms):
             quota = NOTHING
-        return state.ask_item(lender_id, quota, now_ms)
+        return state.ask_item(lender, quota, now_ms)
 
     def _apply(
         self,
         state: quotabucket.Bucket,
-        lender_id: ids.NodeId,
+        lender: ids.NodeId,
         item: quotawire.GrantItem,
         until_ms: float,
         now_ms: float,
     ) -> None:
         state.settle(now_ms)
         if item.rate_per_s > 0 or item.burst > 0:
-            state.holdings[lender_id] = quotabucket.Holding(
+            state.holdings[lender] = quotabucket.Holding(
                 item.rate_per_s,
                 item.burst,
                 until_ms,
-                self._lenders[lender_id].epoch,
+                self._links.epoch(lender),
             )
         else:
-            state.holdings.pop(lender_id, None)
+            state.holdings.pop(lender, None)
         state.tokens += item.tokens
         state.recount()
         # A grant that came too late lapses here and now.
--- a/src/parsleystile/quotaservice.py
+++ b/src/parsleystile/quotaservice.py
@@ -16,8 +16,8 @@
 from parsleystile import ownership
 from parsleystile import promiseservice
 from parsleystile import quota
-from parsleystile import quotaborrower
 from parsleystile import quotabucket
+from parsleystile import quotalinks
 from parsleystile import quotawire
 from parsleystile import settings as node_settings
 from parsleystile import table
@@ -123,7 +123,7 @@
     def _perform(self, actions: typing.Iterable[quota.Action]) -> None:
         for action in actions:
             match action:
-                case quotaborrower.SendAsk():
+                case quotalinks.SendAsk():
                     self._send_ask(action)
                 case leases.AskPromise():
                     self._promises.ask(action, self._addresses, self._handle)
@@ -136,7 +136,7 @@
     def _handle(self, event: quota.Event) -> None:
         self._perform(self.node.handle(event, self._clock.now_ms()))
 
-    def _send_ask(self, action: quotaborrower.SendAsk) -> None:
+    def _send_ask(self, action: quotalinks.SendAsk) -> None:
         seq = action.ask.seq
         address = self._addresses.get(action.to)
         if address is None:
@@ -152,7 +152,7 @@
             address,
             quotawire.ASK_KIND,
             msgspec.msgpack.encode(action.ask),
-            quotaborrower.ASK_TIMEOUT_MS,
+            quotalinks.ASK_TIMEOUT_MS,
             on_reply,
         )
 
