Log lease changes and the table's absence

Cause: lease changes and a cut-off table must explain themselves; choosing deputies at each tick would cost a sort over all members. After: leaselog.py, table-cut-off and table-restored events from the table client, deputies chosen only when the members change.

--- a/src/parsleystile/claimhome.py
+++ b/src/parsleystile/claimhome.py
@@ -74,6 +74,7 @@
         self._shards: claimcopy.Known = {}
         self._pending: dict[claimwire.ClaimKey, _Pending] = {}
         self._channels: dict[ids.NodeId, claimcopy.CopyChannel] = {}
+        self._wanted_deputies: tuple[ids.NodeId, ...] = ()
         self._next_prune_ms = now_ms
         plan = ownership.Plan(
             LAYOUT,
@@ -92,7 +93,12 @@
 
     def set_members(self, members: list[member_types.Member]) -> None:
         """Take in who is alive."""
+        before = self.ownership.domains
         self.ownership.set_members(members)
+        if self.ownership.domains is not before:
+            self._wanted_deputies = ownership.deputies_elsewhere(
+                self._node_id, self.ownership.domains
+            )
 
     def tick(self, now_ms: float) -> list[Action]:
         """Do what time has made due; wanted every 20 ms or so."""
@@ -273,9 +279,7 @@
         lease = self.ownership.lease
         if lease.is_lost or not lease.is_wanted:
             return
-        wanted = ownership.deputies_elsewhere(
-            self._node_id, self.ownership.domains
-        )
+        wanted = self._wanted_deputies
         needed = lease.required_deputies | set(wanted)
         for deputy in needed - self._channels.keys():
             self._channels[deputy] = claimcopy.CopyChannel(
--- a/src/parsleystile/idempotencyservice.py
+++ b/src/parsleystile/idempotencyservice.py
@@ -14,7 +14,9 @@
 from parsleystile import exchange as exchanges
 from parsleystile import idempotency
 from parsleystile import ids
+from parsleystile import leaselog
 from parsleystile import leases
+from parsleystile import logs
 from parsleystile import members as member_types
 from parsleystile import metrics as metric
 from parsleystile import ownership
@@ -60,6 +62,7 @@
         self._addresses: dict[ids.NodeId, transport.Address] = {}
         self._next_members_ms = 0.0
         self._next_gauge_ms = 0.0
+        self._lease_log = leaselog.lease_log('claims', logs.event)
         self.home = claimhome.claim_home(
             identity.node_id, identity.failure_domain, rng, clock.now_ms()
         )
@@ -152,6 +155,7 @@
         if now_ms >= self._next_members_ms:
             self._take_members(now_ms)
         self._perform(self.home.tick(now_ms))
+        self._lease_log.observe(self.home.ownership, now_ms)
         self._perform(self.client.tick(now_ms))
         if now_ms >= self._next_gauge_ms:
             self._next_gauge_ms = now_ms + _GAUGE_MS
--- a/src/parsleystile/leases.py
+++ b/src/parsleystile/leases.py
@@ -165,6 +165,18 @@
             self._deputies = deputies
             self._next_write_ms = 0.0
 
+    @property
+    def was_confirmed(self) -> bool:
+        """Whether the table ever confirmed the lease."""
+        return self._confirmed is not None
+
+    def is_confirmed(self, now_ms: float) -> bool:
+        """Return whether the lease holds by the table alone."""
+        confirmed = self._confirmed
+        if confirmed is None or self.is_lost:
+            return False
+        return now_ms < confirmed.asked_at_ms + LEASE_MS
+
     def valid_until_ms(self) -> float:
         """Return when the lease ends on the holder's clock; 0 if none."""
         if self.is_lost or self._confirmed is None:
--- a/src/parsleystile/quotaservice.py
+++ b/src/parsleystile/quotaservice.py
@@ -10,7 +10,9 @@
 from parsleystile import errors
 from parsleystile import fleetconfig
 from parsleystile import ids
+from parsleystile import leaselog
 from parsleystile import leases
+from parsleystile import logs
 from parsleystile import members as member_types
 from parsleystile import metrics as metric
 from parsleystile import ownership
@@ -57,6 +59,7 @@
         self._addresses: dict[ids.NodeId, transport.Address] = {}
         self._is_pump_due = False
         self._next_gauge_ms = 0.0
+        self._lease_log = leaselog.lease_log('quota', logs.event)
         self._next_members_ms = 0.0
         self.node = quota.quota_node(
             identity.node_id,
@@ -95,6 +98,7 @@
         if now_ms >= self._next_members_ms:
             self._take_members(now_ms)
         self._perform(self.node.tick(now_ms))
+        self._lease_log.observe(self.node.ownership, now_ms)
         if now_ms >= self._next_gauge_ms:
             self._next_gauge_ms = now_ms + _GAUGE_MS
             self._report()
--- a/src/parsleystile/tableclient.py
+++ b/src/parsleystile/tableclient.py
@@ -15,6 +15,8 @@
 from parsleystile import clock as clocks
 from parsleystile import errors
 from parsleystile import ids
+from parsleystile import logevents
+from parsleystile import logs
 from parsleystile import table
 from parsleystile import tablewire
 
@@ -210,6 +212,26 @@
         return result
 
     def _report(self, result: _BodyResult) -> None:
+        before_ms = self.cut_off_since_ms
+        self._tell_breaker(result)
+        since_ms = self.cut_off_since_ms
+        if before_ms is None and since_ms is not None:
+            logs.event(
+                logevents.TableCutOff(
+                    why='requests fail one after another',
+                    evidence=str(result.error)[:200],
+                    failures=self._breaker.failures,
+                )
+            )
+        elif before_ms is not None and since_ms is None:
+            logs.event(
+                logevents.TableRestored(
+                    why='a request was answered',
+                    cut_off_ms=self._clock.now_ms() - before_ms,
+                )
+            )
+
+    def _tell_breaker(self, result: _BodyResult) -> None:
         match result:
             case expression.Result(
                 tag='error',
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -3,8 +3,11 @@
 import msgspec
 import pytest
 
+from parsleystile import leaselog
 from parsleystile import leases
 from parsleystile import leasewatch
+from parsleystile import ownership
+from parsleystile import parts
 from parsleystile import tableio
 from stubs import tablestate
 
@@ -245,3 +248,20 @@
     row = leases.LeaseRow('e', 'n', leases.LeaseState.HELD, ('d',))
     value = msgspec.msgpack.encode(row)
     assert leases.decode_row(value) == row
+
+
+def test_the_log_tells_when_a_lease_lapses():
+    told = []
+    plan = ownership.Plan(
+        parts.Layout('x/', 1, 1, 0.0), _PREFIX, ownership.deputies_nearby
+    )
+    owner = ownership.ownership(plan, 'n0', 'a', random.Random(1), 0.0)
+    log = leaselog.lease_log('x', told.append)
+    log.observe(owner, 0.0)
+    owner.lease.is_wanted = True
+    _turn(owner.lease, _Rows(), 0.0)
+    for now_ms in (0.0, 1.0, leases.LEASE_MS):
+        log.observe(owner, now_ms)
+    states = [(event.state_before, event.state_after) for event in told]
+    assert states == [('none', 'held'), ('held', 'lapsed')]
+    assert 'deputies=-' in told[0].evidence
