Let nodes claim idempotency keys before they send

Cause: a call with an Idempotency-Key on a route that is not idempotent was sent unclaimed. Before: node.py passed such exchanges on. After: node.py gives them to the idempotency service; the daemon ticks it and a planned stop gives up its shards. Scans of owners are fewer in a large fleet: one pair a node each 40 ms a member, spread when many notice at once.

--- a/src/parsleystile/daemon.py
+++ b/src/parsleystile/daemon.py
@@ -135,7 +135,7 @@
         )
         self._ticker.every(membership.TICK_MS, self._plane.tick)
         self._ticker.every(plannedstop.TICK_PERIOD_MS, self._planned_stop.tick)
-        self._ticker.every(quotaservice.TICK_MS, self._tick_quota)
+        self._ticker.every(quotaservice.TICK_MS, self._tick_shares)
         self._ticker.every(nodes.WATCH_PERIOD_MS, self._watch_target)
         for front in (self._callers, self._targets):
             self._ticker.every(_SWEEP_PERIOD_MS, front.sweep)
@@ -231,12 +231,18 @@
         return self.node.calls_in_flight + self._callers.open_count
 
     def _hand_back(self, on_done: typing.Callable[[], None]) -> None:
-        task = asyncio.get_running_loop().create_task(self.node.quota.stop())
+        task = asyncio.get_running_loop().create_task(self._give_up_shares())
         task.add_done_callback(lambda ended: on_done())
         self._handing_back = task
 
-    def _tick_quota(self) -> None:
+    async def _give_up_shares(self) -> None:
+        await asyncio.gather(
+            self.node.quota.stop(), self.node.idempotency.stop()
+        )
+
+    def _tick_shares(self) -> None:
         self.node.quota.tick(self._clock.now_ms())
+        self.node.idempotency.tick(self._clock.now_ms())
 
     def _watch_target(self) -> None:
         self.node.handle_target(targetwatch.Tick())
--- a/src/parsleystile/node.py
+++ b/src/parsleystile/node.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import random
-import typing
 
 from parsleystile import admission
 from parsleystile import balancer
@@ -11,10 +10,10 @@
 from parsleystile import dispatcher
 from parsleystile import egress
 from parsleystile import errors
-from parsleystile import exchange as exchanges
 from parsleystile import filters
 from parsleystile import fleetconfig
 from parsleystile import guard
+from parsleystile import idempotencyservice
 from parsleystile import ids
 from parsleystile import inflight
 from parsleystile import ingress
@@ -71,6 +70,7 @@
         membership: Who is in the fleet.
         key_ring: Whose key a caller shows.
         quota: Rate and burst of organisations across the fleet.
+        idempotency: Lets calls with an idempotency key run at most once.
     """
 
     def __init__(self, env: Environment) -> None:
@@ -123,6 +123,7 @@
         )
         self._everyone: list[members.Member] = []
         self._everyone_version = -1
+        promises = promiseservice.promise_service(env.transport, env.clock)
         self.quota = quotaservice.quota_service(
             identity,
             env.clock,
@@ -132,13 +133,23 @@
             env.metrics,
             self.config,
             self._all_members,
-            promiseservice.promise_service(env.transport, env.clock),
+            promises,
+        )
+        self.idempotency = idempotencyservice.idempotency_service(
+            identity,
+            env.clock,
+            env.rng,
+            env.transport,
+            env.table,
+            env.metrics,
+            self._all_members,
+            promises,
         )
         self.ingress = ingress.ingress(
             rules,
             sender,
             self.quota.take,
-            _send_unclaimed,
+            self.idempotency.claim_exchange,
             env.metrics,
             env.observed,
         )
@@ -249,13 +260,6 @@
     )
 
 
-def _send_unclaimed(
-    exchange: exchanges.Exchange,
-    send: typing.Callable[[exchanges.Exchange], None],
-) -> None:
-    send(exchange)
-
-
 def build_node(env: Environment) -> Node:
     """Create a node that has no target, no peers and no document yet."""
     return Node(env)
--- a/src/parsleystile/ownership.py
+++ b/src/parsleystile/ownership.py
@@ -13,12 +13,13 @@
 from parsleystile import tableio
 
 SHORTEST_SCAN_MS = 1_500.0
-LONGEST_SCAN_MS = 60_000.0
+LONGEST_SCAN_MS = 240_000.0
 # A scan period for each member, so that the fleet's scans stay few.
-SCAN_MS_PER_MEMBER = 10.0
+SCAN_MS_PER_MEMBER = 40.0
 WATCH_MS = 2_000.0
 # After a claim or a failed scan, the rows are read again soon.
 RESCAN_MS = 150.0
+RESCAN_MS_PER_MEMBER = 1.0
 FAILED_SCAN_MS = 700.0
 
 ChooseDeputies = typing.Callable[
@@ -184,7 +185,10 @@
 
     def rescan_soon(self, now_ms: float) -> None:
         """Read the map again soon, since it seems out of date."""
-        self._next_scan_ms = min(self._next_scan_ms, now_ms + RESCAN_MS)
+        # Many nodes notice at once; their scans are spread.
+        spread_ms = RESCAN_MS_PER_MEMBER * len(self._domains)
+        soon_ms = now_ms + RESCAN_MS + spread_ms * self._rng.random()
+        self._next_scan_ms = min(self._next_scan_ms, soon_ms)
 
     def _start_epoch(self) -> None:
         was_wanted = self.lease.is_wanted
--- a/src/parsleystile/quota.py
+++ b/src/parsleystile/quota.py
@@ -183,6 +183,7 @@
         now_ms: float,
     ) -> None:
         if grants is None:
+            self.ownership.rescan_soon(now_ms)
             self.borrower.on_failed(lender, seq, now_ms)
             return
         if not grants.epoch:
