--- a/src/parsleystile/_rumours.py
+++ b/src/parsleystile/_rumours.py
@@ -1,6 +1,7 @@
 """News on its way through the fleet, a bounded number in each datagram."""
 
 import dataclasses
+import heapq
 import math
 import typing
 
@@ -53,15 +54,14 @@
         """
         if not self._by_key:
             return []
-        wanted = [
+        wanted = (
             (rumour.sent, key)
             for key, rumour in self._by_key.items()
             if is_wanted(rumour.item)
-        ]
-        wanted.sort()
+        )
         picked = []
         bound = transmissions(size)
-        for _, key in wanted[:limit]:
+        for _, key in heapq.nsmallest(limit, wanted):
             rumour = self._by_key[key]
             rumour.sent += 1
             picked.append(rumour.item)
--- a/src/parsleystile/_view.py
+++ b/src/parsleystile/_view.py
@@ -52,8 +52,13 @@
         """Tell again who this node is."""
         self._news.put(self.me.node_id, messages.Update(self.me))
 
+    def learn(self, member: members.Member, now_ms: float) -> None:
+        """Take in what others know already; it is not spread again."""
+        if self.merge(messages.Update(member), now_ms):
+            self._news.drop(member.node_id)
+
     def merge(self, update: messages.Update, now_ms: float) -> bool:
-        """Take news of a member in; False if it is none."""
+        """Take news of a member in and spread it; False if it is none."""
         member = update.member
         if member.node_id == self.me.node_id:
             self._defend(member, now_ms)
--- a/src/parsleystile/membership.py
+++ b/src/parsleystile/membership.py
@@ -238,7 +238,7 @@
             case Learned(members=learned):
                 for member in learned:
                     self._view.remember(member.node_id)
-                    self._view.merge(messages.Update(member), now_ms)
+                    self._view.learn(member, now_ms)
             case ConfigInForce(version=version, domains_out=domains_out):
                 self._view.config_version = version
                 self._domains_out = frozenset(domains_out)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -218,6 +218,18 @@
     assert _agree(network)()
 
 
+def test_a_fifth_of_all_lost_at_once_evicts_nobody_else():
+    network = gossipnetwork.network({'a': 34, 'b': 34, 'c': 34}, 7)
+    network.run(2000)
+    gone = set(network.rng.sample(sorted(network.nodes), 20))
+    _kill(network, gone)
+    took_ms = network.run_until(_is_unused(network, gone), 20_000)
+    assert took_ms <= 3 * BOUND_MS
+    for _ in range(10):
+        network.run(500)
+        assert _agree(network)()
+
+
 def test_a_cut_inside_a_domain_is_seen_round_and_heals():
     network = gossipnetwork.network(SIZES, 2)
     network.run(3000)
