Evict at most a quarter of a domain in 3 s by one view

Ruled out: no cap, since a node with a faulty view would evict its domain. Conclusion: four intervals clear a whole domain but one node in 12 s.

--- a/src/parsleystile/_suspicion.py
+++ b/src/parsleystile/_suspicion.py
@@ -11,8 +11,8 @@
 SHORT_MS = 800
 # By its own judgement a node evicts no more in one interval than this share
 # of its failure domain, or this many if they are more.
-EVICTION_INTERVAL_MS = 10_000
-EVICTION_SHARE = 0.2
+EVICTION_INTERVAL_MS = 3000
+EVICTION_SHARE = 0.25
 EVICTION_MIN = 3
 # A node that hears nobody for so long holds itself for cut off and evicts
 # nobody.
