--- a/bench/membership.py
+++ b/bench/membership.py
@@ -64,6 +64,27 @@
     return check
 
 
+def _put_in_force(network: gossipnetwork.Network) -> float:
+    """Return how long a version takes that one node has accepted."""
+    first = network.nodes['b1-0']
+    version = ids.ConfigVersion(7)
+    network.handle(first, membership.ConfigInForce(version))
+    has_it = {first.machine.me.node_id}
+
+    def fetch() -> bool:
+        for node in network.live():
+            node_id = node.machine.me.node_id
+            is_told = any(
+                isinstance(a, membership.FetchConfig) for a in node.actions
+            )
+            if is_told and node_id not in has_it:
+                has_it.add(node_id)
+                network.handle(node, membership.ConfigInForce(version))
+        return len(has_it) == len(network.live())
+
+    return network.run_until(fetch, 60_000)
+
+
 def _spread(total: int) -> typing.Iterator[bench.Result]:
     head = f'membership.fleet{total}'
     network = gossipnetwork.network(_sizes(total), SEED, SERVICE)
@@ -79,6 +100,13 @@
         'ms',
         IN_FORCE_TARGET_MS,
     )
+    in_force_ms = _put_in_force(network)
+    yield bench.compare(
+        f'{head}.version_in_force_everywhere',
+        in_force_ms,
+        'ms',
+        IN_FORCE_TARGET_MS,
+    )
     leaver = network.nodes['b2-0']
     network.handle(leaver, membership.Leave())
     leave_ms = network.run_until(_is_unused(network, {'b2-0'}), 20_000)
--- a/src/parsleystile/changes.py
+++ b/src/parsleystile/changes.py
@@ -107,9 +107,10 @@
 
 
 class ApplyDocument(_Change, tag='apply-document', tag_field='kind'):
-    """Replace the document whole, but for its version and key counter.
+    """Replace the document whole, but for its version, keys and operators.
 
-    Keys of the document must be keys in force: none comes back by it.
+    Those have changes of their own; a file that lacks a key must not
+    withdraw it, and one that holds a withdrawn key is refused.
     """
 
     document: fleetconfig.FleetConfig
@@ -279,5 +280,6 @@
                 f'keys.{key_id}', f'{key_id!r} is no key in force; issue it'
             )
     fields = msgspec.structs.asdict(document)
-    fields['next_key'] = config.next_key
+    for kept in ('next_key', 'keys', 'operators'):
+        fields[kept] = getattr(config, kept)
     return fields
--- a/src/parsleystile/configstore.py
+++ b/src/parsleystile/configstore.py
@@ -101,7 +101,8 @@
 
 def document_digest(config: fleetconfig.FleetConfig) -> str:
     """Return a digest that differs wherever two documents differ."""
-    encoded = msgspec.json.encode(config, order='deterministic')
+    # Changes and JSON keep the order of entries, the same at every node.
+    encoded = fleetconfig.encode(config)
     return hashlib.blake2b(encoded, digest_size=16).hexdigest()
 
 
--- a/src/parsleystile/fleetconfig.py
+++ b/src/parsleystile/fleetconfig.py
@@ -231,19 +231,19 @@
 def _check_keys(config: FleetConfig) -> errors.SettingsError | None:
     seen: dict[str, str] = {}
     for key_id, key in config.keys.items():
-        where = f'keys.{key_id}'
         if not 0 < key_number(key_id) < config.next_key:
             return errors.SettingsError(
-                where, f'{key_id!r} is no key id below {config.next_key}'
+                f'keys.{key_id}',
+                f'{key_id!r} is no key id below {config.next_key}',
             )
         if key.organisation not in config.organisations:
             return errors.SettingsError(
-                f'{where}.organisation',
+                f'keys.{key_id}.organisation',
                 f'no organisation {key.organisation!r}',
             )
         if seen.setdefault(key.digest, key_id) != key_id:
             return errors.SettingsError(
-                f'{where}.digest', f'same key as {seen[key.digest]!r}'
+                f'keys.{key_id}.digest', f'same key as {seen[key.digest]!r}'
             )
     return None
 
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -78,6 +78,19 @@
     assert applied.is_withdrawn('k1')
 
 
+def test_a_document_without_keys_and_operators_leaves_them_in_force():
+    put = changes.PutOperator(name='eva', digest=DIGESTS[2])
+    config = _apply(_with_key(), put)
+    bare = msgspec.structs.replace(config, keys={}, operators={})
+    peak = msgspec.structs.replace(bare, active_preset='peak')
+    applied = _apply(config, changes.ApplyDocument(document=peak))
+    assert (applied.keys, applied.operators) == (
+        config.keys,
+        config.operators,
+    )
+    assert applied.active_preset == 'peak'
+
+
 @pytest.mark.parametrize(
     ('change', 'text'),
     [
