--- a/src/parsleystile/configstore.py
+++ b/src/parsleystile/configstore.py
@@ -26,6 +26,8 @@
 # Changes kept in the table, and those kept by each node.
 TABLE_CHANGES = 1000
 NODE_CHANGES = 256
+# A larger document would not fit in a frame between nodes.
+MAX_DOCUMENT_BYTES = 900_000
 # A change based on a version further back is a conflict.
 MAX_CHANGES_BEHIND = 64
 _VERSION_DIGITS = 12
@@ -143,6 +145,15 @@
     """Work out the version that a change makes of the newest document."""
     match changes.apply(config, request.change):
         case expression.Result(tag='ok', ok=changed):
+            size_bytes = len(fleetconfig.encode(changed))
+            if size_bytes > MAX_DOCUMENT_BYTES:
+                return expression.Error(
+                    errors.SettingsError(
+                        'document',
+                        f'{size_bytes} bytes are more than '
+                        f'{MAX_DOCUMENT_BYTES}',
+                    )
+                )
             record = ChangeRecord(
                 version=changed.version,
                 change_id=request.change_id,
--- a/src/parsleystile/daemon.py
+++ b/src/parsleystile/daemon.py
@@ -36,7 +36,6 @@
 
 # The target beside a node is reached over the loopback interface only.
 _LOOPBACK = '127.0.0.1'
-_MEMBER_REFRESH_MS = 100.0
 _SWEEP_PERIOD_MS = 1000.0
 
 
@@ -133,13 +132,11 @@
         operator_address = self._operators.listen(
             listeners.host, listeners.operator_port
         )
-        self._ticker.every(membership.TICK_MS, self._plane.tick)
-        self._ticker.every(plannedstop.TICK_PERIOD_MS, self._planned_stop.tick)
+        self._ticker.every(membership.TICK_MS, self._tick)
         self._ticker.every(quotaservice.TICK_MS, self._tick_quota)
         self._ticker.every(nodes.WATCH_PERIOD_MS, self._watch_target)
         for front in (self._callers, self._targets):
             self._ticker.every(_SWEEP_PERIOD_MS, front.sweep)
-        self._ticker.every(_MEMBER_REFRESH_MS, self.node.refresh_members)
         logs.event(
             logevents.NodeStarted(
                 failure_domain=identity.failure_domain,
@@ -235,6 +232,12 @@
         task.add_done_callback(lambda ended: on_done())
         self._handing_back = task
 
+    def _tick(self) -> None:
+        # One timer for all: each turn of the loop costs more than the work.
+        self._plane.tick()
+        self.node.refresh_members()
+        self._planned_stop.tick()
+
     def _tick_quota(self) -> None:
         self.node.quota.tick(self._clock.now_ms())
 
--- a/src/parsleystile/plannedstop.py
+++ b/src/parsleystile/plannedstop.py
@@ -8,8 +8,6 @@
 from parsleystile import logevents
 from parsleystile import logs
 
-TICK_PERIOD_MS = 50.0
-
 _Done = typing.Callable[[], None]
 
 
@@ -50,7 +48,7 @@
         self._handle(drain.StopRequested(is_final))
 
     def tick(self) -> None:
-        """Go on; to be called every ``TICK_PERIOD_MS``."""
+        """Go on; to be called some times a second."""
         if self._drain.is_leaving:
             self._handle(drain.Tick(self._steps.calls_in_flight()))
 
--- a/tests/test_controlplane.py
+++ b/tests/test_controlplane.py
@@ -166,6 +166,24 @@
     _run(body)
 
 
+def test_a_document_too_large_to_send_is_refused():
+    async def body(fleet):
+        name = 'n' * 60
+        routes = {
+            f'{name}{i}': fleetconfig.Route(
+                path_prefix=f'/{"p" * 200}{i}', service=name
+            )
+            for i in range(3000)
+        }
+        document = fleetconfig.FleetConfig(routes=routes)
+        apply = changes.ApplyDocument(document=document)
+        result = await _submit(fleet, 'a-0', 'x', apply)
+        assert result.outcome is REFUSED
+        assert result.error.path == 'document'
+
+    _run(body)
+
+
 def test_without_the_table_nothing_is_accepted_but_a_withdrawal():
     async def body(fleet):
         key = await _issue(fleet)
