Answer health on the operator port; log members, documents, keys

Cause: /v1/health told the phase alone, and no log line said why a member was out of use, which document was put in force or which key was withdrawn. Ruled out: logging suspicions, which come and go. Conclusion: a node explains what it heard of others.

--- a/src/parsleystile/_view.py
+++ b/src/parsleystile/_view.py
@@ -18,10 +18,16 @@
 
 
 class View:
-    """Merges news and spreads what was new."""
+    """Merges news and spreads what was new.
+
+    Attributes:
+        changed: Members before and after news of them, suspicion aside.
+        outbox: Datagrams to be sent.
+    """
 
     def __init__(self, me: members.Member) -> None:
         self.me = me
+        self.changed: list[tuple[members.Member | None, members.Member]] = []
         self.outbox: list[tuple[transport.Address, messages.Message]] = []
         self.config_version = ids.ConfigVersion(0)
         self.reach = _suspicion.Reachability()
@@ -69,8 +75,10 @@
         if not is_suspect:
             if not self._is_wanted(member, now_ms):
                 return False
+            before = self.list.get(member.node_id)
             if not self.list.merge(member, now_ms):
                 return False
+            self.changed.append((before, member))
             self.suspicions.clear(member.node_id)
             self.reach.restore(member.node_id)
             if member.state is members.MemberState.DEAD:
--- a/src/parsleystile/controlplane.py
+++ b/src/parsleystile/controlplane.py
@@ -14,6 +14,8 @@
 from parsleystile import fleetconfig
 from parsleystile import ids
 from parsleystile import keys
+from parsleystile import logevents
+from parsleystile import logs
 from parsleystile import memberservice
 from parsleystile import membership
 from parsleystile import metrics as metric
@@ -52,6 +54,7 @@
 
     def __init__(self, parts: Parts) -> None:
         self._parts = parts
+        self._version = ids.ConfigVersion(0)
         self.members = memberservice.member_service(
             parts.machine,
             parts.clock,
@@ -122,6 +125,14 @@
         return told
 
     def _put_in_force(self, config: fleetconfig.FleetConfig) -> None:
+        logs.event(
+            logevents.ConfigApplied(
+                version_before=self._version,
+                version_after=config.version,
+                active_preset=config.active_preset,
+            )
+        )
+        self._version = config.version
         self._parts.put_in_force(config)
         self._withdrawals.refresh()
 
--- a/src/parsleystile/daemon.py
+++ b/src/parsleystile/daemon.py
@@ -10,8 +10,10 @@
 from parsleystile import burn
 from parsleystile import clock as clocks
 from parsleystile import controlplane
+from parsleystile import drain
 from parsleystile import explain
 from parsleystile import gossip
+from parsleystile import health
 from parsleystile import history
 from parsleystile import httpfront
 from parsleystile import ids
@@ -195,6 +197,7 @@
                 key_ring=self.node.key_ring,
                 metrics=self._metrics,
                 calls_in_flight=self._calls_in_flight,
+                health=self._health,
                 phase=lambda: self._planned_stop.phase.value,
                 explain=self._explain,
                 burn=self._burn,
@@ -214,6 +217,16 @@
             buffer_entries=1,
         )
 
+    def _health(self) -> health.Health:
+        return health.assess(
+            config_version=self.node.config().version,
+            is_draining=self._planned_stop.phase is not drain.Phase.SERVING,
+            has_target=bool(self.node.membership.me.service),
+            cut_off_since_ms=self._table.cut_off_since_ms,
+            calls_in_flight=self._calls_in_flight(),
+            now_ms=self._clock.now_ms(),
+        )
+
     def _explain(self, root_id: ids.RootId) -> explain.Explanation:
         return self._observer.calls.explain(root_id, self._clock.now_ms())
 
--- a/src/parsleystile/memberservice.py
+++ b/src/parsleystile/memberservice.py
@@ -8,6 +8,8 @@
 from parsleystile import errors
 from parsleystile import gossipcodec
 from parsleystile import ids
+from parsleystile import logevents
+from parsleystile import logs
 from parsleystile import members
 from parsleystile import membership
 from parsleystile import metrics as metric
@@ -105,6 +107,8 @@
                 on_left, self._on_left = self._on_left, None
                 if on_left is not None:
                     on_left(action)
+            case membership.MemberChanged(before=before, after=after):
+                _log_change(before, after)
             case membership.Rejoin():
                 self._next_join_ms = 0.0
             case _:
@@ -187,6 +191,18 @@
                 return
 
 
+def _log_change(before: members.Member | None, after: members.Member) -> None:
+    logs.event(
+        logevents.MemberChanged(
+            node_id=after.node_id,
+            state_before='unknown' if before is None else before.state.name,
+            state_after=after.state.name,
+            incarnation=after.incarnation,
+            evidence=f'service={after.service} slots={after.slots}',
+        )
+    )
+
+
 def member_service(
     machine: membership.Membership,
     clock: clocks.Clock,
--- a/src/parsleystile/membership.py
+++ b/src/parsleystile/membership.py
@@ -136,7 +136,21 @@
     """This process slept so long that it starts from the table again."""
 
 
-Action = Send | LeaveConfirmed | FetchConfig | WithdrawKeys | Rejoin
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberChanged:
+    """There is news of a member, for the record.
+
+    Attributes:
+        before: None if it was not known.
+    """
+
+    before: members.Member | None
+    after: members.Member
+
+
+Action = (
+    Send | LeaveConfirmed | FetchConfig | WithdrawKeys | Rejoin | MemberChanged
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -263,7 +277,12 @@
     def _drain(self) -> list[Action]:
         outbox = self._view.outbox
         self._view.outbox = []
-        return [Send(to, message) for to, message in outbox]
+        changed = self._view.changed
+        actions: list[Action] = [Send(to, m) for to, m in outbox]
+        if changed:
+            self._view.changed = []
+            actions += [MemberChanged(old, new) for old, new in changed]
+        return actions
 
     def _tick(self, now_ms: float) -> list[Action]:
         self._detector.tick(now_ms)
--- a/src/parsleystile/operators.py
+++ b/src/parsleystile/operators.py
@@ -9,12 +9,13 @@
 from tornado import netutil
 from tornado import web
 
+from parsleystile import _operator_answers as answers
 from parsleystile import changes
 from parsleystile import configservice
 from parsleystile import configstore
 from parsleystile import controlplane
 from parsleystile import errors
-from parsleystile import fleetconfig
+from parsleystile import health
 from parsleystile import ids
 from parsleystile import keys
 from parsleystile import logevents
@@ -29,94 +30,12 @@
 _PROBLEM_TYPE = 'application/problem+json'
 
 
-class MemberAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """A member as this node sees it."""
-
-    node_id: ids.NodeId
-    vm: ids.VmId
-    region: ids.RegionId
-    failure_domain: ids.FailureDomainId
-    service: ids.ServiceName
-    slots: int
-    state: str
-    is_reachable: bool
-    link: str
-    incarnation: ids.Incarnation
-
-
-class StatusAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """A node in short.
-
-    Attributes:
-        pending_withdrawals: Keys withdrawn ahead of the document.
-    """
-
-    node_id: ids.NodeId
-    failure_domain: ids.FailureDomainId
-    phase: str
-    calls_in_flight: int
-    config_version: ids.ConfigVersion
-    active_preset: ids.PresetName
-    domains_out: tuple[ids.FailureDomainId, ...]
-    members: int
-    unreachable_domains: list[ids.FailureDomainId]
-    pending_withdrawals: list[ids.KeyId]
-
-
-class ConfigAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """The document in force here."""
-
-    version: ids.ConfigVersion
-    document: fleetconfig.FleetConfig
-
-
-class HistoryAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """Accepted changes, oldest first.
-
-    Attributes:
-        is_complete: The table answered; if not, these are the changes
-            that this node remembers.
-    """
-
-    records: list[configstore.ChangeRecord]
-    is_complete: bool
-
-
-class ChangeAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """What became of a change.
-
-    Attributes:
-        key_id: Of the key that the change issued.
-    """
-
-    outcome: str
-    version: ids.ConfigVersion
-    reason: str = ''
-    path: str = ''
-    key_id: str = ''
-
-
-class InForceAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """How far a version has got in one failure domain."""
-
-    in_force: int
-    total: int
-    waiting: tuple[ids.NodeId, ...]
-
-
-class Problem(msgspec.Struct, frozen=True, kw_only=True):
-    """Why a request was not served."""
-
-    title: str
-    status: int
-    detail: str = ''
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sources:
     """What the listener shows and does.
 
     Attributes:
+        health: Tells whether the node takes new calls.
         phase: How far a planned stop has come.
         explain: Returns what the node remembers of a call.
         burn: Returns the node's counters of objectives.
@@ -128,6 +47,7 @@
     key_ring: keys.KeyRing
     metrics: metric.Metrics
     calls_in_flight: typing.Callable[[], int]
+    health: typing.Callable[[], health.Health]
     phase: typing.Callable[[], str]
     explain: typing.Callable[[ids.RootId], msgspec.Struct]
     burn: typing.Callable[[], msgspec.Struct]
@@ -170,7 +90,7 @@
         """Finish with a problem document."""
         self.set_status(status)
         self.set_header('Content-Type', _PROBLEM_TYPE)
-        told = Problem(title=title, status=status, detail=detail)
+        told = answers.Problem(title=title, status=status, detail=detail)
         self.finish(msgspec.json.encode(told))
 
     def write_error(self, status_code: int, **kwargs: object) -> None:
@@ -188,7 +108,9 @@
     needs_key = False
 
     def get(self) -> None:
-        self.answer({'phase': self.sources.phase()})
+        told = self.sources.health()
+        self.set_status(told.status)
+        self.answer(told)
 
 
 class _Status(_Handler):
@@ -197,7 +119,7 @@
         me = sources.machine.me
         config = sources.plane.config.state.config
         self.answer(
-            StatusAnswer(
+            answers.StatusAnswer(
                 node_id=me.node_id,
                 failure_domain=me.failure_domain,
                 phase=sources.phase(),
@@ -225,7 +147,9 @@
 class _Config(_Handler):
     def get(self) -> None:
         config = self.sources.plane.config.state.config
-        self.answer(ConfigAnswer(version=config.version, document=config))
+        self.answer(
+            answers.ConfigAnswer(version=config.version, document=config)
+        )
 
 
 class _History(_Handler):
@@ -233,10 +157,12 @@
         service = self.sources.plane.config
         match await service.history():
             case expression.Result(tag='ok', ok=records):
-                told = HistoryAnswer(records=records, is_complete=True)
+                told = answers.HistoryAnswer(records=records, is_complete=True)
             case _:
                 records = list(service.state.records)
-                told = HistoryAnswer(records=records, is_complete=False)
+                told = answers.HistoryAnswer(
+                    records=records, is_complete=False
+                )
         self.answer(told)
 
 
@@ -270,7 +196,7 @@
 
     def _change_answer(
         self, change: changes.Change, result: configservice.ChangeResult
-    ) -> ChangeAnswer:
+    ) -> answers.ChangeAnswer:
         told = _answer_of(result)
         is_accepted = result.outcome is configservice.ChangeOutcome.ACCEPTED
         if is_accepted and isinstance(change, changes.IssueKey):
@@ -287,7 +213,7 @@
         told = self.sources.plane.in_force(ids.ConfigVersion(int(version)))
         self.answer(
             {
-                d.domain: InForceAnswer(
+                d.domain: answers.InForceAnswer(
                     in_force=d.in_force, total=d.total, waiting=d.waiting
                 )
                 for d in told
@@ -314,8 +240,8 @@
 def _member_answer(
     member: members.Member,
     silent: typing.Container[ids.FailureDomainId],
-) -> MemberAnswer:
-    return MemberAnswer(
+) -> answers.MemberAnswer:
+    return answers.MemberAnswer(
         node_id=member.node_id,
         vm=member.vm,
         region=member.region,
@@ -340,21 +266,21 @@
         return expression.Error(errors.settings_error(exc, 'request'))
 
 
-def _refusal(error: errors.SettingsError) -> ChangeAnswer:
+def _refusal(error: errors.SettingsError) -> answers.ChangeAnswer:
     outcome = configservice.ChangeOutcome.REFUSED
     return _answer_of(configservice.ChangeResult(outcome, error=error))
 
 
-def _answer_of(result: configservice.ChangeResult) -> ChangeAnswer:
+def _answer_of(result: configservice.ChangeResult) -> answers.ChangeAnswer:
     match result.error:
         case errors.SettingsError(path=path, problem=problem):
-            return ChangeAnswer(
+            return answers.ChangeAnswer(
                 outcome=result.outcome.value,
                 version=result.version,
                 reason=problem,
                 path=path,
             )
-    return ChangeAnswer(
+    return answers.ChangeAnswer(
         outcome=result.outcome.value,
         version=result.version,
         reason=str(result.error or ''),
--- a/src/parsleystile/withdrawals.py
+++ b/src/parsleystile/withdrawals.py
@@ -20,6 +20,8 @@
 from parsleystile import errors
 from parsleystile import ids
 from parsleystile import keys
+from parsleystile import logevents
+from parsleystile import logs
 from parsleystile import members
 from parsleystile import memberservice
 from parsleystile import membership
@@ -141,6 +143,14 @@
 
     def _add(self, key_id: ids.KeyId, operator: str, wait_ms: float) -> None:
         if self._key_ring.withdraw(key_id):
+            key = self._config.state.config.keys.get(key_id)
+            logs.event(
+                logevents.KeyWithdrawn(
+                    key_id=key_id,
+                    organisation=key.organisation if key else '',
+                    why='withdrawn ahead of the document',
+                )
+            )
             due_ms = self._clock.now_ms() + wait_ms
             self._pending[key_id] = _Pending(operator, due_ms)
 
--- a/stubs/gossipnetwork.py
+++ b/stubs/gossipnetwork.py
@@ -110,7 +110,7 @@
         for action in node.machine.handle(event, self.now_ms):
             if isinstance(action, membership.Send):
                 self._send(node, action)
-            else:
+            elif not isinstance(action, membership.MemberChanged):
                 node.actions.append(action)
 
     def run(self, for_ms: float) -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -280,6 +280,8 @@
     evicted = []
     for now_ms in range(0, 9000, 100):
         for action in machine.handle(membership.Tick(), now_ms):
+            if not isinstance(action, membership.Send):
+                continue
             body = action.message.body
             if action.to == far.gossip and isinstance(body, messages.Ping):
                 ack = messages.Message(
@@ -385,6 +387,19 @@
     assert max(sizes) == messages.MAX_UPDATES
 
 
+def test_news_of_members_is_told_for_the_record():
+    record = gossipnetwork.member_of('a-0', 'a', 1, 1)
+    machine = membership.membership(record, random.Random(1))
+    other = gossipnetwork.member_of('b-0', 'b', 2, 1)
+    gone = dataclasses.replace(other, state=members.MemberState.DEAD)
+    assert machine.handle(membership.Learned((other,)), 0.0) == [
+        membership.MemberChanged(None, other)
+    ]
+    assert machine.handle(membership.Learned((other, gone)), 0.0) == [
+        membership.MemberChanged(other, gone)
+    ]
+
+
 def test_an_unasked_ack_proves_nothing():
     record = gossipnetwork.member_of('a-0', 'a', 1, 1)
     machine = membership.membership(record, random.Random(1))
