--- a/src/parsleystile/daemon.py
+++ b/src/parsleystile/daemon.py
@@ -10,8 +10,10 @@
 from parsleystile import burn
 from parsleystile import clock as clocks
 from parsleystile import controlplane
+from parsleystile import drain
 from parsleystile import explain
 from parsleystile import gossip
+from parsleystile import health
 from parsleystile import history
 from parsleystile import httpfront
 from parsleystile import ids
@@ -35,7 +37,6 @@
 
 # The target beside a node is reached over the loopback interface only.
 _LOOPBACK = '127.0.0.1'
-_MEMBER_REFRESH_MS = 100.0
 _SWEEP_PERIOD_MS = 1000.0
 
 
@@ -132,13 +133,11 @@
         operator_address = self._operators.listen(
             listeners.host, listeners.operator_port
         )
-        self._ticker.every(membership.TICK_MS, self._plane.tick)
-        self._ticker.every(plannedstop.TICK_PERIOD_MS, self._planned_stop.tick)
+        self._ticker.every(membership.TICK_MS, self._tick)
         self._ticker.every(nodes.TICK_PERIOD_MS, self.node.tick)
         self._ticker.every(nodes.WATCH_PERIOD_MS, self._watch_target)
         for front in (self._callers, self._targets):
             self._ticker.every(_SWEEP_PERIOD_MS, front.sweep)
-        self._ticker.every(_MEMBER_REFRESH_MS, self.node.refresh_members)
         self._observer.started()
         logs.event(
             logevents.NodeStarted(
@@ -198,6 +197,7 @@
                 key_ring=self.node.key_ring,
                 metrics=self._metrics,
                 calls_in_flight=self._calls_in_flight,
+                health=self._health,
                 phase=lambda: self._planned_stop.phase.value,
                 explain=self._explain,
                 burn=self._burn,
@@ -217,6 +217,16 @@
             buffer_entries=1,
         )
 
+    def _health(self) -> health.Health:
+        return health.assess(
+            config_version=self.node.config().version,
+            is_draining=self._planned_stop.phase is not drain.Phase.SERVING,
+            has_target=bool(self.node.membership.me.service),
+            cut_off_since_ms=self._table.cut_off_since_ms,
+            calls_in_flight=self._calls_in_flight(),
+            now_ms=self._clock.now_ms(),
+        )
+
     def _explain(self, root_id: ids.RootId) -> explain.Explanation:
         return self._observer.calls.explain(root_id, self._clock.now_ms())
 
@@ -235,6 +245,12 @@
         task.add_done_callback(lambda ended: on_done())
         self._handing_back = task
 
+    def _tick(self) -> None:
+        # One timer for all: each turn of the loop costs more than the work.
+        self._plane.tick()
+        self.node.refresh_members()
+        self._planned_stop.tick()
+
     def _watch_target(self) -> None:
         self.node.handle_target(targetwatch.Tick())
 
--- a/src/parsleystile/membership.py
+++ b/src/parsleystile/membership.py
@@ -136,7 +136,21 @@
     """This process slept so long that it starts from the table again."""
 
 
-Action = Send | LeaveConfirmed | FetchConfig | WithdrawKeys | Rejoin
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberChanged:
+    """There is news of a member, for the record.
+
+    Attributes:
+        before: None if it was not known.
+    """
+
+    before: members.Member | None
+    after: members.Member
+
+
+Action = (
+    Send | LeaveConfirmed | FetchConfig | WithdrawKeys | Rejoin | MemberChanged
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -238,7 +252,7 @@
             case Learned(members=learned):
                 for member in learned:
                     self._view.remember(member.node_id)
-                    self._view.merge(messages.Update(member), now_ms)
+                    self._view.learn(member, now_ms)
             case ConfigInForce(version=version, domains_out=domains_out):
                 self._view.config_version = version
                 self._domains_out = frozenset(domains_out)
@@ -263,7 +277,12 @@
     def _drain(self) -> list[Action]:
         outbox = self._view.outbox
         self._view.outbox = []
-        return [Send(to, message) for to, message in outbox]
+        changed = self._view.changed
+        actions: list[Action] = [Send(to, m) for to, m in outbox]
+        if changed:
+            self._view.changed = []
+            actions += [MemberChanged(old, new) for old, new in changed]
+        return actions
 
     def _tick(self, now_ms: float) -> list[Action]:
         self._detector.tick(now_ms)
