--- a/tests/trial.py
+++ b/tests/trial.py
@@ -4,10 +4,8 @@
 """
 
 import asyncio
-import contextlib
 import itertools
 import json
-import pathlib
 import random
 import signal
 
@@ -97,7 +95,7 @@
 class Trial:
     """A small fleet, its callers and its operator."""
 
-    def __init__(self, fleet, seed):
+    def __init__(self, fleet, seed, document):
         self.fleet = fleet
         self.rng = random.Random(seed)
         self._numbers = itertools.count(1)
@@ -113,7 +111,15 @@
         )
         self.paths = ['/look', '/book', '/open']
         self.organisations = list(KEYS)
-        self._config = config(fleet.secret)
+        self._config = document
+        for organisation, limits in document.organisations.items():
+            self.record(
+                events.LimitsSet(
+                    organisation=organisation,
+                    rate_per_s=limits.rate_per_s,
+                    burst=limits.burst,
+                )
+            )
 
     @property
     def nodes(self):
@@ -273,36 +279,49 @@
         self.record(events.NodeStopped(subject=name, exit_code=code))
         await asyncio.to_thread(processes.end, node.target)
 
+    async def turn_cold(self, name):
+        """Let a target turn cold without a word to its node."""
+        port = self.nodes[name].target_http_port
+        work_ms = next(
+            float(option.removeprefix('--work-ms='))
+            for option in self.nodes[name].spec.target_options
+            if option.startswith('--work-ms=')
+        )
+        await witness.fetch(
+            self._http,
+            httpclient.HTTPRequest(
+                f'http://{HOST}:{port}/control',
+                method='POST',
+                body=json.dumps({'work_ms': work_ms, 'turns_cold': True}),
+            ),
+        )
+
     async def stop_target(self, name):
         """Stop a target as planned; its node stays."""
         await asyncio.to_thread(processes.end, self.nodes[name].target)
 
 
-@contextlib.contextmanager
-def running(seed=1, specs_=None, directory=None):
-    """Start a fleet that serves, and end every process of it."""
-    path = pathlib.Path(directory) if directory else None
-    with processes.Fleet(path, records=True) as fleet:
-        fleet.start_table()
-        fleet.write_config(config(fleet.secret))
-        for spec in specs_ or specs():
-            fleet.start_node(spec)
-        yield fleet
-
+def run(script, seed=1, specs_=None, **changes):
+    """Run ``script(trial)`` against a fleet; return the history.
 
-def run(script, seed=1, specs_=None):
-    """Run ``script(trial)`` against a fleet; return the history."""
+    ``changes`` replace fields of the first document.
+    """
 
-    async def main(fleet):
-        trial = Trial(fleet, seed)
+    async def main(fleet, document):
+        trial = Trial(fleet, seed, document)
         try:
             await _until_serving(trial)
             await script(trial)
         finally:
             trial.close()
 
-    with running(seed, specs_) as fleet:
-        asyncio.run(main(fleet))
+    with processes.Fleet(records=True) as fleet:
+        document = config(fleet.secret, **changes)
+        fleet.start_table()
+        fleet.write_config(document)
+        for spec in specs_ or specs():
+            fleet.start_node(spec)
+        asyncio.run(main(fleet, document))
         return history.read(fleet.record_paths)
 
 
