Tell a kill after a planned stop from the stop itself

After: each planned stop ends with the next end of the node; a second stop that cuts a request is still rejected. Conclusion: a fault of the checker.

--- a/src/parsleystile/fleet_checks.py
+++ b/src/parsleystile/fleet_checks.py
@@ -143,14 +143,16 @@
 ) -> list[promises.Violation]:
     """A planned stop ends with exit code 0 and cuts no request."""
     del bounds
-    stops: dict[ids.NodeId, _Span] = {}
+    stops: list[tuple[ids.NodeId, _Span]] = []
+    begun_ms: dict[ids.NodeId, float] = {}
     found = []
     for at in history:
         match at.event:
             case events.StopPlanned(subject=subject):
-                stops[subject] = _Span(at.at_ms, math.inf)
-            case events.NodeStopped(subject=subject) if subject in stops:
-                stops[subject] = _Span(stops[subject].start_ms, at.at_ms)
+                begun_ms.setdefault(subject, at.at_ms)
+            case events.NodeStopped(subject=subject) if subject in begun_ms:
+                span = _Span(begun_ms.pop(subject), at.at_ms)
+                stops.append((subject, span))
                 if at.event.exit_code != 0:
                     found.append(
                         promises.Violation(
@@ -160,17 +162,19 @@
                             f'exit code {at.event.exit_code}',
                         )
                     )
+    for subject, start_ms in begun_ms.items():
+        stops.append((subject, _Span(start_ms, math.inf)))
     return found + _cut_requests(history, stops)
 
 
 def _cut_requests(
-    history: events.History, stops: dict[ids.NodeId, _Span]
+    history: events.History, stops: list[tuple[ids.NodeId, _Span]]
 ) -> list[promises.Violation]:
     """Find requests without a sure end that only a planned stop explains."""
     faults = [fault.span for fault in _faults(history) if fault.subjects]
     found = []
     for request_id, life in _cut_lives(history).items():
-        nodes = [n for n, span in stops.items() if span.overlaps(life)]
+        nodes = [n for n, span in stops if span.overlaps(life)]
         if nodes and not any(span.overlaps(life) for span in faults):
             found.append(
                 promises.Violation(
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -201,6 +201,10 @@
             (5, _stopped()),
         ),
     ),
+    'kill long after a planned stop': (
+        Promise.STOP_GRACEFUL,
+        _timed((1, _STOP), (2, _stopped()), (9, _stopped(exit_code=-9))),
+    ),
     'kill beside a planned stop': (
         Promise.STOP_GRACEFUL,
         _timed(
@@ -430,6 +434,17 @@
             (4, _stopped()),
         ),
     ),
+    'second planned stop cuts a request': (
+        Promise.STOP_GRACEFUL,
+        _timed(
+            (1, _STOP),
+            (2, _stopped()),
+            (3, h.sent()),
+            (4, _STOP),
+            (5, h.answered(outcome=_UNKNOWN)),
+            (6, _stopped()),
+        ),
+    ),
     'planned stop fails': (
         Promise.STOP_GRACEFUL,
         _timed((1, _STOP), (3, _stopped(exit_code=-9))),
