Accept the kept answer of another try of one operation

Cause: a caller's retry with its idempotency key may get the answer that the first try got; the checker took that for a crossed answer. Ruled out: leaving keyed requests unchecked. Before: any replay was rejected. After: it must be an answer that a target gave to a try of the same operation; another operation's is rejected. Conclusion: tests of both kinds.

--- a/src/parsleystile/call_checks.py
+++ b/src/parsleystile/call_checks.py
@@ -172,11 +172,21 @@
     history: events.History,
     bounds: promises.Bounds = promises.DEFAULT_BOUNDS,
 ) -> list[promises.Violation]:
-    """An answer is one that a target gave to this request, and whole."""
+    """An answer is one that a target gave to this request, and whole.
+
+    A request with an idempotency key may get the answer that a target gave
+    to another try of the same operation.
+    """
     del bounds
-    given: dict[str, set[str]] = collections.defaultdict(set)
+    calls = _index(history)
+
+    def name(request_id: str) -> tuple[str, ...]:
+        sent = calls.sent.get(request_id)
+        return _operation(calls, sent) if sent else (request_id,)
+
+    given: dict[tuple[str, ...], set[str]] = collections.defaultdict(set)
     for at in events.of_kind(history, events.ExecutionEnded):
-        given[at.event.request_id].add(at.event.body_digest)
+        given[name(at.event.request_id)].add(at.event.body_digest)
     answered: set[str] = set()
     found = []
     for at in events.of_kind(history, events.RequestAnswered):
@@ -185,7 +195,7 @@
             problem = 'answered twice'
         elif (
             at.event.outcome is errors.Outcome.ANSWERED
-            and at.event.body_digest not in given[at.event.request_id]
+            and at.event.body_digest not in given[name(at.event.request_id)]
         ):
             problem = 'no target gave this body to this request'
         answered.add(at.event.request_id)
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -161,6 +161,15 @@
             (3, h.answered('r2', 'b')),
         ),
     ),
+    'answer to another try of the operation': (
+        Promise.ANSWER_WHOLE,
+        _timed(
+            (0, h.sent(idempotent=False, idempotency_key='i')),
+            (1, h.sent('r2', idempotent=False, idempotency_key='i')),
+            (2, h.ended('r1', digest='a')),
+            (3, h.answered('r2', 'a')),
+        ),
+    ),
     'not run and unknown': (
         Promise.NOT_RUN_TRUE,
         _timed(
@@ -371,6 +380,15 @@
         Promise.ANSWER_WHOLE,
         _timed((0, h.ended('r2', digest='b')), (1, h.answered('r1', 'b'))),
     ),
+    'answer to another operation': (
+        Promise.ANSWER_WHOLE,
+        _timed(
+            (0, h.sent(idempotent=False, idempotency_key='i')),
+            (1, h.sent('r2', idempotent=False, idempotency_key='j')),
+            (2, h.ended('r1', digest='a')),
+            (3, h.answered('r2', 'a')),
+        ),
+    ),
     'answer cut short': (
         Promise.ANSWER_WHOLE,
         _timed((0, h.ended()), (1, h.answered(digest='part'))),
