--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -161,6 +161,15 @@
             (3, h.answered('r2', 'b')),
         ),
     ),
+    'answer to another try of the operation': (
+        Promise.ANSWER_WHOLE,
+        _timed(
+            (0, h.sent(idempotent=False, idempotency_key='i')),
+            (1, h.sent('r2', idempotent=False, idempotency_key='i')),
+            (2, h.ended('r1', digest='a')),
+            (3, h.answered('r2', 'a')),
+        ),
+    ),
     'not run and unknown': (
         Promise.NOT_RUN_TRUE,
         _timed(
@@ -201,6 +210,10 @@
             (5, _stopped()),
         ),
     ),
+    'kill long after a planned stop': (
+        Promise.STOP_GRACEFUL,
+        _timed((1, _STOP), (2, _stopped()), (9, _stopped(exit_code=-9))),
+    ),
     'kill beside a planned stop': (
         Promise.STOP_GRACEFUL,
         _timed(
@@ -367,6 +380,15 @@
         Promise.ANSWER_WHOLE,
         _timed((0, h.ended('r2', digest='b')), (1, h.answered('r1', 'b'))),
     ),
+    'answer to another operation': (
+        Promise.ANSWER_WHOLE,
+        _timed(
+            (0, h.sent(idempotent=False, idempotency_key='i')),
+            (1, h.sent('r2', idempotent=False, idempotency_key='j')),
+            (2, h.ended('r1', digest='a')),
+            (3, h.answered('r2', 'a')),
+        ),
+    ),
     'answer cut short': (
         Promise.ANSWER_WHOLE,
         _timed((0, h.ended()), (1, h.answered(digest='part'))),
@@ -430,6 +452,17 @@
             (4, _stopped()),
         ),
     ),
+    'second planned stop cuts a request': (
+        Promise.STOP_GRACEFUL,
+        _timed(
+            (1, _STOP),
+            (2, _stopped()),
+            (3, h.sent()),
+            (4, _STOP),
+            (5, h.answered(outcome=_UNKNOWN)),
+            (6, _stopped()),
+        ),
+    ),
     'planned stop fails': (
         Promise.STOP_GRACEFUL,
         _timed((1, _STOP), (3, _stopped(exit_code=-9))),
