Log changes of members, targets, ejections and documents; tell health

Cause: of the documented events only a few were written, and the health endpoint said 200 whatever the node's state. Ruled out: logging inside the decisions; they show a view and a watcher compares two looks, twice a second. Leases and the table log themselves. Before: /v1/health gave a phase. After: ready, draining or starting, with the time cut off from the table; on real nodes config-applied and target-announced are in the log, and the caller's key is not.

--- a/src/parsleystile/balancer.py
+++ b/src/parsleystile/balancer.py
@@ -207,6 +207,14 @@
         peer.told_in_flight = peer.in_flight
         peer.told_ms = now_ms
 
+    def ejected(self) -> list[tuple[members.Member, float]]:
+        """Return ejected targets, each with the weight of its failures."""
+        return [
+            (peer.member, peer.failures)
+            for peer in self._peers.values()
+            if peer.is_ejected
+        ]
+
     def _eject(self, peer: _Peer, now_ms: float) -> None:
         service = self._services[peer.member.service]
         out = sum(p.is_ejected for p in service.peers if p is not peer)
--- a/src/parsleystile/daemon.py
+++ b/src/parsleystile/daemon.py
@@ -10,8 +10,10 @@
 from parsleystile import burn
 from parsleystile import clock as clocks
 from parsleystile import controlplane
+from parsleystile import drain
 from parsleystile import explain
 from parsleystile import gossip
+from parsleystile import health
 from parsleystile import history
 from parsleystile import httpfront
 from parsleystile import ids
@@ -32,6 +34,7 @@
 from parsleystile import targetwatch
 from parsleystile import ticker
 from parsleystile import transport
+from parsleystile import watcher
 from parsleystile import wire
 
 # The target beside a node is reached over the loopback interface only.
@@ -137,6 +140,8 @@
         self._ticker.every(plannedstop.TICK_PERIOD_MS, self._planned_stop.tick)
         self._ticker.every(quotaservice.TICK_MS, self._tick_quota)
         self._ticker.every(nodes.WATCH_PERIOD_MS, self._watch_target)
+        self._watcher = watcher.watcher(self.node.view, logs.event)
+        self._ticker.every(watcher.LOOK_PERIOD_MS, self._watcher.tick)
         for front in (self._callers, self._targets):
             self._ticker.every(_SWEEP_PERIOD_MS, front.sweep)
         self._ticker.every(_MEMBER_REFRESH_MS, self.node.refresh_members)
@@ -199,6 +204,7 @@
                 metrics=self._metrics,
                 calls_in_flight=self._calls_in_flight,
                 phase=lambda: self._planned_stop.phase.value,
+                health=self._health,
                 explain=self._explain,
                 burn=self._burn,
                 drain=lambda: self._planned_stop.request(is_final=False),
@@ -238,6 +244,16 @@
     def _tick_quota(self) -> None:
         self.node.quota.tick(self._clock.now_ms())
 
+    def _health(self) -> health.Health:
+        return health.assess(
+            config_version=self.node.config().version,
+            is_draining=self._planned_stop.phase is not drain.Phase.SERVING,
+            has_target=bool(self.node.guard.service),
+            cut_off_since_ms=self._table.cut_off_since_ms,
+            calls_in_flight=self._calls_in_flight(),
+            now_ms=self._clock.now_ms(),
+        )
+
     def _watch_target(self) -> None:
         self.node.handle_target(targetwatch.Tick())
 
--- a/src/parsleystile/guard.py
+++ b/src/parsleystile/guard.py
@@ -108,6 +108,11 @@
         """Cap the admission level, as the preset in force asks."""
         self._handle(admission.Level(level))
 
+    @property
+    def service(self) -> ids.ServiceName:
+        """Service of the target; empty while there is none."""
+        return self._service
+
     @property
     def in_flight(self) -> int:
         """Calls that wait or run."""
--- a/src/parsleystile/node.py
+++ b/src/parsleystile/node.py
@@ -32,6 +32,7 @@
 from parsleystile import targetclient
 from parsleystile import targetwatch
 from parsleystile import transport
+from parsleystile import watcher
 
 WATCH_PERIOD_MS = 500.0
 
@@ -167,6 +168,22 @@
         self.membership.handle(event, self._env.clock.now_ms())
         self.refresh_members()
 
+    def view(self) -> watcher.View:
+        """Return the state that is logged when it changes."""
+        return watcher.View(
+            config=self._config,
+            everyone=self._all_members(),
+            service=self.guard.service,
+            slots=self.membership.me.slots,
+            limit=self.guard.load().limit,
+            ejections=tuple(
+                watcher.Ejection(
+                    member.node_id, member.service, f'failures={failures:.1f}'
+                )
+                for member, failures in self._balancer.ejected()
+            ),
+        )
+
     def refuse_new(self) -> None:
         """Take no new work: this node is leaving."""
         self._is_leaving = True
--- a/tests/test_cli_fleet.py
+++ b/tests/test_cli_fleet.py
@@ -71,6 +71,12 @@
     for node in fleet.nodes.values():
         assert _status(node, key)[0] == 200
 
+    health = processes.get_json(
+        f'http://127.0.0.1:{node.operator_port}/v1/health'
+    )
+    assert (health['state'], health['cut_off_ms']) == ('ready', 0)
+    assert health['has_target']
+
     # Every target out: refused, and the refusal can be explained.
     for domain in ('savo-1', 'savo-2'):
         assert _run(capsys, 'domain', 'out', domain)[0] == accepted
@@ -100,5 +106,9 @@
     code, told = _run(capsys, 'config', 'history', key_option)
     assert code == accepted
     assert told.count(processes.OPERATOR) >= 8
+    log = fleet.log_text('stock-savo-1')
+    for event in ('node-started', 'target-announced', 'config-applied'):
+        assert f'"event": "{event}"' in log
+    assert key not in log
     code, told = _run(capsys, 'report', key_option)
     assert (code, told.count('overspent') > 0) == (accepted, True)
