--- a/src/parsleystile/node.py
+++ b/src/parsleystile/node.py
@@ -167,6 +167,7 @@
         event = membership.ConfigInForce(config.version, config.domains_out)
         self.membership.handle(event, self._env.clock.now_ms())
         self.refresh_members()
+        self._env.observed.config_in_force(config)
 
     def view(self) -> watcher.View:
         """Return the state that is logged when it changes."""
