--- a/src/parsleystile/daemon.py
+++ b/src/parsleystile/daemon.py
@@ -33,6 +33,7 @@
 from parsleystile import targetwatch
 from parsleystile import ticker
 from parsleystile import transport
+from parsleystile import watcher
 from parsleystile import wire
 
 # The target beside a node is reached over the loopback interface only.
@@ -136,6 +137,8 @@
         self._ticker.every(membership.TICK_MS, self._tick)
         self._ticker.every(nodes.TICK_PERIOD_MS, self.node.tick)
         self._ticker.every(nodes.WATCH_PERIOD_MS, self._watch_target)
+        self._watcher = watcher.watcher(self.node.view, logs.event)
+        self._ticker.every(watcher.LOOK_PERIOD_MS, self._watcher.tick)
         for front in (self._callers, self._targets):
             self._ticker.every(_SWEEP_PERIOD_MS, front.sweep)
         self._observer.started()
