--- a/src/parsleystile/idempotencyservice.py
+++ b/src/parsleystile/idempotencyservice.py
@@ -19,6 +19,7 @@
 from parsleystile import logs
 from parsleystile import members as member_types
 from parsleystile import metrics as metric
+from parsleystile import ownermaps
 from parsleystile import ownership
 from parsleystile import promiseservice
 from parsleystile import settings as node_settings
@@ -71,6 +72,9 @@
         network.handle_control(claimwire.SETTLE_KIND, self._on_settle)
         network.handle_control(claimwire.COPY_KIND, self._on_copy)
         promises.serve(claimwire.LEASE_PREFIX, self.home.ownership)
+        self._map = ownermaps.owner_map(
+            self.home.ownership, network, clock, rng
+        )
 
     def claim(
         self,
@@ -155,6 +159,7 @@
         if now_ms >= self._next_members_ms:
             self._take_members(now_ms)
         self._perform(self.home.tick(now_ms))
+        self._map.tick(self._addresses.values(), now_ms)
         self._lease_log.observe(self.home.ownership, now_ms)
         self._perform(self.client.tick(now_ms))
         if now_ms >= self._next_gauge_ms:
--- a/src/parsleystile/parts.py
+++ b/src/parsleystile/parts.py
@@ -131,6 +131,7 @@
         self._uneven_since_ms: dict[int, float] = {}
         self._claiming: set[int] = set()
         self._released: dict[PartId, int] = {}
+        self._learned: dict[PartId, ids.NodeId] = {}
         self._owners: dict[int, dict[ids.NodeId, int]] = {}
 
     def observe(self, rows: tuple[table.Row, ...], now_ms: float) -> None:
@@ -147,9 +148,20 @@
 
     def learn_owners(self, owners: dict[PartId, ids.NodeId]) -> None:
         """Take owners from another node, while none were ever read."""
-        if self.read_at_ms is None:
+        if self.read_at_ms is None and owners:
+            self._learned = owners
             self._owners = _count_owners(owners)
 
+    def part_owners(self) -> dict[PartId, ids.NodeId]:
+        """Return the owners of parts as last read or learned."""
+        if self.read_at_ms is None:
+            return self._learned
+        return {
+            part: seen.row.owner
+            for part, seen in self._seen.items()
+            if seen.row.owner
+        }
+
     def owners(self, shard: int) -> dict[ids.NodeId, int]:
         """Return the owners of a shard and their numbers of parts."""
         return self._owners.get(shard, {})
@@ -227,13 +239,7 @@
         self._claiming.discard(part.shard)
 
     def _recount_owners(self) -> None:
-        self._owners = _count_owners(
-            {
-                part: seen.row.owner
-                for part, seen in self._seen.items()
-                if seen.row.owner
-            }
-        )
+        self._owners = _count_owners(self.part_owners())
 
     def _is_free(self, part: PartId, view: View, now_ms: float) -> bool:
         seen = self._seen.get(part)
--- a/src/parsleystile/quota.py
+++ b/src/parsleystile/quota.py
@@ -213,7 +213,7 @@
         what comes in there is lost.
         """
         owners = self._shuffled_owners.get(shard)
-        if owners is None:
+        if not owners:
             owners = list(self.ownership.part_map.owners(shard))
             self._shuffled_owners[shard] = owners
         self._rng.shuffle(owners)
--- a/src/parsleystile/quotaservice.py
+++ b/src/parsleystile/quotaservice.py
@@ -15,6 +15,7 @@
 from parsleystile import logs
 from parsleystile import members as member_types
 from parsleystile import metrics as metric
+from parsleystile import ownermaps
 from parsleystile import ownership
 from parsleystile import promiseservice
 from parsleystile import quota
@@ -71,6 +72,9 @@
         )
         network.handle_control(quotawire.ASK_KIND, self._on_ask)
         promises.serve(quotawire.LEASE_PREFIX, self.node.ownership)
+        self._map = ownermaps.owner_map(
+            self.node.ownership, network, clock, rng
+        )
 
     def try_take(
         self, organisation: ids.OrganisationId, now_ms: float
@@ -98,6 +102,7 @@
         if now_ms >= self._next_members_ms:
             self._take_members(now_ms)
         self._perform(self.node.tick(now_ms))
+        self._map.tick(self._addresses.values(), now_ms)
         self._lease_log.observe(self.node.ownership, now_ms)
         if now_ms >= self._next_gauge_ms:
             self._next_gauge_ms = now_ms + _GAUGE_MS
--- a/tests/test_quotaservice.py
+++ b/tests/test_quotaservice.py
@@ -4,6 +4,7 @@
 from parsleystile import fleetconfig
 from parsleystile import quotaservice
 from parsleystile import quotawire
+from stubs import tablestate
 from tests import fleet
 
 _LIMITS = fleetconfig.Organisation(rate_per_s=10, burst=12)
@@ -85,6 +86,21 @@
     _run(body)
 
 
+def test_a_node_that_starts_without_the_table_asks_its_peers():
+    async def body(world):
+        await world.run(6_000.0)
+        world.table.faults.outage = tablestate.Outage.REFUSE
+        world.kill(2)
+        world.start(2)
+        await world.run(5_000.0)
+        results = []
+        world.services[2].take('o', results.append)
+        await world.run(500.0)
+        assert results == [None]
+
+    _run(body)
+
+
 def test_malformed_messages_are_counted():
     async def body(world):
         replies = []
