--- a/src/parsleystile/node.py
+++ b/src/parsleystile/node.py
@@ -33,6 +33,7 @@
 from parsleystile import transport
 
 WATCH_PERIOD_MS = 500.0
+TICK_PERIOD_MS = 20.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,7 +71,7 @@
         membership: Who is in the fleet.
         key_ring: Whose key a caller shows.
         quota: Rate and burst of organisations across the fleet.
-        idempotency: Lets calls with an idempotency key run at most once.
+        claims: Runs calls with an idempotency key at most once.
     """
 
     def __init__(self, env: Environment) -> None:
@@ -135,7 +136,7 @@
             self._all_members,
             promises,
         )
-        self.idempotency = idempotencyservice.idempotency_service(
+        self.claims = idempotencyservice.idempotency_service(
             identity,
             env.clock,
             env.rng,
@@ -149,12 +150,17 @@
             rules,
             sender,
             self.quota.take,
-            self.idempotency.claim_exchange,
+            self.claims.claim_exchange,
             env.metrics,
             env.observed,
         )
         self.egress = egress.egress(
-            rules, sender, self.handle_target, env.metrics, env.observed
+            rules,
+            sender,
+            self.claims.claim_exchange,
+            self.handle_target,
+            env.metrics,
+            env.observed,
         )
 
     def now_ms(self) -> float:
@@ -189,6 +195,17 @@
         """Calls that wait or run at this node's target."""
         return self.guard.in_flight
 
+    def tick(self) -> None:
+        """Do what time has made due; wanted every ``TICK_PERIOD_MS``."""
+        now_ms = self._env.clock.now_ms()
+        self.quota.tick(now_ms)
+        self.claims.tick(now_ms)
+
+    async def hand_back(self) -> None:
+        """Give up grants and leases, so that others need not wait."""
+        await self.quota.stop()
+        await self.claims.stop()
+
     def _all_members(self) -> list[members.Member]:
         # The same object until members change: readers may compare it.
         version = self.membership.version
