Tell two calls of a key below one root request apart

Cause: a home took a second claim with the same root id for the same ask sent again and let both run. At ingress root ids are unique, but child calls that a target sends through its node share that of their root request. Before: two keyed calls below one root request ran twice (test_two_calls_below_one_root_request_are_not_one, runs == {'k': 2}). After: each call claims under an id of its own, which only the same ask sent again repeats; the test passes. Ruled out: the node id beside the root id, since one target may send both.

--- a/src/parsleystile/claimhome.py
+++ b/src/parsleystile/claimhome.py
@@ -179,10 +179,10 @@
         if shard is None:
             return claimwire.SettleReply(False)
         entry = shard.store.find(settle.key, now_ms)
-        if entry is not None and entry.root_id == settle.root_id:
+        if entry is not None and entry.claim_id == settle.claim_id:
             entry = claimwire.Entry(
                 entry.key,
-                entry.root_id,
+                entry.claim_id,
                 entry.fingerprint,
                 entry.lasts_ms,
                 settle.state,
@@ -210,7 +210,7 @@
             respond(claimwire.ClaimReply(Result.NO_COPY))
             return
         entry = claimwire.Entry(
-            ask.key, ask.root_id, ask.fingerprint, ask.lasts_ms
+            ask.key, ask.claim_id, ask.fingerprint, ask.lasts_ms
         )
         shard.store.put(entry, now_ms)
         if not channels:
@@ -259,7 +259,7 @@
     def _join(
         pending: _Pending, ask: claimwire.ClaimAsk, respond: Respond
     ) -> None:
-        if ask.root_id == pending.entry.root_id:
+        if ask.claim_id == pending.entry.claim_id:
             pending.responds.append(respond)
         else:
             respond(_to_reply(pending.entry, ask))
@@ -351,7 +351,7 @@
     if entry.fingerprint != ask.fingerprint:
         return claimwire.ClaimReply(Result.MISMATCH)
     is_running = entry.state is claimwire.ClaimState.RUNNING
-    if is_running and entry.root_id == ask.root_id:
+    if is_running and entry.claim_id == ask.claim_id:
         # The claimant did not hear the first reply.
         return claimwire.ClaimReply(Result.PROCEED)
     return claimwire.ClaimReply(_STATE_RESULTS[entry.state], entry.answer)
--- a/src/parsleystile/claimwire.py
+++ b/src/parsleystile/claimwire.py
@@ -77,7 +77,7 @@
     """
 
     key: ClaimKey
-    root_id: ids.RootId
+    claim_id: ids.ClaimId
     fingerprint: str
     lasts_ms: float
     state: ClaimState = ClaimState.RUNNING
@@ -85,10 +85,13 @@
 
 
 class ClaimAsk(msgspec.Struct, frozen=True, array_like=True):
-    """Asks the home of a key to let one call run; may be sent again."""
+    """Asks the home of a key to let one call run.
+
+    The same ask, with the same ``claim_id``, may be sent again.
+    """
 
     key: ClaimKey
-    root_id: ids.RootId
+    claim_id: ids.ClaimId
     fingerprint: str
     lasts_ms: float
 
@@ -104,7 +107,7 @@
     """Tells the home what became of a call that claimed a key."""
 
     key: ClaimKey
-    root_id: ids.RootId
+    claim_id: ids.ClaimId
     state: ClaimState
     answer: StoredAnswer | None = None
 
--- a/src/parsleystile/idempotency.py
+++ b/src/parsleystile/idempotency.py
@@ -32,7 +32,7 @@
     """A key that this node may run a call for; settled exactly once."""
 
     key: claimwire.ClaimKey
-    root_id: ids.RootId
+    claim_id: ids.ClaimId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -215,7 +215,7 @@
                 )
                 # The claim may have been recorded, but nothing ran here.
                 actions = self.settle(
-                    Claim(ask.key, ask.root_id), refusal, now_ms
+                    Claim(ask.key, ask.claim_id), refusal, now_ms
                 )
                 item.on_claim(Refused(refusal))
                 return actions
@@ -238,7 +238,7 @@
             state, answer = claimwire.ClaimState.ANSWERED, result
             if len(result.body) > claimwire.MAX_ANSWER_BYTES:
                 answer = None
-    return claimwire.Settle(claim.key, claim.root_id, state, answer)
+    return claimwire.Settle(claim.key, claim.claim_id, state, answer)
 
 
 def _to_decision(
@@ -246,7 +246,7 @@
 ) -> Decision:
     match reply.result:
         case Result.PROCEED:
-            return Proceed(Claim(ask.key, ask.root_id))
+            return Proceed(Claim(ask.key, ask.claim_id))
         case Result.ANSWERED if reply.answer is not None:
             return Replay(reply.answer)
         case Result.ANSWERED:
@@ -306,10 +306,10 @@
 
 def claim_ask(
     key: claimwire.ClaimKey,
-    root_id: ids.RootId,
+    claim_id: ids.ClaimId,
     fingerprint: str,
     lasts_ms: float,
 ) -> claimwire.ClaimAsk:
     """Create an ask whose call is bounded in time."""
     lasts_ms = min(max(lasts_ms, 0.0), claimstore.MAX_LASTS_MS)
-    return claimwire.ClaimAsk(key, root_id, fingerprint, lasts_ms)
+    return claimwire.ClaimAsk(key, claim_id, fingerprint, lasts_ms)
--- a/src/parsleystile/idempotencyservice.py
+++ b/src/parsleystile/idempotencyservice.py
@@ -57,6 +57,7 @@
         self._node_id = identity.node_id
         self._clock = clock
         self._network = network
+        self._rng = rng
         self._metrics = metrics
         self._get_members = get_members
         self._promises = promises
@@ -93,7 +94,7 @@
             organisation: Keys of two organisations are never the same.
             route_id: Nor are keys on two routes.
             key: As the caller sent it.
-            root_id: Names this call.
+            root_id: Root request that the call belongs to.
             fingerprint: Digest of the request.
             deadline_ms: When the call has surely ended.
             on_claim: Gets the decision.
@@ -101,7 +102,8 @@
         now_ms = self._clock.now_ms()
         ask = idempotency.claim_ask(
             claimwire.ClaimKey(organisation, route_id, key),
-            root_id,
+            # Two calls below one root request must not pass for one.
+            ids.ClaimId(f'{root_id}/{self._rng.getrandbits(64):016x}'),
             fingerprint,
             deadline_ms - now_ms,
         )
--- a/src/parsleystile/ids.py
+++ b/src/parsleystile/ids.py
@@ -16,6 +16,8 @@
 RouteId = typing.NewType('RouteId', str)
 PresetName = typing.NewType('PresetName', str)
 KeyId = typing.NewType('KeyId', str)
+# Unique to one call that claims an idempotency key.
+ClaimId = typing.NewType('ClaimId', str)
 OperatorName = typing.NewType('OperatorName', str)
 ChangeId = typing.NewType('ChangeId', str)
 
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -40,10 +40,10 @@
         self.runs = {}
         self.decisions = []
 
-    def call(self, index, key, result=_ANSWER, fingerprint='f'):
+    def call(self, index, key, result=_ANSWER, fingerprint='f', root_id=None):
         """Send a keyed call; ``result`` is settled if it is let run."""
         service = self.world.services[index]
-        root_id = f'root{len(self.decisions)}'
+        root_id = root_id or f'root{len(self.decisions)}'
         slot = len(self.decisions)
         self.decisions.append(None)
 
@@ -135,6 +135,16 @@
     _run(body)
 
 
+def test_two_calls_below_one_root_request_are_not_one():
+    async def body(world, callers):
+        for _ in range(2):
+            callers.call(0, 'k', None, root_id='root')
+            await world.run(100.0)
+        assert callers.runs == {'k': 1}
+
+    _run(body)
+
+
 def test_a_key_of_another_request_is_refused_as_unknown():
     async def body(world, callers):
         callers.call(0, 'k')
