Tell the deputy when a home stops in order

Cause: after a planned stop keyed calls of its shards waited until the deputy read the table by itself, up to 2 s, and those with less time were refused.

--- a/src/parsleystile/claimwire.py
+++ b/src/parsleystile/claimwire.py
@@ -10,6 +10,7 @@
 CLAIM_KIND = 'claim'
 SETTLE_KIND = 'claim-settle'
 COPY_KIND = 'claim-copy'
+RELEASED_KIND = 'claim-released'
 HOME_PREFIX = 'claim/home/'
 LEASE_PREFIX = 'lease/claim/'
 SHARDS = 16
--- a/src/parsleystile/idempotency.py
+++ b/src/parsleystile/idempotency.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import hashlib
 import itertools
 import random
 import typing
@@ -313,3 +314,11 @@
     """Create an ask whose call is bounded in time."""
     lasts_ms = min(max(lasts_ms, 0.0), claimstore.MAX_LASTS_MS)
     return claimwire.ClaimAsk(key, claim_id, fingerprint, lasts_ms)
+
+
+def fingerprint_of(method: str, path: str, body: bytes) -> str:
+    """Return a digest of what makes two requests the same."""
+    digest = hashlib.blake2b(digest_size=16)
+    digest.update(f'{method} {path}\0'.encode(errors='replace'))
+    digest.update(body)
+    return digest.hexdigest()
--- a/src/parsleystile/idempotencyservice.py
+++ b/src/parsleystile/idempotencyservice.py
@@ -1,7 +1,7 @@
 """Runs claims on idempotency keys on a node's transport, table and clock."""
 
+import asyncio
 import functools
-import hashlib
 import random
 import typing
 
@@ -32,6 +32,7 @@
 _MEMBERS_MS = 200.0
 _MEMBERS_MS_EACH = 1.0
 _GAUGE_MS = 5_000.0
+_RELEASED_TIMEOUT_MS = 300.0
 
 _T = typing.TypeVar('_T')
 Send = typing.Callable[[exchanges.Exchange], None]
@@ -73,6 +74,7 @@
         network.handle_control(claimwire.CLAIM_KIND, self._on_claim)
         network.handle_control(claimwire.SETTLE_KIND, self._on_settle)
         network.handle_control(claimwire.COPY_KIND, self._on_copy)
+        network.handle_control(claimwire.RELEASED_KIND, self._on_released)
         promises.serve(claimwire.LEASE_PREFIX, self.home.ownership)
         self._map = ownermaps.owner_map(
             self.home.ownership, network, clock, rng
@@ -152,7 +154,9 @@
             exchange.route_id,
             exchange.idempotency_key,
             context.root_id,
-            fingerprint_of(exchange),
+            idempotency.fingerprint_of(
+                exchange.method, exchange.path, exchange.body
+            ),
             context.deadline_ms,
             on_claim,
         )
@@ -171,8 +175,36 @@
 
     async def stop(self) -> None:
         """Give up every shard; the deputies hold the claims."""
+        deputies = self.home.ownership.lease.deputies
         self._perform(self.home.stop(self._clock.now_ms()))
         await self._runner.drain()
+        told = [self._tell_released(deputy) for deputy in deputies]
+        await asyncio.gather(*told)
+
+    def _tell_released(self, deputy: ids.NodeId) -> asyncio.Future[None]:
+        """Spare a deputy the time until it reads the table by itself."""
+        heard = asyncio.get_running_loop().create_future()
+
+        def on_reply(reply: bytes | errors.Refusal) -> None:
+            if not heard.done():
+                heard.set_result(None)
+
+        address = self._addresses.get(deputy)
+        if address is None:
+            heard.set_result(None)
+        else:
+            self._network.control(
+                address,
+                claimwire.RELEASED_KIND,
+                b'',
+                _RELEASED_TIMEOUT_MS,
+                on_reply,
+            )
+        return heard
+
+    def _on_released(self, payload: bytes, reply: Reply) -> None:
+        self.home.ownership.rescan_now(self._clock.now_ms())
+        reply(b'')
 
     def _proceed(
         self,
@@ -335,16 +367,6 @@
         reply(msgspec.msgpack.encode(held))
 
 
-def fingerprint_of(exchange: exchanges.Exchange) -> str:
-    """Return a digest of what makes two requests the same."""
-    digest = hashlib.blake2b(digest_size=16)
-    digest.update(
-        f'{exchange.method} {exchange.path}\0'.encode(errors='replace')
-    )
-    digest.update(exchange.body)
-    return digest.hexdigest()
-
-
 def idempotency_service(
     identity: node_settings.Identity,
     clock: clocks.Clock,
--- a/src/parsleystile/ownership.py
+++ b/src/parsleystile/ownership.py
@@ -190,6 +190,10 @@
         soon_ms = now_ms + RESCAN_MS + spread_ms * self._rng.random()
         self._next_scan_ms = min(self._next_scan_ms, soon_ms)
 
+    def rescan_now(self, now_ms: float) -> None:
+        """Read the map at the next tick: owners are known to change."""
+        self._next_scan_ms = now_ms
+
     def _start_epoch(self) -> None:
         was_wanted = self.lease.is_wanted
         self._end_epoch(self.lease.epoch)
