--- a/src/parsleystile/daemon.py
+++ b/src/parsleystile/daemon.py
@@ -139,6 +139,7 @@
         self._ticker.every(nodes.WATCH_PERIOD_MS, self._watch_target)
         for front in (self._callers, self._targets):
             self._ticker.every(_SWEEP_PERIOD_MS, front.sweep)
+        self._observer.started()
         logs.event(
             logevents.NodeStarted(
                 failure_domain=identity.failure_domain,
