--- a/src/parsleystile/filters.py
+++ b/src/parsleystile/filters.py
@@ -23,6 +23,7 @@
 Filter = typing.Callable[[exchanges.Exchange], errors.Refusal | None]
 
 _ROOT_ID_BITS = 64
+_NO_CONFIG_RETRY_AFTER_MS = 1000
 _IMPORTANCE = {
     fleetconfig.ImportanceName.CRITICAL: context.Importance.CRITICAL,
     fleetconfig.ImportanceName.NORMAL: context.Importance.NORMAL,
@@ -179,7 +180,15 @@
 def _find_route(
     rules: Rules, exchange: exchanges.Exchange
 ) -> errors.Refusal | None:
-    found = rules.config().match_route(exchange.method, exchange.path)
+    config = rules.config()
+    found = config.match_route(exchange.method, exchange.path)
+    if found is None and config.version == 0:
+        # A node that has just started must not deny a route for good.
+        return errors.not_run(
+            errors.Reason.STORE_UNAVAILABLE,
+            'this node has no configuration yet',
+            _NO_CONFIG_RETRY_AFTER_MS,
+        )
     if found is None:
         return errors.not_run(
             errors.Reason.NO_ROUTE,
--- a/tests/drivenfleet.py
+++ b/tests/drivenfleet.py
@@ -256,6 +256,10 @@
         learned = tuple(node.membership.me for node in self._nodes)
         self._learn(learned)
 
+    def new_node(self):
+        """Build a node that knows nothing yet."""
+        return self._build(0)
+
     def _build(self, index):
         name = f'n{index}'
         address = address_of(index)
--- a/tests/test_driven_fleet.py
+++ b/tests/test_driven_fleet.py
@@ -47,6 +47,19 @@
     )
 
 
+def test_a_node_without_a_document_denies_no_route():
+    plan = df.Plan(1, (), (df.Fate.WELL,), (df.Fate.WELL,), ())
+    node = df.Fleet(plan).new_node()
+    replies = []
+    node.ingress.handle(
+        exchanges.Exchange(
+            'GET', '/a', [], b'', 0.0, lambda e, reply: replies.append(reply)
+        )
+    )
+    assert [reply.status for reply in replies] == [503]
+    assert replies[0].retry_after_ms > 0
+
+
 class _Spendthrift(retries.AllowanceLedger):
     """Copies the allowance to each child call in place of dividing it."""
 
