Send a table request once; a lost one is unknown

Cause: libcurl sends again by itself when a reused connection closes before the answer; a compare-and-swap that took effect then met itself and was told as a version conflict. Ruled out: a fault of the stand-in (the test serves two connections by hand). Also, a connection refused was told as unknown; it is unavailable. Before: VersionConflictError and two sends. After: result unknown and one send, which the read-back resolves.

--- a/src/parsleystile/tableclient.py
+++ b/src/parsleystile/tableclient.py
@@ -194,13 +194,16 @@
             connect_timeout=(deadline_ms - now_ms) / 1e3,
             request_timeout=(deadline_ms - now_ms) / 1e3,
         )
+        sends = _Sends()
+        request.prepare_curl_callback = sends.prepare
         is_reported = False
         try:
             response = await self._http.fetch(request, raise_error=False)
             result = _to_result(response)
             is_reported = True
         except httpclient.HTTPError as exc:
-            result = _lost(str(exc))
+            told = str(exc)
+            result = _lost(told) if sends.count else _unavailable(told)
             is_reported = True
         finally:
             # A cancelled task must not leave the breaker half open.
@@ -221,6 +224,28 @@
                 self._breaker.on_success()
 
 
+class _Sends:
+    """Counts how often libcurl sends a request; stops the second time.
+
+    libcurl sends again by itself when a reused connection closes before
+    the answer. A write whose first copy took effect would then be told to
+    conflict with itself.
+    """
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def prepare(self, handle: pycurl.Curl) -> None:
+        """Watch the request that ``handle`` is about to make."""
+        handle.setopt(pycurl.PREREQFUNCTION, self._before_send)
+
+    def _before_send(self, *_addresses: object) -> int:
+        self.count += 1
+        if self.count > 1:
+            return pycurl.PREREQFUNC_ABORT
+        return pycurl.PREREQFUNC_OK
+
+
 def _to_result(response: httpclient.HTTPResponse) -> _BodyResult:
     if response.code == _HTTP_OK:
         return expression.Ok(response.body)
