--- a/src/parsleystile/filters.py
+++ b/src/parsleystile/filters.py
@@ -109,7 +109,10 @@
                 errors.Reason.SHED, 'the preset in force sheds this class'
             )
         return rules.shedder.decide(
-            exchange.route_id, rank, exchange.arrived_ms
+            exchange.route_id,
+            rank,
+            exchange.arrived_ms,
+            exchange.context.organisation,
         )
 
     return [
--- a/src/parsleystile/guard.py
+++ b/src/parsleystile/guard.py
@@ -15,11 +15,11 @@
 from parsleystile import metrics as metric
 from parsleystile import observer
 from parsleystile import targetclient
+from parsleystile import targetfault
 from parsleystile import transport
 from parsleystile import wire
 
 _TARGET_HOST = '127.0.0.1'
-_FIRST_ERROR_STATUS = 500
 
 OnAnswer = typing.Callable[[ttypes.Answer], None]
 
@@ -108,14 +108,23 @@
         """Cap the admission level, as the preset in force asks."""
         self._handle(admission.Level(level))
 
+    @property
+    def service(self) -> ids.ServiceName:
+        """Service of the target; empty while there is none."""
+        return self._service
+
     @property
     def in_flight(self) -> int:
         """Calls that wait or run."""
         return len(self._waiting)
 
-    def load(self, subtree_level: float = context.RANK_LIMIT) -> ttypes.Load:
-        """Return the load to tell on an answer."""
-        load = self._queue.load(self._clock.now_ms())
+    def load(
+        self,
+        subtree_level: float = context.RANK_LIMIT,
+        organisation: ids.OrganisationId | None = None,
+    ) -> ttypes.Load:
+        """Return the load to tell on an answer to an organisation."""
+        load = self._queue.load(self._clock.now_ms(), organisation)
         return ttypes.Load(
             load.in_flight,
             load.limit,
@@ -247,7 +256,10 @@
         self, call: ttypes.Call, refusal: errors.Refusal
     ) -> ttypes.Answer:
         return wire.refusal_answer(
-            call.call_id, refusal, call.retry_allowance, self.load()
+            call.call_id,
+            refusal,
+            call.retry_allowance,
+            self.load(organisation=ids.OrganisationId(call.organisation)),
         )
 
     def _finish(
@@ -258,18 +270,17 @@
     ) -> None:
         self._waiting.pop(guarded.key, None)
         now_ms = self._clock.now_ms()
+        # Ending the call forgets the child calls it still waits for.
+        child_ms = running.child_ms(now_ms)
         self._calls.end(running)
-        match result:
-            case errors.Refusal():
-                is_ok = False
-            case _:
-                is_ok = result.status < _FIRST_ERROR_STATUS
+        is_ok = not targetfault.is_fault(
+            result, running.child_refused, child_ms
+        )
         service_ms = now_ms - running.started_ms
-        child_ms = running.child_ms(now_ms)
         self._handle(
             admission.Complete(guarded.key, is_ok, service_ms, child_ms)
         )
-        load = self.load(running.subtree_level)
+        load = self.load(running.subtree_level, guarded.context.organisation)
         match result:
             case errors.Refusal():
                 if result.reason is errors.Reason.UNREACHABLE:
--- a/src/parsleystile/quotaservice.py
+++ b/src/parsleystile/quotaservice.py
@@ -10,14 +10,16 @@
 from parsleystile import errors
 from parsleystile import fleetconfig
 from parsleystile import ids
+from parsleystile import leaselog
 from parsleystile import leases
+from parsleystile import logs
 from parsleystile import members as member_types
 from parsleystile import metrics as metric
 from parsleystile import ownership
 from parsleystile import promiseservice
 from parsleystile import quota
-from parsleystile import quotaborrower
 from parsleystile import quotabucket
+from parsleystile import quotalinks
 from parsleystile import quotawire
 from parsleystile import settings as node_settings
 from parsleystile import table
@@ -57,6 +59,7 @@
         self._addresses: dict[ids.NodeId, transport.Address] = {}
         self._is_pump_due = False
         self._next_gauge_ms = 0.0
+        self._lease_log = leaselog.lease_log('quota', logs.event)
         self._next_members_ms = 0.0
         self.node = quota.quota_node(
             identity.node_id,
@@ -95,6 +98,7 @@
         if now_ms >= self._next_members_ms:
             self._take_members(now_ms)
         self._perform(self.node.tick(now_ms))
+        self._lease_log.observe(self.node.ownership, now_ms)
         if now_ms >= self._next_gauge_ms:
             self._next_gauge_ms = now_ms + _GAUGE_MS
             self._report()
@@ -123,7 +127,7 @@
     def _perform(self, actions: typing.Iterable[quota.Action]) -> None:
         for action in actions:
             match action:
-                case quotaborrower.SendAsk():
+                case quotalinks.SendAsk():
                     self._send_ask(action)
                 case leases.AskPromise():
                     self._promises.ask(action, self._addresses, self._handle)
@@ -136,7 +140,7 @@
     def _handle(self, event: quota.Event) -> None:
         self._perform(self.node.handle(event, self._clock.now_ms()))
 
-    def _send_ask(self, action: quotaborrower.SendAsk) -> None:
+    def _send_ask(self, action: quotalinks.SendAsk) -> None:
         seq = action.ask.seq
         address = self._addresses.get(action.to)
         if address is None:
@@ -152,7 +156,7 @@
             address,
             quotawire.ASK_KIND,
             msgspec.msgpack.encode(action.ask),
-            quotaborrower.ASK_TIMEOUT_MS,
+            quotalinks.ASK_TIMEOUT_MS,
             on_reply,
         )
 
