--- a/src/parsleystile/node.py
+++ b/src/parsleystile/node.py
@@ -31,6 +31,7 @@
 from parsleystile import targetclient
 from parsleystile import targetwatch
 from parsleystile import transport
+from parsleystile import watcher
 
 WATCH_PERIOD_MS = 500.0
 TICK_PERIOD_MS = 20.0
@@ -71,7 +72,7 @@
         membership: Who is in the fleet.
         key_ring: Whose key a caller shows.
         quota: Rate and burst of organisations across the fleet.
-        claims: Runs calls with an idempotency key at most once.
+        idempotency: Lets calls with an idempotency key run at most once.
     """
 
     def __init__(self, env: Environment) -> None:
@@ -136,7 +137,7 @@
             self._all_members,
             promises,
         )
-        self.claims = idempotencyservice.idempotency_service(
+        self.idempotency = idempotencyservice.idempotency_service(
             identity,
             env.clock,
             env.rng,
@@ -150,14 +151,14 @@
             rules,
             sender,
             self.quota.take,
-            self.claims.claim_exchange,
+            self.idempotency.claim_exchange,
             env.metrics,
             env.observed,
         )
         self.egress = egress.egress(
             rules,
             sender,
-            self.claims.claim_exchange,
+            self.idempotency.claim_exchange,
             self.handle_target,
             env.metrics,
             env.observed,
@@ -185,6 +186,22 @@
         self.refresh_members()
         self._env.observed.config_in_force(config)
 
+    def view(self) -> watcher.View:
+        """Return the state that is logged when it changes."""
+        return watcher.View(
+            config=self._config,
+            everyone=self._all_members(),
+            service=self.guard.service,
+            slots=self.membership.me.slots,
+            limit=self.guard.load().limit,
+            ejections=tuple(
+                watcher.Ejection(
+                    member.node_id, member.service, f'failures={failures:.1f}'
+                )
+                for member, failures in self._balancer.ejected()
+            ),
+        )
+
     def refuse_new(self) -> None:
         """Take no new work: this node is leaving."""
         self._is_leaving = True
@@ -199,12 +216,12 @@
         """Do what time has made due; wanted every ``TICK_PERIOD_MS``."""
         now_ms = self._env.clock.now_ms()
         self.quota.tick(now_ms)
-        self.claims.tick(now_ms)
+        self.idempotency.tick(now_ms)
 
     async def hand_back(self) -> None:
         """Give up grants and leases, so that others need not wait."""
         await self.quota.stop()
-        await self.claims.stop()
+        await self.idempotency.stop()
 
     def _all_members(self) -> list[members.Member]:
         # The same object until members change: readers may compare it.
