Watch only the target and ejections; members and documents log themselves

Cause: health and the log of members, documents and keys were written twice. Ruled out: keeping both; each change would be logged twice. Before: the watcher logged all of it. After: target and ejections.

--- a/src/parsleystile/daemon.py
+++ b/src/parsleystile/daemon.py
@@ -10,10 +10,8 @@
 from parsleystile import burn
 from parsleystile import clock as clocks
 from parsleystile import controlplane
-from parsleystile import drain
 from parsleystile import explain
 from parsleystile import gossip
-from parsleystile import health
 from parsleystile import history
 from parsleystile import httpfront
 from parsleystile import ids
@@ -205,7 +203,6 @@
                 metrics=self._metrics,
                 calls_in_flight=self._calls_in_flight,
                 phase=lambda: self._planned_stop.phase.value,
-                health=self._health,
                 explain=self._explain,
                 burn=self._burn,
                 drain=lambda: self._planned_stop.request(is_final=False),
@@ -245,16 +242,6 @@
     def _tick_quota(self) -> None:
         self.node.quota.tick(self._clock.now_ms())
 
-    def _health(self) -> health.Health:
-        return health.assess(
-            config_version=self.node.config().version,
-            is_draining=self._planned_stop.phase is not drain.Phase.SERVING,
-            has_target=bool(self.node.guard.service),
-            cut_off_since_ms=self._table.cut_off_since_ms,
-            calls_in_flight=self._calls_in_flight(),
-            now_ms=self._clock.now_ms(),
-        )
-
     def _watch_target(self) -> None:
         self.node.handle_target(targetwatch.Tick())
 
--- a/src/parsleystile/node.py
+++ b/src/parsleystile/node.py
@@ -172,8 +172,6 @@
     def view(self) -> watcher.View:
         """Return the state that is logged when it changes."""
         return watcher.View(
-            config=self._config,
-            everyone=self._all_members(),
             service=self.guard.service,
             slots=self.membership.me.slots,
             limit=self.guard.load().limit,
--- a/src/parsleystile/operators.py
+++ b/src/parsleystile/operators.py
@@ -15,7 +15,6 @@
 from parsleystile import controlplane
 from parsleystile import errors
 from parsleystile import fleetconfig
-from parsleystile import health
 from parsleystile import ids
 from parsleystile import keys
 from parsleystile import logevents
@@ -119,7 +118,6 @@
 
     Attributes:
         phase: How far a planned stop has come.
-        health: Returns whether the node takes calls.
         explain: Returns what the node remembers of a call.
         burn: Returns the node's counters of objectives.
         drain: Begins a planned stop that keeps the process running.
@@ -131,7 +129,6 @@
     metrics: metric.Metrics
     calls_in_flight: typing.Callable[[], int]
     phase: typing.Callable[[], str]
-    health: typing.Callable[[], health.Health]
     explain: typing.Callable[[ids.RootId], msgspec.Struct]
     burn: typing.Callable[[], msgspec.Struct]
     drain: typing.Callable[[], None]
@@ -191,9 +188,7 @@
     needs_key = False
 
     def get(self) -> None:
-        found = self.sources.health()
-        self.set_status(found.status)
-        self.answer(found)
+        self.answer({'phase': self.sources.phase()})
 
 
 class _Status(_Handler):
--- a/src/parsleystile/watcher.py
+++ b/src/parsleystile/watcher.py
@@ -7,10 +7,8 @@
 import dataclasses
 import typing
 
-from parsleystile import fleetconfig
 from parsleystile import ids
 from parsleystile import logevents
-from parsleystile import members
 
 LOOK_PERIOD_MS = 500.0
 # A limit that falls by less is adjusted, not that of a cold target.
@@ -31,13 +29,10 @@
     """State of a node at one look.
 
     Attributes:
-        everyone: All members; the same list as long as none changed.
         service: Of the target beside the node; empty if there is none.
         limit: Concurrency limit of that target.
     """
 
-    config: fleetconfig.FleetConfig
-    everyone: typing.Sequence[members.Member]
     service: ids.ServiceName = ids.ServiceName('')
     slots: int = 0
     limit: int = 0
@@ -47,62 +42,11 @@
 def differences(before: View, after: View) -> list[logevents.Event]:
     """Return what changed between two looks, with the evidence."""
     return [
-        *_config(before.config, after.config),
-        *_members(before.everyone, after.everyone),
         *_target(before, after),
         *_ejections(before, after),
     ]
 
 
-def _config(
-    before: fleetconfig.FleetConfig, after: fleetconfig.FleetConfig
-) -> typing.Iterator[logevents.Event]:
-    if before is after:
-        return
-    yield logevents.ConfigApplied(
-        version_before=before.version,
-        version_after=after.version,
-        active_preset=after.active_preset,
-        why='a newer version of the document came',
-        evidence=f'domains_out={",".join(after.domains_out) or "none"}',
-    )
-    for key_id, key in before.keys.items():
-        if key_id not in after.keys:
-            yield logevents.KeyWithdrawn(
-                key_id=key_id,
-                organisation=key.organisation,
-                why='the document in force lacks it',
-                evidence=f'version={after.version}',
-            )
-
-
-def _state_of(member: members.Member | None) -> str:
-    return member.state.name.lower() if member else 'unknown'
-
-
-def _members(
-    before: typing.Sequence[members.Member],
-    after: typing.Sequence[members.Member],
-) -> typing.Iterator[logevents.Event]:
-    if before is after:
-        return
-    old = {member.node_id: member for member in before}
-    new = {member.node_id: member for member in after}
-    for node_id in sorted(old.keys() | new.keys()):
-        was, now = old.get(node_id), new.get(node_id)
-        if _state_of(was) == _state_of(now):
-            continue
-        told = now or was
-        yield logevents.MemberChanged(
-            node_id=node_id,
-            state_before=_state_of(was),
-            state_after=_state_of(now),
-            incarnation=told.incarnation,
-            why='gossip told so' if now else 'dead, or forgotten since',
-            evidence=f'vm={told.vm} failure_domain={told.failure_domain}',
-        )
-
-
 def _target(before: View, after: View) -> typing.Iterator[logevents.Event]:
     if before.service != after.service and after.service:
         yield logevents.TargetAnnounced(
