--- a/src/parsleystile/daemon.py
+++ b/src/parsleystile/daemon.py
@@ -27,7 +27,6 @@
 from parsleystile import observer
 from parsleystile import operators
 from parsleystile import plannedstop
-from parsleystile import quotaservice
 from parsleystile import settings as node_settings
 from parsleystile import tableclient
 from parsleystile import targetclient
@@ -136,7 +135,7 @@
             listeners.host, listeners.operator_port
         )
         self._ticker.every(membership.TICK_MS, self._tick)
-        self._ticker.every(quotaservice.TICK_MS, self._tick_quota)
+        self._ticker.every(nodes.TICK_PERIOD_MS, self.node.tick)
         self._ticker.every(nodes.WATCH_PERIOD_MS, self._watch_target)
         self._watcher = watcher.watcher(self.node.view, logs.event)
         self._ticker.every(watcher.LOOK_PERIOD_MS, self._watcher.tick)
@@ -245,7 +244,7 @@
         return self.node.calls_in_flight + self._callers.open_count
 
     def _hand_back(self, on_done: typing.Callable[[], None]) -> None:
-        task = asyncio.get_running_loop().create_task(self.node.quota.stop())
+        task = asyncio.get_running_loop().create_task(self.node.hand_back())
         task.add_done_callback(lambda ended: on_done())
         self._handing_back = task
 
@@ -255,9 +254,6 @@
         self.node.refresh_members()
         self._planned_stop.tick()
 
-    def _tick_quota(self) -> None:
-        self.node.quota.tick(self._clock.now_ms())
-
     def _watch_target(self) -> None:
         self.node.handle_target(targetwatch.Tick())
 
