Work out the capacity page from bench runs

Ruled out: drawing out series that are no line; negative figures came of it. Above 10% residual nothing is claimed.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -17,6 +17,8 @@
 from bench import roles
 
 MIN_SIZES = 3
+# Points further from the line than this, as a share, make no line.
+MAX_RESIDUAL = 0.1
 _LAST_NUMBER = re.compile(r'\d+(?=\D*$)')
 
 
@@ -105,6 +107,10 @@
     )
 
 
+def _is_line(found: Fit, size: float) -> bool:
+    return found.residual <= MAX_RESIDUAL and found.at(size) >= 0
+
+
 def _measured(
     figure: roles.Figure,
     fits: dict[str, Fit],
@@ -112,6 +118,15 @@
 ) -> tuple[str, str, str]:
     """Return how a figure was measured, its value and the verdict."""
     found = fits.get(figure.series)
+    if found is not None and not _is_line(found, figure.size):
+        largest = found.sizes[-1]
+        how = (
+            f'no line at {", ".join(map(str, found.sizes))};'
+            f' residual {100 * found.residual:.1f}%'
+        )
+        last = singles[figure.series.replace('*', str(largest))]
+        shown = f'{_number(last.value)} {last.unit} at {largest}'
+        return how, shown, 'not known'
     if found is not None:
         value = found.at(figure.size) * figure.times
         how = (
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -70,3 +70,12 @@
 def test_other_lines_of_a_run_are_left_out():
     text = ['noise\n', '{"name": "a", "value": 1, "unit": "s", "ratio": 2}\n']
     assert capacity.read(text) == [capacity.Measured('a', 1.0, 's')]
+
+
+def test_what_is_no_line_is_not_drawn_out_to_the_target():
+    results = [
+        _line(f'quota.slope.{n}_nodes.messages', value, '1/s')
+        for n, value in ((6, 12.0), (24, 7.0), (96, 2.0))
+    ]
+    row = _row(results, 'messages')
+    assert row[3:] == ('2 1/s at 96', 'not known')
