--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -31,7 +31,7 @@
         assert f'(operations/{page.name})' in index, page.name
 
 
-@pytest.mark.parametrize("line", list(_commands()))
+@pytest.mark.parametrize('line', list(_commands()))
 def test_commands_on_pages_are_commands(line):
     argv = shlex.split(line, comments=True)
     parsed = cli.parse(argv)
