--- a/src/parsleystile/cli.py
+++ b/src/parsleystile/cli.py
@@ -31,7 +31,7 @@
     return code
 
 
-def _parse(
+def parse(
     argv: list[str],
 ) -> expression.Result[commands.Command, errors.UsageError]:
     """Turn arguments into a command; help is an error without a problem."""
@@ -129,7 +129,7 @@
     Args:
         argv: Arguments without the program's name; the process's if None.
     """
-    match _parse(sys.argv[1:] if argv is None else argv):
+    match parse(sys.argv[1:] if argv is None else argv):
         case expression.Result(tag='ok', ok=command):
             pass
         case expression.Result(error=usage):
