Refuse the queue of a target that is gone; forget levels that are back up

Cause: when a target went down, calls queued for it were still started against nothing; levels averaged back to 2.9999 were kept for ever. Ruled out: Drain for a lost target, which serves the queue for 1 s more. A first try forgot a level by its value alone and dropped the first bad report at once; four tests of shedding and goodput caught it, so only a report of the highest level forgets. Before: queued calls started without a target.

--- a/src/parsleystile/admission.py
+++ b/src/parsleystile/admission.py
@@ -83,7 +83,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Announce:
-    """The target has started, or started anew, with so many slots."""
+    """The target has started, or started anew; with 0 slots it is gone."""
 
     slots: int
 
@@ -199,6 +199,8 @@
             case Announce():
                 self._limit.announce(event.slots, now_ms)
                 self._drained_ms = None
+                if event.slots == 0:
+                    self._refuse_queue(_no_target(), actions)
                 self._fill(now_ms, actions)
             case Drain():
                 if self._drained_ms is None:
@@ -241,11 +243,9 @@
     def _refusal(self, call: Arrive, now_ms: float) -> errors.Refusal | None:
         limit = self._limit.value
         if self._drained_ms is not None:
-            return errors.not_run(errors.Reason.LEAVING, 'target is leaving')
+            return _leaving()
         if limit == 0:
-            return errors.not_run(
-                errors.Reason.UNREACHABLE, 'no target has announced itself'
-            )
+            return _no_target()
         if not self._levels.is_admitted(call.organisation, call.rank):
             return self._busy(errors.Reason.SHED, 'rank is not admitted')
         remaining_ms = call.deadline_ms - now_ms
@@ -335,10 +335,11 @@
         self._limit.check_silence(len(self._running), now_ms)
         drained_ms = self._drained_ms
         if drained_ms is not None and now_ms - drained_ms >= DRAIN_MS:
-            self._refuse_queue(actions)
+            self._refuse_queue(_leaving(), actions)
 
-    def _refuse_queue(self, actions: list[Action]) -> None:
-        refusal = errors.not_run(errors.Reason.LEAVING, 'target is leaving')
+    def _refuse_queue(
+        self, refusal: errors.Refusal, actions: list[Action]
+    ) -> None:
         while self._queue.calls:
             waiting = self._queue.pop(-math.inf)
             actions.append(Refuse(waiting.call_key, refusal))
@@ -353,6 +354,16 @@
         return errors.not_run(reason, detail, retry_after_ms)
 
 
+def _leaving() -> errors.Refusal:
+    return errors.not_run(errors.Reason.LEAVING, 'target is leaving')
+
+
+def _no_target() -> errors.Refusal:
+    return errors.not_run(
+        errors.Reason.UNREACHABLE, 'no target has announced itself'
+    )
+
+
 def _too_late() -> errors.Refusal:
     return errors.not_run(
         errors.Reason.DEADLINE, 'cannot finish before the deadline'
--- a/src/parsleystile/concurrency.py
+++ b/src/parsleystile/concurrency.py
@@ -307,7 +307,7 @@
     def _fall(self, now_ms: float) -> None:
         self._caution = CAUTION_SHARE * self._limit
         self._caution_until_ms = now_ms + CAUTION_MS
-        self._limit = max(FLOOR, FALL * self._limit)
+        self._limit = min(self._slots, max(FLOOR, FALL * self._limit))
         self._relief = None
         self._reset(now_ms)
         self._changed_ms = now_ms
--- a/src/parsleystile/guard.py
+++ b/src/parsleystile/guard.py
@@ -95,6 +95,7 @@
         """Close: there is no target any more."""
         self._service = ids.ServiceName('')
         self._base_url = ''
+        self._handle(admission.Announce(0))
 
     def drain(self) -> None:
         """Refuse new calls; those in flight run to their end."""
--- a/src/parsleystile/shedding.py
+++ b/src/parsleystile/shedding.py
@@ -16,6 +16,8 @@
 # another after as long again.
 PROBE_MS = 250.0
 MAX_LEVELS = 8192
+# A level so close to the highest refuses nothing worth the memory.
+NEGLIGIBLE = 0.01
 RETRY_AFTER_MS = 1000
 
 _Key = tuple[ids.RouteId, ids.OrganisationId]
@@ -67,6 +69,9 @@
                 self._levels.pop(next(iter(self._levels)))
             known = self._levels[key] = _Level(now_ms)
         known.fold(admission_level, now_ms)
+        is_good = admission_level >= context.RANK_LIMIT
+        if is_good and known.value > context.RANK_LIMIT - NEGLIGIBLE:
+            del self._levels[key]
 
     def level(
         self,
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -174,6 +174,21 @@
     assert queue.load(1100.0).in_flight == 2
 
 
+def test_a_target_that_is_gone_gets_nothing_and_its_queue_is_refused():
+    queue = _queue()
+    for key in range(4):
+        queue.handle(_arrive(key), 0.0)
+    refused = queue.handle(admission.Announce(0), 10.0)
+    assert [a.call_key for a in refused] == [2, 3]
+    assert _reasons(refused) == [errors.Reason.UNREACHABLE] * 2
+    for key in (0, 1):
+        done = admission.Complete(key, False, 1000.0)
+        assert queue.handle(done, 1010.0) == []
+    late = queue.handle(_arrive(5), 1020.0)
+    assert _reasons(late) == [errors.Reason.UNREACHABLE]
+    assert queue.load(1020.0).limit == 0
+
+
 def test_the_operators_cap_holds_whatever_the_load():
     queue = _queue()
     queue.handle(admission.Level(2.0), 0.0)
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -68,6 +68,13 @@
     assert len(passed) == 2
 
 
+def test_a_level_back_at_the_top_is_forgotten():
+    shedder = _shedder()
+    _tell(shedder, 1.0, 0, 1000)
+    _tell(shedder, context.RANK_LIMIT, 1000, 4000)
+    assert not shedder._levels
+
+
 def test_memory_is_bounded():
     shedder = _shedder()
     for number in range(2 * shedding.MAX_LEVELS):
