Cancel the call of a caller that hangs up; enforce limits of connections and calls

Found by the new test of the HTTP front: tornado's delegate hears of a close only while a request is still read, so a caller that hung up after its request went unnoticed and its work ran on. Before: the test waits for a cancellation that never comes. After: it passes, by the close callback of the connection. The settings limits.connections and limits.calls_in_flight were read and not enforced; both now are, with tests. A new key is a field of the one JSON document, and absl's plain-text warning no longer precedes the JSON lines. A weight is bounded, since shares are divided by it.

--- a/src/parsleystile/fleetconfig.py
+++ b/src/parsleystile/fleetconfig.py
@@ -14,6 +14,8 @@
 
 PositiveInt = typing.Annotated[int, msgspec.Meta(ge=1)]
 PositiveFloat = typing.Annotated[float, msgspec.Meta(gt=0)]
+# Shares of slots are divided by weights: neither may vanish or overflow.
+Weight = typing.Annotated[float, msgspec.Meta(ge=0.001, le=1000)]
 # Keyed digests are 32 bytes, written in hex.
 Digest = typing.Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{64}$')]
 Name = typing.Annotated[
@@ -44,7 +46,7 @@
 
     rate_per_s: PositiveFloat
     burst: PositiveInt
-    weight: PositiveFloat = 1.0
+    weight: Weight = 1.0
 
 
 class Route(
--- a/src/parsleystile/httpfront.py
+++ b/src/parsleystile/httpfront.py
@@ -23,6 +23,7 @@
 _PROBLEM_TYPE = 'application/problem+json'
 _PROBLEM_URI = 'urn:parsleystile:refusal:'
 _MS_PER_S = 1000
+_FULL_RETRY_AFTER_MS = 1000
 _BODY_TIMEOUT_MS = 10_000.0
 _IDLE_TIMEOUT_MS = 300_000.0
 # A status without a body by definition (RFC 9110, 6.4.1).
@@ -73,6 +74,10 @@
         self._progress = _Progress.READING
         self._since_ms = self._front.clock.now_ms()
 
+    @property
+    def is_reading_body(self) -> bool:
+        return self._progress is _Progress.READING
+
     def is_overdue(self, now_ms: float) -> bool:
         limit_ms = _BODY_TIMEOUT_MS
         if self._progress is _Progress.WAITING:
@@ -102,13 +107,18 @@
         )
         self._exchange = exchange
         self._progress = _Progress.RUNNING
+        # tornado tells its delegate of a close only while it still reads.
+        self._connection.set_close_callback(self._on_hang_up)
         front.opened(exchange)
 
     def on_connection_close(self) -> None:
         self._front.read_whole(self)
-        if self._exchange is not None:
-            self._front.closed(self._exchange)
-            self._exchange.cancel()
+
+    def _on_hang_up(self) -> None:
+        exchange, self._exchange = self._exchange, None
+        if exchange is not None:
+            self._front.closed(exchange)
+            exchange.cancel()
 
     def _answer(
         self, exchange: exchanges.Exchange, reply: exchanges.Reply
@@ -196,6 +206,8 @@
         self.metrics = metrics
         self._on_exchange = on_exchange
         self.is_closing = False
+        self._limits = limits
+        self._connections: set[object] = set()
         self._open: set[exchanges.Exchange] = set()
         self._server = httpserver.HTTPServer(
             self,
@@ -218,6 +230,11 @@
     ) -> httputil.HTTPMessageDelegate:
         """Create the delegate of one request; called by tornado."""
         request = _Request(self, request_conn)
+        self._connections.add(server_conn)
+        if len(self._connections) > self._limits.connections:
+            self.metrics.incr('http.connections_refused')
+            request.close_connection()
+            return request
         self._reading.add(request)
         return request
 
@@ -225,6 +242,11 @@
         """Note that a request is read, or will never be."""
         self._reading.discard(request)
 
+    @property
+    def is_reading_body(self) -> bool:
+        """Whether the rest of some request's body is awaited."""
+        return any(request.is_reading_body for request in self._reading)
+
     def sweep(self) -> None:
         """Close connections that take too long to send a request."""
         now_ms = self.clock.now_ms()
@@ -236,10 +258,20 @@
 
     def on_close(self, server_conn: object) -> None:
         """Note that a connection closed; called by tornado."""
+        self._connections.discard(server_conn)
 
     def opened(self, exchange: exchanges.Exchange) -> None:
         """Hand a whole request on."""
         self._open.add(exchange)
+        if len(self._open) > self._limits.calls_in_flight:
+            exchange.finish(
+                errors.not_run(
+                    errors.Reason.QUEUE_FULL,
+                    f'{self._limits.calls_in_flight} calls in flight here',
+                    _FULL_RETRY_AFTER_MS,
+                )
+            )
+            return
         self._on_exchange(exchange)
 
     def closed(self, exchange: exchanges.Exchange) -> None:
--- a/src/parsleystile/listing.py
+++ b/src/parsleystile/listing.py
@@ -15,6 +15,19 @@
 _DIGEST = 'digest'
 
 
+class Issued(msgspec.Struct, frozen=True):
+    """A new key, shown once.
+
+    Attributes:
+        version: That brought the key in force.
+        domains: How far that version has come, by failure domain.
+    """
+
+    key: str
+    version: int
+    domains: dict[str, operatorclient.InForce]
+
+
 def _yes(value: bool) -> str:
     return 'yes' if value else 'no'
 
--- a/src/parsleystile/logs.py
+++ b/src/parsleystile/logs.py
@@ -13,6 +13,7 @@
 import logging as std_logging
 import re
 
+from absl import flags
 from absl import logging
 
 from parsleystile import clock as clocks
@@ -158,6 +159,9 @@
     Args:
         node: Written on each line; the node's id.
     """
+    # absl warns in plain text of logs before its own flags are parsed; this
+    # program has none.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.get_absl_handler().setFormatter(JsonFormatter(node))
     logging.set_verbosity(logging.INFO)
--- a/src/parsleystile/operate.py
+++ b/src/parsleystile/operate.py
@@ -164,6 +164,7 @@
         change: changes.Change,
         based_on: int | None = None,
         own_key: str = '',
+        new_key: str = '',
     ) -> Code:
         answer = await self._settled(change, based_on)
         if answer.outcome is operatorclient.ChangeOutcome.REFUSED:
@@ -175,7 +176,14 @@
         self._progress(f'accepted as version {answer.version}{key}')
         if own_key:
             self._client.use_key(own_key)
-        return await self._await_in_force(answer.version)
+        code, domains = await self._await_in_force(answer.version)
+        text = listing.in_force(answer.version, domains)
+        if new_key:
+            issued = listing.Issued(new_key, answer.version, domains)
+            self._show(issued, f'{text}\n{new_key}' if text else new_key)
+        elif domains or code is _OK:
+            self._show(domains, text)
+        return code
 
     async def _settled(
         self, change: changes.Change, based_on: int | None
@@ -215,7 +223,9 @@
             Code.UNKNOWN,
         )
 
-    async def _await_in_force(self, version: ids.ConfigVersion) -> Code:
+    async def _await_in_force(
+        self, version: ids.ConfigVersion
+    ) -> tuple[Code, operatorclient.Domains]:
         """Show progress by failure domain until all nodes confirmed."""
         loop = asyncio.get_running_loop()
         ends_s = loop.time() + self._options.wait_ms / 1000
@@ -226,7 +236,7 @@
                 got.error, operatorclient.RejectedError
             ):
                 self._progress(str(got.error))
-                return Code.NOT_YET_IN_FORCE
+                return Code.NOT_YET_IN_FORCE, {}
             domains = got.ok if got.is_ok() else {}
             line = listing.progress(domains) or 'waiting for confirmations'
             if line != shown:
@@ -235,11 +245,9 @@
             if domains and all(
                 domain.in_force >= domain.total for domain in domains.values()
             ):
-                self._show(domains, listing.in_force(version, domains))
-                return _OK
+                return _OK, domains
             if loop.time() >= ends_s:
-                self._show(domains, listing.in_force(version, domains))
-                return Code.NOT_YET_IN_FORCE
+                return Code.NOT_YET_IN_FORCE, domains
             await asyncio.sleep(POLL_MS / 1000)
 
     async def _issue(self, organisation: str) -> Code:
@@ -267,14 +275,12 @@
                 Code.USAGE,
             )
         try:
-            code = await self._submit(change, own_key=own_key)
+            return await self._submit(change, own_key=own_key, new_key=key)
         except errors.CommandFailure as exc:
             if exc.code is Code.UNKNOWN:
                 # It works if the change took effect after all.
                 print(key)
             raise
-        print(key)
-        return code
 
     async def _edit_route(self, command: commands.EditRoute) -> Code:
         current = await self._config()
--- a/src/parsleystile/operatorclient.py
+++ b/src/parsleystile/operatorclient.py
@@ -171,6 +171,9 @@
     return f'{problem.path}: {told}' if problem.path else told
 
 
+Domains = dict[str, InForce]
+
+
 class OperatorClient:
     """Asks the nodes of a fleet one after another until one answers."""
 
--- /dev/null
+++ b/tests/test_deadlines.py
@@ -0,0 +1,77 @@
+from parsleystile import deadlines
+from parsleystile import targetwatch
+
+
+def test_deadlines_come_once_in_order_and_never_early():
+    wheel = deadlines.DeadlineWheel()
+    seen = []
+    for due_ms in (30.0, 10.0, 20.0):
+        wheel.add(due_ms, lambda due_ms=due_ms: seen.append(due_ms))
+    wheel.expire(9.9)
+    assert seen == []
+    wheel.expire(35.0)
+    assert seen == [10.0, 20.0, 30.0]
+    wheel.expire(99.0)
+    assert len(seen) == 3
+
+
+def test_a_cancelled_deadline_does_not_come():
+    wheel = deadlines.DeadlineWheel()
+    seen = []
+    kept = wheel.add(10.0, lambda: seen.append('cancelled'))
+    wheel.add(10.0, lambda: seen.append('due'))
+    kept.cancel()
+    wheel.expire(20.0)
+    assert seen == ['due']
+
+
+def test_an_earlier_deadline_moves_the_next_due_time():
+    moved = []
+    wheel = deadlines.DeadlineWheel(lambda: moved.append(wheel.next_due_ms))
+    wheel.add(100.0, lambda: None)
+    wheel.add(200.0, lambda: None)
+    wheel.add(50.0, lambda: None)
+    assert moved == [104.0, 52.0]
+
+
+def test_a_deadline_may_add_another_while_it_comes():
+    wheel = deadlines.DeadlineWheel()
+    seen = []
+    wheel.add(10.0, lambda: wheel.add(11.0, lambda: seen.append('next')))
+    wheel.expire(20.0)
+    wheel.expire(40.0)
+    assert seen == ['next']
+
+
+def _announced(instance='i1', port=1):
+    return targetwatch.Announced('yard', instance, port, 5)
+
+
+_UP = targetwatch.TargetUp('yard', 1, 5)
+
+
+def test_a_target_comes_up_once_and_anew_after_each_start():
+    watch = targetwatch.target_watch()
+    assert watch.handle(_announced(), 0.0) == [_UP]
+    assert watch.handle(_announced(), 1000.0) == []
+    assert watch.handle(_announced('i2'), 1500.0) == [_UP]
+
+
+def test_a_silent_or_refusing_target_is_down_until_it_speaks():
+    watch = targetwatch.target_watch()
+    watch.handle(_announced(), 0.0)
+    assert watch.handle(targetwatch.Tick(), 3000.0) == []
+    (down,) = watch.handle(targetwatch.Tick(), 4000.0)
+    assert isinstance(down, targetwatch.TargetDown)
+    assert watch.handle(_announced(), 4100.0) == [_UP]
+    (down,) = watch.handle(targetwatch.ConnectionRefused(), 4200.0)
+    assert isinstance(down, targetwatch.TargetDown)
+
+
+def test_a_late_heartbeat_does_not_bring_a_leaving_target_back():
+    watch = targetwatch.target_watch()
+    watch.handle(_announced(), 0.0)
+    left = watch.handle(targetwatch.Left(), 10.0)
+    assert left == [targetwatch.TargetLeaving()]
+    assert watch.handle(_announced(), 20.0) == []
+    assert watch.handle(_announced('i2'), 30.0) == [_UP]
--- /dev/null
+++ b/tests/test_filters.py
@@ -0,0 +1,195 @@
+import random
+
+import pytest
+
+from parsleystile import clock
+from parsleystile import context
+from parsleystile import errors
+from parsleystile import exchange as exchanges
+from parsleystile import filters
+from parsleystile import fleetconfig
+from parsleystile import inflight
+from parsleystile import keys
+from parsleystile import shedding
+
+_SECRET = b'fleet'
+_KEY = 'key-of-lava'
+
+
+def _route(prefix, **kwargs):
+    return fleetconfig.Route(path_prefix=prefix, service='s', **kwargs)
+
+
+def _config():
+    salt = keys.salt_from(_SECRET)
+    digest = keys.stored_digest(salt, keys.fingerprint(_KEY))
+    return fleetconfig.FleetConfig(
+        version=1,
+        organisations={
+            'lava': fleetconfig.Organisation(rate_per_s=1, burst=1)
+        },
+        routes={
+            'stock': _route('/stock', timeout_ms=800),
+            'open': _route('/open', is_open=True),
+        },
+        keys={'k1': fleetconfig.Key(organisation='lava', digest=digest)},
+        next_key=2,
+    )
+
+
+class _Filters:
+    def __init__(self):
+        config = _config()
+        ring = keys.key_ring(_SECRET)
+        ring.load(config)
+        self.ring = ring
+        rng = random.Random(1)
+        self.calls = inflight.calls_in_flight()
+        self.clock = clock.manual_clock(1000.0)
+        self.rules = filters.Rules(
+            config=lambda: config,
+            key_ring=ring,
+            shedder=shedding.shedder(rng),
+            calls=self.calls,
+            clock=self.clock,
+            rng=rng,
+        )
+
+    def root(self, path, *headers):
+        return self._run(filters.root_filters(self.rules), path, headers)
+
+    def child(self, path, *headers):
+        return self._run(filters.child_filters(self.rules), path, headers)
+
+    def _run(self, steps, path, headers):
+        exchange = exchanges.Exchange(
+            'GET', path, list(headers), b'', self.clock.now_ms(), None
+        )
+        return exchange, filters.run(steps, exchange)
+
+    def parent(self, **changes):
+        fields = {
+            'root_id': 'r',
+            'organisation': 'lava',
+            'importance': context.Importance.CRITICAL,
+            'draw': 0.25,
+            'deadline_ms': 1500.0,
+            'depth': 1,
+            'retry_allowance': 3,
+            'idempotent': True,
+            'caller_service': '',
+        }
+        made = context.CallContext(**{**fields, **changes})
+        return self.calls.start(made, 'front', 1000.0)
+
+
+def test_no_header_that_holds_the_key_or_is_internal_goes_on():
+    exchange, refusal = _Filters().root(
+        '/stock/1',
+        'X-API-KEY',
+        _KEY,
+        'Cookie',
+        f'k={_KEY}',
+        'X-Parsleystile-Context',
+        'forged',
+        'X-Parsleystile-Root',
+        'forged',
+        'Connection',
+        'close',
+        'Accept',
+        '*/*',
+    )
+    assert refusal is None
+    assert exchange.headers == ['Accept', '*/*']
+    assert exchange.key == ''
+    assert exchange.organisation == 'lava'
+
+
+@pytest.mark.parametrize(
+    ('path', 'headers', 'reason'),
+    [
+        ('/stock', (), errors.Reason.KEY_MISSING),
+        ('/stock', ('X-Api-Key', 'x'), errors.Reason.KEY_REJECTED),
+        (f'/stock?k={_KEY}', ('X-Api-Key', _KEY), errors.Reason.MALFORMED),
+        (
+            '/stock',
+            ('X-Api-Key', _KEY, 'X-Api-Key', 'other'),
+            errors.Reason.MALFORMED,
+        ),
+        (
+            '/stock',
+            ('X-Api-Key', _KEY, 'X-Request-Timeout-Ms', '-1'),
+            errors.Reason.MALFORMED,
+        ),
+        ('/nowhere', ('X-Api-Key', _KEY), errors.Reason.NO_ROUTE),
+        ('/open/../stock', (), errors.Reason.NO_ROUTE),
+    ],
+)
+def test_a_bad_request_is_refused_as_not_run(path, headers, reason):
+    _, refusal = _Filters().root(path, *headers)
+    assert refusal.reason is reason
+    assert refusal.outcome is errors.Outcome.NOT_RUN
+
+
+def test_a_withdrawn_key_is_refused_on_the_next_request():
+    made = _Filters()
+    assert made.root('/stock', 'X-Api-Key', _KEY)[1] is None
+    made.ring.withdraw('k1')
+    _, refusal = made.root('/stock', 'X-Api-Key', _KEY)
+    assert refusal.reason is errors.Reason.KEY_REJECTED
+
+
+def test_open_routes_need_no_key_but_take_one():
+    made = _Filters()
+    assert made.root('/open')[0].organisation == ''
+    assert made.root('/open', 'X-Api-Key', 'bad')[0].organisation == ''
+    assert made.root('/open', 'X-Api-Key', _KEY)[0].organisation == 'lava'
+
+
+def test_the_deadline_is_the_lower_of_route_and_caller():
+    made = _Filters()
+    for asked, deadline_ms in (('90000', 1800.0), ('300', 1300.0)):
+        exchange, _ = made.root(
+            '/stock', 'X-Api-Key', _KEY, 'X-Request-Timeout-Ms', asked
+        )
+        assert exchange.context.deadline_ms == deadline_ms
+
+
+def test_a_child_call_inherits_and_a_made_up_token_is_refused():
+    made = _Filters()
+    parent = made.parent()
+    exchange, refusal = made.child(
+        '/stock', 'X-Parsleystile-Context', parent.token
+    )
+    assert refusal is None
+    got = exchange.context
+    assert (got.organisation, got.draw, got.depth) == ('lava', 0.25, 2)
+    assert got.importance is context.Importance.CRITICAL
+    assert got.deadline_ms == 1500.0
+    assert got.caller_service == 'front'
+    for token in ('', 'guess', parent.token[:-1]):
+        _, refusal = made.child('/stock', 'X-Parsleystile-Context', token)
+        assert refusal.reason is errors.Reason.CONTEXT_UNKNOWN
+    made.calls.end(parent)
+    _, refusal = made.child('/stock', 'X-Parsleystile-Context', parent.token)
+    assert refusal.reason is errors.Reason.CONTEXT_UNKNOWN
+
+
+def test_a_child_call_cannot_borrow_a_key_or_leave_the_open_routes():
+    made = _Filters()
+    parent = made.parent(organisation='')
+    header = ('X-Parsleystile-Context', parent.token)
+    assert made.child('/open', *header)[1] is None
+    _, refusal = made.child('/stock', *header, 'X-Api-Key', _KEY)
+    assert refusal.reason is errors.Reason.KEY_MISSING
+
+
+def test_retries_are_lent_and_depth_is_bounded():
+    made = _Filters()
+    parent = made.parent(depth=context.MAX_DEPTH - 1)
+    header = ('X-Parsleystile-Context', parent.token)
+    lent = [made.child('/stock', *header)[0].lent for _ in range(4)]
+    assert sum(lent) + parent.ledger.unspent == 3
+    deepest = made.parent(depth=context.MAX_DEPTH)
+    _, refusal = made.child('/stock', 'X-Parsleystile-Context', deepest.token)
+    assert refusal.reason is errors.Reason.TOO_DEEP
--- /dev/null
+++ b/tests/test_httpfront.py
@@ -0,0 +1,208 @@
+import asyncio
+import contextlib
+
+import pytest
+
+from parsleystile import clock
+from parsleystile import errors
+from parsleystile import exchange as exchanges
+from parsleystile import httpfront
+from parsleystile import metrics
+from parsleystile import settings
+from tests import asyncutil
+
+_GET = b'GET /x HTTP/1.1\r\nHost: a\r\n\r\n'
+
+
+class _Front:
+    """A front on a real socket whose exchanges a test answers."""
+
+    def __init__(self, **limits):
+        self.clock = clock.manual_clock()
+        self.metrics = metrics.memory_metrics()
+        self.seen = []
+        self.front = httpfront.http_front(
+            self.seen.append,
+            self.clock,
+            self.metrics,
+            settings.Limits(**limits),
+        )
+        self.port = self.front.listen('127.0.0.1', 0)
+
+    async def connect(self):
+        return await asyncio.open_connection('127.0.0.1', self.port)
+
+    async def arrived(self, count):
+        await asyncutil.until(lambda: len(self.seen) >= count)
+        return self.seen[count - 1]
+
+
+@contextlib.asynccontextmanager
+async def _open(**limits):
+    made = _Front(**limits)
+    try:
+        yield made
+    finally:
+        made.front.stop_listening()
+        await made.front.close()
+
+
+async def _read_answer(reader):
+    head = (await reader.readuntil(b'\r\n\r\n')).decode()
+    length = 0
+    for line in head.lower().split('\r\n'):
+        if line.startswith('content-length:'):
+            length = int(line.split(':')[1])
+    return head, await reader.readexactly(length)
+
+
+def test_answers_go_back_in_order_on_one_connection():
+    async def body():
+        async with _open() as front:
+            reader, writer = await front.connect()
+            for count in (1, 2):
+                writer.write(_GET)
+                exchange = await front.arrived(count)
+                text = b'%d' % count
+                exchange.finish(exchanges.Answer(200, ['A', 'b'], text))
+                head, got = await _read_answer(reader)
+                assert got == text
+                assert 'X-Parsleystile-Outcome: answered' in head
+            writer.close()
+
+    asyncutil.run(body())
+
+
+def test_a_refusal_is_a_problem_document_with_its_outcome():
+    async def body():
+        async with _open() as front:
+            reader, writer = await front.connect()
+            writer.write(_GET)
+            refusal = errors.not_run(errors.Reason.SHED, 'full', 1500)
+            (await front.arrived(1)).finish(refusal)
+            head, got = await _read_answer(reader)
+            assert head.startswith('HTTP/1.1 503')
+            assert 'X-Parsleystile-Outcome: not-run' in head
+            assert 'Retry-After: 2' in head
+            assert b'"outcome": "not-run"' in got
+            writer.close()
+
+    asyncutil.run(body())
+
+
+def test_a_caller_that_hangs_up_cancels_its_request():
+    async def body():
+        async with _open() as front:
+            _, writer = await front.connect()
+            writer.write(_GET)
+            exchange = await front.arrived(1)
+            writer.close()
+            cancelled = exchanges.ExchangeState.CANCELLED
+            await asyncutil.until(lambda: exchange.state is cancelled)
+            assert front.front.open_count == 0
+            # A late answer goes nowhere and does no harm.
+            exchange.finish(exchanges.Answer(200, [], b''))
+
+    asyncutil.run(body())
+
+
+@pytest.mark.parametrize(
+    'data',
+    [
+        b'nonsense\r\n\r\n',
+        b'\x00\x01\x02\r\n\r\n',
+        b'GET /x HTTP/1.1\r\nHost: a\r\n' + b'A: ' + b'x' * 9000 + b'\r\n\r\n',
+        b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n',
+        b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n'
+        b'Content-Length: 2\r\n\r\nab',
+        b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n',
+        b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+    ],
+)
+def test_what_is_no_request_or_too_large_closes_only_its_connection(data):
+    async def body():
+        async with _open(body_bytes=1000, header_bytes=4000) as front:
+            reader, writer = await front.connect()
+            writer.write(data)
+            told = await reader.read()
+            assert told == b'' or told.startswith(b'HTTP/1.1 4')
+            other_reader, other = await front.connect()
+            before = len(front.seen)
+            other.write(_GET)
+            exchange = await front.arrived(before + 1)
+            exchange.finish(exchanges.Answer(200, [], b'ok'))
+            assert (await _read_answer(other_reader))[1] == b'ok'
+            other.close()
+
+    asyncutil.run(body())
+
+
+def test_a_caller_too_slow_to_send_is_cut_off():
+    async def body():
+        async with _open() as front:
+            reader, writer = await front.connect()
+            writer.write(
+                b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nab'
+            )
+            await asyncutil.until(lambda: front.front.is_reading_body)
+            front.clock.advance(11_000)
+            front.front.sweep()
+            assert await reader.read() == b''
+            assert front.metrics.counters['http.slow_requests'] == 1
+            assert front.seen == []
+            writer.close()
+
+    asyncutil.run(body())
+
+
+def test_connections_beyond_the_limit_are_closed():
+    async def body():
+        async with _open(connections=1) as front:
+            _, first = await front.connect()
+            first.write(_GET)
+            await front.arrived(1)
+            reader, second = await front.connect()
+            second.write(_GET)
+            assert await reader.read() == b''
+            assert len(front.seen) == 1
+            first.close()
+            second.close()
+
+    asyncutil.run(body())
+
+
+def test_calls_beyond_the_limit_are_refused_as_not_run():
+    async def body():
+        async with _open(calls_in_flight=1) as front:
+            _, first = await front.connect()
+            first.write(_GET)
+            await front.arrived(1)
+            reader, second = await front.connect()
+            second.write(_GET)
+            head, _ = await _read_answer(reader)
+            assert 'X-Parsleystile-Outcome: not-run' in head
+            assert len(front.seen) == 1
+            first.close()
+            second.close()
+
+    asyncutil.run(body())
+
+
+def test_head_and_204_have_no_body():
+    async def body():
+        async with _open() as front:
+            reader, writer = await front.connect()
+            writer.write(_GET.replace(b'GET', b'HEAD'))
+            answer = exchanges.Answer(200, ['Content-Length', '7'], b'')
+            (await front.arrived(1)).finish(answer)
+            head = await reader.readuntil(b'\r\n\r\n')
+            assert b'Content-Length: 7' in head
+            writer.write(_GET)
+            (await front.arrived(2)).finish(exchanges.Answer(204, [], b''))
+            head, got = await _read_answer(reader)
+            assert head.startswith('HTTP/1.1 204')
+            assert got == b''
+            writer.close()
+
+    asyncutil.run(body())
--- a/tests/test_operate.py
+++ b/tests/test_operate.py
@@ -208,6 +208,13 @@
     assert len(fleet.changes[0]['change']['digest']) == 64
 
 
+def test_a_key_for_programs_is_a_field_of_the_one_document(fleet, capsys):
+    assert cli.main(['key', 'issue', 'homes', '--json']) == _CODE.ACCEPTED
+    document = json.loads(capsys.readouterr().out)
+    assert len(document['key']) > 40
+    assert document['domains']
+
+
 def test_a_key_of_unknown_fate_is_shown_too(fleet, capsys, monkeypatch):
     monkeypatch.setattr('parsleystile.operate.RETRY_PAUSE_MS', 1)
     fleet.outcomes = [None] * 9
