--- /dev/null
+++ b/src/parsleystile/_linkends.py
@@ -0,0 +1,375 @@
+"""The two ends of a link: bytes in, messages out.
+
+Both prove with a keyed hash over two nonces that they hold the fleet secret
+before any other frame passes. Answers are matched by call id.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import hashlib
+import hmac
+import itertools
+import secrets
+import socket
+import typing
+
+from parsleystile import errors
+from parsleystile.gen import ttypes
+from parsleystile import ids
+from parsleystile import logevents
+from parsleystile import logs
+from parsleystile import metrics as metric
+from parsleystile import transport
+from parsleystile import wire
+
+_NONCE_BYTES = 16
+# Unacknowledged bytes for this long close a half-open connection.
+_TCP_USER_TIMEOUT_MS = 3000
+_KEEPALIVE_IDLE_S = 2
+_MAX_QUEUED_CALLS = 4096
+# Bytes that wait in the socket buffer of a peer that does not read.
+_MAX_BUFFERED_BYTES = 8 * 1_048_576
+
+CallHandler = typing.Callable[
+    [ttypes.Call, typing.Callable[[ttypes.Answer], None]],
+    transport.PendingCall | None,
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkSettings:
+    """What every link of a node needs.
+
+    Attributes:
+        secret: Shared by all nodes of the fleet.
+        max_frame_bytes: Longest frame that either end accepts.
+    """
+
+    node_id: ids.NodeId
+    secret: bytes
+    max_frame_bytes: int
+
+
+def _proof(
+    secret: bytes, role: bytes, client_nonce: bytes, server_nonce: bytes
+) -> bytes:
+    text = role + client_nonce + server_nonce
+    return hmac.digest(secret, text, hashlib.sha256)
+
+
+class Connection(asyncio.Protocol):
+    """Bytes in, messages out; common to both ends."""
+
+    def __init__(
+        self, settings: LinkSettings, metrics: metric.Metrics
+    ) -> None:
+        self._settings = settings
+        self._metrics = metrics
+        self._decoder = wire.FrameDecoder(settings.max_frame_bytes)
+        self._transport: asyncio.Transport | None = None
+        self._nonce = secrets.token_bytes(_NONCE_BYTES)
+        self.is_ready = False
+
+    def connection_made(self, transport_: asyncio.BaseTransport) -> None:
+        self._transport = typing.cast(asyncio.Transport, transport_)
+        sock = self._transport.get_extra_info('socket')
+        if sock is not None:
+            _set_socket_options(sock)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            for message in self._decoder.feed(data):
+                self._receive(message)
+        except errors.FrameError as exc:
+            self._metrics.incr('link.frame_errors')
+            peer = self._transport.get_extra_info('peername')
+            logs.event(logevents.PeerRejected(address=str(peer), why=str(exc)))
+            self.close()
+
+    def _receive(self, message: wire.Message) -> None:
+        if self.is_ready:
+            self.on_message(message)
+        elif isinstance(message, ttypes.Hello):
+            self.on_hello(message)
+        else:
+            raise errors.FrameError('message before the handshake ended')
+
+    def send(self, kind: wire.FrameKind, message: wire.Message) -> bool:
+        """Write a frame; False if the connection cannot take it."""
+        channel = self._transport
+        if channel is None or channel.is_closing():
+            return False
+        if channel.get_write_buffer_size() > _MAX_BUFFERED_BYTES:
+            self._metrics.incr('link.overflows')
+            self.close()
+            return False
+        channel.write(wire.encode(kind, message))
+        return True
+
+    def close(self) -> None:
+        """Close the connection at once; queued bytes are dropped."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def finish(self) -> None:
+        """Close the connection once all queued bytes are written."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def on_hello(self, hello: ttypes.Hello) -> None:
+        raise NotImplementedError
+
+    def on_message(self, message: wire.Message) -> None:
+        raise NotImplementedError
+
+
+def _set_socket_options(sock: socket.socket) -> None:
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS
+    )
+
+
+class ServerLink(Connection):
+    """The accepting end: serves calls and control requests."""
+
+    def __init__(
+        self,
+        settings: LinkSettings,
+        metrics: metric.Metrics,
+        on_call: CallHandler,
+        controls: dict[str, transport.ControlHandler],
+        on_open: typing.Callable[['ServerLink'], None],
+        on_close: typing.Callable[['ServerLink'], None],
+    ) -> None:
+        super().__init__(settings, metrics)
+        self._on_call = on_call
+        self._controls = controls
+        self._on_open = on_open
+        self._on_close = on_close
+        self._client_nonce = b''
+        self._pending: dict[int, transport.PendingCall] = {}
+
+    def connection_made(self, transport_: asyncio.BaseTransport) -> None:
+        super().connection_made(transport_)
+        self._on_open(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._on_close(self)
+        # The callers are gone: nobody can take these answers.
+        for pending in list(self._pending.values()):
+            pending.cancel()
+        self._pending.clear()
+
+    def on_hello(self, hello: ttypes.Hello) -> None:
+        secret = self._settings.secret
+        if not self._client_nonce:
+            if len(hello.nonce) != _NONCE_BYTES:
+                raise errors.FrameError('nonce of wrong length')
+            self._client_nonce = hello.nonce
+            proof = _proof(secret, b'server', hello.nonce, self._nonce)
+            answer = ttypes.Hello(self._settings.node_id, self._nonce, proof)
+            self.send(wire.FrameKind.HELLO, answer)
+            return
+        want = _proof(secret, b'client', self._client_nonce, self._nonce)
+        if not hmac.compare_digest(want, hello.proof):
+            self._metrics.incr('link.rejected_proofs')
+            raise errors.FrameError('proof of the fleet secret is wrong')
+        self.is_ready = True
+
+    def on_message(self, message: wire.Message) -> None:
+        match message:
+            case ttypes.Call():
+                self._serve_call(message)
+            case ttypes.Cancel():
+                pending = self._pending.pop(message.call_id, None)
+                if pending is not None:
+                    pending.cancel()
+            case ttypes.Control(is_reply=False):
+                self._serve_control(message)
+            case _:
+                raise errors.FrameError('a client sent a server message')
+
+    def _serve_call(self, call: ttypes.Call) -> None:
+        call_id = call.call_id
+        if call_id in self._pending:
+            raise errors.FrameError(f'call id {call_id} used twice')
+        answered = False
+
+        def on_answer(answer: ttypes.Answer) -> None:
+            nonlocal answered
+            answered = True
+            self._pending.pop(call_id, None)
+            answer.call_id = call_id
+            self.send(wire.FrameKind.ANSWER, answer)
+
+        pending = self._on_call(call, on_answer)
+        if pending is not None and not answered:
+            self._pending[call_id] = pending
+
+    def _serve_control(self, request: ttypes.Control) -> None:
+        handler = self._controls.get(request.kind)
+        if handler is None:
+            raise errors.FrameError(f'unknown control kind {request.kind!r}')
+
+        def reply(payload: bytes) -> None:
+            message = ttypes.Control(request.request_id, True, '', payload)
+            self.send(wire.FrameKind.CONTROL, message)
+
+        handler(request.payload, reply)
+
+    @property
+    def pending_count(self) -> int:
+        """Calls taken from this peer and not yet answered."""
+        return len(self._pending)
+
+
+class _Pending(transport.PendingCall):
+    __slots__ = ('_link', 'call_id', 'on_answer')
+
+    def __init__(
+        self, link: 'ClientLink', call_id: int, on_answer: transport.OnAnswer
+    ) -> None:
+        self._link = link
+        self.call_id = call_id
+        self.on_answer = on_answer
+
+    def cancel(self) -> None:
+        self._link.cancel(self.call_id)
+
+
+class ClientLink(Connection):
+    """The connecting end: sends calls and control requests."""
+
+    def __init__(
+        self,
+        settings: LinkSettings,
+        metrics: metric.Metrics,
+        on_close: typing.Callable[[], None],
+    ) -> None:
+        super().__init__(settings, metrics)
+        self._on_close = on_close
+        self._closed = False
+        self._ids = itertools.count(1)
+        self._calls: dict[int, _Pending] = {}
+        self._controls: dict[int, transport.OnControl] = {}
+        # Calls that came before the handshake ended; none of their bytes
+        # has left, so on failure they are NOT_RUN.
+        self._queue: collections.OrderedDict[int, ttypes.Call] = (
+            collections.OrderedDict()
+        )
+        self._control_queue: list[ttypes.Control] = []
+
+    def connection_made(self, transport_: asyncio.BaseTransport) -> None:
+        super().connection_made(transport_)
+        hello = ttypes.Hello(self._settings.node_id, self._nonce, b'')
+        self.send(wire.FrameKind.HELLO, hello)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.fail(f'link lost: {exc or "closed by peer"}')
+
+    def fail(self, why: str) -> None:
+        """Answer everything outstanding; the link is of no more use."""
+        if self._closed:
+            return
+        self._closed = True
+        self._on_close()
+        calls, self._calls = self._calls, {}
+        for call_id, pending in calls.items():
+            if call_id in self._queue:
+                refusal = errors.not_run(errors.Reason.UNREACHABLE, why)
+            else:
+                refusal = errors.unknown(errors.Reason.LINK_LOST, why)
+            pending.on_answer(refusal)
+        self._queue.clear()
+        controls, self._controls = self._controls, {}
+        for on_reply in controls.values():
+            on_reply(errors.unknown(errors.Reason.LINK_LOST, why))
+
+    def on_hello(self, hello: ttypes.Hello) -> None:
+        secret = self._settings.secret
+        want = _proof(secret, b'server', self._nonce, hello.nonce)
+        if not hmac.compare_digest(want, hello.proof):
+            self._metrics.incr('link.rejected_proofs')
+            raise errors.FrameError('proof of the fleet secret is wrong')
+        proof = _proof(secret, b'client', self._nonce, hello.nonce)
+        answer = ttypes.Hello(self._settings.node_id, self._nonce, proof)
+        self.send(wire.FrameKind.HELLO, answer)
+        self.is_ready = True
+        queue, self._queue = self._queue, collections.OrderedDict()
+        for call in queue.values():
+            self.send(wire.FrameKind.CALL, call)
+        for control in self._control_queue:
+            self.send(wire.FrameKind.CONTROL, control)
+        self._control_queue.clear()
+
+    def on_message(self, message: wire.Message) -> None:
+        match message:
+            case ttypes.Answer():
+                pending = self._calls.pop(message.call_id, None)
+                if pending is None:
+                    # Late: the caller has given up on it.
+                    self._metrics.incr('link.late_answers')
+                else:
+                    pending.on_answer(message)
+            case ttypes.Control(is_reply=True):
+                on_reply = self._controls.pop(message.request_id, None)
+                if on_reply is not None:
+                    on_reply(message.payload)
+            case _:
+                raise errors.FrameError('a server sent a client message')
+
+    def call(
+        self, call: ttypes.Call, on_answer: transport.OnAnswer
+    ) -> transport.PendingCall:
+        call_id = next(self._ids)
+        call.call_id = call_id
+        pending = _Pending(self, call_id, on_answer)
+        if self._closed or len(self._queue) >= _MAX_QUEUED_CALLS:
+            refusal = errors.not_run(
+                errors.Reason.UNREACHABLE, 'link is closed or full'
+            )
+            asyncio.get_running_loop().call_soon(on_answer, refusal)
+            return pending
+        self._calls[call_id] = pending
+        if not self.is_ready:
+            self._queue[call_id] = call
+        elif not self.send(wire.FrameKind.CALL, call):
+            del self._calls[call_id]
+            refusal = errors.not_run(
+                errors.Reason.UNREACHABLE, 'link is closing'
+            )
+            asyncio.get_running_loop().call_soon(on_answer, refusal)
+        return pending
+
+    def cancel(self, call_id: int) -> None:
+        """Forget a call and tell the other end, if it was sent."""
+        if self._calls.pop(call_id, None) is None:
+            return
+        if self._queue.pop(call_id, None) is None and self.is_ready:
+            self.send(wire.FrameKind.CANCEL, ttypes.Cancel(call_id))
+
+    def control(
+        self, kind: str, payload: bytes, on_reply: transport.OnControl
+    ) -> int:
+        request_id = next(self._ids)
+        if self._closed:
+            refusal = errors.not_run(errors.Reason.UNREACHABLE, 'link closed')
+            asyncio.get_running_loop().call_soon(on_reply, refusal)
+            return request_id
+        self._controls[request_id] = on_reply
+        message = ttypes.Control(request_id, False, kind, payload)
+        if self.is_ready:
+            self.send(wire.FrameKind.CONTROL, message)
+        else:
+            self._control_queue.append(message)
+        return request_id
+
+    def expire_control(self, request_id: int) -> None:
+        """Answer a control request that took too long."""
+        on_reply = self._controls.pop(request_id, None)
+        if on_reply is not None:
+            on_reply(errors.unknown(errors.Reason.DEADLINE, 'no reply'))
