--- a/bench/latency.py
+++ b/bench/latency.py
@@ -30,7 +30,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Way:
+class Way:
     """One way to reach the head of the chain."""
 
     name: str
@@ -57,6 +57,7 @@
         return spent_ns
 
     def at_ms(self, percentile: float) -> float:
+        """Return a percentile of the times taken."""
         return self.latencies.get_value_at_percentile(percentile) / _NS_PER_MS
 
 
@@ -118,7 +119,7 @@
     return direct[0], front
 
 
-def _start_ours(fleet: processes.Fleet, length: int) -> int:
+def start_ours(fleet: processes.Fleet, length: int) -> int:
     """Start the chain with nodes; return a port of an ingress."""
     fleet.start_table()
     fleet.write_config(chain_config(fleet.secret, length, _KEY))
@@ -133,13 +134,14 @@
     return entry.caller_port
 
 
-def _cpu_s(pid: int) -> float:
+def cpu_s(pid: int) -> float:
+    """Return the processor time that a process has used."""
     stat = pathlib.Path(f'/proc/{pid}/stat').read_text()
     fields = stat.rpartition(')')[2].split()
     return (int(fields[11]) + int(fields[12])) / _CLOCK_TICKS_PER_S
 
 
-def _measure(ways: list[_Way], calls: int) -> None:
+def _measure(ways: list[Way], calls: int) -> None:
     for way in ways:
         for _ in range(WARM_UP_CALLS):
             way.call()
@@ -152,7 +154,9 @@
             time.sleep(max(0.0, next_s - time.monotonic()))
 
 
-def _wait_ready(way: _Way) -> None:
+def wait_ready(way: Way) -> None:
+    """Wait until calls by a way are answered."""
+
     def answers() -> bool:
         try:
             way.call()
@@ -167,24 +171,24 @@
 def _run_chain(length: int) -> typing.Iterator[bench.Result]:
     with processes.Fleet() as fleet:
         direct_port, relay_port = _start_plain(fleet, length)
-        entry_port = _start_ours(fleet, length)
+        entry_port = start_ours(fleet, length)
         ways = [
-            _Way('direct', direct_port, {}),
-            _Way('relay', relay_port, {}),
-            _Way('ours', entry_port, {'X-Api-Key': _KEY}),
+            Way('direct', direct_port, {}),
+            Way('relay', relay_port, {}),
+            Way('ours', entry_port, {'X-Api-Key': _KEY}),
         ]
         for way in ways:
-            _wait_ready(way)
+            wait_ready(way)
         nodes = [n.process.pid for n in fleet.nodes.values()]
-        before_s = sum(map(_cpu_s, nodes))
+        before_s = sum(map(cpu_s, nodes))
         _measure(ways, CALLS[length])
-        spent_s = sum(map(_cpu_s, nodes)) - before_s
+        spent_s = sum(map(cpu_s, nodes)) - before_s
     calls = CALLS[length] + WARM_UP_CALLS
     yield from _report(length, ways, 1000 * spent_s / calls)
 
 
 def _report(
-    length: int, ways: list[_Way], cpu_ms: float
+    length: int, ways: list[Way], cpu_ms: float
 ) -> typing.Iterator[bench.Result]:
     direct, relay, ours = ways
     head = f'latency.chain{length}'
--- a/src/parsleystile/daemon.py
+++ b/src/parsleystile/daemon.py
@@ -1,6 +1,7 @@
 """The process around a node: sockets, timers, signals."""
 
 import asyncio
+import gc
 import pathlib
 import random
 import secrets
@@ -39,6 +40,9 @@
 # The target beside a node is reached over the loopback interface only.
 _LOOPBACK = '127.0.0.1'
 _SWEEP_PERIOD_MS = 1000.0
+_GC_ALLOCATIONS = 5_000
+_GC_GENERATION_1 = 20
+_GC_GENERATION_2 = 50
 
 
 class Daemon:
@@ -135,7 +139,7 @@
             listeners.host, listeners.operator_port
         )
         self._ticker.every(membership.TICK_MS, self._tick)
-        self._tick_node()
+        self._ticker.every(nodes.IDLE_TICK_MS, self.node.tick)
         self._ticker.every(nodes.WATCH_PERIOD_MS, self._watch_target)
         self._watcher = watcher.watcher(self.node.view, logs.event)
         self._ticker.every(watcher.LOOK_PERIOD_MS, self._watcher.tick)
@@ -254,10 +258,6 @@
         self.node.refresh_members()
         self._planned_stop.tick()
 
-    def _tick_node(self) -> None:
-        self.node.tick()
-        self._ticker.after(self.node.tick_period_ms, self._tick_node)
-
     def _watch_target(self) -> None:
         self.node.handle_target(targetwatch.Tick())
 
@@ -290,9 +290,18 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, daemon.stop)
+    _tame_collector()
     await daemon.run()
 
 
+def _tame_collector() -> None:
+    # What was imported lives as long as the process: looking it over again
+    # and again stops every call for milliseconds.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(_GC_ALLOCATIONS, _GC_GENERATION_1, _GC_GENERATION_2)
+
+
 def run(settings: node_settings.NodeSettings) -> None:
     """Run a node until SIGTERM or SIGINT."""
     asyncio.run(_main(settings))
--- a/src/parsleystile/ingress.py
+++ b/src/parsleystile/ingress.py
@@ -11,15 +11,13 @@
 from parsleystile import metrics as metric
 from parsleystile import observer
 
+OnTake = typing.Callable[[errors.Refusal | None], None]
+Send = typing.Callable[[exchanges.Exchange], None]
 # Takes one request from an organisation's rate; calls back with a refusal
 # or None, at once where that is possible.
-TakeQuota = typing.Callable[
-    [ids.OrganisationId, typing.Callable[[errors.Refusal | None], None]], None
-]
+TakeQuota = typing.Callable[[ids.OrganisationId, OnTake], None]
 # Claims a keyed call before it is sent; calls the function to send it.
-Claim = typing.Callable[
-    [exchanges.Exchange, typing.Callable[[exchanges.Exchange], None]], None
-]
+Claim = typing.Callable[[exchanges.Exchange, Send], None]
 
 
 class Ingress:
--- a/src/parsleystile/node.py
+++ b/src/parsleystile/node.py
@@ -10,6 +10,7 @@
 from parsleystile import dispatcher
 from parsleystile import egress
 from parsleystile import errors
+from parsleystile import exchange as exchanges
 from parsleystile import filters
 from parsleystile import fleetconfig
 from parsleystile import guard
@@ -84,6 +85,7 @@
         self._watch = targetwatch.target_watch()
         self._seen_members = -1
         self._is_leaving = False
+        self._is_tick_due = False
         self._services: frozenset[ids.ServiceName] = frozenset()
         self.membership = membership.membership(_first_self(env), env.rng)
         calls = inflight.calls_in_flight(env.make_token)
@@ -152,15 +154,15 @@
         self.ingress = ingress.ingress(
             rules,
             sender,
-            self.quota.take,
-            self.claims.claim_exchange,
+            self._take_quota,
+            self._claim,
             env.metrics,
             env.observed,
         )
         self.egress = egress.egress(
             rules,
             sender,
-            self.claims.claim_exchange,
+            self._claim,
             self.handle_target,
             env.metrics,
             env.observed,
@@ -212,18 +214,36 @@
         """Calls that wait or run at this node's target."""
         return self.guard.in_flight
 
-    @property
-    def tick_period_ms(self) -> float:
-        """When to tick next, counted from the last tick."""
-        if self.quota.is_busy or self.claims.is_busy:
-            return BUSY_TICK_MS
-        return IDLE_TICK_MS
-
     def tick(self) -> None:
-        """Do what time has made due; wanted every ``tick_period_ms``."""
+        """Do what time has made due; wanted every ``IDLE_TICK_MS``."""
         now_ms = self._env.clock.now_ms()
         self.quota.tick(now_ms)
         self.claims.tick(now_ms)
+        self._tick_soon_if_busy()
+
+    def _tick_soon_if_busy(self) -> None:
+        # Calls that wait for a grant or a claim need finer ticks than an
+        # idle node can afford.
+        if self._is_tick_due:
+            return
+        if self.quota.is_busy or self.claims.is_busy:
+            self._is_tick_due = True
+            due_ms = self._env.clock.now_ms() + BUSY_TICK_MS
+            self._env.wheel.add(due_ms, self._busy_tick)
+
+    def _busy_tick(self) -> None:
+        self._is_tick_due = False
+        self.tick()
+
+    def _take_quota(
+        self, organisation: ids.OrganisationId, on_take: ingress.OnTake
+    ) -> None:
+        self.quota.take(organisation, on_take)
+        self._tick_soon_if_busy()
+
+    def _claim(self, exchange: exchanges.Exchange, send: ingress.Send) -> None:
+        self.claims.claim_exchange(exchange, send)
+        self._tick_soon_if_busy()
 
     async def hand_back(self) -> None:
         """Give up grants and leases, so that others need not wait."""
--- a/src/parsleystile/ticker.py
+++ b/src/parsleystile/ticker.py
@@ -31,12 +31,6 @@
 
         self.wheel.add(self._clock.now_ms() + period_ms, fire)
 
-    def after(
-        self, delay_ms: float, callback: typing.Callable[[], None]
-    ) -> None:
-        """Call ``callback`` once, ``delay_ms`` from now."""
-        self.wheel.add(self._clock.now_ms() + delay_ms, callback)
-
     def close(self) -> None:
         """Stop; no callback comes any more."""
         self._closed = True
