--- a/src/parsleystile/claimhome.py
+++ b/src/parsleystile/claimhome.py
@@ -86,6 +86,11 @@
             plan, node_id, failure_domain, rng, now_ms
         )
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether claims wait here until deputies hold them."""
+        return bool(self._pending)
+
     @property
     def claims(self) -> int:
         """Keys remembered here as home."""
@@ -179,10 +184,10 @@
         if shard is None:
             return claimwire.SettleReply(False)
         entry = shard.store.find(settle.key, now_ms)
-        if entry is not None and entry.root_id == settle.root_id:
+        if entry is not None and entry.claim_id == settle.claim_id:
             entry = claimwire.Entry(
                 entry.key,
-                entry.root_id,
+                entry.claim_id,
                 entry.fingerprint,
                 entry.lasts_ms,
                 settle.state,
@@ -210,7 +215,7 @@
             respond(claimwire.ClaimReply(Result.NO_COPY))
             return
         entry = claimwire.Entry(
-            ask.key, ask.root_id, ask.fingerprint, ask.lasts_ms
+            ask.key, ask.claim_id, ask.fingerprint, ask.lasts_ms
         )
         shard.store.put(entry, now_ms)
         if not channels:
@@ -259,7 +264,7 @@
     def _join(
         pending: _Pending, ask: claimwire.ClaimAsk, respond: Respond
     ) -> None:
-        if ask.root_id == pending.entry.root_id:
+        if ask.claim_id == pending.entry.claim_id:
             pending.responds.append(respond)
         else:
             respond(_to_reply(pending.entry, ask))
@@ -351,7 +356,7 @@
     if entry.fingerprint != ask.fingerprint:
         return claimwire.ClaimReply(Result.MISMATCH)
     is_running = entry.state is claimwire.ClaimState.RUNNING
-    if is_running and entry.root_id == ask.root_id:
+    if is_running and entry.claim_id == ask.claim_id:
         # The claimant did not hear the first reply.
         return claimwire.ClaimReply(Result.PROCEED)
     return claimwire.ClaimReply(_STATE_RESULTS[entry.state], entry.answer)
--- a/src/parsleystile/idempotencyservice.py
+++ b/src/parsleystile/idempotencyservice.py
@@ -1,7 +1,7 @@
 """Runs claims on idempotency keys on a node's transport, table and clock."""
 
+import asyncio
 import functools
-import hashlib
 import random
 import typing
 
@@ -20,6 +20,7 @@
 from parsleystile import logs
 from parsleystile import members as member_types
 from parsleystile import metrics as metric
+from parsleystile import ownermaps
 from parsleystile import ownership
 from parsleystile import promiseservice
 from parsleystile import settings as node_settings
@@ -31,6 +32,7 @@
 _MEMBERS_MS = 200.0
 _MEMBERS_MS_EACH = 1.0
 _GAUGE_MS = 5_000.0
+_RELEASED_TIMEOUT_MS = 300.0
 
 _T = typing.TypeVar('_T')
 Send = typing.Callable[[exchanges.Exchange], None]
@@ -56,6 +58,7 @@
         self._node_id = identity.node_id
         self._clock = clock
         self._network = network
+        self._rng = rng
         self._metrics = metrics
         self._get_members = get_members
         self._promises = promises
@@ -71,7 +74,11 @@
         network.handle_control(claimwire.CLAIM_KIND, self._on_claim)
         network.handle_control(claimwire.SETTLE_KIND, self._on_settle)
         network.handle_control(claimwire.COPY_KIND, self._on_copy)
+        network.handle_control(claimwire.RELEASED_KIND, self._on_released)
         promises.serve(claimwire.LEASE_PREFIX, self.home.ownership)
+        self._map = ownermaps.owner_map(
+            self.home.ownership, network, clock, rng
+        )
 
     def claim(
         self,
@@ -89,7 +96,7 @@
             organisation: Keys of two organisations are never the same.
             route_id: Nor are keys on two routes.
             key: As the caller sent it.
-            root_id: Names this call.
+            root_id: Root request that the call belongs to.
             fingerprint: Digest of the request.
             deadline_ms: When the call has surely ended.
             on_claim: Gets the decision.
@@ -97,7 +104,8 @@
         now_ms = self._clock.now_ms()
         ask = idempotency.claim_ask(
             claimwire.ClaimKey(organisation, route_id, key),
-            root_id,
+            # Two calls below one root request must not pass for one.
+            ids.ClaimId(f'{root_id}/{self._rng.getrandbits(64):016x}'),
             fingerprint,
             deadline_ms - now_ms,
         )
@@ -146,16 +154,24 @@
             exchange.route_id,
             exchange.idempotency_key,
             context.root_id,
-            fingerprint_of(exchange),
+            idempotency.fingerprint_of(
+                exchange.method, exchange.path, exchange.body
+            ),
             context.deadline_ms,
             on_claim,
         )
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether calls wait, so that ticks must not be far apart."""
+        return bool(self.client.open_count) or self.home.is_waiting
+
     def tick(self, now_ms: float) -> None:
         """Do what time has made due; wanted every ``TICK_MS``."""
         if now_ms >= self._next_members_ms:
             self._take_members(now_ms)
         self._perform(self.home.tick(now_ms))
+        self._map.tick(self._addresses.values(), now_ms)
         self._lease_log.observe(self.home.ownership, now_ms)
         self._perform(self.client.tick(now_ms))
         if now_ms >= self._next_gauge_ms:
@@ -164,8 +180,36 @@
 
     async def stop(self) -> None:
         """Give up every shard; the deputies hold the claims."""
+        deputies = self.home.ownership.lease.deputies
         self._perform(self.home.stop(self._clock.now_ms()))
         await self._runner.drain()
+        told = [self._tell_released(deputy) for deputy in deputies]
+        await asyncio.gather(*told)
+
+    def _tell_released(self, deputy: ids.NodeId) -> asyncio.Future[None]:
+        """Spare a deputy the time until it reads the table by itself."""
+        heard = asyncio.get_running_loop().create_future()
+
+        def on_reply(reply: bytes | errors.Refusal) -> None:
+            if not heard.done():
+                heard.set_result(None)
+
+        address = self._addresses.get(deputy)
+        if address is None:
+            heard.set_result(None)
+        else:
+            self._network.control(
+                address,
+                claimwire.RELEASED_KIND,
+                b'',
+                _RELEASED_TIMEOUT_MS,
+                on_reply,
+            )
+        return heard
+
+    def _on_released(self, payload: bytes, reply: Reply) -> None:
+        self.home.ownership.rescan_now(self._clock.now_ms())
+        reply(b'')
 
     def _proceed(
         self,
@@ -328,16 +372,6 @@
         reply(msgspec.msgpack.encode(held))
 
 
-def fingerprint_of(exchange: exchanges.Exchange) -> str:
-    """Return a digest of what makes two requests the same."""
-    digest = hashlib.blake2b(digest_size=16)
-    digest.update(
-        f'{exchange.method} {exchange.path}\0'.encode(errors='replace')
-    )
-    digest.update(exchange.body)
-    return digest.hexdigest()
-
-
 def idempotency_service(
     identity: node_settings.Identity,
     clock: clocks.Clock,
--- a/src/parsleystile/node.py
+++ b/src/parsleystile/node.py
@@ -10,6 +10,7 @@
 from parsleystile import dispatcher
 from parsleystile import egress
 from parsleystile import errors
+from parsleystile import exchange as exchanges
 from parsleystile import filters
 from parsleystile import fleetconfig
 from parsleystile import guard
@@ -34,7 +35,9 @@
 from parsleystile import watcher
 
 WATCH_PERIOD_MS = 500.0
-TICK_PERIOD_MS = 20.0
+# Between ticks while calls wait for a grant or a claim, and while none do.
+BUSY_TICK_MS = 20.0
+IDLE_TICK_MS = 100.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,7 +75,7 @@
         membership: Who is in the fleet.
         key_ring: Whose key a caller shows.
         quota: Rate and burst of organisations across the fleet.
-        idempotency: Lets calls with an idempotency key run at most once.
+        claims: Runs calls with an idempotency key at most once.
     """
 
     def __init__(self, env: Environment) -> None:
@@ -82,6 +85,7 @@
         self._watch = targetwatch.target_watch()
         self._seen_members = -1
         self._is_leaving = False
+        self._is_tick_due = False
         self._services: frozenset[ids.ServiceName] = frozenset()
         self.membership = membership.membership(_first_self(env), env.rng)
         calls = inflight.calls_in_flight(env.make_token)
@@ -137,7 +141,7 @@
             self._all_members,
             promises,
         )
-        self.idempotency = idempotencyservice.idempotency_service(
+        self.claims = idempotencyservice.idempotency_service(
             identity,
             env.clock,
             env.rng,
@@ -150,15 +154,15 @@
         self.ingress = ingress.ingress(
             rules,
             sender,
-            self.quota.take,
-            self.idempotency.claim_exchange,
+            self._take_quota,
+            self._claim,
             env.metrics,
             env.observed,
         )
         self.egress = egress.egress(
             rules,
             sender,
-            self.idempotency.claim_exchange,
+            self._claim,
             self.handle_target,
             env.metrics,
             env.observed,
@@ -189,8 +193,6 @@
     def view(self) -> watcher.View:
         """Return the state that is logged when it changes."""
         return watcher.View(
-            config=self._config,
-            everyone=self._all_members(),
             service=self.guard.service,
             slots=self.membership.me.slots,
             limit=self.guard.load().limit,
@@ -213,15 +215,40 @@
         return self.guard.in_flight
 
     def tick(self) -> None:
-        """Do what time has made due; wanted every ``TICK_PERIOD_MS``."""
+        """Do what time has made due; wanted every ``IDLE_TICK_MS``."""
         now_ms = self._env.clock.now_ms()
         self.quota.tick(now_ms)
-        self.idempotency.tick(now_ms)
+        self.claims.tick(now_ms)
+        self._tick_soon_if_busy()
+
+    def _tick_soon_if_busy(self) -> None:
+        # Calls that wait for a grant or a claim need finer ticks than an
+        # idle node can afford.
+        if self._is_tick_due:
+            return
+        if self.quota.is_busy or self.claims.is_busy:
+            self._is_tick_due = True
+            due_ms = self._env.clock.now_ms() + BUSY_TICK_MS
+            self._env.wheel.add(due_ms, self._busy_tick)
+
+    def _busy_tick(self) -> None:
+        self._is_tick_due = False
+        self.tick()
+
+    def _take_quota(
+        self, organisation: ids.OrganisationId, on_take: ingress.OnTake
+    ) -> None:
+        self.quota.take(organisation, on_take)
+        self._tick_soon_if_busy()
+
+    def _claim(self, exchange: exchanges.Exchange, send: ingress.Send) -> None:
+        self.claims.claim_exchange(exchange, send)
+        self._tick_soon_if_busy()
 
     async def hand_back(self) -> None:
         """Give up grants and leases, so that others need not wait."""
         await self.quota.stop()
-        await self.idempotency.stop()
+        await self.claims.stop()
 
     def _all_members(self) -> list[members.Member]:
         # The same object until members change: readers may compare it.
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -40,10 +40,10 @@
         self.runs = {}
         self.decisions = []
 
-    def call(self, index, key, result=_ANSWER, fingerprint='f'):
+    def call(self, index, key, result=_ANSWER, fingerprint='f', root_id=None):
         """Send a keyed call; ``result`` is settled if it is let run."""
         service = self.world.services[index]
-        root_id = f'root{len(self.decisions)}'
+        root_id = root_id or f'root{len(self.decisions)}'
         slot = len(self.decisions)
         self.decisions.append(None)
 
@@ -135,6 +135,16 @@
     _run(body)
 
 
+def test_two_calls_below_one_root_request_are_not_one():
+    async def body(world, callers):
+        for _ in range(2):
+            callers.call(0, 'k', None, root_id='root')
+            await world.run(100.0)
+        assert callers.runs == {'k': 1}
+
+    _run(body)
+
+
 def test_a_key_of_another_request_is_refused_as_unknown():
     async def body(world, callers):
         callers.call(0, 'k')
@@ -215,12 +225,14 @@
         callers.call(0, 'k')
         await world.run(200.0)
         home = _home_of(world, 'k')
-        await world.services[home].stop()
+        stopping = asyncio.create_task(world.services[home].stop())
+        await world.run(100.0)
+        await stopping
         world.kill(home)
-        await world.run(4_000.0)
+        await world.run(400.0)
         callers.call((home + 1) % 3, 'k')
         callers.call((home + 1) % 3, 'new')
-        await world.run(200.0)
+        await world.run(600.0)
         assert isinstance(callers.decisions[1], idempotency.Replay)
         assert callers.runs == {'k': 1, 'new': 1}
 
@@ -291,7 +303,9 @@
             world.kill(index)
             world.start(index)
         case 'stop' if not link.is_dead and not link.is_paused:
-            await world.services[index].stop()
+            stopping = asyncio.create_task(world.services[index].stop())
+            await world.run(40.0)
+            stopping.cancel()
             world.kill(index)
             world.start(index)
         case 'pause':
