--- a/src/parsleystile/call_checks.py
+++ b/src/parsleystile/call_checks.py
@@ -1,4 +1,4 @@
-"""Checkers of the promises about single calls and their trees.
+"""Checkers of the invariants about single calls and their trees.
 
 Each is a pure function of a merged history and returns the violations that
 it found, by time. What callers and targets saw counts as evidence; what
@@ -11,8 +11,8 @@
 from parsleystile import errors
 from parsleystile import events
 from parsleystile import ids
-from parsleystile import promises
-from parsleystile.promises import Promise
+from parsleystile import invariants
+from parsleystile.invariants import Invariant
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,14 +42,14 @@
 
 def check_retries_bounded(
     history: events.History,
-    bounds: promises.Bounds = promises.DEFAULT_BOUNDS,
-) -> list[promises.Violation]:
+    bounds: invariants.Bounds = invariants.DEFAULT_BOUNDS,
+) -> list[invariants.Violation]:
     """No call runs more often than the allowance of its root permits."""
     del bounds
     return _amplified(history) + _overspent(history)
 
 
-def _amplified(history: events.History) -> list[promises.Violation]:
+def _amplified(history: events.History) -> list[invariants.Violation]:
     """Count executions by call path, as the targets saw them."""
     calls = _index(history)
     seen: collections.Counter[tuple[str, str]] = collections.Counter()
@@ -62,8 +62,8 @@
         seen[path] += 1
         if seen[path] > 1 + root.retry_allowance:
             found.append(
-                promises.Violation(
-                    Promise.RETRIES_BOUNDED,
+                invariants.Violation(
+                    Invariant.RETRIES_BOUNDED,
                     at.at_ms,
                     '/'.join(path),
                     f'execution {seen[path]} with an allowance of '
@@ -73,7 +73,7 @@
     return found
 
 
-def _overspent(history: events.History) -> list[promises.Violation]:
+def _overspent(history: events.History) -> list[invariants.Violation]:
     """Count the retries that nodes tell of, by root request."""
     allowance: dict[ids.RootId, int] = {}
     spent: collections.Counter[ids.RootId] = collections.Counter()
@@ -86,8 +86,8 @@
                 spent[root_id] += 1
                 if spent[root_id] > allowance.get(root_id, 0):
                     found.append(
-                        promises.Violation(
-                            Promise.RETRIES_BOUNDED,
+                        invariants.Violation(
+                            Invariant.RETRIES_BOUNDED,
                             at.at_ms,
                             root_id,
                             f'retry {spent[root_id]} with an allowance of '
@@ -99,8 +99,8 @@
 
 def check_organisation_isolated(
     history: events.History,
-    bounds: promises.Bounds = promises.DEFAULT_BOUNDS,
-) -> list[promises.Violation]:
+    bounds: invariants.Bounds = invariants.DEFAULT_BOUNDS,
+) -> list[invariants.Violation]:
     """A request runs only for the organisation whose key came with it."""
     del bounds
     calls = _index(history)
@@ -113,8 +113,8 @@
         problem = _isolation_problem(calls.root(at.event), at.event, acting)
         if problem:
             found.append(
-                promises.Violation(
-                    Promise.ORGANISATION_ISOLATED,
+                invariants.Violation(
+                    Invariant.ORGANISATION_ISOLATED,
                     at.at_ms,
                     at.event.request_id,
                     problem,
@@ -143,8 +143,8 @@
 
 def check_key_confidential(
     history: events.History,
-    bounds: promises.Bounds = promises.DEFAULT_BOUNDS,
-) -> list[promises.Violation]:
+    bounds: invariants.Bounds = invariants.DEFAULT_BOUNDS,
+) -> list[invariants.Violation]:
     """No target sees a caller's key, wherever in the request."""
     del bounds
     keys = {
@@ -156,8 +156,8 @@
     for at in events.of_kind(history, events.Executed):
         seen = '\n'.join((*at.event.headers, at.event.path, at.event.body))
         found += [
-            promises.Violation(
-                Promise.KEY_CONFIDENTIAL,
+            invariants.Violation(
+                Invariant.KEY_CONFIDENTIAL,
                 at.at_ms,
                 at.event.request_id,
                 f'target {at.event.target_id} saw key {key_id!r}',
@@ -170,8 +170,8 @@
 
 def check_answer_whole(
     history: events.History,
-    bounds: promises.Bounds = promises.DEFAULT_BOUNDS,
-) -> list[promises.Violation]:
+    bounds: invariants.Bounds = invariants.DEFAULT_BOUNDS,
+) -> list[invariants.Violation]:
     """An answer is one that a target gave to this request, and whole.
 
     A request with an idempotency key may get the answer that a target gave
@@ -201,8 +201,8 @@
         answered.add(at.event.request_id)
         if problem:
             found.append(
-                promises.Violation(
-                    Promise.ANSWER_WHOLE,
+                invariants.Violation(
+                    Invariant.ANSWER_WHOLE,
                     at.at_ms,
                     at.event.request_id,
                     problem,
@@ -213,14 +213,14 @@
 
 def check_not_run_true(
     history: events.History,
-    bounds: promises.Bounds = promises.DEFAULT_BOUNDS,
-) -> list[promises.Violation]:
+    bounds: invariants.Bounds = invariants.DEFAULT_BOUNDS,
+) -> list[invariants.Violation]:
     """A request told to be not run is run by no target, then or later."""
     del bounds
     executed = _index(history).executed
     return [
-        promises.Violation(
-            Promise.NOT_RUN_TRUE,
+        invariants.Violation(
+            Invariant.NOT_RUN_TRUE,
             at.at_ms,
             at.event.request_id,
             f'told not run ({at.event.reason.name}), but ran at '
@@ -234,8 +234,8 @@
 
 def check_at_most_once(
     history: events.History,
-    bounds: promises.Bounds = promises.DEFAULT_BOUNDS,
-) -> list[promises.Violation]:
+    bounds: invariants.Bounds = invariants.DEFAULT_BOUNDS,
+) -> list[invariants.Violation]:
     """A non-idempotent operation runs once, its callers' retries included."""
     del bounds
     calls = _index(history)
@@ -249,8 +249,8 @@
         runs[operation] += 1
         if runs[operation] > 1:
             found.append(
-                promises.Violation(
-                    Promise.AT_MOST_ONCE,
+                invariants.Violation(
+                    Invariant.AT_MOST_ONCE,
                     at.at_ms,
                     at.event.request_id,
                     f'execution {runs[operation]}, at {at.event.target_id}',
--- a/src/parsleystile/checks.py
+++ b/src/parsleystile/checks.py
@@ -1,4 +1,4 @@
-"""Checks a recorded history against everything that parsleystile promises.
+"""Checks a recorded history against everything that parsleystile invariants.
 
 Operators can run it on the records of a rehearsal; tests run it on every
 history that they make. A checker that finds nothing to judge in a history
@@ -11,37 +11,37 @@
 from parsleystile import call_checks
 from parsleystile import events
 from parsleystile import fleet_checks
+from parsleystile import invariants
+from parsleystile.invariants import Invariant
 from parsleystile import load_checks
-from parsleystile import promises
-from parsleystile.promises import Promise
 
 Checker = typing.Callable[
-    [events.History, promises.Bounds], list[promises.Violation]
+    [events.History, invariants.Bounds], list[invariants.Violation]
 ]
 
-CHECKERS: dict[Promise, Checker] = {
-    Promise.RETRIES_BOUNDED: call_checks.check_retries_bounded,
-    Promise.IMPORTANT_SHED_LAST: load_checks.check_important_shed_last,
-    Promise.ORGANISATION_ISOLATED: call_checks.check_organisation_isolated,
-    Promise.KEY_CONFIDENTIAL: call_checks.check_key_confidential,
-    Promise.KEY_WITHDRAWN: fleet_checks.check_key_withdrawn,
-    Promise.RATE_LIMITED: load_checks.check_rate_limited,
-    Promise.COLD_TARGET_SPARED: load_checks.check_cold_target_spared,
-    Promise.DOMAIN_OUT_IDLE: fleet_checks.check_domain_out_idle,
-    Promise.ANSWER_WHOLE: call_checks.check_answer_whole,
-    Promise.NOT_RUN_TRUE: call_checks.check_not_run_true,
-    Promise.AT_MOST_ONCE: call_checks.check_at_most_once,
-    Promise.LEAVING_TARGET_IDLE: fleet_checks.check_leaving_target_idle,
-    Promise.STOP_GRACEFUL: fleet_checks.check_stop_graceful,
-    Promise.CONFIG_DURABLE: fleet_checks.check_config_durable,
+CHECKERS: dict[Invariant, Checker] = {
+    Invariant.RETRIES_BOUNDED: call_checks.check_retries_bounded,
+    Invariant.IMPORTANT_SHED_LAST: load_checks.check_important_shed_last,
+    Invariant.ORGANISATION_ISOLATED: call_checks.check_organisation_isolated,
+    Invariant.KEY_CONFIDENTIAL: call_checks.check_key_confidential,
+    Invariant.KEY_WITHDRAWN: fleet_checks.check_key_withdrawn,
+    Invariant.RATE_LIMITED: load_checks.check_rate_limited,
+    Invariant.COLD_TARGET_SPARED: load_checks.check_cold_target_spared,
+    Invariant.DOMAIN_OUT_IDLE: fleet_checks.check_domain_out_idle,
+    Invariant.ANSWER_WHOLE: call_checks.check_answer_whole,
+    Invariant.NOT_RUN_TRUE: call_checks.check_not_run_true,
+    Invariant.AT_MOST_ONCE: call_checks.check_at_most_once,
+    Invariant.LEAVING_TARGET_IDLE: fleet_checks.check_leaving_target_idle,
+    Invariant.STOP_GRACEFUL: fleet_checks.check_stop_graceful,
+    Invariant.CONFIG_DURABLE: fleet_checks.check_config_durable,
 }
 
 
 def check(
     history: events.History,
-    bounds: promises.Bounds = promises.DEFAULT_BOUNDS,
-) -> list[promises.Violation]:
-    """Return every violation of every promise, by time."""
+    bounds: invariants.Bounds = invariants.DEFAULT_BOUNDS,
+) -> list[invariants.Violation]:
+    """Return every violation of every invariant, by time."""
     found = [
         violation
         for checker in CHECKERS.values()
--- a/src/parsleystile/fleet_checks.py
+++ b/src/parsleystile/fleet_checks.py
@@ -1,4 +1,4 @@
-"""Checkers of the promises about changes that must reach the whole fleet."""
+"""Checkers of the invariants about changes that must reach the whole fleet."""
 
 import dataclasses
 import math
@@ -6,8 +6,8 @@
 from parsleystile import errors
 from parsleystile import events
 from parsleystile import ids
-from parsleystile import promises
-from parsleystile.promises import Promise
+from parsleystile import invariants
+from parsleystile.invariants import Invariant
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,8 +48,8 @@
 
 def check_key_withdrawn(
     history: events.History,
-    bounds: promises.Bounds = promises.DEFAULT_BOUNDS,
-) -> list[promises.Violation]:
+    bounds: invariants.Bounds = invariants.DEFAULT_BOUNDS,
+) -> list[invariants.Violation]:
     """A withdrawn key lets nothing pass once its bound has gone by."""
     withdrawn_ms: dict[ids.KeyId, float] = {}
     late: dict[str, ids.KeyId] = {}
@@ -57,8 +57,8 @@
 
     def report(at: events.Occurrence, key_id: ids.KeyId, what: str) -> None:
         found.append(
-            promises.Violation(
-                Promise.KEY_WITHDRAWN,
+            invariants.Violation(
+                Invariant.KEY_WITHDRAWN,
                 at.at_ms,
                 key_id,
                 f'{what} {at.at_ms - withdrawn_ms[key_id]:.0f} ms after its '
@@ -87,8 +87,8 @@
 
 def check_domain_out_idle(
     history: events.History,
-    bounds: promises.Bounds = promises.DEFAULT_BOUNDS,
-) -> list[promises.Violation]:
+    bounds: invariants.Bounds = invariants.DEFAULT_BOUNDS,
+) -> list[invariants.Violation]:
     """Targets of a domain that is out get no new work."""
     domains: dict[ids.TargetId, ids.FailureDomainId] = {}
     out_ms: dict[ids.FailureDomainId, float] = {}
@@ -104,14 +104,14 @@
             case events.Executed(target_id=target_id):
                 since_ms = out_ms.get(domains.get(target_id), math.inf)
                 if at.at_ms > since_ms + bounds.domain_out_ms:
-                    found.append(_late_work(Promise.DOMAIN_OUT_IDLE, at))
+                    found.append(_late_work(Invariant.DOMAIN_OUT_IDLE, at))
     return found
 
 
 def check_leaving_target_idle(
     history: events.History,
-    bounds: promises.Bounds = promises.DEFAULT_BOUNDS,
-) -> list[promises.Violation]:
+    bounds: invariants.Bounds = invariants.DEFAULT_BOUNDS,
+) -> list[invariants.Violation]:
     """A target that is leaving gets no new work until it comes back."""
     leaving_ms: dict[ids.TargetId, float] = {}
     found = []
@@ -124,13 +124,15 @@
             case events.Executed(target_id=target_id):
                 since_ms = leaving_ms.get(target_id, math.inf)
                 if at.at_ms > since_ms + bounds.leaving_ms:
-                    found.append(_late_work(Promise.LEAVING_TARGET_IDLE, at))
+                    found.append(_late_work(Invariant.LEAVING_TARGET_IDLE, at))
     return found
 
 
-def _late_work(promise: Promise, at: events.Occurrence) -> promises.Violation:
-    return promises.Violation(
-        promise,
+def _late_work(
+    invariant: Invariant, at: events.Occurrence
+) -> invariants.Violation:
+    return invariants.Violation(
+        invariant,
         at.at_ms,
         at.event.target_id,
         f'ran {at.event.request_id} later than the bound',
@@ -139,8 +141,8 @@
 
 def check_stop_graceful(
     history: events.History,
-    bounds: promises.Bounds = promises.DEFAULT_BOUNDS,
-) -> list[promises.Violation]:
+    bounds: invariants.Bounds = invariants.DEFAULT_BOUNDS,
+) -> list[invariants.Violation]:
     """A planned stop ends with exit code 0 and cuts no request."""
     del bounds
     stops: list[tuple[ids.NodeId, _Span]] = []
@@ -155,8 +157,8 @@
                 stops.append((subject, span))
                 if at.event.exit_code != 0:
                     found.append(
-                        promises.Violation(
-                            Promise.STOP_GRACEFUL,
+                        invariants.Violation(
+                            Invariant.STOP_GRACEFUL,
                             at.at_ms,
                             subject,
                             f'exit code {at.event.exit_code}',
@@ -169,7 +171,7 @@
 
 def _cut_requests(
     history: events.History, stops: list[tuple[ids.NodeId, _Span]]
-) -> list[promises.Violation]:
+) -> list[invariants.Violation]:
     """Find requests without a sure end that only a planned stop explains."""
     faults = [fault.span for fault in _faults(history) if fault.subjects]
     found = []
@@ -177,8 +179,8 @@
         nodes = [n for n, span in stops if span.overlaps(life)]
         if nodes and not any(span.overlaps(life) for span in faults):
             found.append(
-                promises.Violation(
-                    Promise.STOP_GRACEFUL,
+                invariants.Violation(
+                    Invariant.STOP_GRACEFUL,
                     life.end_ms,
                     request_id,
                     f'cut while {", ".join(nodes)} stopped',
@@ -206,8 +208,8 @@
 
 def check_config_durable(
     history: events.History,
-    bounds: promises.Bounds = promises.DEFAULT_BOUNDS,
-) -> list[promises.Violation]:
+    bounds: invariants.Bounds = invariants.DEFAULT_BOUNDS,
+) -> list[invariants.Violation]:
     """An accepted version comes into force everywhere and stays."""
     return (
         _ambiguous_versions(history)
@@ -218,11 +220,13 @@
 
 def _config_violation(
     at_ms: float, subject: str, detail: str
-) -> promises.Violation:
-    return promises.Violation(Promise.CONFIG_DURABLE, at_ms, subject, detail)
+) -> invariants.Violation:
+    return invariants.Violation(
+        Invariant.CONFIG_DURABLE, at_ms, subject, detail
+    )
 
 
-def _ambiguous_versions(history: events.History) -> list[promises.Violation]:
+def _ambiguous_versions(history: events.History) -> list[invariants.Violation]:
     """Find versions that mean two documents, or were accepted twice."""
     meaning: dict[ids.ConfigVersion, events.ConfigInForce] = {}
     accepted: dict[ids.ConfigVersion, events.ConfigAccepted] = {}
@@ -255,7 +259,7 @@
     return found
 
 
-def _reverts(history: events.History) -> list[promises.Violation]:
+def _reverts(history: events.History) -> list[invariants.Violation]:
     """Find nodes that went back to a lower version without a restart."""
     held: dict[ids.NodeId, ids.ConfigVersion] = {}
     found = []
@@ -313,8 +317,8 @@
 
 
 def _stragglers(
-    history: events.History, bounds: promises.Bounds
-) -> list[promises.Violation]:
+    history: events.History, bounds: invariants.Bounds
+) -> list[invariants.Violation]:
     """Find nodes without an accepted version after the bound.
 
     The bound counts from the acceptance, the start of the node, and the
@@ -338,7 +342,7 @@
 
 
 def _due_ms(
-    from_ms: float, run: _Run, faults: list[_Fault], bounds: promises.Bounds
+    from_ms: float, run: _Run, faults: list[_Fault], bounds: invariants.Bounds
 ) -> float:
     felt = sorted(
         (f.span for f in faults if run.node_id in f.subjects),
--- a/src/parsleystile/promises.py
+++ b/src/parsleystile/invariants.py
@@ -1,10 +1,10 @@
-"""What parsleystile promises, as names, bounds and violations."""
+"""The invariants that parsleystile keeps, as names, bounds and violations."""
 
 import dataclasses
 import enum
 
 
-class Promise(enum.Enum):
+class Invariant(enum.Enum):
     """The invariants that hold whatever fails."""
 
     RETRIES_BOUNDED = 'retries-bounded'
@@ -25,7 +25,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bounds:
-    """Times and tolerances that a promise leaves open.
+    """Times and tolerances that an invariant leaves open.
 
     Attributes:
         key_withdrawn_ms: From acceptance until a key stops everywhere.
@@ -56,14 +56,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Violation:
-    """One place in a history where a promise was broken.
+    """One place in a history where an invariant was broken.
 
     Attributes:
         subject: The request, organisation, target, node or key concerned.
         detail: The evidence, in one line; never holds a key.
     """
 
-    promise: Promise
+    invariant: Invariant
     at_ms: float
     subject: str
     detail: str
--- a/src/parsleystile/load_checks.py
+++ b/src/parsleystile/load_checks.py
@@ -1,4 +1,4 @@
-"""Checkers of the promises about load: limits, shedding, cold targets."""
+"""Checkers of the invariants about load: limits, shedding, cold targets."""
 
 import collections
 import dataclasses
@@ -8,8 +8,8 @@
 from parsleystile import errors
 from parsleystile import events
 from parsleystile import ids
-from parsleystile import promises
-from parsleystile.promises import Promise
+from parsleystile import invariants
+from parsleystile.invariants import Invariant
 
 _SHED_REASONS = frozenset({errors.Reason.SHED, errors.Reason.QUEUE_FULL})
 # Rounding of a token bucket over a long history, in requests.
@@ -34,8 +34,8 @@
 
 def check_important_shed_last(
     history: events.History,
-    bounds: promises.Bounds = promises.DEFAULT_BOUNDS,
-) -> list[promises.Violation]:
+    bounds: invariants.Bounds = invariants.DEFAULT_BOUNDS,
+) -> list[invariants.Violation]:
     """In each window a node sheds no more of an important class."""
     # A call may be told of more than once, say when it is shed further down.
     offered: dict[_Share, set[ids.RootId]] = collections.defaultdict(set)
@@ -70,8 +70,8 @@
             low = len(shed[less]) / len(offered[less])
             if high > low + bounds.shed_tolerance:
                 found.append(
-                    promises.Violation(
-                        Promise.IMPORTANT_SHED_LAST,
+                    invariants.Violation(
+                        Invariant.IMPORTANT_SHED_LAST,
                         more.window * bounds.shed_window_ms,
                         more.node_id,
                         f'shed {high:.2f} of {more.importance.name}, '
@@ -100,8 +100,8 @@
 
 def check_rate_limited(
     history: events.History,
-    bounds: promises.Bounds = promises.DEFAULT_BOUNDS,
-) -> list[promises.Violation]:
+    bounds: invariants.Bounds = invariants.DEFAULT_BOUNDS,
+) -> list[invariants.Violation]:
     """In no window does an organisation get more than rate and burst.
 
     Looks at what nodes let pass and, separately, at root requests that
@@ -125,7 +125,7 @@
 
 
 def _limits_at(
-    steps: list[_Limits], at_ms: float, bounds: promises.Bounds
+    steps: list[_Limits], at_ms: float, bounds: invariants.Bounds
 ) -> _Limits:
     """Return the loosest limits that a node may go by at a time."""
     current = [s for s in steps if s.from_ms <= at_ms][-1:] or steps[:1]
@@ -144,8 +144,8 @@
     organisation: ids.OrganisationId,
     takings: list[_Taking],
     steps: list[_Limits],
-    bounds: promises.Bounds,
-) -> list[promises.Violation]:
+    bounds: invariants.Bounds,
+) -> list[invariants.Violation]:
     """Fill one token bucket for the fleet and find where it runs dry.
 
     The bucket runs dry exactly if some window holds more than rate times
@@ -163,8 +163,8 @@
         last_ms = taking.at_ms
         if tokens < -_ROUNDING:
             found.append(
-                promises.Violation(
-                    Promise.RATE_LIMITED,
+                invariants.Violation(
+                    Invariant.RATE_LIMITED,
                     taking.at_ms,
                     organisation,
                     f'{-tokens:.3f} requests over {limits.rate_per_s:g}/s '
@@ -180,8 +180,8 @@
     organisation: ids.OrganisationId,
     history: events.History,
     steps: list[_Limits],
-    bounds: promises.Bounds,
-) -> list[promises.Violation]:
+    bounds: invariants.Bounds,
+) -> list[invariants.Violation]:
     """Find windows in which targets ran more roots than could pass."""
     sent_ms = {
         at.event.request_id: at.at_ms
@@ -209,8 +209,8 @@
             )
             if count > most + _ROUNDING:
                 found.append(
-                    promises.Violation(
-                        Promise.RATE_LIMITED,
+                    invariants.Violation(
+                        Invariant.RATE_LIMITED,
                         end_ms,
                         organisation,
                         f'targets ran {count} requests in '
@@ -241,8 +241,8 @@
 
 def check_cold_target_spared(
     history: events.History,
-    bounds: promises.Bounds = promises.DEFAULT_BOUNDS,
-) -> list[promises.Violation]:
+    bounds: invariants.Bounds = invariants.DEFAULT_BOUNDS,
+) -> list[invariants.Violation]:
     """No target is given more at once than it can bear at that time."""
     targets: dict[ids.TargetId, _Target] = {}
     found = []
@@ -262,7 +262,7 @@
 def _set_capacity(
     targets: dict[ids.TargetId, _Target],
     at: events.Occurrence,
-    bounds: promises.Bounds,
+    bounds: invariants.Bounds,
 ) -> None:
     slots = at.event.slots
     target = targets.get(at.event.target_id)
@@ -277,15 +277,15 @@
 
 def _overload(
     target: _Target, at: events.Occurrence
-) -> list[promises.Violation]:
+) -> list[invariants.Violation]:
     if at.at_ms >= target.strict_from_ms:
         target.allowed = target.slots
     target.running.add(at.event.request_id)
     if len(target.running) <= target.allowed:
         return []
     return [
-        promises.Violation(
-            Promise.COLD_TARGET_SPARED,
+        invariants.Violation(
+            Invariant.COLD_TARGET_SPARED,
             at.at_ms,
             at.event.target_id,
             f'{len(target.running)} requests at once, can bear '
--- a/tests/driven.py
+++ b/tests/driven.py
@@ -65,26 +65,26 @@
         return history.merge(r.entries for r in self._recorders.values())
 
 
-def violations(past, promises):
-    return [v for v in checks.check(past) if v.promise in promises]
+def violations(past, invariants):
+    return [v for v in checks.check(past) if v.invariant in invariants]
 
 
-def assert_holds(plans, run, promises, examples=100):
-    """Try plans; no history may violate one of ``promises``."""
+def assert_holds(plans, run, invariants, examples=100):
+    """Try plans; no history may violate one of ``invariants``."""
 
     @hypothesis.settings(_SETTINGS, max_examples=examples)
     @hypothesis.given(plans)
     def hold(plan):
-        assert violations(run(plan), promises) == []
+        assert violations(run(plan), invariants) == []
 
     hold()
 
 
-def assert_breaks(plans, run, promise, examples=1000):
-    """Find a plan whose history violates ``promise``."""
+def assert_breaks(plans, run, invariant, examples=1000):
+    """Find a plan whose history violates ``invariant``."""
     hypothesis.find(
         plans,
-        lambda plan: bool(violations(run(plan), {promise})),
+        lambda plan: bool(violations(run(plan), {invariant})),
         settings=hypothesis.settings(_SETTINGS, max_examples=examples),
         random=random.Random(1),
     )
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -6,8 +6,8 @@
 from parsleystile import context
 from parsleystile import errors
 from parsleystile import events
-from parsleystile import promises
-from parsleystile.promises import Promise
+from parsleystile import invariants
+from parsleystile.invariants import Invariant
 from tests import histories as h
 
 _CRITICAL = context.Importance.CRITICAL
@@ -77,7 +77,7 @@
 
 GOOD = {
     'retry within the allowance': (
-        Promise.RETRIES_BOUNDED,
+        Invariant.RETRIES_BOUNDED,
         _timed(
             (0, h.sent(retry_allowance=1)),
             (1, h.admitted(retry_allowance=1)),
@@ -87,21 +87,21 @@
             (5, h.executed('c1', **_CHILD)),
         ),
     ),
-    'sheddable goes first': (Promise.IMPORTANT_SHED_LAST, _load(2, 10)),
+    'sheddable goes first': (Invariant.IMPORTANT_SHED_LAST, _load(2, 10)),
     'only one class is over its rate': (
-        Promise.IMPORTANT_SHED_LAST,
+        Invariant.IMPORTANT_SHED_LAST,
         _load(10, 10) + _over_rate(_SHEDDABLE, 60),
     ),
     'too few calls to judge': (
-        Promise.IMPORTANT_SHED_LAST,
+        Invariant.IMPORTANT_SHED_LAST,
         _load(5, 0, of=9),
     ),
     'runs for its own organisation': (
-        Promise.ORGANISATION_ISOLATED,
+        Invariant.ORGANISATION_ISOLATED,
         _timed((0, h.sent()), (1, h.called()), (2, h.executed(token='x'))),
     ),
     'open route without a key': (
-        Promise.ORGANISATION_ISOLATED,
+        Invariant.ORGANISATION_ISOLATED,
         _timed(
             (0, h.sent(organisation='', key='', is_open=True)),
             (1, h.called(organisation='')),
@@ -109,11 +109,11 @@
         ),
     ),
     'headers without the key': (
-        Promise.KEY_CONFIDENTIAL,
+        Invariant.KEY_CONFIDENTIAL,
         _timed((0, h.sent()), (1, h.executed(headers=('accept: */*',)))),
     ),
     'key used until its bound': (
-        Promise.KEY_WITHDRAWN,
+        Invariant.KEY_WITHDRAWN,
         _timed(
             (0, events.KeyWithdrawn(key_id='k1')),
             (2900, h.sent()),
@@ -123,18 +123,18 @@
         ),
     ),
     'burst, then rate': (
-        Promise.RATE_LIMITED,
+        Invariant.RATE_LIMITED,
         _taken_at(5, 6, 105, 205, 1000, 1000),
     ),
     'limits raised': (
-        Promise.RATE_LIMITED,
+        Invariant.RATE_LIMITED,
         _taken_at(1, 2)
         + _timed((3, h.limits(rate_per_s=10, burst=50)))
         + _timed((5003, h.taken()), *[(5003, h.taken())] * 49),
     ),
-    'runs within rate': (Promise.RATE_LIMITED, _run_at(10, 20, 210)),
+    'runs within rate': (Invariant.RATE_LIMITED, _run_at(10, 20, 210)),
     'cold target in its slots': (
-        Promise.COLD_TARGET_SPARED,
+        Invariant.COLD_TARGET_SPARED,
         _timed(
             (0, h.capacity(1, told=True)),
             (1, h.executed('r1')),
@@ -145,7 +145,7 @@
         ),
     ),
     'turned cold a moment ago': (
-        Promise.COLD_TARGET_SPARED,
+        Invariant.COLD_TARGET_SPARED,
         _timed(
             (0, h.capacity(4, told=True)),
             (10, h.capacity(1, told=False)),
@@ -154,7 +154,7 @@
         ),
     ),
     'domain out, other domain and back': (
-        Promise.DOMAIN_OUT_IDLE,
+        Invariant.DOMAIN_OUT_IDLE,
         _timed(
             (0, h.announced()),
             (0, h.announced('t2', 'd2')),
@@ -166,7 +166,7 @@
         ),
     ),
     'crossed answers': (
-        Promise.ANSWER_WHOLE,
+        Invariant.ANSWER_WHOLE,
         _timed(
             (0, h.ended('r2', digest='b')),
             (1, h.ended('r1', digest='a')),
@@ -175,7 +175,7 @@
         ),
     ),
     'answer to another try of the operation': (
-        Promise.ANSWER_WHOLE,
+        Invariant.ANSWER_WHOLE,
         _timed(
             (0, h.sent(idempotent=False, idempotency_key='i')),
             (1, h.sent('r2', idempotent=False, idempotency_key='i')),
@@ -184,7 +184,7 @@
         ),
     ),
     'not run and unknown': (
-        Promise.NOT_RUN_TRUE,
+        Invariant.NOT_RUN_TRUE,
         _timed(
             (0, h.answered('r1', outcome=_NOT_RUN)),
             (1, h.executed('r2')),
@@ -192,7 +192,7 @@
         ),
     ),
     'idempotent twice, non-idempotent once': (
-        Promise.AT_MOST_ONCE,
+        Invariant.AT_MOST_ONCE,
         _timed(
             (0, h.sent('r1')),
             (1, h.executed('r1')),
@@ -204,7 +204,7 @@
         ),
     ),
     'leaving, and back': (
-        Promise.LEAVING_TARGET_IDLE,
+        Invariant.LEAVING_TARGET_IDLE,
         _timed(
             (0, events.TargetLeaving(target_id='t1')),
             (2000, h.executed()),
@@ -213,7 +213,7 @@
         ),
     ),
     'planned stop after the answers': (
-        Promise.STOP_GRACEFUL,
+        Invariant.STOP_GRACEFUL,
         _timed(
             (0, h.sent('r1')),
             (1, _STOP),
@@ -224,11 +224,11 @@
         ),
     ),
     'kill long after a planned stop': (
-        Promise.STOP_GRACEFUL,
+        Invariant.STOP_GRACEFUL,
         _timed((1, _STOP), (2, _stopped()), (9, _stopped(exit_code=-9))),
     ),
     'kill beside a planned stop': (
-        Promise.STOP_GRACEFUL,
+        Invariant.STOP_GRACEFUL,
         _timed(
             (0, h.sent('r1')),
             (1, _STOP),
@@ -237,13 +237,13 @@
         ),
     ),
     'in force everywhere in time': (
-        Promise.CONFIG_DURABLE,
+        Invariant.CONFIG_DURABLE,
         _timed((0, _STARTED), (1, h.in_force(1)), (2, h.accepted(2)))
         + [h.at(3, _STARTED, 'n2'), h.at(4, h.in_force(2), 'n2')]
         + _timed((90, h.in_force(2)), (9000, h.taken())),
     ),
     'paused node catches up': (
-        Promise.CONFIG_DURABLE,
+        Invariant.CONFIG_DURABLE,
         _timed(
             (0, _STARTED),
             (1, _fault()),
@@ -257,11 +257,11 @@
 
 BAD = {
     'retry over the allowance, seen by targets': (
-        Promise.RETRIES_BOUNDED,
+        Invariant.RETRIES_BOUNDED,
         _timed((0, h.sent()), (1, h.executed()), (2, h.executed())),
     ),
     'two parents each make the child call': (
-        Promise.RETRIES_BOUNDED,
+        Invariant.RETRIES_BOUNDED,
         _timed(
             (0, h.sent()),
             (1, h.executed('c1', **_CHILD)),
@@ -269,7 +269,7 @@
         ),
     ),
     'retry over the allowance, told by nodes': (
-        Promise.RETRIES_BOUNDED,
+        Invariant.RETRIES_BOUNDED,
         _timed(
             (0, h.admitted(retry_allowance=0)),
             (
@@ -283,13 +283,13 @@
             ),
         ),
     ),
-    'critical goes first': (Promise.IMPORTANT_SHED_LAST, _load(10, 2)),
+    'critical goes first': (Invariant.IMPORTANT_SHED_LAST, _load(10, 2)),
     'critical goes first behind calls over their rate': (
-        Promise.IMPORTANT_SHED_LAST,
+        Invariant.IMPORTANT_SHED_LAST,
         _load(10, 2) + _over_rate(_CRITICAL, 100),
     ),
     'runs for another organisation': (
-        Promise.ORGANISATION_ISOLATED,
+        Invariant.ORGANISATION_ISOLATED,
         _timed(
             (0, h.sent()),
             (1, h.called(organisation='other')),
@@ -297,7 +297,7 @@
         ),
     ),
     'child runs for another organisation': (
-        Promise.ORGANISATION_ISOLATED,
+        Invariant.ORGANISATION_ISOLATED,
         _timed(
             (0, h.sent()),
             (1, h.sent('c1', organisation='', **_CHILD)),
@@ -306,33 +306,33 @@
         ),
     ),
     'runs without a valid key': (
-        Promise.ORGANISATION_ISOLATED,
+        Invariant.ORGANISATION_ISOLATED,
         _timed((0, h.sent(organisation='')), (1, h.executed())),
     ),
     'runs though nobody sent it': (
-        Promise.ORGANISATION_ISOLATED,
+        Invariant.ORGANISATION_ISOLATED,
         _timed((1, h.executed())),
     ),
     'key in a header': (
-        Promise.KEY_CONFIDENTIAL,
+        Invariant.KEY_CONFIDENTIAL,
         _timed(
             (0, h.sent()),
             (1, h.executed(headers=('x-api-key: secret-of-org',))),
         ),
     ),
     'key in the path of a child call': (
-        Promise.KEY_CONFIDENTIAL,
+        Invariant.KEY_CONFIDENTIAL,
         _timed(
             (0, h.sent()),
             (1, h.executed('c1', path='/a?k=secret-of-org')),
         ),
     ),
     'withdrawn key admitted': (
-        Promise.KEY_WITHDRAWN,
+        Invariant.KEY_WITHDRAWN,
         _timed((0, events.KeyWithdrawn(key_id='k1')), (3001, h.admitted())),
     ),
     'withdrawn key seen to run': (
-        Promise.KEY_WITHDRAWN,
+        Invariant.KEY_WITHDRAWN,
         _timed(
             (0, events.KeyWithdrawn(key_id='k1')),
             (3001, h.sent()),
@@ -340,27 +340,27 @@
         ),
     ),
     'withdrawn key issued again': (
-        Promise.KEY_WITHDRAWN,
+        Invariant.KEY_WITHDRAWN,
         _timed(
             (0, events.KeyWithdrawn(key_id='k1')),
             (1, events.KeyIssued(key_id='k1', organisation='org')),
         ),
     ),
-    'over the burst': (Promise.RATE_LIMITED, _taken_at(5, 6, 7)),
+    'over the burst': (Invariant.RATE_LIMITED, _taken_at(5, 6, 7)),
     'over the rate after a quiet time': (
-        Promise.RATE_LIMITED,
+        Invariant.RATE_LIMITED,
         _taken_at(5000, 5001, 5050),
     ),
     'split over two nodes': (
-        Promise.RATE_LIMITED,
+        Invariant.RATE_LIMITED,
         _taken_at(1, 2) + [h.at(3, h.taken(), 'n2')],
     ),
     'targets run more than may pass': (
-        Promise.RATE_LIMITED,
+        Invariant.RATE_LIMITED,
         _run_at(10, 11, 12),
     ),
     'started with too much': (
-        Promise.COLD_TARGET_SPARED,
+        Invariant.COLD_TARGET_SPARED,
         _timed(
             (0, h.capacity(1, told=True)),
             (1, h.executed('r1')),
@@ -368,7 +368,7 @@
         ),
     ),
     'turned cold long ago': (
-        Promise.COLD_TARGET_SPARED,
+        Invariant.COLD_TARGET_SPARED,
         _timed(
             (0, h.capacity(4, told=True)),
             (10, h.capacity(1, told=False)),
@@ -377,7 +377,7 @@
         ),
     ),
     'domain out still works': (
-        Promise.DOMAIN_OUT_IDLE,
+        Invariant.DOMAIN_OUT_IDLE,
         _timed(
             (0, h.announced()),
             (1, events.DomainOut(failure_domain='d1')),
@@ -385,7 +385,7 @@
         ),
     ),
     'taken out twice, counted from the first': (
-        Promise.DOMAIN_OUT_IDLE,
+        Invariant.DOMAIN_OUT_IDLE,
         _timed(
             (0, h.announced()),
             (1, events.DomainOut(failure_domain='d1')),
@@ -394,11 +394,11 @@
         ),
     ),
     "another request's answer": (
-        Promise.ANSWER_WHOLE,
+        Invariant.ANSWER_WHOLE,
         _timed((0, h.ended('r2', digest='b')), (1, h.answered('r1', 'b'))),
     ),
     'answer to another operation': (
-        Promise.ANSWER_WHOLE,
+        Invariant.ANSWER_WHOLE,
         _timed(
             (0, h.sent(idempotent=False, idempotency_key='i')),
             (1, h.sent('r2', idempotent=False, idempotency_key='j')),
@@ -407,23 +407,23 @@
         ),
     ),
     'answer cut short': (
-        Promise.ANSWER_WHOLE,
+        Invariant.ANSWER_WHOLE,
         _timed((0, h.ended()), (1, h.answered(digest='part'))),
     ),
     'answered twice': (
-        Promise.ANSWER_WHOLE,
+        Invariant.ANSWER_WHOLE,
         _timed((0, h.ended()), (1, h.answered()), (2, h.answered())),
     ),
     'said not run, had run': (
-        Promise.NOT_RUN_TRUE,
+        Invariant.NOT_RUN_TRUE,
         _timed((0, h.executed()), (1, h.answered(outcome=_NOT_RUN))),
     ),
     'said not run, ran later': (
-        Promise.NOT_RUN_TRUE,
+        Invariant.NOT_RUN_TRUE,
         _timed((0, h.answered(outcome=_NOT_RUN)), (1, h.executed())),
     ),
     'run twice by the system': (
-        Promise.AT_MOST_ONCE,
+        Invariant.AT_MOST_ONCE,
         _timed(
             (0, h.sent(idempotent=False)),
             (1, h.executed()),
@@ -431,7 +431,7 @@
         ),
     ),
     "run twice by its caller's retry": (
-        Promise.AT_MOST_ONCE,
+        Invariant.AT_MOST_ONCE,
         _timed(
             (0, h.sent(idempotent=False, idempotency_key='i')),
             (1, h.sent('r2', idempotent=False, idempotency_key='i')),
@@ -440,14 +440,14 @@
         ),
     ),
     'leaving target gets work': (
-        Promise.LEAVING_TARGET_IDLE,
+        Invariant.LEAVING_TARGET_IDLE,
         _timed(
             (0, events.TargetLeaving(target_id='t1')),
             (3001, h.executed()),
         ),
     ),
     'planned stop cuts a request': (
-        Promise.STOP_GRACEFUL,
+        Invariant.STOP_GRACEFUL,
         _timed(
             (0, h.sent()),
             (1, _STOP),
@@ -456,11 +456,11 @@
         ),
     ),
     'request never ends': (
-        Promise.STOP_GRACEFUL,
+        Invariant.STOP_GRACEFUL,
         _timed((0, h.sent()), (1, _STOP), (3, _stopped())),
     ),
     'request cut after an older fault': (
-        Promise.STOP_GRACEFUL,
+        Invariant.STOP_GRACEFUL,
         _timed(
             (0, _fault()),
             (1, _healed()),
@@ -470,7 +470,7 @@
         ),
     ),
     'second planned stop cuts a request': (
-        Promise.STOP_GRACEFUL,
+        Invariant.STOP_GRACEFUL,
         _timed(
             (1, _STOP),
             (2, _stopped()),
@@ -481,11 +481,11 @@
         ),
     ),
     'planned stop fails': (
-        Promise.STOP_GRACEFUL,
+        Invariant.STOP_GRACEFUL,
         _timed((1, _STOP), (3, _stopped(exit_code=-9))),
     ),
     'not in force in time': (
-        Promise.CONFIG_DURABLE,
+        Invariant.CONFIG_DURABLE,
         _timed(
             (0, _STARTED),
             (1, h.in_force(1)),
@@ -494,11 +494,11 @@
         ),
     ),
     'reverted': (
-        Promise.CONFIG_DURABLE,
+        Invariant.CONFIG_DURABLE,
         _timed((1, h.in_force(2)), (2, h.in_force(1))),
     ),
     'a new node acts by an old version': (
-        Promise.CONFIG_DURABLE,
+        Invariant.CONFIG_DURABLE,
         _timed(
             (0, h.accepted(2)),
             (5000, _STARTED),
@@ -507,37 +507,37 @@
         ),
     ),
     'two presets in force': (
-        Promise.CONFIG_DURABLE,
+        Invariant.CONFIG_DURABLE,
         _timed((1, h.in_force(2)), (2, h.in_force(2, preset='peak'))),
     ),
     'two changes accepted as one version': (
-        Promise.CONFIG_DURABLE,
+        Invariant.CONFIG_DURABLE,
         _timed((1, h.accepted(2, 'a')), (2, h.accepted(2, 'b'))),
     ),
     'accepted preset is not the one in force': (
-        Promise.CONFIG_DURABLE,
+        Invariant.CONFIG_DURABLE,
         _timed((1, h.accepted(2, preset='peak')), (2, h.in_force(2))),
     ),
 }
 
 
 def test_every_promise_has_a_checker_and_histories_of_both_kinds():
-    assert set(checks.CHECKERS) == set(Promise)
-    assert {promise for promise, _ in GOOD.values()} == set(Promise)
-    assert {promise for promise, _ in BAD.values()} == set(Promise)
+    assert set(checks.CHECKERS) == set(Invariant)
+    assert {invariant for invariant, _ in GOOD.values()} == set(Invariant)
+    assert {invariant for invariant, _ in BAD.values()} == set(Invariant)
 
 
 @pytest.mark.parametrize('name', GOOD)
 def test_a_good_history_is_accepted(name):
-    promise, history = GOOD[name]
-    assert checks.CHECKERS[promise](history, promises.Bounds()) == []
+    invariant, history = GOOD[name]
+    assert checks.CHECKERS[invariant](history, invariants.Bounds()) == []
 
 
 @pytest.mark.parametrize('name', BAD)
 def test_a_bad_history_is_rejected(name):
-    promise, history = BAD[name]
+    invariant, history = BAD[name]
     found = checks.check(history)
-    assert promise in {violation.promise for violation in found}
+    assert invariant in {violation.invariant for violation in found}
 
 
 def test_evidence_counts_kinds():
--- a/tests/test_driven_admission.py
+++ b/tests/test_driven_admission.py
@@ -9,7 +9,7 @@
 from parsleystile import context
 from parsleystile import errors
 from parsleystile import events
-from parsleystile.promises import Promise
+from parsleystile.invariants import Invariant
 from tests import driven
 
 _BASE_MS = 20.0
@@ -221,9 +221,9 @@
 
 
 _PROMISES = {
-    Promise.COLD_TARGET_SPARED,
-    Promise.IMPORTANT_SHED_LAST,
-    Promise.NOT_RUN_TRUE,
+    Invariant.COLD_TARGET_SPARED,
+    Invariant.IMPORTANT_SHED_LAST,
+    Invariant.NOT_RUN_TRUE,
 }
 
 
@@ -237,7 +237,7 @@
     driven.assert_breaks(
         _PLANS,
         lambda plan: _Run(plan, _NaiveQueue()).run(),
-        Promise.COLD_TARGET_SPARED,
+        Invariant.COLD_TARGET_SPARED,
         examples=20,
     )
 
@@ -246,6 +246,6 @@
     driven.assert_breaks(
         _PLANS,
         lambda plan: _Run(plan, _NaiveQueue()).run(),
-        Promise.IMPORTANT_SHED_LAST,
+        Invariant.IMPORTANT_SHED_LAST,
         examples=20,
     )
--- a/tests/test_driven_control.py
+++ b/tests/test_driven_control.py
@@ -13,8 +13,8 @@
 from parsleystile import events
 from parsleystile import fleetconfig
 from parsleystile import history
+from parsleystile.invariants import Invariant
 from parsleystile import keys
-from parsleystile.promises import Promise
 from parsleystile import withdrawals
 from stubs import controlfleet
 from stubs import tablestate
@@ -202,7 +202,7 @@
     return events.NodeStopped(subject=name, exit_code=-9)
 
 
-_PROMISES = {Promise.CONFIG_DURABLE, Promise.KEY_WITHDRAWN}
+_PROMISES = {Invariant.CONFIG_DURABLE, Invariant.KEY_WITHDRAWN}
 
 
 def test_control_planes_hold():
@@ -211,27 +211,27 @@
     )
 
 
-# What is switched off, where, by what, and the promise that then breaks.
+# What is switched off, where, by what, and the invariant that then breaks.
 _SWITCHED_OFF = {
     'withdrawals wait for the table': (
         withdrawals.Withdrawals,
         'take',
         lambda self, key_ids: None,
-        Promise.KEY_WITHDRAWN,
+        Invariant.KEY_WITHDRAWN,
     ),
     'nobody fetches a newer version': (
         configservice.ConfigService,
         'fetch',
         lambda self, version, peer: None,
-        Promise.CONFIG_DURABLE,
+        Invariant.CONFIG_DURABLE,
     ),
 }
 
 
 @pytest.mark.parametrize('name', _SWITCHED_OFF)
 def test_without_a_mechanism_some_plan_breaks(name, monkeypatch):
-    owner, attribute, substitute, promise = _SWITCHED_OFF[name]
+    owner, attribute, substitute, invariant = _SWITCHED_OFF[name]
     monkeypatch.setattr(owner, attribute, substitute)
     driven.assert_breaks(
-        _PLANS, lambda plan: _Run(plan).run(), promise, examples=60
+        _PLANS, lambda plan: _Run(plan).run(), invariant, examples=60
     )
--- a/tests/test_driven_fleet.py
+++ b/tests/test_driven_fleet.py
@@ -8,7 +8,7 @@
 from parsleystile import exchange as exchanges
 from parsleystile import guard
 from parsleystile import inflight
-from parsleystile.promises import Promise
+from parsleystile.invariants import Invariant
 from parsleystile import retries
 from tests import driven
 from tests import drivenfleet as df
@@ -31,13 +31,13 @@
     leaving=st.lists(st.integers(0, 5), max_size=2, unique=True).map(tuple),
 )
 _PROMISES = {
-    Promise.RETRIES_BOUNDED,
-    Promise.ORGANISATION_ISOLATED,
-    Promise.KEY_CONFIDENTIAL,
-    Promise.ANSWER_WHOLE,
-    Promise.NOT_RUN_TRUE,
-    Promise.AT_MOST_ONCE,
-    Promise.LEAVING_TARGET_IDLE,
+    Invariant.RETRIES_BOUNDED,
+    Invariant.ORGANISATION_ISOLATED,
+    Invariant.KEY_CONFIDENTIAL,
+    Invariant.ANSWER_WHOLE,
+    Invariant.NOT_RUN_TRUE,
+    Invariant.AT_MOST_ONCE,
+    Invariant.LEAVING_TARGET_IDLE,
 }
 
 
@@ -84,49 +84,49 @@
     return next(reversed(calls._calls.values()), None)
 
 
-# What is switched off, where, by what, and the promise that then breaks.
+# What is switched off, where, by what, and the invariant that then breaks.
 _SWITCHED_OFF = {
     'dispatcher forgets earlier attempts': (
         dispatcher._Attempts,
         '_as_told',
         lambda self, reply: reply,
-        Promise.NOT_RUN_TRUE,
+        Invariant.NOT_RUN_TRUE,
     ),
     'retries are not divided': (
         retries,
         'allowance_ledger',
         _Spendthrift,
-        Promise.RETRIES_BOUNDED,
+        Invariant.RETRIES_BOUNDED,
     ),
     'unknown calls are sent again': (
         retries,
         '_is_safe',
         lambda failure: True,
-        Promise.AT_MOST_ONCE,
+        Invariant.AT_MOST_ONCE,
     ),
     'context tokens are not looked at': (
         inflight.CallsInFlight,
         'find',
         _latest,
-        Promise.ORGANISATION_ISOLATED,
+        Invariant.ORGANISATION_ISOLATED,
     ),
     'headers are passed on': (
         exchanges,
         'split_headers',
         _as_sent,
-        Promise.KEY_CONFIDENTIAL,
+        Invariant.KEY_CONFIDENTIAL,
     ),
     'guard ignores that its target leaves': (
         guard.Guard,
         'drain',
         lambda self: None,
-        Promise.LEAVING_TARGET_IDLE,
+        Invariant.LEAVING_TARGET_IDLE,
     ),
 }
 
 
 @pytest.mark.parametrize('name', _SWITCHED_OFF)
 def test_without_a_mechanism_some_plan_breaks(name, monkeypatch):
-    owner, attribute, substitute, promise = _SWITCHED_OFF[name]
+    owner, attribute, substitute, invariant = _SWITCHED_OFF[name]
     monkeypatch.setattr(owner, attribute, substitute)
-    driven.assert_breaks(_PLANS, lambda plan: df.Fleet(plan).run(), promise)
+    driven.assert_breaks(_PLANS, lambda plan: df.Fleet(plan).run(), invariant)
--- a/tests/test_driven_retries.py
+++ b/tests/test_driven_retries.py
@@ -9,7 +9,7 @@
 
 from parsleystile import errors
 from parsleystile import events
-from parsleystile.promises import Promise
+from parsleystile.invariants import Invariant
 from parsleystile import retries
 from tests import driven
 
@@ -179,7 +179,7 @@
             self._call(f'{path}/{child}', depth + 1, own, lent[child])
 
 
-_BOTH = {Promise.RETRIES_BOUNDED, Promise.AT_MOST_ONCE}
+_BOTH = {Invariant.RETRIES_BOUNDED, Invariant.AT_MOST_ONCE}
 
 
 @pytest.mark.parametrize('fan_out', [1, 3])
@@ -196,7 +196,7 @@
     driven.assert_breaks(
         _plans(allowance=2),
         lambda plan: _Tree(plan, is_divided=False).run(),
-        Promise.RETRIES_BOUNDED,
+        Invariant.RETRIES_BOUNDED,
     )
 
 
@@ -204,5 +204,5 @@
     driven.assert_breaks(
         _plans(allowance=2),
         lambda plan: _Tree(plan, is_safe=False).run(),
-        Promise.AT_MOST_ONCE,
+        Invariant.AT_MOST_ONCE,
     )
--- a/tests/test_trial_negative.py
+++ b/tests/test_trial_negative.py
@@ -9,7 +9,7 @@
 
 from parsleystile import checks
 from parsleystile import events
-from parsleystile.promises import Promise
+from parsleystile.invariants import Invariant
 from tests import trial
 
 
@@ -37,16 +37,16 @@
 
 
 def _broken(past):
-    return {violation.promise for violation in checks.check(past)}
+    return {violation.invariant for violation in checks.check(past)}
 
 
 def test_changes_that_do_nothing_are_seen():
     assert _broken(trial.run(_nothing_done)) >= {
-        Promise.KEY_WITHDRAWN,
-        Promise.DOMAIN_OUT_IDLE,
-        Promise.LEAVING_TARGET_IDLE,
-        Promise.CONFIG_DURABLE,
-        Promise.RATE_LIMITED,
+        Invariant.KEY_WITHDRAWN,
+        Invariant.DOMAIN_OUT_IDLE,
+        Invariant.LEAVING_TARGET_IDLE,
+        Invariant.CONFIG_DURABLE,
+        Invariant.RATE_LIMITED,
     }
 
 
@@ -55,7 +55,7 @@
     found = [
         violation
         for violation in checks.check(past)
-        if violation.promise is Promise.STOP_GRACEFUL
+        if violation.invariant is Invariant.STOP_GRACEFUL
     ]
     # Its exit code, and the requests that it cut.
     assert len(found) > 1
--- a/tests/trial.py
+++ b/tests/trial.py
@@ -338,7 +338,7 @@
     raise processes.FleetError(f'no answer from each node\n{logs}')
 
 
-def assert_holds(past, bounds=checks.promises.DEFAULT_BOUNDS):
-    """Every promise holds over a history."""
+def assert_holds(past, bounds=checks.invariants.DEFAULT_BOUNDS):
+    """Every invariant holds over a history."""
     found = checks.check(past, bounds)
     assert not found, '\n'.join(str(violation) for violation in found)
