Start no call that was cancelled by the answer before it

Found while reading: a guard that refuses one call and starts the next in one step let the first one's answer cancel the second, then looked it up in vain (KeyError) and kept its slot. Ruled out: links answer such a cancel only on a later turn; a target's own node can do it at once. Before: the new test ends in KeyError; after: the slot is given back. The guard's path to the target now has tests of its own.

--- a/src/parsleystile/guard.py
+++ b/src/parsleystile/guard.py
@@ -195,9 +195,11 @@
         for action in self._queue.handle(event, now_ms):
             match action:
                 case admission.Start(call_key):
-                    self._start(self._waiting[call_key])
+                    self._start_or_release(call_key)
                 case admission.Refuse(call_key, refusal):
-                    self._refuse(self._waiting.pop(call_key), refusal)
+                    guarded = self._waiting.pop(call_key, None)
+                    if guarded is not None:
+                        self._refuse(guarded, refusal)
         self._schedule()
 
     def _schedule(self) -> None:
@@ -210,6 +212,15 @@
         self._tick_due_ms = float('inf')
         self._handle(admission.Tick())
 
+    def _start_or_release(self, call_key: admission.CallKey) -> None:
+        guarded = self._waiting.get(call_key)
+        if guarded is not None:
+            self._start(guarded)
+            return
+        # Cancelled while an action before this one was carried out; its
+        # slot was taken all the same.
+        self._handle(admission.Complete(call_key, True, 0.0))
+
     def _start(self, guarded: _GuardedCall) -> None:
         now_ms = self._clock.now_ms()
         running = self._calls.start(guarded.context, self._service, now_ms)
--- /dev/null
+++ b/tests/test_guard.py
@@ -0,0 +1,168 @@
+import random
+
+import pytest
+
+from parsleystile import admission
+from parsleystile import clock
+from parsleystile import deadlines
+from parsleystile import errors
+from parsleystile.gen import ttypes
+from parsleystile import guard
+from parsleystile import inflight
+from parsleystile import metrics
+from parsleystile import observer
+from parsleystile import targetclient
+from parsleystile import transport
+
+
+NOW_MS = 1000.0
+_ANSWER = targetclient.TargetAnswer(200, ['A', 'b', 'Host', 'x'], b'ok')
+
+
+class _Transfer(transport.PendingCall):
+    def __init__(self):
+        self.is_cancelled = False
+
+    def cancel(self):
+        self.is_cancelled = True
+
+
+class _Client:
+    def __init__(self):
+        self.sent = []
+        self.on_answers = []
+        self.transfers = []
+
+    def send(self, request, on_answer):
+        self.sent.append(request)
+        self.on_answers.append(on_answer)
+        self.transfers.append(_Transfer())
+        return self.transfers[-1]
+
+
+def _guard():
+    client = _Client()
+    time = clock.manual_clock(NOW_MS)
+    made = guard.guard(
+        admission.admission_queue(random.Random(1)),
+        inflight.calls_in_flight(lambda: f'token{len(client.sent)}'),
+        client,
+        time,
+        deadlines.DeadlineWheel(lambda: None),
+        metrics.memory_metrics(),
+        observer.observer('a-0', 'a', 0.0, lambda event: None),
+        lambda organisation: 1.0,
+    )
+    made.target_up('stock', 8080, 20)
+    client.clock = time
+    return made, client
+
+
+def _call(deadline_ms=1000, retry_allowance=0):
+    return ttypes.Call(
+        call_id=1,
+        root_id='r1',
+        organisation='lavapuu',
+        importance=1,
+        deadline_ms=deadline_ms,
+        depth=1,
+        retry_allowance=retry_allowance,
+        idempotent=False,
+        draw=0.5,
+        caller_service='',
+        callee_service='stock',
+        route='stock',
+        method='POST',
+        path='/stock',
+        headers=[],
+        body=b'',
+        idempotency_key='',
+    )
+
+
+def _submit(made, **fields):
+    answers = []
+    made.submit(_call(**fields), answers.append)
+    return answers
+
+
+@pytest.mark.parametrize(
+    'reason', [errors.Reason.LEAVING, errors.Reason.DOMAIN_OUT]
+)
+def test_a_closed_guard_says_not_run_and_reaches_no_target(reason):
+    made, client = _guard()
+    made.refuse_new(reason)
+    [answer] = _submit(made)
+    assert answer.outcome == errors.Outcome.NOT_RUN
+    assert answer.reason == reason
+    assert client.sent == []
+    made.refuse_new(None)
+    assert _submit(made) == []
+    assert len(client.sent) == 1
+
+
+def test_closing_leaves_what_is_in_flight_alone():
+    made, client = _guard()
+    assert _submit(made) == []
+    made.refuse_new(errors.Reason.LEAVING)
+    assert made.in_flight == 1
+    assert len(client.sent) == 1
+
+
+def test_the_target_gets_token_and_deadline_and_its_answer_goes_back():
+    made, client = _guard()
+    answers = _submit(made, retry_allowance=3)
+    headers = client.sent[0].headers
+    assert headers[-4:] == [
+        'X-Parsleystile-Context',
+        'token0',
+        'X-Request-Timeout-Ms',
+        '1000',
+    ]
+    client.on_answers[0](_ANSWER)
+    [answer] = answers
+    assert (answer.status, answer.body) == (200, b'ok')
+    assert answer.headers == ['A', 'b']
+    assert answer.retry_unspent == 3
+    assert made.in_flight == 0
+
+
+def test_a_target_that_was_not_reached_is_reported():
+    made, client = _guard()
+    seen = []
+    made.on_unreachable = lambda: seen.append(True)
+    [answers] = [_submit(made)]
+    refused = errors.not_run(errors.Reason.UNREACHABLE)
+    client.on_answers[0](refused)
+    assert answers[0].outcome == errors.Outcome.NOT_RUN
+    assert seen == [True]
+
+
+def test_cancelling_a_running_call_closes_its_transfer_and_frees_a_slot():
+    made, client = _guard()
+    pending = [made.submit(_call(), lambda a: None) for _ in range(3)]
+    assert len(client.sent) == 2
+    pending[0].cancel()
+    assert client.transfers[0].is_cancelled
+    assert len(client.sent) == 3
+
+
+def test_an_answer_that_cancels_the_next_call_starts_nothing():
+    made, client = _guard()
+    _submit(made)
+    _submit(made)
+    held = []
+    # Late by the time that a slot is free; its refusal comes first.
+    made.submit(
+        _call(deadline_ms=10), lambda answer: [p.cancel() for p in held]
+    )
+    held.append(made.submit(_call(), lambda answer: None))
+    client.clock.advance(50.0)
+    client.on_answers[0](_ANSWER)
+    assert len(client.sent) == 2
+    assert made.in_flight == 1
+    # The slots of both are free again.
+    client.on_answers[1](_ANSWER)
+    assert _submit(made) == []
+    assert _submit(made) == []
+    assert len(client.sent) == 4
