Remove dead names; keep one rule for taking in members

Found on reading the whole change again: properties and constants that nothing uses any more, and the period at which quotas and claims take in the members written twice. Behaviour is as before; lint and the tests of the parts touched pass (156 tests), the whole suite was not run again.

--- a/bench/footprint.py
+++ b/bench/footprint.py
@@ -11,7 +11,6 @@
 
 CONNECTIONS = (400, 800, 1600)
 _KEY = 'bench-key'
-_KIB = 1024
 _REQUEST = (
     b'GET /s1/item HTTP/1.1\r\nHost: a\r\nX-Api-Key: ' + _KEY.encode()
 ) + b'\r\n\r\n'
--- a/src/parsleystile/_linkends.py
+++ b/src/parsleystile/_linkends.py
@@ -221,11 +221,6 @@
 
         handler(request.payload, reply)
 
-    @property
-    def pending_count(self) -> int:
-        """Calls taken from this peer and not yet answered."""
-        return len(self._pending)
-
 
 class _Pending(transport.PendingCall):
     __slots__ = ('_link', 'call_id', 'on_answer')
--- a/src/parsleystile/exchange.py
+++ b/src/parsleystile/exchange.py
@@ -12,9 +12,7 @@
 KEY_HEADER = 'X-Api-Key'
 CONTEXT_HEADER = 'X-Parsleystile-Context'
 TIMEOUT_HEADER = 'X-Request-Timeout-Ms'
-IDEMPOTENCY_HEADER = 'Idempotency-Key'
 OUTCOME_HEADER = 'X-Parsleystile-Outcome'
-ROOT_HEADER = 'X-Parsleystile-Root'
 # Longer than any timeout that a route may have.
 _MAX_TIMEOUT_DIGITS = 9
 _INTERNAL_PREFIX = 'x-parsleystile-'
--- a/src/parsleystile/idempotencyservice.py
+++ b/src/parsleystile/idempotencyservice.py
@@ -29,8 +29,6 @@
 from parsleystile import transport
 
 TICK_MS = 20.0
-_MEMBERS_MS = 200.0
-_MEMBERS_MS_EACH = 1.0
 _GAUGE_MS = 5_000.0
 _RELEASED_TIMEOUT_MS = 300.0
 
@@ -228,7 +226,7 @@
         members = self._get_members()
         self._addresses = {m.node_id: m.link for m in members}
         self.home.set_members(members)
-        period_ms = max(_MEMBERS_MS, _MEMBERS_MS_EACH * len(members))
+        period_ms = ownership.members_period_ms(members)
         self._next_members_ms = now_ms + period_ms
 
     def _home_of(self, shard: int) -> ids.NodeId | None:
--- a/src/parsleystile/link.py
+++ b/src/parsleystile/link.py
@@ -143,11 +143,6 @@
         """Connections of other nodes now open, proved or not."""
         return len(self._accepted)
 
-    @property
-    def accepted_call_count(self) -> int:
-        """Calls taken from other nodes and not yet answered."""
-        return sum(link.pending_count for link in self._accepted)
-
     async def close(self) -> None:
         """Close every link; outstanding calls end as unknown."""
         if self._server is not None:
--- a/src/parsleystile/ownership.py
+++ b/src/parsleystile/ownership.py
@@ -21,6 +21,9 @@
 RESCAN_MS = 150.0
 RESCAN_MS_PER_MEMBER = 1.0
 FAILED_SCAN_MS = 700.0
+# Taking in the members costs in proportion to their number.
+MEMBERS_MS = 200.0
+MEMBERS_MS_EACH = 1.0
 
 ChooseDeputies = typing.Callable[
     [ids.NodeId, dict[ids.NodeId, ids.FailureDomainId]],
@@ -30,6 +33,11 @@
 Event = leases.Event
 
 
+def members_period_ms(members: list[member_types.Member]) -> float:
+    """Return how far apart a service takes in the members, in ms."""
+    return max(MEMBERS_MS, MEMBERS_MS_EACH * len(members))
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Gained:
     """Change: a part is owned here from now on."""
--- a/src/parsleystile/quota.py
+++ b/src/parsleystile/quota.py
@@ -21,7 +21,6 @@
 from parsleystile import quotawire
 
 PRUNE_MS = 1_000.0
-NO_QUOTA = quotalender.Quota(0.0, 0.0)
 
 LAYOUT = parts.Layout(
     quotawire.PART_PREFIX, quotawire.SHARDS, quotawire.PARTS, leases.CLEAR_MS
--- a/src/parsleystile/quotaservice.py
+++ b/src/parsleystile/quotaservice.py
@@ -30,8 +30,6 @@
 TICK_MS = 20.0
 _GAUGE_MS = 5_000.0
 # Taking in the members costs time with each, so more of them more seldom.
-_MEMBERS_MS = 200.0
-_MEMBERS_MS_EACH = 1.0
 
 GetMembers = typing.Callable[[], list[member_types.Member]]
 
@@ -120,7 +118,7 @@
 
     def _take_members(self, now_ms: float) -> None:
         members = self._get_members()
-        period_ms = max(_MEMBERS_MS, _MEMBERS_MS_EACH * len(members))
+        period_ms = ownership.members_period_ms(members)
         self._next_members_ms = now_ms + period_ms
         self._addresses = {m.node_id: m.link for m in members}
         self.node.set_members(members)
--- a/stubs/target.py
+++ b/stubs/target.py
@@ -23,7 +23,6 @@
 
 _HEARTBEAT_S = 1.0
 _CONTEXT_HEADER = 'X-Parsleystile-Context'
-_TIMEOUT_HEADER = 'X-Request-Timeout-Ms'
 _MS_PER_S = 1000.0
 _WARM_UP_STEP_S = 0.05
 # A target is as fast as ever up to some calls at once, slows down in
