--- a/src/parsleystile/_linkends.py
+++ b/src/parsleystile/_linkends.py
@@ -69,7 +69,11 @@
         self._decoder = wire.FrameDecoder(settings.max_frame_bytes)
         self._transport: asyncio.Transport | None = None
         self._nonce = secrets.token_bytes(_NONCE_BYTES)
+        self._unsent: list[bytes] = []
         self.is_ready = False
+        # Grows with everything that arrives; a link whose peer is silent
+        # shows by it.
+        self.received = 0
 
     def connection_made(self, transport_: asyncio.BaseTransport) -> None:
         self._transport = typing.cast(asyncio.Transport, transport_)
@@ -78,6 +82,7 @@
             _set_socket_options(sock)
 
     def data_received(self, data: bytes) -> None:
+        self.received += 1
         try:
             for message in self._decoder.feed(data):
                 self._receive(message)
@@ -104,9 +109,17 @@
             self._metrics.incr('link.overflows')
             self.close()
             return False
-        channel.write(wire.encode(kind, message))
+        # What is ready in one turn of the loop leaves in one write.
+        if not self._unsent:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._unsent.append(wire.encode(kind, message))
         return True
 
+    def _flush(self) -> None:
+        frames, self._unsent = self._unsent, []
+        if frames and not self._transport.is_closing():
+            self._transport.write(b''.join(frames))
+
     def close(self) -> None:
         """Close the connection at once; queued bytes are dropped."""
         if self._transport is not None:
@@ -115,6 +128,7 @@
     def finish(self) -> None:
         """Close the connection once all queued bytes are written."""
         if self._transport is not None:
+            self._flush()
             self._transport.close()
 
     def on_hello(self, hello: ttypes.Hello) -> None:
@@ -263,6 +277,11 @@
         hello = ttypes.Hello(self._settings.node_id, self._nonce, b'')
         self.send(wire.FrameKind.HELLO, hello)
 
+    @property
+    def calls_in_flight(self) -> int:
+        """Calls that have no answer yet."""
+        return len(self._calls)
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.fail(f'link lost: {exc or "closed by peer"}')
 
--- a/src/parsleystile/admission.py
+++ b/src/parsleystile/admission.py
@@ -36,6 +36,8 @@
         deadline_ms: On the clock of this node.
         weight: Share of the organisation, relative to others.
         route: Service times are kept by route.
+        is_sheddable: Whether the admission level may refuse it; what
+            belongs to a request admitted further up is not shed.
     """
 
     call_key: CallKey
@@ -44,6 +46,7 @@
     deadline_ms: float
     weight: float = 1.0
     route: str = ''
+    is_sheddable: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -131,6 +134,46 @@
     admission_level: float
 
 
+class Limit(typing.Protocol):
+    """How many calls the target may have; see ``ConcurrencyLimit``."""
+
+    @property
+    def value(self) -> int:
+        """Calls that may be in flight; 0 before any announcement."""
+
+    @property
+    def answer_ms(self) -> float:
+        """Mean time from start to answer of late; 0 if unknown."""
+
+    def announce(self, slots: int, now_ms: float) -> None:
+        """Take in that the target has just (re)started."""
+
+    def is_open(self, in_flight: int, now_ms: float) -> bool:
+        """Whether one more call may start now."""
+
+    def next_open_ms(self, now_ms: float) -> float:
+        """When time alone may open it; inf if only an answer can."""
+
+    def started(self, in_flight: int, now_ms: float) -> None:
+        """Note that a call was handed over."""
+
+    def failed(self, service_ms: float, now_ms: float) -> None:
+        """Learn that the target failed a call."""
+
+    def answered(
+        self,
+        route: str,
+        service_ms: float,
+        child_ms: float,
+        in_flight: int,
+        now_ms: float,
+    ) -> None:
+        """Learn from one answer."""
+
+    def check_silence(self, in_flight: int, now_ms: float) -> None:
+        """Look for answers that have stopped."""
+
+
 class AdmissionQueue:
     """Admits to one target; feed events to ``handle``, do what it says.
 
@@ -139,11 +182,15 @@
     """
 
     def __init__(
-        self, rng: random.Random, queue_bound: int | None = None
+        self,
+        rng: random.Random,
+        queue_bound: int | None = None,
+        limit: Limit | None = None,
     ) -> None:
         self._rng = rng
         self._queue_bound = queue_bound
-        self._limit = concurrency.ConcurrencyLimit()
+        self._limit = limit or concurrency.ConcurrencyLimit()
+        self._open_ms = math.inf
         self._levels = levels.AdmissionLevels()
         self._times = servicetime.ServiceTimes()
         self._queue = fairqueue.FairQueue()
@@ -159,7 +206,9 @@
     def next_tick_ms(self) -> float:
         """When the shell must send Tick at the latest; inf if never."""
         if self._running or self._queue.calls or not self._levels.is_at_rest:
-            return min(self._window_end_ms, self._queue.next_drop_ms)
+            return min(
+                self._window_end_ms, self._queue.next_drop_ms, self._open_ms
+            )
         return math.inf
 
     def load(
@@ -216,11 +265,12 @@
         if refusal is not None:
             actions.append(Refuse(call.call_key, refusal))
             return
-        limit = self._limit.value
-        if not self._queue.calls and len(self._running) < limit:
+        is_open = self._limit.is_open(len(self._running), now_ms)
+        if is_open and not self._queue.calls:
             self._start(call.call_key, call, now_ms, actions)
             return
-        if len(self._queue) >= self._bound(limit) and not self._evict(
+        bound = self._bound(self._limit.value)
+        if len(self._queue) >= bound and not self._evict(
             call, actions
         ):
             return
@@ -237,7 +287,8 @@
             ),
             now_ms,
         )
-        if len(self._running) < limit:
+        self._open_ms = self._limit.next_open_ms(now_ms)
+        if is_open:
             self._fill(now_ms, actions)
 
     def _refusal(self, call: Arrive, now_ms: float) -> errors.Refusal | None:
@@ -246,7 +297,8 @@
             return _leaving()
         if limit == 0:
             return _no_target()
-        if not self._levels.is_admitted(call.organisation, call.rank):
+        is_admitted = self._levels.is_admitted(call.organisation, call.rank)
+        if call.is_sheddable and not is_admitted:
             return self._busy(errors.Reason.SHED, 'rank is not admitted')
         remaining_ms = call.deadline_ms - now_ms
         # With nothing in flight the estimate may be stale: try it.
@@ -301,15 +353,18 @@
             actions.append(Refuse(late.call_key, _too_late()))
         if not queue.calls:
             return
-        limit = self._limit.value
+        limit = self._limit
         standing_since_ms = now_ms - self._standing_ms
-        while queue.calls and len(self._running) < limit:
+        while queue.calls and limit.is_open(len(self._running), now_ms):
             waiting = queue.pop(standing_since_ms)
             expected_ms = self._times.expected_ms(waiting.route, now_ms)
             if self._running and waiting.deadline_ms - now_ms < expected_ms:
                 actions.append(Refuse(waiting.call_key, _too_late()))
             else:
                 self._start(waiting.call_key, waiting, now_ms, actions)
+        self._open_ms = (
+            limit.next_open_ms(now_ms) if queue.calls else math.inf
+        )
 
     def _start(
         self,
@@ -371,7 +426,15 @@
 
 
 def admission_queue(
-    rng: random.Random, queue_bound: int | None = None
+    rng: random.Random,
+    queue_bound: int | None = None,
+    limit: Limit | None = None,
 ) -> AdmissionQueue:
-    """Create a queue that admits nothing until Announce."""
-    return AdmissionQueue(rng, queue_bound)
+    """Create a queue that admits nothing until Announce.
+
+    Args:
+        rng: Spreads the times at which callers may come back.
+        queue_bound: Calls that may wait; by the limit if None.
+        limit: Calls that may run; learned from answers if None.
+    """
+    return AdmissionQueue(rng, queue_bound, limit)
--- a/src/parsleystile/concurrency.py
+++ b/src/parsleystile/concurrency.py
@@ -157,6 +157,16 @@
         self._last_answer_ms = now_ms
         self._changed_ms = now_ms
 
+    def is_open(self, in_flight: int, now_ms: float) -> bool:
+        """Whether one more call may start now."""
+        del now_ms
+        return in_flight < int(self._limit)
+
+    def next_open_ms(self, now_ms: float) -> float:
+        """Time alone never opens this limit."""
+        del now_ms
+        return math.inf
+
     def started(self, in_flight: int, now_ms: float) -> None:
         """Note that a call was handed over, ``in_flight`` with it."""
         if in_flight == 1:
--- a/src/parsleystile/link.py
+++ b/src/parsleystile/link.py
@@ -106,6 +106,21 @@
             functools.partial(link.expire_control, request_id),
         )
 
+    def waiting(self) -> list[tuple[transport.Address, int]]:
+        """Return links with calls in flight and how much they received."""
+        return [
+            (address, link.received)
+            for address, link in self._links.items()
+            if link.calls_in_flight
+        ]
+
+    def drop(self, to: transport.Address, why: str) -> None:
+        """Give up a link; its calls end as unknown or, if unsent, not run."""
+        link = self._links.get(to)
+        if link is not None:
+            link.fail(why)
+            link.close()
+
     def handle_control(
         self, kind: str, handler: transport.ControlHandler
     ) -> None:
--- a/src/parsleystile/metrics.py
+++ b/src/parsleystile/metrics.py
@@ -1,8 +1,10 @@
 """Counters, gauges and timings, sent by statsd."""
 
 import abc
+import typing
 
-import statsd
+if typing.TYPE_CHECKING:
+    import statsd
 
 
 class Metrics(abc.ABC):
@@ -24,7 +26,7 @@
 class StatsdMetrics(Metrics):
     """Sends each number by statsd over UDP."""
 
-    def __init__(self, client: statsd.StatsClient) -> None:
+    def __init__(self, client: 'statsd.StatsClient') -> None:
         self._client = client
 
     def incr(self, name: str, count: int = 1) -> None:
@@ -62,6 +64,9 @@
 
 def statsd_metrics(host: str, port: int, prefix: str) -> Metrics:
     """Create a sink that sends to a statsd server at ``host``:``port``."""
+    # Nodes that serve their numbers themselves do without the library.
+    import statsd
+
     return StatsdMetrics(statsd.StatsClient(host, port, prefix=prefix))
 
 
--- /dev/null
+++ b/src/parsleystile/relay/front.py
@@ -0,0 +1,426 @@
+"""Takes requests of callers and of the target beside this node."""
+
+import dataclasses
+import random
+import typing
+
+from parsleystile import errors
+from parsleystile import ids
+from parsleystile import shedding
+from parsleystile.gen import ttypes
+from parsleystile.relay import gate as gates
+from parsleystile.relay import httpin
+from parsleystile.relay import policy as policies
+from parsleystile.relay import ratekeeper
+from parsleystile.relay import records
+from parsleystile.relay import sender
+from parsleystile.relay import vocabulary as vocabularies
+
+_LEAST_IMPORTANT = 2
+_MS_PER_S = 1000
+# A node without configuration usually has one within this time.
+_NO_POLICY_RETRY_AFTER_MS = 500
+# Where a refusal names no time to come back, this one spreads callers out.
+_RETRY_AFTER_MS = (200, 600)
+# Longer than any deadline of a caller.
+_MAX_DIGITS = 9
+_HOP_HEADERS = frozenset(
+    {
+        'connection',
+        'content-length',
+        'expect',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+_NOT_RUN_STATUS = {
+    errors.Reason.KEY_MISSING: 401,
+    errors.Reason.KEY_REJECTED: 401,
+    errors.Reason.NO_ROUTE: 404,
+    errors.Reason.MALFORMED: 400,
+    errors.Reason.RATE_LIMITED: 429,
+}
+_BUSY = 503
+_BAD_GATEWAY = 502
+_GATEWAY_TIMEOUT = 504
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """What a front decides and sends with.
+
+    Attributes:
+        policy: Returns what is in force; None while nothing is.
+        own_service: Returns the service of the target beside this node.
+        split: Chooses among the destinations of a route.
+    """
+
+    names: vocabularies.Vocabulary
+    policy: typing.Callable[[], policies.Policy | None]
+    own_service: typing.Callable[[], ids.ServiceName]
+    rates: ratekeeper.RateKeeper
+    shedder: shedding.Shedder
+    sender: sender.Parts
+    split: 'Splitter'
+    rng: random.Random
+    record: records.Recorder
+
+
+class Splitter:
+    """Divides the requests of a route by weight, evenly at any length."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._credits: dict[tuple[policies.Destination, ...], list[float]] = {}
+
+    def choose(self, route: policies.Route) -> ids.ServiceName:
+        """Return the service for the next request of a route."""
+        destinations = route.destinations
+        if len(destinations) == 1:
+            return destinations[0].service
+        total = sum(d.weight for d in destinations)
+        credits = self._credits.get(destinations)
+        if credits is None:
+            # Nodes start at different points, or they would all begin with
+            # the same service.
+            credits = [self._rng.random() * total for _ in destinations]
+            self._credits[destinations] = credits
+        for i, destination in enumerate(destinations):
+            credits[i] += destination.weight
+        best = max(range(len(credits)), key=credits.__getitem__)
+        credits[best] -= total
+        return destinations[best].service
+
+
+@dataclasses.dataclass(slots=True)
+class _Head:
+    """What the headers of a request say."""
+
+    kept: list[str]
+    host: str = ''
+    call_id: str = ''
+    key: str = ''
+    wait_ms: float | None = None
+
+
+class Front:
+    """Passes each request through its checks and sends it on."""
+
+    def __init__(self, parts: Parts) -> None:
+        self._parts = parts
+        names = parts.names
+        self._dropped = _HOP_HEADERS | names.set_by_node()
+        self._call_id = names.call_id.lower()
+        self._deadline = names.deadline.lower()
+        self._key = names.key.lower()
+
+    def handle(self, request: httpin.Request) -> None:
+        """Take a request; it is answered exactly once."""
+        policy = self._parts.policy()
+        head = self._read_head(request.headers)
+        if policy is None:
+            refusal = errors.not_run(
+                errors.Reason.STORE_UNAVAILABLE,
+                'no configuration yet',
+                _NO_POLICY_RETRY_AFTER_MS,
+            )
+            self._refuse(request, head, None, '', refusal)
+            return
+        route = policy.match(head.host, request.path)
+        found = self._authorise(request, head, route, policy)
+        if isinstance(found, errors.Refusal):
+            self._refuse(request, head, route, '', found)
+            return
+        _Passage(self, request, head, route, found, policy.version).start()
+
+    def _read_head(self, headers: list[str]) -> _Head:
+        kept: list[str] = []
+        head = _Head(kept)
+        for i in range(0, len(headers), 2):
+            name = headers[i].lower()
+            value = headers[i + 1]
+            if name not in self._dropped:
+                kept.append(headers[i])
+                kept.append(value)
+                if name == 'host':
+                    head.host = value
+                elif name == self._call_id:
+                    head.call_id = value
+            elif name == self._deadline:
+                if value.isascii() and value.isdigit():
+                    head.wait_ms = float(value[:_MAX_DIGITS])
+            elif name == self._key:
+                head.key = value
+        return head
+
+    def _authorise(
+        self,
+        request: httpin.Request,
+        head: _Head,
+        route: policies.Route | None,
+        policy: policies.Policy,
+    ) -> policies.Organisation | errors.Refusal | None:
+        """Return whose request it is; None where that does not matter."""
+        if route is None:
+            return errors.not_run(
+                errors.Reason.NO_ROUTE,
+                f'no route for {head.host}{request.path[:80]}',
+            )
+        if not head.call_id:
+            return errors.not_run(
+                errors.Reason.MALFORMED,
+                f'no {self._parts.names.call_id} header',
+            )
+        if not policy.needs_keys or (request.is_local and not head.key):
+            return None
+        scheme = self._parts.names.key_scheme
+        if head.key.startswith(scheme):
+            owner = policy.organisation_of(head.key[len(scheme) :])
+            if owner is not None:
+                return owner
+        if route.is_open:
+            return None
+        if head.key:
+            return errors.not_run(
+                errors.Reason.KEY_REJECTED, 'the key is not in force'
+            )
+        return errors.not_run(
+            errors.Reason.KEY_MISSING, 'the route needs a key'
+        )
+
+    def _refuse(
+        self,
+        request: httpin.Request,
+        head: _Head,
+        route: policies.Route | None,
+        organisation: str,
+        refusal: errors.Refusal,
+        sends: int = 0,
+        version: int = 0,
+    ) -> None:
+        """Answer with a refusal and record what led to it."""
+        parts = self._parts
+        waited_ms = parts.sender.clock.now_ms() - request.arrived_ms
+        is_not_run = refusal.outcome is errors.Outcome.NOT_RUN
+        if is_not_run:
+            status = _NOT_RUN_STATUS.get(refusal.reason, _BUSY)
+        elif refusal.reason is errors.Reason.DEADLINE:
+            status = _GATEWAY_TIMEOUT
+        else:
+            status = _BAD_GATEWAY
+        headers = ['Content-Type', 'text/plain']
+        retry_after_ms = 0
+        if status in (_BUSY, 429):
+            retry_after_ms = refusal.retry_after_ms or parts.rng.randint(
+                *_RETRY_AFTER_MS
+            )
+            headers += ['Retry-After', f'{retry_after_ms / _MS_PER_S:.3f}']
+        if head.call_id:
+            headers += [parts.names.call_id, head.call_id]
+        reason = refusal.reason.name.lower()
+        parts.record.ended(
+            'refused' if is_not_run else 'unknown', reason, waited_ms
+        )
+        fields = {
+            'call': head.call_id,
+            'organisation': organisation,
+            'route': route.route_id if route else '',
+            'reason': reason,
+            'detail': refusal.detail,
+            'status': status,
+            'sends': sends,
+            'waited_ms': round(waited_ms, 1),
+            'policy_version': version,
+        }
+        parts.record.log.write(
+            records.CallRefused(retry_after_ms=retry_after_ms, **fields)
+            if is_not_run
+            else records.CallUnknown(**fields)
+        )
+        request.answer(status, headers, f'{reason}\n'.encode())
+
+
+class _Passage:
+    """One request between its checks and its answer."""
+
+    __slots__ = (
+        '_front',
+        '_head',
+        '_organisation',
+        '_request',
+        '_route',
+        '_sending',
+        '_version',
+    )
+
+    def __init__(
+        self,
+        front: Front,
+        request: httpin.Request,
+        head: _Head,
+        route: policies.Route,
+        organisation: policies.Organisation | None,
+        version: int,
+    ) -> None:
+        self._front = front
+        self._request = request
+        self._head = head
+        self._route = route
+        self._organisation = organisation
+        self._version = version
+        self._sending: sender.Sending | None = None
+
+    @property
+    def _organisation_id(self) -> ids.OrganisationId:
+        if self._organisation is None:
+            return ids.OPEN_ORGANISATION
+        return self._organisation.organisation_id
+
+    def start(self) -> None:
+        request = self._request
+        parts = self._front._parts
+        request.on_gone = self._abandon
+        route = self._route
+        given_ms = route.timeout_ms
+        if self._head.wait_ms is not None:
+            given_ms = min(given_ms, self._head.wait_ms)
+        deadline_ms = request.arrived_ms + given_ms
+        is_child = request.is_local and self._organisation is None
+        rank = self._importance(is_child) + parts.rng.random()
+        if not is_child:
+            refusal = parts.shedder.decide(
+                route.route_id,
+                rank,
+                request.arrived_ms,
+                self._organisation_id,
+            )
+            if refusal is not None:
+                self._refuse(refusal)
+                return
+        call = self._call(rank, is_child)
+        self._sending = sender.Sending(
+            parts.sender, call, route, deadline_ms, self._finish
+        )
+        if self._organisation is None:
+            self._sending.start()
+        else:
+            parts.rates.take(self._organisation_id, self._on_take)
+
+    def _importance(self, is_child: bool) -> int:
+        if is_child:
+            return _LEAST_IMPORTANT
+        priority = self._route.priority
+        return max(0, min(priority, _LEAST_IMPORTANT))
+
+    def _call(self, rank: float, is_child: bool) -> ttypes.Call:
+        parts = self._front._parts
+        request = self._request
+        importance = int(rank)
+        return ttypes.Call(
+            call_id=0,
+            root_id=self._head.call_id,
+            organisation=self._organisation_id,
+            importance=importance,
+            deadline_ms=0,
+            depth=gates.CHILD_DEPTH if is_child else gates.ROOT_DEPTH,
+            retry_allowance=0,
+            idempotent=self._route.is_idempotent,
+            draw=rank - importance,
+            caller_service=parts.own_service(),
+            callee_service=parts.split.choose(self._route),
+            route=self._route.route_id,
+            method=request.method,
+            path=request.path,
+            headers=self._head.kept,
+            body=request.body,
+            idempotency_key='',
+        )
+
+    def _on_take(self, refusal: errors.Refusal | None) -> None:
+        if not self._request.is_open:
+            if refusal is None:
+                self._front._parts.rates.refund(self._organisation_id)
+            return
+        if refusal is not None:
+            self._refuse(refusal)
+            return
+        self._sending.start()
+
+    def _finish(self, reply: sender.Reply) -> None:
+        if isinstance(reply, errors.Refusal):
+            if (
+                reply.outcome is errors.Outcome.NOT_RUN
+                and self._organisation is not None
+            ):
+                self._front._parts.rates.refund(self._organisation_id)
+            self._refuse(reply)
+            return
+        parts = self._front._parts
+        request = self._request
+        waited_ms = parts.sender.clock.now_ms() - request.arrived_ms
+        parts.record.ended('answered', f'{reply.status // 100}xx', waited_ms)
+        parts.record.log.write(
+            records.CallAnswered(
+                call=self._head.call_id,
+                organisation=self._organisation_id,
+                route=self._route.route_id,
+                service=self._sending.service,
+                node=self._sending.node_id,
+                status=reply.status,
+                sends=self._sending.sends,
+                waited_ms=round(waited_ms, 1),
+                policy_version=self._version,
+            )
+        )
+        request.answer(reply.status, _kept(reply.headers), reply.body)
+
+    def _refuse(self, refusal: errors.Refusal) -> None:
+        sends = 0 if self._sending is None else self._sending.sends
+        self._front._refuse(
+            self._request,
+            self._head,
+            self._route,
+            self._organisation_id,
+            refusal,
+            sends,
+            self._version,
+        )
+
+    def _abandon(self) -> None:
+        parts = self._front._parts
+        sends = 0
+        if self._sending is not None:
+            sends = self._sending.sends
+            if sends:
+                self._sending.cancel()
+        waited_ms = parts.sender.clock.now_ms() - self._request.arrived_ms
+        parts.record.ended('abandoned', 'caller-left', waited_ms)
+        parts.record.log.write(
+            records.CallAbandoned(
+                call=self._head.call_id,
+                route=self._route.route_id,
+                sends=sends,
+                waited_ms=round(waited_ms, 1),
+            )
+        )
+
+
+def _kept(headers: list[str]) -> list[str]:
+    """Return the headers of an answer that go back to its caller."""
+    kept: list[str] = []
+    for i in range(0, len(headers), 2):
+        if headers[i].lower() not in _HOP_HEADERS:
+            kept.append(headers[i])
+            kept.append(headers[i + 1])
+    return kept
+
+
+def front(parts: Parts) -> Front:
+    """Create a front."""
+    return Front(parts)
--- /dev/null
+++ b/src/parsleystile/relay/gate.py
@@ -0,0 +1,392 @@
+"""The only way in to the target beside this node.
+
+What a single guard can know exactly is kept here: which incarnation of the
+target is expected, whether it leaves, its slots, its cold rate, whether its
+failure domain is out, and how long its callers still wait.
+"""
+
+import dataclasses
+import itertools
+import typing
+
+from parsleystile import admission
+from parsleystile import clock as clocks
+from parsleystile import deadlines
+from parsleystile import errors
+from parsleystile import ids
+from parsleystile import targetclient
+from parsleystile import transport as transports
+from parsleystile import wire
+from parsleystile.gen import ttypes
+from parsleystile.relay import httpout
+from parsleystile.relay import pacing
+from parsleystile.relay import records
+from parsleystile.relay import vocabulary as vocabularies
+
+# Depth of a request from outside; calls of targets lie deeper. They can't be
+# traced to the request above them, so they are never shed by level: what
+# belongs to an admitted request is finished.
+ROOT_DEPTH = 1
+CHILD_DEPTH = 2
+# A target that lost connections is taken as cold until it reports again, for
+# so long at most.
+_SUSPECT_MS = 3_000.0
+_REFUSED_STATUS = frozenset({400, 421, 429, 503})
+_MISDIRECTED = 421
+
+OnAnswer = typing.Callable[[ttypes.Answer], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """The target beside this node as it last reported itself.
+
+    Attributes:
+        target_id: Of this incarnation.
+        cold_until_ms: On the clock of this node.
+        cold_per_s: What it bears while cold.
+    """
+
+    target_id: ids.TargetId
+    service: ids.ServiceName
+    slots: int
+    cold_until_ms: float
+    cold_per_s: float
+
+
+class _Running(transports.PendingCall):
+    """A call between its arrival here and its answer."""
+
+    __slots__ = (
+        'call',
+        'deadline_ms',
+        'gate',
+        'key',
+        'on_answer',
+        'pending',
+        'started_ms',
+    )
+
+    def __init__(
+        self,
+        gate: 'Gate',
+        key: int,
+        call: ttypes.Call,
+        deadline_ms: float,
+        on_answer: OnAnswer,
+    ) -> None:
+        self.gate = gate
+        self.key = key
+        self.call = call
+        self.deadline_ms = deadline_ms
+        self.on_answer = on_answer
+        self.pending: transports.PendingCall | None = None
+        self.started_ms = 0.0
+
+    def cancel(self) -> None:
+        self.gate.cancel(self)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """What a gate works with.
+
+    Attributes:
+        child_level: Admission level that the target's own calls were told.
+        on_lost: Called when the target can't be reached.
+    """
+
+    queue: admission.AdmissionQueue
+    limit: pacing.DeclaredLimit
+    origin: httpout.Origin
+    names: vocabularies.Vocabulary
+    clock: clocks.Clock
+    wheel: deadlines.DeadlineWheel
+    record: records.Recorder
+    child_level: typing.Callable[[float], float]
+
+
+class Gate:
+    """Admits calls to the target, sends them and answers them."""
+
+    def __init__(self, parts: Parts) -> None:
+        self._parts = parts
+        self._keys = itertools.count(1)
+        self._calls: dict[int, _Running] = {}
+        self._target: Target | None = None
+        self._closed_for: errors.Reason | None = None
+        self._tick_due_ms = float('inf')
+        self._not_run_name = parts.names.not_run.lower()
+        self.on_lost: typing.Callable[[str], None] = lambda why: None
+
+    @property
+    def target(self) -> Target | None:
+        """The target that may get calls now."""
+        return self._target
+
+    @property
+    def in_flight(self) -> int:
+        """Calls that wait or run."""
+        return len(self._calls)
+
+    def open(self, target: Target) -> None:
+        """Serve a target; the same one may report itself again."""
+        now_ms = self._parts.clock.now_ms()
+        before, self._target = self._target, target
+        self._parts.limit.set_cold(
+            target.cold_until_ms, target.cold_per_s, now_ms
+        )
+        is_new = before is None or before.target_id != target.target_id
+        if is_new or before.slots != target.slots:
+            self._handle(admission.Announce(target.slots))
+
+    def close(self, why: errors.Reason) -> None:
+        """Start nothing more at the target; running calls go on."""
+        self._target = None
+        for running in list(self._calls.values()):
+            if running.pending is None:
+                self._give_up(running, errors.not_run(why, 'target leaves'))
+
+    def refuse_new(self, reason: errors.Reason | None) -> None:
+        """Refuse new and queued calls; None takes calls again."""
+        self._closed_for = reason
+        if reason is None:
+            return
+        for running in list(self._calls.values()):
+            if running.pending is None:
+                self._give_up(
+                    running, errors.not_run(reason, 'no new work here')
+                )
+
+    @property
+    def is_refusing(self) -> bool:
+        """Whether every new call is refused."""
+        return self._closed_for is not None
+
+    def suspect(self) -> None:
+        """Hold the rate down until the target reports itself again."""
+        target = self._target
+        if target is None:
+            return
+        now_ms = self._parts.clock.now_ms()
+        until_ms = max(target.cold_until_ms, now_ms + _SUSPECT_MS)
+        self._parts.limit.set_cold(until_ms, target.cold_per_s, now_ms)
+
+    def load(self, organisation: ids.OrganisationId) -> ttypes.Load:
+        """Return the load to tell on an answer to an organisation."""
+        now_ms = self._parts.clock.now_ms()
+        load = self._parts.queue.load(now_ms, organisation)
+        limit = load.limit if self._target is not None else 0
+        if self._parts.limit.is_cold(now_ms):
+            limit = min(limit, load.in_flight + 1)
+        return ttypes.Load(
+            load.in_flight,
+            limit,
+            load.queued,
+            min(load.admission_level, self._parts.child_level(now_ms)),
+        )
+
+    def submit(
+        self, call: ttypes.Call, on_answer: OnAnswer
+    ) -> transports.PendingCall | None:
+        """Take a call; ``on_answer`` is called exactly once."""
+        refusal = self._refusal(call)
+        if refusal is not None:
+            on_answer(self._refused(call, refusal))
+            return None
+        now_ms = self._parts.clock.now_ms()
+        running = _Running(
+            self,
+            next(self._keys),
+            call,
+            now_ms + call.deadline_ms,
+            on_answer,
+        )
+        self._calls[running.key] = running
+        self._handle(
+            admission.Arrive(
+                running.key,
+                ids.OrganisationId(call.organisation),
+                call.importance + call.draw,
+                running.deadline_ms,
+                1.0,
+                call.route,
+                call.depth == ROOT_DEPTH,
+            )
+        )
+        return running
+
+    def _refusal(self, call: ttypes.Call) -> errors.Refusal | None:
+        if self._closed_for is not None:
+            return errors.not_run(self._closed_for, 'no new work here')
+        target = self._target
+        if target is None or call.callee_service != target.service:
+            return errors.not_run(
+                errors.Reason.LEAVING,
+                f'no target of {call.callee_service} here',
+            )
+        return None
+
+    def cancel(self, running: _Running) -> None:
+        """Give up a call: its caller wants no answer."""
+        if self._calls.pop(running.key, None) is None:
+            return
+        self._stop(running)
+        self._parts.record.cancelled(running.call.root_id)
+
+    def _stop(self, running: _Running) -> None:
+        if running.pending is None:
+            self._handle(admission.Cancel(running.key))
+            return
+        running.pending.cancel()
+        spent_ms = self._parts.clock.now_ms() - running.started_ms
+        self._handle(admission.Cancel(running.key))
+        self._handle(admission.Complete(running.key, True, spent_ms))
+
+    def _give_up(self, running: _Running, refusal: errors.Refusal) -> None:
+        if self._calls.pop(running.key, None) is None:
+            return
+        self._stop(running)
+        running.on_answer(self._refused(running.call, refusal))
+
+    def _handle(self, event: admission.Event) -> None:
+        parts = self._parts
+        now_ms = parts.clock.now_ms()
+        for action in parts.queue.handle(event, now_ms):
+            match action:
+                case admission.Start(call_key):
+                    running = self._calls.get(call_key)
+                    if running is None:
+                        # Cancelled by an action before this one.
+                        self._handle(admission.Complete(call_key, True, 0.0))
+                    else:
+                        self._start(running, now_ms)
+                case admission.Refuse(call_key, refusal):
+                    running = self._calls.pop(call_key, None)
+                    if running is not None:
+                        running.on_answer(self._refused(running.call, refusal))
+        due_ms = parts.queue.next_tick_ms
+        if due_ms < self._tick_due_ms:
+            self._tick_due_ms = due_ms
+            parts.wheel.add(due_ms, self._tick)
+
+    def _tick(self) -> None:
+        self._tick_due_ms = float('inf')
+        self._handle(admission.Tick())
+
+    def _start(self, running: _Running, now_ms: float) -> None:
+        target = self._target
+        running.started_ms = now_ms
+        if target is None:
+            del self._calls[running.key]
+            self._handle(admission.Complete(running.key, True, 0.0))
+            refusal = errors.not_run(errors.Reason.LEAVING, 'target left')
+            running.on_answer(self._refused(running.call, refusal))
+            return
+        call = running.call
+        outbound = httpout.Outbound(
+            self._request_bytes(call, target, running.deadline_ms - now_ms),
+            call.root_id,
+            call.method == 'HEAD',
+            not call.idempotent,
+        )
+
+        def on_answer(
+            result: targetclient.TargetAnswer | errors.Refusal,
+        ) -> None:
+            self._finish(running, target, result)
+
+        running.pending = self._parts.origin.send(outbound, on_answer)
+
+    def _request_bytes(
+        self, call: ttypes.Call, target: Target, remaining_ms: float
+    ) -> bytes:
+        names = self._parts.names
+        lines = [f'{call.method} {call.path} HTTP/1.1']
+        headers = call.headers
+        for i in range(0, len(headers), 2):
+            lines.append(f'{headers[i]}: {headers[i + 1]}')
+        lines.append(f'{names.deadline}: {max(1, int(remaining_ms))}')
+        lines.append(f'{names.expected_target}: {target.target_id}')
+        lines.append(f'{names.caller_service}: {call.caller_service}')
+        if call.organisation:
+            lines.append(f'{names.organisation}: {call.organisation}')
+        if call.body or call.method in ('POST', 'PUT', 'PATCH'):
+            lines.append(f'Content-Length: {len(call.body)}')
+        head = '\r\n'.join(lines).encode('latin-1', 'replace')
+        return head + b'\r\n\r\n' + call.body
+
+    def _finish(
+        self,
+        running: _Running,
+        target: Target,
+        result: targetclient.TargetAnswer | errors.Refusal,
+    ) -> None:
+        if self._calls.pop(running.key, None) is None:
+            return
+        now_ms = self._parts.clock.now_ms()
+        spent_ms = now_ms - running.started_ms
+        if isinstance(result, targetclient.TargetAnswer):
+            result = self._judge(result, target)
+        is_ok = isinstance(result, targetclient.TargetAnswer)
+        self._handle(admission.Complete(running.key, is_ok, spent_ms))
+        if is_ok:
+            running.on_answer(self._answered(running.call, result))
+            return
+        if result.reason is errors.Reason.UNREACHABLE:
+            self.on_lost(result.detail)
+        elif result.reason is errors.Reason.TARGET_FAILED:
+            self._parts.record.target_failed(
+                running.call.root_id, target.target_id, result, spent_ms
+            )
+        running.on_answer(self._refused(running.call, result))
+
+    def _judge(
+        self, answer: targetclient.TargetAnswer, target: Target
+    ) -> targetclient.TargetAnswer | errors.Refusal:
+        """Return the refusal that an answer stands for, or the answer."""
+        if answer.status not in _REFUSED_STATUS:
+            return answer
+        names = answer.headers[::2]
+        is_not_run = answer.status == _MISDIRECTED or any(
+            name.lower() == self._not_run_name for name in names
+        )
+        if not is_not_run:
+            return answer
+        if answer.status == _MISDIRECTED:
+            self.on_lost(f'{target.target_id} has gone from its address')
+            return errors.not_run(errors.Reason.LEAVING, 'another target')
+        return errors.not_run(
+            errors.Reason.TARGET_FAILED, f'target refused: {answer.status}'
+        )
+
+    def _answered(
+        self, call: ttypes.Call, answer: targetclient.TargetAnswer
+    ) -> ttypes.Answer:
+        return ttypes.Answer(
+            call_id=call.call_id,
+            outcome=errors.Outcome.ANSWERED,
+            status=answer.status,
+            headers=answer.headers,
+            body=answer.body,
+            reason=errors.Reason.NONE,
+            detail='',
+            retry_after_ms=0,
+            retry_unspent=0,
+            load=self.load(ids.OrganisationId(call.organisation)),
+            is_final=False,
+        )
+
+    def _refused(
+        self, call: ttypes.Call, refusal: errors.Refusal
+    ) -> ttypes.Answer:
+        load = self.load(ids.OrganisationId(call.organisation))
+        self._parts.record.guard_refused(
+            call.root_id, call.callee_service, refusal, load
+        )
+        return wire.refusal_answer(call.call_id, refusal, 0, load)
+
+
+def gate(parts: Parts) -> Gate:
+    """Create a gate that has no target yet."""
+    return Gate(parts)
--- /dev/null
+++ b/src/parsleystile/relay/node.py
@@ -0,0 +1,434 @@
+"""One node of the lean path, put together."""
+
+import asyncio
+import dataclasses
+import random
+import typing
+
+from parsleystile import admission
+from parsleystile import balancer
+from parsleystile import clock as clocks
+from parsleystile import context
+from parsleystile import errors
+from parsleystile import ids
+from parsleystile import link as links_module
+from parsleystile import metrics as metric
+from parsleystile import shedding
+from parsleystile import ticker as tickers
+from parsleystile import wire
+from parsleystile.relay import front
+from parsleystile.relay import gate
+from parsleystile.relay import httpin
+from parsleystile.relay import httpout
+from parsleystile.relay import pacing
+from parsleystile.relay import policy as policies
+from parsleystile.relay import ratekeeper
+from parsleystile.relay import records
+from parsleystile.relay import repeats
+from parsleystile.relay import reports
+from parsleystile.relay import roster
+from parsleystile.relay import sender
+from parsleystile.relay import spread
+from parsleystile.relay import vocabulary as vocabularies
+
+_SWEEP_PERIOD_MS = 500.0
+_FLUSH_PERIOD_MS = 100.0
+_GAUGE_PERIOD_MS = 5_000.0
+_SYNC_LOOK_MS = 125.0
+# Levels of the target's own calls are kept under this route.
+_CHILDREN = ids.RouteId('children')
+# Time left for the last answers before the process is ended from outside.
+_END_MARGIN_MS = 500.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Setup:
+    """What a node is built on.
+
+    Attributes:
+        link_port: Where other nodes reach this one.
+        caller_host: Address for callers and for the target's own calls.
+        target_host: Where the target beside this node listens.
+        secret: Shared by all nodes of the fleet.
+        retry_bounds: Budget of repeats, for the whole fleet.
+        stop_ms: From the request to stop until the process must be gone.
+        linger_ms: So long a stopping node keeps answering, until its
+            callers have been sent elsewhere.
+        leave_ms: Queued calls of a leaving target are refused at once; the
+            ones that run have this long.
+    """
+
+    node_id: ids.NodeId
+    domain: ids.FailureDomainId
+    region: ids.RegionId
+    host: str
+    link_port: int
+    caller_host: str
+    caller_port: int
+    target_host: str
+    target_port: int
+    secret: bytes
+    names: vocabularies.Vocabulary
+    retry_bounds: repeats.Bounds
+    stop_ms: float
+    linger_ms: float
+
+
+class Node:
+    """A node: its decisions and the sockets around them.
+
+    Attributes:
+        spread: State shared with other nodes; the platform's side feeds it.
+        record: Lines and numbers.
+        service: Of the target beside this node, as the settings name it.
+        on_end: Called once the node may end.
+    """
+
+    def __init__(
+        self,
+        setup: Setup,
+        decode: spread.Decode,
+        clock: clocks.Clock,
+        rng: random.Random,
+        record: records.Recorder,
+    ) -> None:
+        self._setup = setup
+        self._clock = clock
+        self._rng = rng
+        self.record = record
+        self.service = ids.ServiceName('')
+        self.on_end: typing.Callable[[], None] = lambda: None
+        self._ticker = tickers.ticker(clock)
+        wheel = self._ticker.wheel
+        self._links = links_module.links(
+            links_module.LinkSettings(
+                setup.node_id,
+                setup.secret,
+                policies.CallerLimits().body_bytes * _BODY_FACTOR
+                + wire.FRAME_OVERHEAD_BYTES,
+            ),
+            clock,
+            wheel,
+            metric.memory_metrics(),
+        )
+        self.roster = roster.roster(
+            roster.Row(
+                node_id=setup.node_id,
+                domain=setup.domain,
+                region=setup.region,
+                host=setup.host,
+                port=setup.link_port,
+                incarnation=int(clock.wall_ms()),
+            )
+        )
+        self.spread = spread.spread(
+            self._links, self.roster, decode, clock, wheel, rng, record
+        )
+        self.spread.on_policy = self._policy_changed
+        self.spread.on_members = self._members_changed
+        self.spread.on_own_row = self._learn_own_past
+        self._reports = reports.reports()
+        self._limit = pacing.declared_limit()
+        self._shedder = shedding.shedder(rng)
+        self.gate = gate.gate(
+            gate.Parts(
+                queue=admission.admission_queue(rng, limit=self._limit),
+                limit=self._limit,
+                origin=httpout.origin(
+                    setup.target_host,
+                    setup.target_port,
+                    clock,
+                    setup.names.call_id,
+                ),
+                names=setup.names,
+                clock=clock,
+                wheel=wheel,
+                record=record,
+                child_level=self._child_level,
+            )
+        )
+        self.gate.on_lost = self._target_lost
+        self._links.handle_calls(self.gate.submit)
+        self._balancer = balancer.balancer(
+            setup.domain, setup.region, setup.node_id, rng
+        )
+        self._budget = repeats.repeat_budget(setup.retry_bounds)
+        self._rates = ratekeeper.rate_keeper(
+            self._links, self.roster, clock, wheel, rng, record
+        )
+        self._front = front.front(
+            front.Parts(
+                names=setup.names,
+                policy=lambda: self.spread.policy,
+                own_service=lambda: self.service,
+                rates=self._rates,
+                shedder=self._shedder,
+                sender=sender.Parts(
+                    own_node_id=setup.node_id,
+                    balancer=self._balancer,
+                    budget=self._budget,
+                    links=self._links,
+                    gate=self.gate,
+                    clock=clock,
+                    wheel=wheel,
+                    record=record,
+                    on_unreached=self.spread.unreached,
+                    on_level=self._note_level,
+                ),
+                split=front.Splitter(rng),
+                rng=rng,
+                record=record,
+            )
+        )
+        self._callers = httpin.http_server(
+            clock,
+            frozenset({setup.host, setup.target_host, '127.0.0.1'}),
+            self._front.handle,
+            self._rejected,
+        )
+        self._services: set[ids.ServiceName] = set()
+        self._stop_asked_ms: float | None = None
+
+    async def start(self) -> None:
+        """Open all listeners and begin to tick."""
+        setup = self._setup
+        await self._links.listen(setup.host, setup.link_port)
+        await self._callers.listen(setup.caller_host, setup.caller_port)
+        every = self._ticker.every
+        every(_SWEEP_PERIOD_MS, self._sweep)
+        every(_FLUSH_PERIOD_MS, self._flush)
+        every(_GAUGE_PERIOD_MS, self._report)
+        every(_SYNC_LOOK_MS, self.spread.tick)
+        every(spread.WATCH_PERIOD_MS, self.spread.watch_links)
+        every(spread.PROBE_PERIOD_MS, self.spread.probe)
+
+    # The target beside this node.
+
+    def handle_report(self, report: reports.Report) -> reports.Verdict:
+        """Take in what the target says of itself; binds on return."""
+        verdict = self._reports.handle(report)
+        match verdict:
+            case reports.Verdict.SERVING:
+                self._serve(report)
+            case reports.Verdict.LEAVING:
+                self.gate.close(errors.Reason.LEAVING)
+                self._note_departed(report)
+        return verdict
+
+    def _serve(self, report: reports.Report) -> None:
+        now_ms = self._clock.now_ms()
+        policy = self.spread.policy
+        bounds = policy and policy.services.get(report.service)
+        target = gate.Target(
+            target_id=report.target_id,
+            service=report.service,
+            slots=report.slots,
+            cold_until_ms=now_ms + report.cold_ms,
+            cold_per_s=bounds.cold_per_s if bounds else _UNKNOWN_COLD_PER_S,
+        )
+        before = self.roster.me
+        self.gate.open(target)
+        is_serving = self._stop_asked_ms is None and not self._is_domain_out()
+        is_same = (
+            before.target_id == report.target_id
+            and before.service == report.service
+            and before.slots == report.slots
+            and before.is_serving == is_serving
+        )
+        if is_same:
+            return
+        self._record_target(report, 'reported')
+        self._change_row(
+            target_id=report.target_id,
+            service=report.service,
+            slots=report.slots,
+            is_serving=is_serving,
+        )
+
+    def _note_departed(self, report: reports.Report) -> None:
+        self._record_target(report, 'takes its leave')
+        self._change_row(
+            is_serving=False,
+            departed_id=report.target_id,
+            departed_born_ms=report.born_ms,
+        )
+
+    def _target_lost(self, why: str) -> None:
+        current = self._reports.current
+        if current is None:
+            return
+        self.record.log.write(
+            records.TargetChanged(
+                target=current.target_id,
+                state='lost',
+                service=current.service,
+                slots=current.slots,
+                cold_ms=0.0,
+                sequence=current.sequence,
+                why=why,
+            )
+        )
+        # Its next report has a higher sequence and is taken again.
+        self.gate.close(errors.Reason.UNREACHABLE)
+        self._change_row(is_serving=False)
+
+    def _record_target(self, report: reports.Report, why: str) -> None:
+        self.record.log.write(
+            records.TargetChanged(
+                target=report.target_id,
+                state=report.state.value,
+                service=report.service,
+                slots=report.slots,
+                cold_ms=report.cold_ms,
+                sequence=report.sequence,
+                why=why,
+            )
+        )
+
+    def _change_row(self, **fields: object) -> None:
+        self.roster.change_me(**fields)
+        self.spread.publish()
+        self._members_changed()
+
+    def _learn_own_past(self, row: roster.Row) -> None:
+        self._reports.remember_departed(row.departed_id, row.departed_born_ms)
+        current = self._reports.current
+        if current is not None and current.target_id == row.departed_id:
+            departed = reports.Report(
+                row.departed_id,
+                reports.TargetState.GONE,
+                row.departed_born_ms,
+            )
+            self.handle_report(departed)
+
+    # What changes while the node runs.
+
+    def _is_domain_out(self) -> bool:
+        policy = self.spread.policy
+        return policy is not None and self._setup.domain in policy.domains_out
+
+    def _policy_changed(self) -> None:
+        policy = self.spread.policy
+        self._callers.limits = policy.limits
+        self._balancer.set_domains_out(policy.domains_out)
+        self._rates.configure(policy)
+        if self._is_domain_out():
+            self.gate.refuse_new(errors.Reason.DOMAIN_OUT)
+        elif self._stop_asked_ms is None:
+            self._reopen()
+
+    def _reopen(self) -> None:
+        # A target that rested may be cold and has not told yet.
+        if self.gate.is_refusing:
+            self.gate.refuse_new(None)
+            self.gate.suspect()
+        current = self._reports.current
+        if current is not None and not self.roster.me.is_serving:
+            self._change_row(is_serving=True)
+
+    def _members_changed(self) -> None:
+        found = self.roster.members_by_service()
+        for service in self._services | set(found):
+            self._balancer.set_members(service, found.get(service, []))
+        self._services = set(found)
+        nodes = self.roster.node_count
+        self._budget.set_nodes(nodes)
+        if self.spread.policy is not None:
+            self._rates.configure(self.spread.policy)
+
+    def _note_level(
+        self,
+        route_id: ids.RouteId,
+        organisation: str,
+        level: float,
+        now_ms: float,
+        is_child: bool,
+    ) -> None:
+        if is_child:
+            self._shedder.told(_CHILDREN, level, now_ms)
+        else:
+            self._shedder.told(
+                route_id, level, now_ms, ids.OrganisationId(organisation)
+            )
+
+    def _child_level(self, now_ms: float) -> float:
+        return min(
+            context.RANK_LIMIT, self._shedder.level(_CHILDREN, now_ms)
+        )
+
+    # Upkeep.
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should be sent here."""
+        return self.spread.policy is not None and self._stop_asked_ms is None
+
+    def _sweep(self) -> None:
+        self._callers.sweep()
+        if self._stop_asked_ms is not None:
+            self._end_if_done()
+
+    def _flush(self) -> None:
+        self.record.log.flush()
+
+    def _report(self) -> None:
+        gauge = self.record.gauge
+        gauge('calls-at-guard', self.gate.in_flight)
+        gauge('requests-open', self._callers.open_requests)
+        gauge('nodes-known', self.roster.node_count)
+        gauge('nodes-unreached', len(self.roster.unreached()))
+        gauge('lines-dropped', self.record.log.dropped)
+
+    def _rejected(self, status: int, why: str) -> None:
+        self.record.count('malformed-requests')
+        self.record.log.write(
+            records.Rejected(where='caller', why=f'{status}: {why}')
+        )
+
+    # The end.
+
+    def stop(self) -> None:
+        """Begin a planned stop: nothing is cut, callers go elsewhere."""
+        if self._stop_asked_ms is not None:
+            return
+        self._stop_asked_ms = self._clock.now_ms()
+        self.record.log.write(
+            records.Process(state='draining', detail='asked to stop')
+        )
+        self._callers.is_closing = True
+        self.gate.refuse_new(errors.Reason.LEAVING)
+        self.spread.leave()
+        self._members_changed()
+
+    def _end_if_done(self) -> None:
+        passed_ms = self._clock.now_ms() - self._stop_asked_ms
+        is_idle = not self.gate.in_flight and not self._callers.open_requests
+        is_over = passed_ms >= self._setup.stop_ms - _END_MARGIN_MS
+        if is_over or (is_idle and passed_ms >= self._setup.linger_ms):
+            self.on_end()
+
+    async def close(self) -> None:
+        """Close every socket."""
+        self._ticker.close()
+        self._callers.close()
+        await self._links.close()
+        # Answers that are on their way leave with the next turns.
+        await asyncio.sleep(0)
+        self.record.log.flush()
+
+
+# Frames hold the largest body that a caller may send.
+_BODY_FACTOR = 65
+# A target that turns cold before its service is known bears little.
+_UNKNOWN_COLD_PER_S = 5.0
+
+
+def build_node(
+    setup: Setup,
+    decode: spread.Decode,
+    clock: clocks.Clock,
+    rng: random.Random,
+    record: records.Recorder,
+) -> Node:
+    """Create a node that knows no policy, no peers and no target."""
+    return Node(setup, decode, clock, rng, record)
--- /dev/null
+++ b/src/parsleystile/relay/records.py
@@ -0,0 +1,415 @@
+"""What a node decided and why: JSON lines, counters, histograms.
+
+Lines are collected and written a batch at a time to a descriptor that never
+blocks; a reader that stops reading costs lines, never time. Lines of one
+kind are limited in rate; ``suppressed`` counts what was left out before.
+Failures have rates of their own, so that ordinary lines never crowd them
+out.
+"""
+
+import os
+import typing
+
+import msgspec
+import prometheus_client
+
+from parsleystile import clock as clocks
+from parsleystile import errors
+from parsleystile import ids
+from parsleystile.gen import ttypes
+
+# Lines a second of one kind, and how many may come at once.
+_LINES_PER_S = 20.0
+_BURST_LINES = 60.0
+# Of calls that went well, fewer tell as much.
+_SAMPLED_PER_S = 2.0
+# Bytes that wait for a reader; older lines are dropped beyond.
+_MAX_BUFFERED_BYTES = 262_144
+_LATENCY_BUCKETS_S = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.15,
+    0.25,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+)
+
+
+class _Line(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Base of all lines; ``event`` names the kind."""
+
+
+class CallRefused(_Line, tag_field='event', tag='call-refused'):
+    """A request got an answer of ours that says it has not run."""
+
+    call: str
+    organisation: str
+    route: str
+    reason: str
+    detail: str
+    status: int
+    retry_after_ms: int
+    sends: int
+    waited_ms: float
+    policy_version: int
+
+
+class CallUnknown(_Line, tag_field='event', tag='call-unknown'):
+    """A request ended without an answer; it may have run."""
+
+    call: str
+    organisation: str
+    route: str
+    reason: str
+    detail: str
+    status: int
+    sends: int
+    waited_ms: float
+    policy_version: int
+
+
+class CallAnswered(_Line, tag_field='event', tag='call-answered'):
+    """A target's answer went back."""
+
+    call: str
+    organisation: str
+    route: str
+    service: str
+    node: str
+    status: int
+    sends: int
+    waited_ms: float
+    policy_version: int
+
+
+class CallRepeated(_Line, tag_field='event', tag='call-repeated'):
+    """A request is sent to another target."""
+
+    call: str
+    service: str
+    node: str
+    reason: str
+    detail: str
+    sends: int
+    remaining_ms: float
+
+
+class CallAbandoned(_Line, tag_field='event', tag='call-abandoned'):
+    """The caller left before its answer."""
+
+    call: str
+    route: str
+    sends: int
+    waited_ms: float
+
+
+class GuardRefused(_Line, tag_field='event', tag='guard-refused'):
+    """The guard of a target refused a call before the target saw it."""
+
+    call: str
+    service: str
+    reason: str
+    detail: str
+    in_flight: int
+    limit: int
+    queued: int
+    level: float
+
+
+class TargetFailed(_Line, tag_field='event', tag='target-failed'):
+    """A call was sent to the target and got no proper answer."""
+
+    call: str
+    target: str
+    detail: str
+    spent_ms: float
+
+
+class TargetChanged(_Line, tag_field='event', tag='target-changed'):
+    """What this node holds of the target beside it."""
+
+    target: str
+    state: str
+    service: str
+    slots: int
+    cold_ms: float
+    sequence: int
+    why: str
+
+
+class PolicyInForce(_Line, tag_field='event', tag='policy-in-force'):
+    """A newer version binds here from now on."""
+
+    version: int
+    seen_at: int
+    source: str
+    domains_out: list[str]
+
+
+class PolicyRejected(_Line, tag_field='event', tag='policy-rejected'):
+    """A version can't be read or doesn't hold; the one before stays."""
+
+    seen_at: int
+    why: str
+
+
+class MemberChanged(_Line, tag_field='event', tag='member-changed'):
+    """A node's own account of itself, as it reached this one."""
+
+    member: str
+    service: str
+    target: str
+    state: str
+    incarnation: int
+    sequence: int
+    source: str
+
+
+class NodeReach(_Line, tag_field='event', tag='node-reach'):
+    """Another node can be reached again, or not any more."""
+
+    member: str
+    is_reached: bool
+    why: str
+
+
+class StoreReach(_Line, tag_field='event', tag='store-reach'):
+    """The platform's store answers again, or not any more."""
+
+    table: str
+    is_reached: bool
+    why: str
+    at_version: int
+
+
+class Process(_Line, tag_field='event', tag='process'):
+    """This process starts, reloads its settings, drains or ends."""
+
+    state: str
+    detail: str
+
+
+class Rejected(_Line, tag_field='event', tag='input-rejected'):
+    """Input from outside that is not what it should be."""
+
+    where: str
+    why: str
+
+
+Line = _Line
+_FREQUENT = (CallAnswered,)
+
+
+class _Budget:
+    __slots__ = ('at_ms', 'lines', 'per_s', 'suppressed')
+
+    def __init__(self, per_s: float, now_ms: float) -> None:
+        self.per_s = per_s
+        self.lines = _BURST_LINES if per_s >= _LINES_PER_S else per_s
+        self.at_ms = now_ms
+        self.suppressed = 0
+
+
+class LineLog:
+    """Writes lines without ever waiting for their reader.
+
+    Attributes:
+        dropped: Lines lost because nobody read.
+    """
+
+    def __init__(
+        self, node_id: ids.NodeId, clock: clocks.Clock, descriptor: int
+    ) -> None:
+        self._node = node_id
+        self._clock = clock
+        self._descriptor = descriptor
+        self._budgets: dict[type[_Line], _Budget] = {}
+        self._encoder = msgspec.json.Encoder()
+        self._chunks: list[bytes] = []
+        self._size = 0
+        self.dropped = 0
+
+    def write(self, line: _Line) -> bool:
+        """Take a line; False if its kind is over its rate."""
+        now_ms = self._clock.now_ms()
+        kind = type(line)
+        budget = self._budgets.get(kind)
+        if budget is None:
+            per_s = _SAMPLED_PER_S if kind in _FREQUENT else _LINES_PER_S
+            budget = self._budgets[kind] = _Budget(per_s, now_ms)
+        refilled = budget.lines + (now_ms - budget.at_ms) * budget.per_s / 1e3
+        budget.lines = min(refilled, max(budget.per_s, budget.lines))
+        budget.at_ms = now_ms
+        if budget.lines < 1.0:
+            budget.suppressed += 1
+            return False
+        budget.lines -= 1.0
+        self._append(line, budget)
+        return True
+
+    def _append(self, line: _Line, budget: _Budget) -> None:
+        if self._size > _MAX_BUFFERED_BYTES:
+            self.dropped += 1
+            return
+        prefix = f'{{"time_ms":{int(self._clock.wall_ms())},"node":"'
+        prefix += f'{self._node}",'
+        if budget.suppressed:
+            prefix += f'"suppressed":{budget.suppressed},'
+            budget.suppressed = 0
+        data = prefix.encode() + self._encoder.encode(line)[1:] + b'\n'
+        self._chunks.append(data)
+        self._size += len(data)
+
+    def flush(self) -> None:
+        """Hand what was collected to the reader, as far as it reads."""
+        if not self._chunks:
+            return
+        data = b''.join(self._chunks)
+        try:
+            written = os.write(self._descriptor, data)
+        except BlockingIOError:
+            written = 0
+        except OSError:
+            # Nobody will ever read: the count is all that can be kept.
+            self.dropped += len(self._chunks)
+            written = len(data)
+        rest = data[written:]
+        self._chunks = [rest] if rest else []
+        self._size = len(rest)
+
+
+class Recorder:
+    """Counts decisions and writes the lines about them.
+
+    Attributes:
+        log: Where lines go.
+    """
+
+    def __init__(self, log: LineLog) -> None:
+        self.log = log
+        self.registry = prometheus_client.CollectorRegistry()
+        self._ends = prometheus_client.Counter(
+            'parsleystile_calls',
+            'Requests by how they ended here',
+            ('end', 'reason'),
+            registry=self.registry,
+        )
+        self._guard = prometheus_client.Counter(
+            'parsleystile_guard_refusals',
+            'Calls that the guard refused',
+            ('reason',),
+            registry=self.registry,
+        )
+        self._events = prometheus_client.Counter(
+            'parsleystile_events',
+            'Other events by kind',
+            ('kind',),
+            registry=self.registry,
+        )
+        self._gauges = prometheus_client.Gauge(
+            'parsleystile_state',
+            'Figures of this node now',
+            ('name',),
+            registry=self.registry,
+        )
+        self._latency = prometheus_client.Histogram(
+            'parsleystile_call_seconds',
+            'Time from a whole request to its answer',
+            ('end',),
+            buckets=_LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._seen: dict[tuple[str, str], typing.Any] = {}
+
+    def page(self) -> bytes:
+        """Return all numbers as text."""
+        return prometheus_client.generate_latest(self.registry)
+
+    def count(self, kind: str, amount: int = 1) -> None:
+        """Count an event."""
+        self._child(self._events, kind).inc(amount)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a figure of this node."""
+        self._child(self._gauges, name).set(value)
+
+    def ended(self, end: str, reason: str, spent_ms: float) -> None:
+        """Count the end of a request."""
+        key = (end, reason)
+        children = self._seen.get(key)
+        if children is None:
+            children = self._seen[key] = (
+                self._ends.labels(end, reason),
+                self._latency.labels(end),
+            )
+        children[0].inc()
+        children[1].observe(spent_ms / 1e3)
+
+    def guard_refused(
+        self,
+        call: str,
+        service: str,
+        refusal: errors.Refusal,
+        load: ttypes.Load,
+    ) -> None:
+        """Record that the guard let a call not pass."""
+        reason = refusal.reason.name.lower()
+        self._child(self._guard, reason).inc()
+        self.log.write(
+            GuardRefused(
+                call=call,
+                service=service,
+                reason=reason,
+                detail=refusal.detail,
+                in_flight=load.in_flight,
+                limit=load.limit,
+                queued=load.queued,
+                level=round(load.admission_level, 3),
+            )
+        )
+
+    def target_failed(
+        self,
+        call: str,
+        target: str,
+        refusal: errors.Refusal,
+        spent_ms: float,
+    ) -> None:
+        """Record that the target gave no proper answer."""
+        self.count('target-failed')
+        self.log.write(
+            TargetFailed(
+                call=call,
+                target=target,
+                detail=refusal.detail,
+                spent_ms=round(spent_ms, 1),
+            )
+        )
+
+    def cancelled(self, call: str) -> None:
+        """Record that a call at the guard has lost its caller."""
+        del call
+        self.count('guard-cancelled')
+
+    def _child(self, metric: typing.Any, label: str) -> typing.Any:
+        key = (metric._name, label)
+        child = self._seen.get(key)
+        if child is None:
+            child = self._seen[key] = metric.labels(label)
+        return child
+
+
+def recorder(
+    node_id: ids.NodeId, clock: clocks.Clock, descriptor: int
+) -> Recorder:
+    """Create a recorder whose lines go to a descriptor.
+
+    The descriptor is set not to block.
+    """
+    os.set_blocking(descriptor, False)
+    return Recorder(LineLog(node_id, clock, descriptor))
--- /dev/null
+++ b/src/parsleystile/relay/spread.py
@@ -0,0 +1,422 @@
+"""How configuration and member rows reach every node.
+
+Three ways lead to a node: the store's feed, a push from the author of a row,
+and a periodic exchange with one random neighbour. The last two serve nodes
+that the store turns away and the time while it is down; what they bring is
+ordered by the same versions, so it does not matter which comes first.
+"""
+
+import abc
+import random
+import typing
+
+import msgspec
+
+from parsleystile import clock as clocks
+from parsleystile import deadlines
+from parsleystile import errors
+from parsleystile import ids
+from parsleystile import link as links_module
+from parsleystile import transport
+from parsleystile.relay import policy as policies
+from parsleystile.relay import records
+from parsleystile.relay import roster as rosters
+
+SYNC_KIND = 'state.sync'
+ROW_KIND = 'state.row'
+PING_KIND = 'state.ping'
+# Between exchanges with a random neighbour; shorter while the store is away.
+SYNC_PERIOD_MS = 1_000.0
+LONE_SYNC_PERIOD_MS = 250.0
+_TIMEOUT_MS = 500.0
+# A row is pushed to so many nodes at most; the exchange finds the others.
+_MAX_PUSHED = 96
+# Links that wait for answers are looked at so often; one that stays silent
+# for a look is asked, and given up if it does not reply.
+WATCH_PERIOD_MS = 250.0
+_PING_TIMEOUT_MS = 450.0
+# Nodes that do not answer are asked again so often.
+PROBE_PERIOD_MS = 300.0
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """One state of what operators wrote, as the store holds it.
+
+    Attributes:
+        seen_at: Version of the store that it holds for; only grows.
+        payload: What the platform's side decodes into a policy.
+    """
+
+    seen_at: int = 0
+    payload: bytes = b''
+
+
+class _Sync(msgspec.Struct, frozen=True):
+    """Asked of a neighbour, and its reply; both tell what they have."""
+
+    seen_at: int
+    digest: int
+    payload: bytes = b''
+    rows: list[rosters.Row] = []
+
+
+class StateStore(abc.ABC):
+    """Where rows outlive their author; never waits."""
+
+    @abc.abstractmethod
+    def publish(self, row: rosters.Row) -> None:
+        """Store a node's own row soon; a later call replaces it."""
+
+    @abc.abstractmethod
+    def withdraw(self, row: rosters.Row) -> None:
+        """Take a node's row out soon."""
+
+    @property
+    @abc.abstractmethod
+    def is_reached(self) -> bool:
+        """Whether the store answers this node."""
+
+
+Decode = typing.Callable[[bytes], policies.Policy | errors.SettingsError]
+
+
+class Spread:
+    """Exchanges state with the store and with other nodes.
+
+    Attributes:
+        store: Set by the platform's side before anything is published.
+        policy: What is in force here; None while nothing is known.
+        snapshot: Where it comes from.
+        on_policy: Called after a newer policy came into force.
+        on_members: Called after the roster changed.
+        on_own_row: Called with a row of an earlier life of this node.
+    """
+
+    def __init__(
+        self,
+        links: links_module.Links,
+        roster: rosters.Roster,
+        decode: Decode,
+        clock: clocks.Clock,
+        wheel: deadlines.DeadlineWheel,
+        rng: random.Random,
+        record: records.Recorder,
+    ) -> None:
+        self.store: StateStore | None = None
+        self.policy: policies.Policy | None = None
+        self.snapshot = Snapshot()
+        self.on_policy: typing.Callable[[], None] = lambda: None
+        self.on_members: typing.Callable[[], None] = lambda: None
+        self.on_own_row: typing.Callable[[rosters.Row], None] = lambda row: None
+        self._links = links
+        self._roster = roster
+        self._decode = decode
+        self._clock = clock
+        self._wheel = wheel
+        self._rng = rng
+        self._record = record
+        self._next_sync_ms = 0.0
+        self._pinged: set[transport.Address] = set()
+        self._received: dict[transport.Address, int] = {}
+        links.handle_control(SYNC_KIND, self._on_sync)
+        links.handle_control(ROW_KIND, self._on_row)
+        links.handle_control(PING_KIND, lambda payload, reply: reply(b''))
+
+    # What comes in.
+
+    def offer(self, snapshot: Snapshot, source: str) -> bool:
+        """Put a snapshot in force if it is newer and holds."""
+        if snapshot.seen_at <= self.snapshot.seen_at:
+            return False
+        policy = self._decode(snapshot.payload)
+        if isinstance(policy, errors.SettingsError):
+            self._record.log.write(
+                records.PolicyRejected(
+                    seen_at=snapshot.seen_at, why=str(policy)
+                )
+            )
+            return False
+        before = self.policy
+        if before is not None and policy.version < before.version:
+            self._record.log.write(
+                records.PolicyRejected(
+                    seen_at=snapshot.seen_at,
+                    why=f'version {policy.version} after {before.version}',
+                )
+            )
+            return False
+        self.snapshot = snapshot
+        self.policy = policy
+        self._record.log.write(
+            records.PolicyInForce(
+                version=policy.version,
+                seen_at=snapshot.seen_at,
+                source=source,
+                domains_out=sorted(policy.domains_out),
+            )
+        )
+        self.on_policy()
+        return True
+
+    def learn(
+        self, rows: typing.Iterable[rosters.Row], source: str
+    ) -> None:
+        """Take in rows of nodes, this one's earlier lives included."""
+        changed = False
+        for row in rows:
+            if row.node_id == self._roster.me.node_id:
+                self.on_own_row(row)
+            if not self._roster.merge(row):
+                continue
+            changed = True
+            if row.node_id == self._roster.me.node_id:
+                self.publish()
+            self._record.log.write(
+                records.MemberChanged(
+                    member=row.node_id,
+                    service=row.service,
+                    target=row.target_id,
+                    state=_state_of(row),
+                    incarnation=row.incarnation,
+                    sequence=row.sequence,
+                    source=source,
+                )
+            )
+        if changed:
+            self.on_members()
+
+    def forget(self, node_id: ids.NodeId) -> None:
+        """Note that a node's row was taken out of the store."""
+        self._roster.forget(node_id)
+        self.on_members()
+
+    # What goes out.
+
+    def publish(self) -> None:
+        """Store this node's row and push it to the others."""
+        row = self._roster.me
+        if self.store is not None:
+            self.store.publish(row)
+        self._push(row)
+
+    def leave(self) -> None:
+        """Tell everybody that this node ends."""
+        row = self._roster.change_me(is_serving=False, is_gone=True)
+        if self.store is not None:
+            # The next life of this node must know of a target that left.
+            if row.departed_id:
+                self.store.publish(row)
+            else:
+                self.store.withdraw(row)
+        self._push(row)
+
+    def _push(self, row: rosters.Row) -> None:
+        others = self._reached()
+        if len(others) > _MAX_PUSHED:
+            others = self._rng.sample(others, _MAX_PUSHED)
+        payload = rosters.encode_row(row)
+        for other in others:
+            self._links.control(
+                other.link, ROW_KIND, payload, _TIMEOUT_MS, _ignore_reply
+            )
+
+    def _reached(self) -> list[rosters.Row]:
+        unreached = {row.node_id for row in self._roster.unreached()}
+        return [
+            row
+            for row in self._roster.others()
+            if row.node_id not in unreached
+        ]
+
+    # Exchange with neighbours.
+
+    def tick(self) -> None:
+        """Exchange state if it is time to."""
+        now_ms = self._clock.now_ms()
+        if now_ms < self._next_sync_ms:
+            return
+        is_alone = self.store is None or not self.store.is_reached
+        period_ms = LONE_SYNC_PERIOD_MS if is_alone else SYNC_PERIOD_MS
+        self._next_sync_ms = now_ms + period_ms * self._rng.uniform(0.8, 1.2)
+        others = self._reached()
+        if others:
+            self._sync_with(self._rng.choice(others))
+
+    def _sync_with(self, other: rosters.Row) -> None:
+        def on_reply(reply: bytes | errors.Refusal) -> None:
+            if isinstance(reply, errors.Refusal):
+                self.unreached(other.node_id, reply.detail)
+                return
+            theirs = self._decode_sync(reply)
+            if theirs is None:
+                return
+            self._take(theirs, other.node_id)
+            if theirs.digest != self._roster.digest and not theirs.rows:
+                return
+            if theirs.seen_at < self.snapshot.seen_at:
+                self._tell(other)
+
+        ask = _Sync(self.snapshot.seen_at, self._roster.digest)
+        self._links.control(
+            other.link,
+            SYNC_KIND,
+            msgspec.msgpack.encode(ask),
+            _TIMEOUT_MS,
+            on_reply,
+        )
+
+    def _tell(self, other: rosters.Row) -> None:
+        full = _Sync(
+            self.snapshot.seen_at,
+            self._roster.digest,
+            self.snapshot.payload,
+            self._roster.rows(),
+        )
+        self._links.control(
+            other.link,
+            SYNC_KIND,
+            msgspec.msgpack.encode(full),
+            _TIMEOUT_MS,
+            _ignore_reply,
+        )
+
+    def _take(self, theirs: _Sync, source: str) -> None:
+        if theirs.payload:
+            self.offer(Snapshot(theirs.seen_at, theirs.payload), source)
+        if theirs.rows:
+            self.learn(theirs.rows, source)
+
+    def _on_sync(
+        self, payload: bytes, reply: typing.Callable[[bytes], None]
+    ) -> None:
+        ask = self._decode_sync(payload)
+        if ask is None:
+            reply(b'')
+            return
+        self._take(ask, 'neighbour')
+        mine = self.snapshot
+        newer = mine.payload if mine.seen_at > ask.seen_at else b''
+        differs = ask.digest != self._roster.digest
+        answer = _Sync(
+            mine.seen_at,
+            self._roster.digest,
+            newer,
+            self._roster.rows() if differs else [],
+        )
+        reply(msgspec.msgpack.encode(answer))
+
+    def _on_row(
+        self, payload: bytes, reply: typing.Callable[[bytes], None]
+    ) -> None:
+        row = rosters.decode_row(payload)
+        if row is None:
+            self._reject(ROW_KIND, 'not a row')
+        else:
+            self.learn([row], 'author')
+            self.reached(row.node_id)
+        reply(b'')
+
+    def _decode_sync(self, payload: bytes) -> _Sync | None:
+        try:
+            return msgspec.msgpack.decode(payload, type=_Sync)
+        except msgspec.MsgspecError as exc:
+            self._reject(SYNC_KIND, str(exc))
+            return None
+
+    def _reject(self, where: str, why: str) -> None:
+        self._record.log.write(records.Rejected(where=where, why=why))
+
+    # Who answers.
+
+    def watch_links(self) -> None:
+        """Ask the other end of each link that owes answers and is silent."""
+        waiting = self._links.waiting()
+        silent = [
+            address
+            for address, received in waiting
+            if self._received.get(address) == received
+        ]
+        self._received = dict(waiting)
+        for address in silent:
+            if address not in self._pinged:
+                self._ping(address)
+
+    def _ping(self, address: transport.Address) -> None:
+        self._pinged.add(address)
+        before = self._received[address]
+
+        def on_reply(reply: bytes | errors.Refusal) -> None:
+            self._pinged.discard(address)
+            is_silent = dict(self._links.waiting()).get(address) == before
+            if isinstance(reply, errors.Refusal) and is_silent:
+                why = 'no reply on a link that owes answers'
+                self._links.drop(address, why)
+                for row in self._roster.others():
+                    if row.link == address:
+                        self.unreached(row.node_id, why)
+
+        self._links.control(
+            address, PING_KIND, b'', _PING_TIMEOUT_MS, on_reply
+        )
+
+    def probe(self) -> None:
+        """Ask the nodes that did not answer whether they do now."""
+        for row in self._roster.unreached():
+            self._probe(row)
+
+    def _probe(self, row: rosters.Row) -> None:
+        if row.link in self._pinged:
+            return
+        self._pinged.add(row.link)
+
+        def on_reply(reply: bytes | errors.Refusal) -> None:
+            self._pinged.discard(row.link)
+            if not isinstance(reply, errors.Refusal):
+                self.reached(row.node_id)
+                self._next_sync_ms = 0.0
+
+        self._links.control(
+            row.link, PING_KIND, b'', _PING_TIMEOUT_MS, on_reply
+        )
+
+    def reached(self, node_id: ids.NodeId) -> None:
+        """Note that a node answers."""
+        if self._roster.set_reached(node_id, True):
+            self._note_reach(node_id, True, 'it answers')
+
+    def unreached(self, node_id: ids.NodeId, why: str) -> None:
+        """Note that a node does not answer; it gets no calls until then."""
+        if self._roster.set_reached(node_id, False):
+            self._note_reach(node_id, False, why)
+
+    def _note_reach(
+        self, node_id: ids.NodeId, is_reached: bool, why: str
+    ) -> None:
+        self._record.log.write(
+            records.NodeReach(member=node_id, is_reached=is_reached, why=why)
+        )
+        self.on_members()
+
+
+def _ignore_reply(reply: bytes | errors.Refusal) -> None:
+    # A push that is lost is made up for by the next exchange.
+    del reply
+
+
+def _state_of(row: rosters.Row) -> str:
+    if row.is_gone:
+        return 'gone'
+    return 'serving' if row.is_serving else 'no-target'
+
+
+def spread(
+    links: links_module.Links,
+    roster: rosters.Roster,
+    decode: Decode,
+    clock: clocks.Clock,
+    wheel: deadlines.DeadlineWheel,
+    rng: random.Random,
+    record: records.Recorder,
+) -> Spread:
+    """Create the exchange of a node that knows nothing yet."""
+    return Spread(links, roster, decode, clock, wheel, rng, record)
