--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -331,8 +331,7 @@
         for service in self._services | set(found):
             self._balancer.set_members(service, found.get(service, []))
         self._services = set(found)
-        nodes = self.roster.node_count
-        self._budget.set_nodes(nodes)
+        self._budget.set_nodes(len(self.roster.node_ids))
         if self.spread.policy is not None:
             self._rates.configure(self.spread.policy)
 
@@ -375,7 +374,7 @@
         gauge = self.record.gauge
         gauge('calls-at-guard', self.gate.in_flight)
         gauge('requests-open', self._callers.open_requests)
-        gauge('nodes-known', self.roster.node_count)
+        gauge('nodes-known', len(self.roster.node_ids))
         gauge('nodes-unreached', len(self.roster.unreached()))
         gauge('lines-dropped', self.record.log.dropped)
 
--- a/src/parsleystile/relay/ratekeeper.py
+++ b/src/parsleystile/relay/ratekeeper.py
@@ -64,7 +64,8 @@
         """Go by the rates and the number of nodes now in force."""
         self.shares.configure(
             policy.organisations,
-            self._roster.node_count,
+            self._roster.node_ids,
+            self._roster.me.node_id,
             self._clock.now_ms(),
         )
 
@@ -97,14 +98,14 @@
     def _ask(
         self, organisation: ids.OrganisationId, wanted: float, left: int
     ) -> None:
-        unreached = {row.node_id for row in self._roster.unreached()}
-        others = [
-            row for row in self._roster.others() if row.node_id not in unreached
+        holders = set(self.shares.holders(organisation))
+        peers = [
+            row for row in self._roster.reached() if row.node_id in holders
         ]
-        if not others or left == 0:
+        if not peers:
             self._received(organisation, 0.0)
             return
-        peer = self._rng.choice(others)
+        peer = self._rng.choice(peers)
         # Those waiting need a token each beyond the usual demand.
         wanted += len(self._waiting.get(organisation, ()))
 
--- a/src/parsleystile/relay/roster.py
+++ b/src/parsleystile/relay/roster.py
@@ -157,10 +157,18 @@
         """Return the rows of nodes that do not answer."""
         return [row for row in self.others() if row.node_id in self._unreached]
 
+    def reached(self) -> list[Row]:
+        """Return the rows of the other nodes that answer, as far as known."""
+        return [
+            row for row in self.others() if row.node_id not in self._unreached
+        ]
+
     @property
-    def node_count(self) -> int:
-        """Nodes that are not gone, reached or not."""
-        return sum(not row.is_gone for row in self._rows.values())
+    def node_ids(self) -> list[ids.NodeId]:
+        """Nodes that are not gone, reached or not, in order."""
+        return sorted(
+            row.node_id for row in self._rows.values() if not row.is_gone
+        )
 
     @property
     def digest(self) -> int:
--- a/src/parsleystile/relay/shares.py
+++ b/src/parsleystile/relay/shares.py
@@ -1,7 +1,8 @@
 """Fleet-wide rates as token buckets divided among the nodes.
 
-Each node refills its own part of an organisation's rate and burst. A node
-that runs short asks others to hand tokens over; a handed-over token leaves
+An organisation's rate and burst are divided evenly among its holders: all
+nodes, or a few of them where the burst is small, so that each holder's part
+comes to whole tokens. A node that runs short asks others to hand tokens over; a handed-over token leaves
 the giver before it is sent, so that the sum of all buckets never exceeds
 the organisation's burst, also while nodes are cut off from each other.
 A lost message loses tokens; it never doubles them.
@@ -12,12 +13,15 @@
 
 import dataclasses
 import random
+import zlib
 
 from parsleystile import ids
 from parsleystile.relay import policy as policies
 
 # A node keeps what it expects to spend in so long, and gives from the rest.
 KEEP_MS = 500.0
+# A holder's part of the burst is no smaller, or tokens never get whole.
+LEAST_DEPTH = 3.0
 # A share of what is spare goes with one ask, so that no ask empties a node.
 GIVE_SHARE = 0.5
 # Tokens for the demand of so long are asked for at once.
@@ -64,17 +68,17 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._buckets: dict[ids.OrganisationId, _Bucket] = {}
-        self._quotas: dict[ids.OrganisationId, tuple[float, float]] = {}
-        self._nodes = 0
+        self._holders: dict[ids.OrganisationId, list[ids.NodeId]] = {}
 
     def configure(
         self,
         organisations: dict[ids.OrganisationId, policies.Organisation],
-        nodes: int,
+        nodes: list[ids.NodeId],
+        own: ids.NodeId,
         now_ms: float,
     ) -> None:
-        """Take in the rates in force and how many nodes divide them."""
-        self._nodes = max(1, nodes)
+        """Take in the rates in force and the nodes that divide them."""
+        self._holders.clear()
         for organisation in list(self._buckets):
             if organisation not in organisations:
                 del self._buckets[organisation]
@@ -82,8 +86,11 @@
             if limits.rate_per_s <= 0.0:
                 self._buckets.pop(organisation, None)
                 continue
-            rate_per_ms = limits.rate_per_s / 1e3 / self._nodes
-            depth = max(limits.burst, 1.0) / self._nodes
+            holders = holders_of(limits, nodes)
+            self._holders[organisation] = holders
+            part = 1.0 / len(holders) if own in holders else 0.0
+            rate_per_ms = part * limits.rate_per_s / 1e3
+            depth = part * max(limits.burst, 1.0)
             bucket = self._buckets.get(organisation)
             if bucket is None:
                 self._buckets[organisation] = _Bucket(
@@ -92,10 +99,14 @@
                 continue
             bucket.settle(now_ms)
             if depth < bucket.depth:
-                bucket.tokens *= depth / bucket.depth
+                bucket.tokens = min(bucket.tokens, depth)
             bucket.rate_per_ms = rate_per_ms
             bucket.depth = depth
 
+    def holders(self, organisation: ids.OrganisationId) -> list[ids.NodeId]:
+        """Return the nodes that refill tokens of an organisation."""
+        return self._holders.get(organisation, [])
+
     def is_limited(self, organisation: ids.OrganisationId) -> bool:
         """Whether calls of an organisation need tokens."""
         return organisation in self._buckets
@@ -131,7 +142,7 @@
         The caller sends the ask and ends it with ``received``.
         """
         bucket = self._buckets.get(organisation)
-        if bucket is None or bucket.is_asking or self._nodes < 2:
+        if bucket is None or bucket.is_asking:
             return 0.0
         if now_ms < bucket.dry_until_ms:
             return 0.0
@@ -173,9 +184,11 @@
     ) -> int:
         """Return when a token is likely to be here, spread a little."""
         bucket = self._buckets.get(organisation)
-        if bucket is None or bucket.rate_per_ms <= 0.0:
+        if bucket is None:
             return 0
         bucket.settle(now_ms)
+        if bucket.rate_per_ms <= 0.0:
+            return int(DRY_MS * self._rng.uniform(1.0, 3.0))
         # Callers come back in turn: the busier the later.
         ahead = max(1.0, bucket.demand_per_ms / bucket.rate_per_ms)
         missing = max(0.0, 1.0 - bucket.tokens)
@@ -188,6 +201,19 @@
         return 0.0 if bucket is None else bucket.tokens
 
 
+def holders_of(
+    limits: policies.Organisation, nodes: list[ids.NodeId]
+) -> list[ids.NodeId]:
+    """Return which nodes divide an organisation's rate; the same anywhere."""
+    count = max(1, min(len(nodes), int(limits.burst / LEAST_DEPTH)))
+    if count == len(nodes):
+        return nodes
+    name = limits.organisation_id
+    return sorted(
+        nodes, key=lambda node: zlib.crc32(f'{name}/{node}'.encode())
+    )[:count]
+
+
 def _spend(bucket: _Bucket) -> bool:
     if bucket.tokens < 1.0:
         return False
--- a/src/parsleystile/relay/spread.py
+++ b/src/parsleystile/relay/spread.py
@@ -211,7 +211,7 @@
         self._push(row)
 
     def _push(self, row: rosters.Row) -> None:
-        others = self._reached()
+        others = self._roster.reached()
         if len(others) > _MAX_PUSHED:
             others = self._rng.sample(others, _MAX_PUSHED)
         payload = rosters.encode_row(row)
@@ -220,14 +220,6 @@
                 other.link, ROW_KIND, payload, _TIMEOUT_MS, _ignore_reply
             )
 
-    def _reached(self) -> list[rosters.Row]:
-        unreached = {row.node_id for row in self._roster.unreached()}
-        return [
-            row
-            for row in self._roster.others()
-            if row.node_id not in unreached
-        ]
-
     # Exchange with neighbours.
 
     def tick(self) -> None:
@@ -238,7 +230,7 @@
         is_alone = self.store is None or not self.store.is_reached
         period_ms = LONE_SYNC_PERIOD_MS if is_alone else SYNC_PERIOD_MS
         self._next_sync_ms = now_ms + period_ms * self._rng.uniform(0.8, 1.2)
-        others = self._reached()
+        others = self._roster.reached()
         if others:
             self._sync_with(self._rng.choice(others))
 
--- /dev/null
+++ b/stubs/platformstore.py
@@ -0,0 +1,180 @@
+"""A stand-in for the users' store of rows, by its published protocol."""
+
+import asyncio
+import base64
+import json
+import typing
+import urllib.parse
+
+from parsleystile import clock as clocks
+from parsleystile.relay import httpin
+
+_JSON = ['Content-Type', 'application/json']
+
+
+class PlatformStore:
+    """Rows in memory: read, feed and transactions on one counter.
+
+    Attributes:
+        version: Grows with each transaction.
+        oldest: Feeds that start before this version get 410.
+        refuses: Status that every call gets; 0 for proper answers.
+        silences: Calls get no answer at all.
+        calls: Paths of the calls so far.
+    """
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.oldest = 0
+        self.refuses = 0
+        self.silences = False
+        self.calls: list[str] = []
+        self._rows: dict[tuple[str, str], dict[str, typing.Any]] = {}
+        self._changed = asyncio.Event()
+        self._server = httpin.http_server(
+            clocks.system_clock(), frozenset(), self._handle
+        )
+        self._waiting: set[asyncio.Task[None]] = set()
+
+    async def start(self, host: str = '127.0.0.1') -> tuple[str, int]:
+        """Listen on any free port; return the address."""
+        return await self._server.listen(host, 0)
+
+    def close(self) -> None:
+        """Stop listening and drop every connection."""
+        for task in self._waiting:
+            task.cancel()
+        self._server.close()
+
+    def put(self, table: str, key: str, value: bytes) -> int:
+        """Write a row as its author; return its version."""
+        self._write({'table': table, 'key': key}, base64.b64encode(value))
+        return self.version
+
+    def remove(self, table: str, key: str) -> None:
+        """Drop a row."""
+        self._write({'table': table, 'key': key}, None)
+
+    def value(self, table: str, key: str) -> bytes | None:
+        """Return the value of a row; None if there is none."""
+        row = self._rows.get((table, key))
+        if row is None or row.get('deleted'):
+            return None
+        return base64.b64decode(row['value'])
+
+    def drop_history(self) -> None:
+        """Forget changes: feeds have to read everything anew."""
+        self.oldest = self.version + 1
+        self.version += 1
+        self._changed.set()
+
+    def drop_connections(self) -> None:
+        """Cut every connection."""
+        for connection in list(self._server.connections):
+            connection.abort()
+
+    def _write(self, name: dict[str, str], value: bytes | None) -> None:
+        self.version += 1
+        row = {
+            'table': name['table'],
+            'part': '',
+            'key': name['key'],
+            'ver': self.version,
+        }
+        if value is None:
+            row['deleted'] = True
+        else:
+            row['value'] = value.decode()
+        self._rows[name['table'], name['key']] = row
+        self._changed.set()
+
+    def _handle(self, request: httpin.Request) -> None:
+        url = urllib.parse.urlsplit(request.path)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        self.calls.append(url.path)
+        if self.silences:
+            return
+        if self.refuses:
+            request.answer(self.refuses, [], b'')
+            return
+        match url.path:
+            case '/v1/rows-get':
+                self._answer(request, 200, self._live(query))
+            case '/v1/rows-feed':
+                task = asyncio.get_running_loop().create_task(
+                    self._feed(request, query)
+                )
+                self._waiting.add(task)
+                task.add_done_callback(self._waiting.discard)
+            case '/v1/rows-tx':
+                self._transact(request)
+            case _:
+                request.answer(404, [], b'')
+
+    def _live(self, query: dict[str, str]) -> list[dict[str, typing.Any]]:
+        first = query.get('from', '')
+        rows = [
+            row
+            for (table, key), row in sorted(self._rows.items())
+            if table == query['table']
+            and key >= first
+            and not row.get('deleted')
+        ]
+        return rows[: int(query.get('limit', 500))]
+
+    async def _feed(
+        self, request: httpin.Request, query: dict[str, str]
+    ) -> None:
+        after = int(query['after'])
+        loop = asyncio.get_running_loop()
+        until = loop.time() + int(query['wait_ms']) / 1e3
+        while True:
+            if after < self.oldest:
+                request.answer(410, [], b'')
+                return
+            rows = [
+                row
+                for (table, _), row in self._rows.items()
+                if table == query['table'] and row['ver'] > after
+            ]
+            left = until - loop.time()
+            if rows or left <= 0 or not request.is_open:
+                rows.sort(key=lambda row: row['ver'])
+                self._answer(request, 200, rows)
+                return
+            self._changed.clear()
+            try:
+                async with asyncio.timeout(left):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    def _transact(self, request: httpin.Request) -> None:
+        body = json.loads(request.body)
+        for name in body['expect']:
+            row = self._rows.get((name['table'], name['key']))
+            found = 0 if row is None or row.get('deleted') else row['ver']
+            if found != name['ver']:
+                self._answer(request, 412, [row] if found else [])
+                return
+        for name in body['puts']:
+            self._write(name, name['value'].encode())
+        for name in body['remove']:
+            self._write(name, None)
+        self._answer(request, 200, [])
+
+    def _answer(
+        self,
+        request: httpin.Request,
+        status: int,
+        rows: list[dict[str, typing.Any]],
+    ) -> None:
+        body = {'rows': rows, 'ver': self.version, 'now': '0ms'}
+        request.answer(
+            status, _JSON, json.dumps({**body, 'has_more': False}).encode()
+        )
+
+
+def platform_store() -> PlatformStore:
+    """Create an empty store that listens nowhere yet."""
+    return PlatformStore()
