--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
 SEED ?= 1
-export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
+export PYTHONPATH := $(CURDIR)/src:$(CURDIR):$(CURDIR)/platform
 
 .PHONY: env test lint format unit bench demo soak
 
@@ -16,7 +16,7 @@
 lint: env
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
-	$(VENV)/bin/flake8 src tests stubs bench
+	$(VENV)/bin/flake8 src platform tests stubs bench
 
 format: env
 	$(VENV)/bin/ruff format .
--- a/src/parsleystile/admission.py
+++ b/src/parsleystile/admission.py
@@ -270,9 +270,7 @@
             self._start(call.call_key, call, now_ms, actions)
             return
         bound = self._bound(self._limit.value)
-        if len(self._queue) >= bound and not self._evict(
-            call, actions
-        ):
+        if len(self._queue) >= bound and not self._evict(call, actions):
             return
         expected_ms = self._times.expected_ms(call.route, now_ms)
         self._queue.push(
@@ -362,9 +360,7 @@
                 actions.append(Refuse(waiting.call_key, _too_late()))
             else:
                 self._start(waiting.call_key, waiting, now_ms, actions)
-        self._open_ms = (
-            limit.next_open_ms(now_ms) if queue.calls else math.inf
-        )
+        self._open_ms = limit.next_open_ms(now_ms) if queue.calls else math.inf
 
     def _start(
         self,
--- a/src/parsleystile/relay/front.py
+++ b/src/parsleystile/relay/front.py
@@ -5,9 +5,8 @@
 import typing
 
 from parsleystile import errors
-from parsleystile import ids
-from parsleystile import shedding
 from parsleystile.gen import ttypes
+from parsleystile import ids
 from parsleystile.relay import gate as gates
 from parsleystile.relay import httpin
 from parsleystile.relay import policy as policies
@@ -15,6 +14,7 @@
 from parsleystile.relay import records
 from parsleystile.relay import sender
 from parsleystile.relay import vocabulary as vocabularies
+from parsleystile import shedding
 
 _LEAST_IMPORTANT = 2
 _MS_PER_S = 1000
--- a/src/parsleystile/relay/gate.py
+++ b/src/parsleystile/relay/gate.py
@@ -13,15 +13,15 @@
 from parsleystile import clock as clocks
 from parsleystile import deadlines
 from parsleystile import errors
-from parsleystile import ids
-from parsleystile import targetclient
-from parsleystile import transport as transports
-from parsleystile import wire
 from parsleystile.gen import ttypes
+from parsleystile import ids
 from parsleystile.relay import httpout
 from parsleystile.relay import pacing
 from parsleystile.relay import records
 from parsleystile.relay import vocabulary as vocabularies
+from parsleystile import targetclient
+from parsleystile import transport as transports
+from parsleystile import wire
 
 # Depth of a request from outside; calls of targets lie deeper. They can't be
 # traced to the request above them, so they are never shed by level: what
--- a/src/parsleystile/relay/httpin.py
+++ b/src/parsleystile/relay/httpin.py
@@ -229,9 +229,7 @@
         is_last = self._is_ending and not self._queue
         closes = is_last or self._server.is_closing
         channel.write(
-            _encode(
-                status, headers, body, closes, request.method == 'HEAD'
-            )
+            _encode(status, headers, body, closes, request.method == 'HEAD')
         )
         self.current = None
         self.since_ms = self._server.clock.now_ms()
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -13,9 +13,6 @@
 from parsleystile import ids
 from parsleystile import link as links_module
 from parsleystile import metrics as metric
-from parsleystile import shedding
-from parsleystile import ticker as tickers
-from parsleystile import wire
 from parsleystile.relay import front
 from parsleystile.relay import gate
 from parsleystile.relay import httpin
@@ -30,6 +27,9 @@
 from parsleystile.relay import sender
 from parsleystile.relay import spread
 from parsleystile.relay import vocabulary as vocabularies
+from parsleystile import shedding
+from parsleystile import ticker as tickers
+from parsleystile import wire
 
 _SWEEP_PERIOD_MS = 500.0
 _FLUSH_PERIOD_MS = 100.0
@@ -186,14 +186,19 @@
             self._front.handle,
             self._rejected,
         )
+        self.caller_address = (setup.caller_host, setup.caller_port)
         self._services: set[ids.ServiceName] = set()
         self._stop_asked_ms: float | None = None
 
     async def start(self) -> None:
         """Open all listeners and begin to tick."""
         setup = self._setup
-        await self._links.listen(setup.host, setup.link_port)
-        await self._callers.listen(setup.caller_host, setup.caller_port)
+        address = await self._links.listen(setup.host, setup.link_port)
+        if address.port != setup.link_port:
+            self.roster.change_me(port=address.port)
+        self.caller_address = await self._callers.listen(
+            setup.caller_host, setup.caller_port
+        )
         every = self._ticker.every
         every(_SWEEP_PERIOD_MS, self._sweep)
         every(_FLUSH_PERIOD_MS, self._flush)
@@ -202,6 +207,10 @@
         every(spread.WATCH_PERIOD_MS, self.spread.watch_links)
         every(spread.PROBE_PERIOD_MS, self.spread.probe)
 
+    def set_local_hosts(self, hosts: frozenset[str]) -> None:
+        """Name the addresses from which the target makes its own calls."""
+        self._callers.own_hosts = hosts
+
     # The target beside this node.
 
     def handle_report(self, report: reports.Report) -> reports.Verdict:
@@ -351,9 +360,7 @@
             )
 
     def _child_level(self, now_ms: float) -> float:
-        return min(
-            context.RANK_LIMIT, self._shedder.level(_CHILDREN, now_ms)
-        )
+        return min(context.RANK_LIMIT, self._shedder.level(_CHILDREN, now_ms))
 
     # Upkeep.
 
--- a/src/parsleystile/relay/ratekeeper.py
+++ b/src/parsleystile/relay/ratekeeper.py
@@ -54,9 +54,7 @@
         self._wheel = wheel
         self._rng = rng
         self._record = record
-        self._waiting: dict[
-            ids.OrganisationId, collections.deque[OnTake]
-        ] = {}
+        self._waiting: dict[ids.OrganisationId, collections.deque[OnTake]] = {}
         self.shares = shares.rate_shares(rng)
         links.handle_control(ASK_KIND, self._on_ask)
 
--- a/src/parsleystile/relay/records.py
+++ b/src/parsleystile/relay/records.py
@@ -15,8 +15,8 @@
 
 from parsleystile import clock as clocks
 from parsleystile import errors
-from parsleystile import ids
 from parsleystile.gen import ttypes
+from parsleystile import ids
 
 # Lines a second of one kind, and how many may come at once.
 _LINES_PER_S = 20.0
--- a/src/parsleystile/relay/roster.py
+++ b/src/parsleystile/relay/roster.py
@@ -206,7 +206,9 @@
         link=row.link,
         gossip=row.link,
         # Sequences stay far below this in one life.
-        incarnation=ids.Incarnation(row.incarnation * 1_000_000 + row.sequence),
+        incarnation=ids.Incarnation(
+            row.incarnation * 1_000_000 + row.sequence
+        ),
     )
 
 
--- a/src/parsleystile/relay/sender.py
+++ b/src/parsleystile/relay/sender.py
@@ -7,16 +7,16 @@
 from parsleystile import clock as clocks
 from parsleystile import deadlines
 from parsleystile import errors
+from parsleystile.gen import ttypes
 from parsleystile import ids
 from parsleystile import link as links_module
 from parsleystile import members
-from parsleystile import transport
-from parsleystile import wire
-from parsleystile.gen import ttypes
 from parsleystile.relay import gate as gates
 from parsleystile.relay import policy as policies
 from parsleystile.relay import records
 from parsleystile.relay import repeats
+from parsleystile import transport
+from parsleystile import wire
 
 # Guards that may refuse one request before it is given back to its caller.
 _MAX_MOVES = 3
@@ -24,9 +24,7 @@
 _LEAST_TIME_SHARE = 0.15
 _FIRST_SERVER_ERROR = 500
 # Reasons that say the node itself is out of reach.
-_OUT_OF_REACH = frozenset(
-    {errors.Reason.UNREACHABLE, errors.Reason.LINK_LOST}
-)
+_OUT_OF_REACH = frozenset({errors.Reason.UNREACHABLE, errors.Reason.LINK_LOST})
 
 Reply = ttypes.Answer | errors.Refusal
 
--- a/src/parsleystile/relay/shares.py
+++ b/src/parsleystile/relay/shares.py
@@ -2,10 +2,10 @@
 
 An organisation's rate and burst are divided evenly among its holders: all
 nodes, or a few of them where the burst is small, so that each holder's part
-comes to whole tokens. A node that runs short asks others to hand tokens over; a handed-over token leaves
-the giver before it is sent, so that the sum of all buckets never exceeds
-the organisation's burst, also while nodes are cut off from each other.
-A lost message loses tokens; it never doubles them.
+comes to whole tokens. A node that runs short asks others to hand tokens over.
+A token leaves the giver's bucket before it is sent, so that the sum of all
+buckets never exceeds the organisation's burst, also while nodes are cut off
+from each other. A lost message loses tokens; it never doubles them.
 
 The load that this answers: callers of one organisation that arrive unevenly
 at many nodes, each with a small part of the rate.
@@ -33,13 +33,23 @@
 DEMAND_MEMORY_MS = 1_000.0
 # A node that restarts may have spent its bucket just before.
 START_SHARE = 0.1
+# Callers are never told to stay away for longer.
+LONGEST_WAIT_MS = 5_000.0
 # After an ask that brought nothing, none is sent for so long.
 DRY_MS = 100.0
 
 
 @dataclasses.dataclass(slots=True)
 class _Bucket:
+    """One organisation at one node.
+
+    Attributes:
+        rate_per_ms: This node's part of the rate; 0 unless it is a holder.
+        even_per_ms: What each node would get if all were holders.
+    """
+
     rate_per_ms: float
+    even_per_ms: float
     depth: float
     tokens: float
     at_ms: float
@@ -90,17 +100,23 @@
             self._holders[organisation] = holders
             part = 1.0 / len(holders) if own in holders else 0.0
             rate_per_ms = part * limits.rate_per_s / 1e3
+            even_per_ms = limits.rate_per_s / 1e3 / len(nodes)
             depth = part * max(limits.burst, 1.0)
             bucket = self._buckets.get(organisation)
             if bucket is None:
                 self._buckets[organisation] = _Bucket(
-                    rate_per_ms, depth, START_SHARE * depth, now_ms
+                    rate_per_ms,
+                    even_per_ms,
+                    depth,
+                    START_SHARE * depth,
+                    now_ms,
                 )
                 continue
             bucket.settle(now_ms)
             if depth < bucket.depth:
                 bucket.tokens = min(bucket.tokens, depth)
             bucket.rate_per_ms = rate_per_ms
+            bucket.even_per_ms = even_per_ms
             bucket.depth = depth
 
     def holders(self, organisation: ids.OrganisationId) -> list[ids.NodeId]:
@@ -134,9 +150,7 @@
         if bucket is not None and bucket.tokens < bucket.depth:
             bucket.tokens += 1.0
 
-    def wanted(
-        self, organisation: ids.OrganisationId, now_ms: float
-    ) -> float:
+    def wanted(self, organisation: ids.OrganisationId, now_ms: float) -> float:
         """Return how many tokens to ask another node for now; 0 for none.
 
         The caller sends the ask and ends it with ``received``.
@@ -182,18 +196,18 @@
     def retry_after_ms(
         self, organisation: ids.OrganisationId, now_ms: float
     ) -> int:
-        """Return when a token is likely to be here, spread a little."""
+        """Return when a caller's turn is likely to come, spread a little.
+
+        Callers beyond the rate come back in turn, the later the more of
+        them there are: who returns sooner is only refused again.
+        """
         bucket = self._buckets.get(organisation)
         if bucket is None:
             return 0
         bucket.settle(now_ms)
-        if bucket.rate_per_ms <= 0.0:
-            return int(DRY_MS * self._rng.uniform(1.0, 3.0))
-        # Callers come back in turn: the busier the later.
-        ahead = max(1.0, bucket.demand_per_ms / bucket.rate_per_ms)
-        missing = max(0.0, 1.0 - bucket.tokens)
-        wait_ms = missing * ahead / bucket.rate_per_ms
-        return int(wait_ms * self._rng.uniform(1.0, 1.5)) + 1
+        ahead = max(1.0, bucket.demand_per_ms / bucket.even_per_ms)
+        wait_ms = min(LONGEST_WAIT_MS, ahead / bucket.even_per_ms)
+        return int(wait_ms * self._rng.uniform(0.75, 1.25)) + 1
 
     def tokens(self, organisation: ids.OrganisationId) -> float:
         """Return what is in the bucket as last settled."""
--- a/src/parsleystile/relay/spread.py
+++ b/src/parsleystile/relay/spread.py
@@ -17,10 +17,10 @@
 from parsleystile import errors
 from parsleystile import ids
 from parsleystile import link as links_module
-from parsleystile import transport
 from parsleystile.relay import policy as policies
 from parsleystile.relay import records
 from parsleystile.relay import roster as rosters
+from parsleystile import transport
 
 SYNC_KIND = 'state.sync'
 ROW_KIND = 'state.row'
@@ -107,7 +107,9 @@
         self.snapshot = Snapshot()
         self.on_policy: typing.Callable[[], None] = lambda: None
         self.on_members: typing.Callable[[], None] = lambda: None
-        self.on_own_row: typing.Callable[[rosters.Row], None] = lambda row: None
+        self.on_own_row: typing.Callable[[rosters.Row], None] = lambda row: (
+            None
+        )
         self._links = links
         self._roster = roster
         self._decode = decode
@@ -158,9 +160,7 @@
         self.on_policy()
         return True
 
-    def learn(
-        self, rows: typing.Iterable[rosters.Row], source: str
-    ) -> None:
+    def learn(self, rows: typing.Iterable[rosters.Row], source: str) -> None:
         """Take in rows of nodes, this one's earlier lives included."""
         changed = False
         for row in rows:
--- /dev/null
+++ b/tests/platformfleet.py
@@ -0,0 +1,267 @@
+"""A small fleet on loopback as the users' platform would run it."""
+
+import asyncio
+import json
+import os
+import random
+
+from adapter import config
+from adapter import process
+from adapter import settings as settings_module
+from adapter import store as stores
+from parsleystile import clock as clocks
+from parsleystile.relay import httpout
+from parsleystile.relay import node as nodes
+from parsleystile.relay import records
+from parsleystile.relay import reports
+from parsleystile import transport
+from stubs import platformstore
+from stubs import platformtarget
+from tests import asyncutil
+
+KEY = 'a-key-of-households'
+HOST = 'yard.example'
+
+
+def document(version=1, **changes):
+    """Return a configuration as the operator writes it."""
+    found = {
+        'version': f'{version:08x}',
+        'services': [
+            {'name': 'yard', 'max_connections': 50, 'cold_per_s': 40.0},
+            {'name': 'stock', 'max_connections': 50, 'cold_per_s': 40.0},
+        ],
+        'limits': {
+            'max_header_bytes': 16384,
+            'max_body_bytes': 100_000,
+            'header_timeout': '3000ms',
+            'idle_timeout': '15s',
+        },
+        'tenants': [
+            {
+                'name': 'households',
+                'api_keys': [KEY],
+                'rate_per_s': 1000,
+                'burst': 1000,
+                'priority': 1,
+            }
+        ],
+        'virtual_hosts': [
+            {
+                'hostname': HOST,
+                'paths': [
+                    route('browse', '/stock/', 'safe'),
+                    route('reserve', '/reserve/', 'unsafe'),
+                    route('lookup', '/lookup/', 'safe', public=True),
+                ],
+            }
+        ],
+    }
+    found.update(changes)
+    return found
+
+
+def route(name, prefix, kind, **fields):
+    """Return one path of a host."""
+    return {
+        'name': name,
+        'prefix': prefix,
+        'type': kind,
+        'timeout': '2s',
+        'target_latency': '500ms',
+        'priority': 1,
+        'service': 'yard',
+        'max_attempts': 2,
+        **fields,
+    }
+
+
+class Machine:
+    """A node and the target beside it."""
+
+    def __init__(self, fleet, name, domain):
+        self.fleet = fleet
+        self.name = name
+        self.domain = domain
+        self.target = platformtarget.platform_target(f'i-{name}')
+        self.lines_path = os.devnull
+        self.sequence = 0
+        self.node = None
+        self.client = None
+        self.outside = None
+
+    async def start(self):
+        """Start the target, then the node, on any free ports."""
+        if not self.target.address[0]:
+            await self.target.start('127.0.0.1')
+        await self.start_node()
+
+    async def start_node(self):
+        """Start a new process' worth of node."""
+        own = self.fleet.free_host()
+        settings = settings_module.Settings(
+            node_id=self.name,
+            own=own,
+            domain=self.domain,
+            region='r',
+            domains=('a', 'b'),
+            callers=transport.Address(own, 0),
+            readiness=transport.Address(own, 0),
+            reports=transport.Address(own, 0),
+            first_port=0,
+            last_port=0,
+            target=transport.Address(*self.target.address),
+            service='yard',
+            store=transport.Address(*self.fleet.address),
+            stop_ms=6000.0,
+            repeat_share=0.2,
+            repeat_slack=48.0,
+            repeat_window_ms=10_000.0,
+        )
+        clock = clocks.system_clock()
+        rng = random.Random(self.name)
+        descriptor = os.open(self.lines_path, os.O_WRONLY)
+        record = records.recorder(self.name, clock, descriptor)
+        self.node = nodes.build_node(
+            process.setup(settings), config.decode, clock, rng, record
+        )
+        self.node.service = 'yard'
+        self.client = stores.store(
+            settings.store, self.node.spread, self.name, clock, rng, record
+        )
+        self.node.spread.store = self.client
+        await self.node.start()
+        self.client.start()
+        self.node.spread.publish()
+        host, port = self.node.caller_address
+        self.outside = httpout.origin(
+            host, port, clock, 'Parsleystile-Attempt-Id'
+        )
+
+    async def kill_node(self):
+        """End the node as a kill does: no word to anybody."""
+        self.client.close()
+        self.outside.close()
+        await self.node.close()
+
+    def report(self, state=reports.TargetState.READY, **fields):
+        """Let the target report itself."""
+        self.sequence += 1
+        found = {
+            'target_id': self.target.target_id,
+            'state': state,
+            'born_ms': 1,
+            'service': 'yard',
+            'slots': 20,
+            'sequence': self.sequence,
+            **fields,
+        }
+        return self.node.handle_report(reports.Report(**found))
+
+    async def call(
+        self,
+        path='/stock/x',
+        call_id='c1',
+        key=KEY,
+        method='GET',
+        body=b'',
+        wait_ms=2000,
+        extra='',
+    ):
+        """Send one request from outside; return the result."""
+        head = f'{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n'
+        if call_id:
+            head += f'Parsleystile-Attempt-Id: {call_id}\r\n'
+        head += f'Parsleystile-Request-Deadline: {wait_ms}\r\n'
+        if key:
+            head += f'Authorization: Bearer {key}\r\n'
+        if body:
+            head += f'Content-Length: {len(body)}\r\n'
+        box = asyncutil.Box()
+        data = (head + extra + '\r\n').encode() + body
+        self.outside.send(httpout.Outbound(data, call_id), box.put)
+        return await box.get()
+
+
+class Fleet:
+    """Machines that share one store."""
+
+    def __init__(self):
+        self.store = platformstore.platform_store()
+        self.address = ('', 0)
+        self.machines = []
+        self._hosts = iter(range(2, 250))
+
+    def free_host(self):
+        """Return a loopback address that no other node has."""
+        return f'127.0.0.{next(self._hosts)}'
+
+    async def start(self, count=2, serving=None, **changes):
+        """Start machines; the first ones are in domain a."""
+        self.address = await self.store.start()
+        self.put_document(document(**changes))
+        for i in range(count):
+            domain = 'a' if i < (count + 1) // 2 else 'b'
+            machine = Machine(self, f'n{i}', domain)
+            self.machines.append(machine)
+            await machine.start()
+        await self.settled()
+        serving = range(count) if serving is None else serving
+        for i in serving:
+            self.machines[i].report()
+        await self.seen_serving(len(serving))
+        return self.machines
+
+    def put_document(self, found):
+        """Write a configuration as the operator does."""
+        self.store.put('op', 'config', json.dumps(found).encode())
+
+    async def settled(self):
+        """Wait until every node has a policy and knows all nodes."""
+        count = len(self.machines)
+        await asyncutil.until(
+            lambda: all(
+                m.node.spread.policy and len(m.node.roster.node_ids) == count
+                for m in self.machines
+            )
+        )
+
+    async def seen_serving(self, count):
+        """Wait until every node sees so many serving targets."""
+        await asyncutil.until(
+            lambda: all(
+                len(m.node.roster.members_by_service().get('yard', ()))
+                == count
+                for m in self.machines
+            )
+        )
+
+    def ran(self):
+        """Return the ids of requests that ran, by all targets."""
+        return [
+            headers['parsleystile-attempt-id']
+            for m in self.machines
+            for headers in m.target.seen
+        ]
+
+    async def close(self):
+        """End everything."""
+        for machine in self.machines:
+            await machine.kill_node()
+            machine.target.close()
+        self.store.close()
+        await asyncio.sleep(0)
+
+
+def play(body, **fields):
+    """Run a test body with a started fleet."""
+
+    async def whole():
+        fleet = Fleet()
+        try:
+            await fleet.start(**fields)
+            await body(fleet)
+        finally:
+            await fleet.close()
+
+    asyncutil.run(whole())
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,315 @@
+"""The adapter: what the platform writes, decoded or refused with a reason."""
+
+import asyncio
+import json
+import os
+
+import msgspec
+import pytest
+
+from adapter import config
+from adapter import listeners
+from adapter import settings
+from adapter import units
+from parsleystile import clock as clocks
+from parsleystile import errors
+from parsleystile.relay import httpin
+from parsleystile.relay import records
+from parsleystile.relay import reports
+from tests import asyncutil
+from tests import platformfleet
+
+
+def _settings_file(**changes):
+    found = {
+        'node_name': 'n1',
+        'ip_address': '10.1.0.2',
+        'zone': 'savo-a',
+        'region': 'savo',
+        'zones': {'savo-a': 'savo', 'savo-b': 'savo'},
+        'listen_addresses': {
+            'inbound': '10.1.0.2:1',
+            'outbound': '10.1.0.2:2',
+            'ready': '10.1.0.2:3',
+            'control': '10.1.0.2:4',
+        },
+        'internal_port_range': [7000, 7015],
+        'app_address': '10.1.0.2:5',
+        'service': 'yard',
+        'platform': {'address': '10.2.0.7:6', 'form': 'table'},
+        'bounds': {'grace': '6s', 'retry_budget_ratio': 0.2},
+        'never_heard_of': {'a': 1},
+    }
+    found.update(changes)
+    return json.dumps(found).encode()
+
+
+class TestUnits:
+    @pytest.mark.parametrize(
+        ('text', 'ms'), [('1500ms', 1500.0), ('2.5s', 2500.0), ('0ms', 0.0)]
+    )
+    def test_durations(self, text, ms):
+        assert units.duration_ms(text) == ms
+
+    @pytest.mark.parametrize(
+        'text', ['', '5', 's', 'ms', '-1s', 'nans', 'infs', '1h', None, 7]
+    )
+    def test_what_is_no_duration(self, text):
+        with pytest.raises(units.UnitError, match='no duration'):
+            units.duration_ms(text)
+
+    def test_versions(self):
+        assert units.version_number('0000000c') == 12
+        with pytest.raises(units.UnitError, match="'xyz' is no version"):
+            units.version_number('xyz')
+
+
+class TestSettings:
+    def test_fields_are_named_by_what_they_hold(self):
+        found = settings.parse(_settings_file())
+        assert str(found.callers) == '10.1.0.2:2'
+        assert str(found.target) == '10.1.0.2:5'
+        assert str(found.store) == '10.2.0.7:6'
+        assert found.stop_ms == 6000.0
+        assert found.repeat_window_ms == 10_000.0
+
+    @pytest.mark.parametrize(
+        ('changes', 'path'),
+        [
+            ({'node_name': 5}, 'node_name'),
+            ({'platform': {}}, 'platform'),
+            ({'app_address': 'nowhere'}, 'app_address'),
+            ({'internal_port_range': [7000]}, 'internal_port_range'),
+            ({'bounds': {'grace': 'soon'}}, 'bounds'),
+        ],
+    )
+    def test_errors_name_the_path(self, changes, path):
+        with pytest.raises(errors.SettingsError) as caught:
+            settings.parse(_settings_file(**changes))
+        assert caught.value.path == path
+
+    def test_a_missing_file_is_told(self, monkeypatch):
+        monkeypatch.setenv(settings.PATH_VARIABLE, '/nonexistent/boot.json')
+        with pytest.raises(errors.SettingsError, match='No such file'):
+            settings.load()
+        monkeypatch.delenv(settings.PATH_VARIABLE)
+        with pytest.raises(errors.SettingsError, match='is not set'):
+            settings.load()
+
+
+def _decode(document, domains_out=()):
+    data = json.dumps(document).encode()
+    return config.decode(config.encode(data, domains_out))
+
+
+class TestConfig:
+    def test_a_document_becomes_a_policy(self):
+        found = _decode(platformfleet.document(version=12), ['b'])
+        assert found.version == 12
+        assert found.domains_out == {'b'}
+        route = found.match(platformfleet.HOST, '/reserve/x')
+        assert not route.is_idempotent
+        assert route.timeout_ms == 2000.0
+        assert found.match(platformfleet.HOST, '/lookup/x').is_open
+        owner = found.organisation_of(platformfleet.KEY)
+        assert owner.rate_per_s == 1000
+
+    def test_an_unknown_kind_is_not_repeated(self):
+        document = platformfleet.document()
+        document['virtual_hosts'][0]['paths'][0]['type'] = 'keyed'
+        route = _decode(document).match(platformfleet.HOST, '/stock/x')
+        assert not route.is_idempotent
+
+    def test_a_split_divides_a_route(self):
+        document = platformfleet.document()
+        path = document['virtual_hosts'][0]['paths'][0]
+        del path['service']
+        path['traffic_split'] = [
+            {'service': 'yard', 'weight': 90},
+            {'service': 'stock', 'weight': 10},
+        ]
+        route = _decode(document).match(platformfleet.HOST, '/stock/x')
+        assert [d.weight for d in route.destinations] == [90, 10]
+
+    @pytest.mark.parametrize(
+        ('change', 'why'),
+        [
+            ({'version': 'later'}, 'no version'),
+            ({'version': 3}, 'Expected `str`'),
+            ({'virtual_hosts': None}, 'Expected `array`'),
+            ({'services': []}, "no service 'yard'"),
+            (
+                {
+                    'tenants': [
+                        {'name': 'a', 'api_keys': ['k']},
+                        {'name': 'b', 'api_keys': ['k']},
+                    ]
+                },
+                'two organisations',
+            ),
+            ({'limits': {'idle_timeout': 15}}, 'Expected `str`'),
+        ],
+    )
+    def test_what_does_not_hold_is_told(self, change, why):
+        found = _decode(platformfleet.document() | change)
+        assert isinstance(found, errors.SettingsError)
+        assert why in str(found)
+
+    @pytest.mark.parametrize('length', range(0, 900, 97))
+    def test_a_cut_document_is_no_policy(self, length):
+        data = json.dumps(platformfleet.document()).encode()[:length]
+        found = config.decode(config.encode(data, ()))
+        assert isinstance(found, errors.SettingsError)
+
+    def test_a_payload_that_is_none(self):
+        assert isinstance(config.decode(b'\xc1'), errors.SettingsError)
+
+
+_BEAT = {
+    'service': 'yard',
+    'address': '10.1.0.2:5',
+    'zone': 'savo-a',
+    'version': 'v1',
+    'slots': 27,
+    'state': 'ready',
+    'cold_remaining': '1500ms',
+    'sequence': 4,
+    'born': 1768716105218,
+}
+
+
+def _report(path, body):
+    """Send a report to a listener; return its answer and what it took."""
+    taken = []
+
+    async def play():
+        clock = clocks.system_clock()
+        descriptor = os.open(os.devnull, os.O_WRONLY)
+        record = records.recorder('n1', clock, descriptor)
+        listener = listeners.ReportListener(
+            '10.1.0.2:5', taken.append, record
+        )
+        server = httpin.http_server(clock, frozenset(), listener.handle)
+        host, port = await server.listen('127.0.0.1', 0)
+        reader, writer = await asyncio.open_connection(host, port)
+        head = f'POST {path} HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n'
+        writer.write(head.encode() + body)
+        line = await reader.readline()
+        server.close()
+        os.close(descriptor)
+        return int(line.split()[1])
+
+    return asyncutil.run(play()), taken
+
+
+class TestReports:
+    def test_a_heartbeat_is_decoded_once(self):
+        status, taken = _report(
+            '/v1/instances/i-7/heartbeat', json.dumps(_BEAT).encode()
+        )
+        assert status == 200
+        assert taken == [
+            reports.Report(
+                'i-7',
+                reports.TargetState.READY,
+                1768716105218,
+                'yard',
+                27,
+                1500.0,
+                4,
+            )
+        ]
+
+    @pytest.mark.parametrize('body', [b'', b'{"born":5}'])
+    def test_a_departure_may_have_a_body(self, body):
+        status, taken = _report('/v1/instances/i-7/deregister', body)
+        assert status == 200
+        assert taken[0].state is reports.TargetState.GONE
+
+    @pytest.mark.parametrize(
+        'change',
+        [
+            {'state': 'resting'},
+            {'slots': 0},
+            {'slots': '27'},
+            {'sequence': None},
+            {'cold_remaining': 'a while'},
+            {'address': '10.9.9.9:5'},
+            {'service': 7},
+            {'born': 'today'},
+        ],
+    )
+    def test_a_forged_heartbeat_names_no_target(self, change):
+        status, taken = _report(
+            '/v1/instances/i-7/heartbeat',
+            json.dumps(_BEAT | change).encode(),
+        )
+        assert status == 400
+        assert taken == []
+
+    @pytest.mark.parametrize(
+        'path',
+        [
+            '/v1/instances//heartbeat',
+            '/v1/instances/i-7',
+            '/v1/instances/i-7/other',
+            '/elsewhere',
+        ],
+    )
+    def test_other_calls_are_refused(self, path):
+        status, taken = _report(path, json.dumps(_BEAT).encode())
+        assert status == 400
+        assert taken == []
+
+    @pytest.mark.parametrize('body', [b'', b'\xff', b'[]', b'{"service":'])
+    def test_bytes_that_are_no_report(self, body):
+        assert _report('/v1/instances/i-7/heartbeat', body) == (400, [])
+
+
+class TestRecords:
+    def _lines(self, log, reader):
+        log.flush()
+        return [
+            msgspec.json.decode(line)
+            for line in os.read(reader, 1 << 20).splitlines()
+        ]
+
+    def test_lines_are_bounded_and_say_what_was_left_out(self):
+        reader, writer = os.pipe()
+        clock = clocks.manual_clock()
+        record = records.recorder('n1', clock, writer)
+        line = records.Rejected(where='x', why='y')
+        taken = sum(record.log.write(line) for _ in range(1000))
+        assert taken < 100
+        clock.advance(1_000.0)
+        record.log.write(line)
+        lines = self._lines(record.log, reader)
+        assert len(lines) == taken + 1
+        assert lines[-1]['suppressed'] == 1000 - taken
+        assert lines[0]['event'] == 'input-rejected'
+        assert lines[0]['node'] == 'n1'
+
+    def test_a_reader_that_stops_costs_lines_and_no_time(self):
+        _, writer = os.pipe()
+        clock = clocks.manual_clock()
+        record = records.recorder('n1', clock, writer)
+        why = 'z' * 2_000
+        for _ in range(2_000):
+            clock.advance(100.0)
+            record.log.write(records.Rejected(where='x', why=why))
+            record.log.flush()
+        assert record.log.dropped > 0
+
+    def test_a_reader_that_is_gone_costs_lines_only(self):
+        reader, writer = os.pipe()
+        os.close(reader)
+        record = records.recorder('n1', clocks.manual_clock(), writer)
+        record.log.write(records.Rejected(where='x', why='y'))
+        record.log.flush()
+        assert record.log.dropped == 1
+
+
+def test_the_folder_does_not_hide_the_standard_module():
+    import platform
+
+    assert platform.python_version_tuple()[0] == '3'
--- /dev/null
+++ b/tests/test_platform_node.py
@@ -0,0 +1,470 @@
+"""Nodes on stand-ins of the users' platform: whole calls and their rules."""
+
+import asyncio
+import json
+
+import pytest
+
+from parsleystile import errors
+from parsleystile.relay import httpout
+from parsleystile.relay import reports
+from tests import asyncutil
+from tests import platformfleet
+
+
+def test_a_call_reaches_a_target_of_another_node():
+    async def body(fleet):
+        answer = await fleet.machines[0].call()
+        assert answer.status == 200
+        assert answer.body == b'done'
+        (headers,) = fleet.machines[1].target.seen
+        assert headers['parsleystile-expected-instance'] == 'i-n1'
+        assert headers['parsleystile-tenant-id'] == 'households'
+        assert headers['parsleystile-caller-service'] == 'yard'
+        assert 'authorization' not in headers
+        assert int(headers['parsleystile-request-deadline']) <= 2000
+
+    platformfleet.play(body, serving=[1])
+
+
+def test_a_body_passes_unchanged():
+    async def body(fleet):
+        data = bytes(range(256)) * 100
+        answer = await fleet.machines[0].call(
+            '/reserve/x', method='POST', body=data
+        )
+        assert answer.body == b'done' + data
+
+    platformfleet.play(body, serving=[1])
+
+
+def test_what_a_caller_makes_up_is_not_passed_on():
+    async def body(fleet):
+        extra = (
+            'Parsleystile-Tenant-Id: somebody\r\n'
+            'Parsleystile-Caller-Service: other\r\n'
+            'Parsleystile-Expected-Instance: i-9\r\n'
+        )
+        answer = await fleet.machines[0].call(extra=extra)
+        assert answer.status == 200
+        (headers,) = fleet.machines[1].target.seen
+        assert headers['parsleystile-tenant-id'] == 'households'
+        assert headers['parsleystile-caller-service'] == 'yard'
+
+    platformfleet.play(body, serving=[1])
+
+
+@pytest.mark.parametrize(
+    ('fields', 'status'),
+    [
+        ({'key': 'wrong'}, 401),
+        ({'key': ''}, 401),
+        ({'path': '/nowhere/x'}, 404),
+        ({'call_id': ''}, 400),
+    ],
+    ids=['wrong-key', 'no-key', 'no-route', 'no-id'],
+)
+def test_what_is_not_allowed_does_not_run(fields, status):
+    async def body(fleet):
+        # The caller sits on the target's machine, which needs no key; a
+        # caller elsewhere does.
+        fleet.machines[0].node.set_local_hosts(frozenset())
+        answer = await fleet.machines[0].call(**fields)
+        assert answer.status == status
+        assert fleet.ran() == []
+
+    platformfleet.play(body)
+
+
+def test_an_open_route_needs_no_key():
+    async def body(fleet):
+        fleet.machines[0].node.set_local_hosts(frozenset())
+        answer = await fleet.machines[0].call('/lookup/x', key='')
+        assert answer.status == 200
+
+    platformfleet.play(body)
+
+
+def test_a_node_without_configuration_is_not_ready_and_denies_nothing():
+    async def body(fleet):
+        fleet.store.refuses = 503
+        machine = platformfleet.Machine(fleet, 'n9', 'a')
+        await machine.start()
+        answer = await machine.call(key='wrong')
+        assert answer.status == 503
+        assert 'Retry-After' in answer.headers
+        assert not machine.node.is_ready
+        await machine.kill_node()
+        machine.target.close()
+
+    platformfleet.play(body, count=1)
+
+
+def test_a_withdrawn_key_stops_at_once_on_open_connections():
+    async def body(fleet):
+        first = fleet.machines[0]
+        assert (await first.call()).status == 200
+        fleet.put_document(
+            platformfleet.document(version=2, tenants=[])
+            | {'tenants': [{'name': 'households', 'api_keys': ['new']}]}
+        )
+        await asyncutil.until(lambda: first.node.spread.policy.version == 2)
+        assert (await first.call(call_id='c2')).status == 401
+
+    platformfleet.play(body)
+
+
+def test_a_document_that_does_not_hold_changes_nothing():
+    async def body(fleet):
+        first = fleet.machines[0]
+        for bad in (
+            b'{"version":',
+            b'{"version":"00000002","virtual_hosts":[{"hostname":""'
+            b',"paths":[]}]}',
+            json.dumps(
+                platformfleet.document(
+                    version=3,
+                    virtual_hosts=[
+                        {
+                            'hostname': 'h',
+                            'paths': [
+                                platformfleet.route(
+                                    'r', '/a/', 'safe', service='nobody'
+                                )
+                            ],
+                        }
+                    ],
+                )
+            ).encode(),
+        ):
+            fleet.store.put('op', 'config', bad)
+        fleet.put_document(platformfleet.document(version=7))
+        await asyncutil.until(lambda: first.node.spread.policy.version == 7)
+        fleet.put_document(platformfleet.document(version=6))
+        fleet.put_document(platformfleet.document(version=8))
+        await asyncutil.until(lambda: first.node.spread.policy.version == 8)
+
+    platformfleet.play(body)
+
+
+def test_an_organisation_beyond_its_rate_gets_429_and_a_time():
+    async def body(fleet):
+        first = fleet.machines[0]
+        answers = await asyncio.gather(
+            *(first.call(call_id=f'c{i}') for i in range(40))
+        )
+        over = [a for a in answers if a.status == 429]
+        assert len(over) >= 25
+        assert all('Retry-After' in a.headers for a in over)
+        assert len(fleet.ran()) == 40 - len(over)
+
+    platformfleet.play(
+        body,
+        tenants=[
+            {
+                'name': 'households',
+                'api_keys': [platformfleet.KEY],
+                'rate_per_s': 5,
+                'burst': 10,
+            }
+        ],
+    )
+
+
+def test_a_target_that_takes_its_leave_gets_nothing_from_then_on():
+    async def body(fleet):
+        first, second = fleet.machines
+        verdict = second.report(reports.TargetState.DRAINING)
+        assert verdict is reports.Verdict.LEAVING
+        answers = [await first.call(call_id=f'c{i}') for i in range(20)]
+        assert {a.status for a in answers} == {200}
+        assert second.target.seen == []
+
+    platformfleet.play(body)
+
+
+def test_a_late_report_after_a_restart_of_the_node_does_not_revive():
+    async def body(fleet):
+        _, second = fleet.machines
+        second.report(reports.TargetState.GONE)
+        await asyncutil.until(
+            lambda: (
+                b'i-n1' in (fleet.store.value('nodes', 'n1') or b'')
+                and second.client.is_written
+            )
+        )
+        await second.kill_node()
+        await second.start_node()
+        await asyncutil.until(lambda: second.client.is_reached)
+        await asyncio.sleep(0.05)
+        assert second.report() is reports.Verdict.STALE
+
+    platformfleet.play(body)
+
+
+def test_a_target_that_was_replaced_at_its_address_is_not_run():
+    async def body(fleet):
+        first, second = fleet.machines
+        second.target.target_id = 'i-other'
+        answers = [await first.call(call_id=f'c{i}') for i in range(10)]
+        assert {a.status for a in answers} == {200}
+        assert second.target.seen == []
+
+    platformfleet.play(body)
+
+
+def test_a_dead_node_costs_its_callers_nothing_they_can_repeat():
+    async def body(fleet):
+        first, second, third = fleet.machines
+        await third.kill_node()
+        answers = [await first.call(call_id=f'c{i}') for i in range(30)]
+        assert [a.status for a in answers] == [200] * 30
+        # So that the fleet's close finds it alive.
+        await third.start_node()
+        await fleet.settled()
+        assert second.node.roster.node_ids == ['n0', 'n1', 'n2']
+
+    platformfleet.play(body, count=3)
+
+
+def test_an_idempotent_call_whose_answer_is_lost_is_repeated_once():
+    async def body(fleet):
+        def lose(request):
+            request._connection.abort()
+
+        fleet.machines[1].target.answer = lose
+        answers = [
+            await fleet.machines[0].call(call_id=f'c{i}') for i in range(4)
+        ]
+        assert {a.status for a in answers} == {200}
+        for call_id in set(fleet.ran()):
+            assert fleet.ran().count(call_id) <= 2
+
+    platformfleet.play(body)
+
+
+def test_a_call_that_is_not_idempotent_runs_once_and_ends_at_once():
+    async def body(fleet):
+        def lose(request):
+            request._connection.abort()
+
+        for machine in fleet.machines:
+            machine.target.answer = lose
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        answer = await fleet.machines[0].call('/reserve/x', method='POST')
+        assert answer.status == 502
+        assert fleet.ran() == ['c1']
+        assert loop.time() - started < 1.9
+
+    platformfleet.play(body)
+
+
+def test_a_targets_word_that_it_did_not_run_is_believed():
+    async def body(fleet):
+        def shed(request):
+            headers = ['Parsleystile-Not-Executed', '1']
+            names = request.headers[::2]
+            call_id = request.headers[
+                2 * names.index('Parsleystile-Attempt-Id') + 1
+            ]
+            request.answer(
+                503, [*headers, 'Parsleystile-Attempt-Id', call_id], b''
+            )
+
+        fleet.machines[0].target.answer = shed
+        answer = await fleet.machines[0].call('/reserve/x', method='POST')
+        assert answer.status == 200
+        for machine in fleet.machines:
+            machine.target.answer = shed
+        answer = await fleet.machines[0].call(
+            '/reserve/x', call_id='c2', method='POST'
+        )
+        assert answer.status == 503
+        assert 'Parsleystile-Not-Executed' not in answer.headers
+
+    platformfleet.play(body)
+
+
+def test_a_failure_of_the_target_itself_goes_back_as_it_is():
+    async def body(fleet):
+        def fail(request):
+            names = request.headers[::2]
+            call_id = request.headers[
+                2 * names.index('Parsleystile-Attempt-Id') + 1
+            ]
+            request.answer(
+                500,
+                [
+                    'Parsleystile-Attempt-Id',
+                    call_id,
+                    'Parsleystile-Server-Signature',
+                    's',
+                ],
+                b'broken',
+            )
+
+        fleet.machines[1].target.answer = fail
+        answer = await fleet.machines[0].call('/reserve/x', method='POST')
+        assert answer.status == 500
+        assert answer.body == b'broken'
+        assert 'Parsleystile-Server-Signature' in answer.headers
+
+    platformfleet.play(body, serving=[1])
+
+
+def test_no_answer_by_the_routes_timeout_ends_the_call():
+    async def body(fleet):
+        fleet.machines[1].target.work_ms = 5_000.0
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        answer = await fleet.machines[0].call(wait_ms=100)
+        assert answer.status == 504
+        assert loop.time() - started < 2.0
+        await asyncutil.until(
+            lambda: fleet.machines[1].target.connections == 0
+        )
+
+    platformfleet.play(body, serving=[1])
+
+
+def test_a_caller_that_leaves_ends_the_work_below():
+    async def body(fleet):
+        first, second = fleet.machines
+        second.target.work_ms = 10_000.0
+        box = asyncutil.Box()
+        pending = first.outside.send(
+            httpout.Outbound(
+                f'GET /stock/x HTTP/1.1\r\nHost: {platformfleet.HOST}\r\n'
+                'Parsleystile-Attempt-Id: c1\r\n'
+                f'Authorization: Bearer {platformfleet.KEY}\r\n\r\n'.encode(),
+                'c1',
+            ),
+            box.put,
+        )
+        await asyncutil.until(lambda: second.target.seen)
+        pending.cancel()
+        await asyncutil.until(lambda: second.target.connections == 0)
+        assert second.node.gate.in_flight == 0
+
+    platformfleet.play(body, serving=[1])
+
+
+def test_a_domain_that_is_out_gets_nothing_and_comes_back():
+    async def body(fleet):
+        first, second = fleet.machines
+        fleet.store.put('op', 'evacuate/b', b'{}')
+        await asyncutil.until(
+            lambda: all(
+                m.node.spread.policy.domains_out for m in fleet.machines
+            )
+        )
+        answers = [await first.call(call_id=f'c{i}') for i in range(20)]
+        assert {a.status for a in answers} == {200}
+        assert second.target.seen == []
+        fleet.store.remove('op', 'evacuate/b')
+        await asyncutil.until(lambda: not first.node.spread.policy.domains_out)
+        second.report()
+        await fleet.seen_serving(2)
+        answers = [await second.call(call_id=f'd{i}') for i in range(20)]
+        assert {a.status for a in answers} == {200}
+        assert second.target.seen
+
+    platformfleet.play(body)
+
+
+def test_a_node_that_the_store_turns_away_learns_from_its_neighbours():
+    async def body(fleet):
+        first, second = fleet.machines
+        second.client.close()
+        second.client.forget_reach()
+        fleet.put_document(platformfleet.document(version=9))
+        await asyncutil.until(lambda: second.node.spread.policy.version == 9)
+        assert first.node.spread.policy.version == 9
+
+    platformfleet.play(body)
+
+
+def test_members_change_hands_while_the_store_is_down():
+    async def body(fleet):
+        first, second = fleet.machines
+        fleet.store.refuses = 503
+        fleet.store.drop_connections()
+        second.report(reports.TargetState.DRAINING)
+        await fleet.seen_serving(1)
+        assert (await first.call()).status == 200
+        fleet.store.refuses = 0
+        await asyncutil.until(
+            lambda: b'i-n1' in (fleet.store.value('nodes', 'n1') or b'')
+        )
+
+    platformfleet.play(body)
+
+
+def test_a_forgotten_history_is_read_anew():
+    async def body(fleet):
+        fleet.store.drop_history()
+        fleet.put_document(platformfleet.document(version=5))
+        await asyncutil.until(
+            lambda: all(
+                m.node.spread.policy.version == 5 for m in fleet.machines
+            )
+        )
+
+    platformfleet.play(body)
+
+
+def test_a_planned_stop_answers_what_was_begun():
+    async def body(fleet):
+        first, second = fleet.machines
+        ended = []
+        first.node.on_end = lambda: ended.append(True)
+        second.target.work_ms = first.target.work_ms = 100.0
+        calls = [
+            asyncio.ensure_future(first.call(call_id=f'c{i}'))
+            for i in range(5)
+        ]
+        await asyncutil.until(lambda: len(fleet.ran()) == 5)
+        first.node.stop()
+        assert not first.node.is_ready
+        answers = await asyncio.gather(*calls)
+        assert {a.status for a in answers} == {200}
+        # Callers are told to go elsewhere, and served until they have.
+        assert all('Connection' in a.headers for a in answers)
+        assert (await first.call(call_id='late')).status == 200
+        assert not ended
+        assert 'late' in [
+            headers['parsleystile-attempt-id']
+            for headers in second.target.seen
+        ]
+
+    platformfleet.play(body)
+
+
+def test_an_earlier_refusal_never_hides_that_a_call_may_have_run():
+    async def body(fleet):
+        def lose(request):
+            request._connection.abort()
+
+        for machine in fleet.machines:
+            machine.target.answer = lose
+        answer = await fleet.machines[0].call()
+        assert answer.status in (502, 504)
+
+    platformfleet.play(body)
+
+
+def test_outcomes_are_counted_on_the_metrics_page():
+    async def body(fleet):
+        await fleet.machines[0].call()
+        page = fleet.machines[0].node.record.page().decode()
+        assert (
+            'parsleystile_calls_total{end="answered",reason="2xx"} 1' in page
+        )
+        assert 'parsleystile_call_seconds_bucket' in page
+
+    platformfleet.play(body)
+
+
+def test_not_run_is_told_by_a_refusal_alone():
+    assert errors.not_run(errors.Reason.SHED).outcome is errors.Outcome.NOT_RUN
