Send calls to the shortest queue where all are full; keep children waiting

The balancer fell back to the nearest target when every tier was full, so the domain with a slow target kept its queue. One move where targets are full.

--- a/src/parsleystile/admission.py
+++ b/src/parsleystile/admission.py
@@ -186,9 +186,11 @@
         rng: random.Random,
         queue_bound: int | None = None,
         limit: Limit | None = None,
+        queue_per_slot: int = QUEUE_PER_SLOT,
     ) -> None:
         self._rng = rng
         self._queue_bound = queue_bound
+        self._queue_per_slot = queue_per_slot
         self._limit = limit or concurrency.ConcurrencyLimit()
         self._open_ms = math.inf
         self._levels = levels.AdmissionLevels()
@@ -398,7 +400,7 @@
     def _bound(self, limit: int) -> int:
         if self._queue_bound is not None:
             return self._queue_bound
-        return max(QUEUE_FLOOR, QUEUE_PER_SLOT * limit)
+        return max(QUEUE_FLOOR, self._queue_per_slot * limit)
 
     def _busy(self, reason: errors.Reason, detail: str) -> errors.Refusal:
         retry_after_ms = int(RETRY_AFTER_MS * self._rng.uniform(0.5, 1.5))
@@ -425,6 +427,7 @@
     rng: random.Random,
     queue_bound: int | None = None,
     limit: Limit | None = None,
+    queue_per_slot: int = QUEUE_PER_SLOT,
 ) -> AdmissionQueue:
     """Create a queue that admits nothing until Announce.
 
@@ -432,5 +435,7 @@
         rng: Spreads the times at which callers may come back.
         queue_bound: Calls that may wait; by the limit if None.
         limit: Calls that may run; learned from answers if None.
+        queue_per_slot: Calls that may wait for each that may run, where
+            ``queue_bound`` is None.
     """
-    return AdmissionQueue(rng, queue_bound, limit)
+    return AdmissionQueue(rng, queue_bound, limit, queue_per_slot)
--- a/src/parsleystile/balancer.py
+++ b/src/parsleystile/balancer.py
@@ -147,18 +147,21 @@
         known = self._services.get(service)
         if known is None:
             return None
-        fallback = None
+        best = None
+        least = float('inf')
         for tier in known.tiers:
             peer = self._pick(tier, exclude, now_ms, idempotent)
             if peer is None:
                 continue
-            if fallback is None:
-                fallback = peer
             used = peer.load(now_ms) / peer.limit()
             spill = (used - SPILL_FROM) / (SPILL_ALL - SPILL_FROM)
             if spill <= 0.0 or self._rng.random() >= spill:
                 return peer.member
-        return None if fallback is None else fallback.member
+            # Full everywhere: being near does not make up for a queue.
+            if used < least:
+                best = peer
+                least = used
+        return None if best is None else best.member
 
     def sent(self, node_id: ids.NodeId) -> None:
         """Note that a call is on its way to a node."""
--- a/src/parsleystile/relay/front.py
+++ b/src/parsleystile/relay/front.py
@@ -177,7 +177,7 @@
                 errors.Reason.MALFORMED,
                 f'no {self._parts.names.call_id} header',
             )
-        if not policy.needs_keys or (request.is_local and not head.key):
+        if not policy.needs_keys or (not head.key and request.is_local):
             return None
         scheme = self._parts.names.key_scheme
         if head.key.startswith(scheme):
@@ -291,7 +291,7 @@
         if self._head.wait_ms is not None:
             given_ms = min(given_ms, self._head.wait_ms)
         deadline_ms = request.arrived_ms + given_ms
-        is_child = request.is_local and self._organisation is None
+        is_child = self._organisation is None and request.is_local
         rank = self._importance(is_child) + parts.rng.random()
         if not is_child:
             refusal = parts.shedder.decide(
--- a/src/parsleystile/relay/httpin.py
+++ b/src/parsleystile/relay/httpin.py
@@ -36,7 +36,6 @@
         path: Path with query, as sent.
         headers: Names and values in turn, as sent.
         body: Whole body.
-        is_local: Whether it came from this machine.
         arrived_ms: When its last byte was read.
         on_gone: Called if the caller leaves before the answer.
     """
@@ -46,7 +45,6 @@
         'arrived_ms',
         'body',
         'headers',
-        'is_local',
         'method',
         'on_gone',
         'path',
@@ -67,9 +65,13 @@
         self.headers = headers
         self.body = body
         self.arrived_ms = arrived_ms
-        self.is_local = connection.is_local
         self.on_gone: typing.Callable[[], None] | None = None
 
+    @property
+    def is_local(self) -> bool:
+        """Whether it came from this machine."""
+        return self._connection.is_local
+
     @property
     def is_open(self) -> bool:
         """Whether the caller still waits for the answer."""
@@ -88,6 +90,7 @@
         '_body',
         '_headers',
         '_is_ending',
+        '_is_local',
         '_parser',
         '_queue',
         '_reading_bytes',
@@ -95,7 +98,6 @@
         '_transport',
         '_url',
         'current',
-        'is_local',
         'since_ms',
     )
 
@@ -110,22 +112,22 @@
         self._queue: collections.deque[Request] = collections.deque()
         self._is_ending = False
         self.current: Request | None = None
-        self.is_local = False
+        self._is_local: bool | None = None
         self.since_ms = server.clock.now_ms()
 
+    @property
+    def is_local(self) -> bool:
+        # Asked for by few requests; each answer costs a system call.
+        if self._is_local is None:
+            peer = self._transport.get_extra_info('peername')
+            hosts = self._server.own_hosts
+            self._is_local = peer is not None and peer[0] in hosts
+        return self._is_local
+
     # Callbacks of asyncio.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = typing.cast(asyncio.Transport, transport)
-        sock = self._transport.get_extra_info('socket')
-        if sock is not None:
-            sock.setsockopt(
-                socket.IPPROTO_TCP,
-                socket.TCP_USER_TIMEOUT,
-                _TCP_USER_TIMEOUT_MS,
-            )
-        peer = self._transport.get_extra_info('peername')
-        self.is_local = peer is not None and peer[0] in self._server.own_hosts
         self._server.connections.add(self)
 
     def data_received(self, data: bytes) -> None:
@@ -324,6 +326,10 @@
             lambda: _Connection(self), host, port, backlog=_BACKLOG
         )
         self._servers.append(server)
+        # Accepted connections inherit it.
+        server.sockets[0].setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS
+        )
         name = server.sockets[0].getsockname()
         return name[0], name[1]
 
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -35,6 +35,9 @@
 _FLUSH_PERIOD_MS = 100.0
 _GAUGE_PERIOD_MS = 5_000.0
 _SYNC_LOOK_MS = 125.0
+# A target's own calls are better late than refused, since the work above
+# them is lost with them; those that can't be in time are dropped as such.
+_QUEUE_PER_SLOT = 16
 # Levels of the target's own calls are kept under this route.
 _CHILDREN = ids.RouteId('children')
 # Time left for the last answers before the process is ended from outside.
@@ -132,7 +135,9 @@
         self._shedder = shedding.shedder(rng)
         self.gate = gate.gate(
             gate.Parts(
-                queue=admission.admission_queue(rng, limit=self._limit),
+                queue=admission.admission_queue(
+                    rng, limit=self._limit, queue_per_slot=_QUEUE_PER_SLOT
+                ),
                 limit=self._limit,
                 origin=httpout.origin(
                     setup.target_host,
--- a/src/parsleystile/relay/sender.py
+++ b/src/parsleystile/relay/sender.py
@@ -20,6 +20,9 @@
 
 # Guards that may refuse one request before it is given back to its caller.
 _MAX_MOVES = 3
+# Where targets are full, the others are about as full: one more is asked.
+_MAX_MOVES_WHEN_FULL = 1
+_FULL = frozenset({errors.Reason.QUEUE_FULL, errors.Reason.SHED})
 # A repeat needs at least this part of the time that was there at first.
 _LEAST_TIME_SHARE = 0.15
 _FIRST_SERVER_ERROR = 500
@@ -217,7 +220,7 @@
                 return
         elif (
             refusal.is_retryable
-            and self.sends <= _MAX_MOVES
+            and self.sends <= self._most_moves(refusal)
             and self._has_time(now_ms)
         ):
             self._note_repeat(refusal, now_ms)
@@ -242,6 +245,11 @@
         self._send(now_ms)
         return True
 
+    def _most_moves(self, refusal: errors.Refusal) -> int:
+        if refusal.reason in _FULL:
+            return _MAX_MOVES_WHEN_FULL
+        return _MAX_MOVES
+
     def _has_time(self, now_ms: float) -> bool:
         given_ms = self.deadline_ms - self._started_ms
         return self.deadline_ms - now_ms > _LEAST_TIME_SHARE * given_ms
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -108,6 +108,14 @@
     assert shares[4] == 1.0
 
 
+def test_where_all_are_full_the_shortest_queue_is_chosen_not_the_nearest():
+    found = [_member('near'), _member('far', domain='d1')]
+    made = _balancer(found)
+    _tell(made, 'near', admission.Load(20, 20, 100, 3.0))
+    _tell(made, 'far', admission.Load(20, 20, 10, 3.0))
+    assert _choices(made) == {'far': 1000}
+
+
 def test_a_target_that_refused_this_call_is_not_asked_again():
     made = _balancer([_member('a'), _member('b')])
     excluded = frozenset({'a'})
