--- a/src/parsleystile/relay/gate.py
+++ b/src/parsleystile/relay/gate.py
@@ -31,6 +31,8 @@
 # A target that lost connections is taken as cold until it reports again, for
 # so long at most.
 _SUSPECT_MS = 3_000.0
+# A target's own word that the deadline passed comes within this time.
+_OVERDUE_MS = 250.0
 _REFUSED_STATUS = frozenset({400, 421, 429, 503})
 _MISDIRECTED = 421
 
@@ -65,6 +67,7 @@
         'on_answer',
         'pending',
         'started_ms',
+        'timer',
     )
 
     def __init__(
@@ -82,6 +85,7 @@
         self.on_answer = on_answer
         self.pending: transports.PendingCall | None = None
         self.started_ms = 0.0
+        self.timer: deadlines.Deadline | None = None
 
     def cancel(self) -> None:
         self.gate.cancel(self)
@@ -238,6 +242,7 @@
         if running.pending is None:
             self._handle(admission.Cancel(running.key))
             return
+        self._drop_timer(running)
         running.pending.cancel()
         spent_ms = self._parts.clock.now_ms() - running.started_ms
         self._handle(admission.Cancel(running.key))
@@ -296,8 +301,24 @@
         ) -> None:
             self._finish(running, target, result)
 
+        # Callers end their calls at the deadline; one that is cut off can't.
+        running.timer = self._parts.wheel.add(
+            running.deadline_ms + _OVERDUE_MS,
+            lambda: self._give_up(
+                running,
+                errors.unknown(
+                    errors.Reason.DEADLINE, 'no answer by the deadline'
+                ),
+            ),
+        )
         running.pending = self._parts.origin.send(outbound, on_answer)
 
+    @staticmethod
+    def _drop_timer(running: _Running) -> None:
+        timer, running.timer = running.timer, None
+        if timer is not None:
+            timer.cancel()
+
     def _request_bytes(
         self, call: ttypes.Call, target: Target, remaining_ms: float
     ) -> bytes:
@@ -324,6 +345,7 @@
     ) -> None:
         if self._calls.pop(running.key, None) is None:
             return
+        self._drop_timer(running)
         now_ms = self._parts.clock.now_ms()
         spent_ms = now_ms - running.started_ms
         if isinstance(result, targetclient.TargetAnswer):
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -57,8 +57,6 @@
         stop_ms: From the request to stop until the process must be gone.
         linger_ms: So long a stopping node keeps answering, until its
             callers have been sent elsewhere.
-        leave_ms: Queued calls of a leaving target are refused at once; the
-            ones that run have this long.
     """
 
     node_id: ids.NodeId
@@ -212,6 +210,12 @@
         every(spread.WATCH_PERIOD_MS, self.spread.watch_links)
         every(spread.PROBE_PERIOD_MS, self.spread.probe)
 
+    def every(
+        self, period_ms: float, callback: typing.Callable[[], None]
+    ) -> None:
+        """Call back again and again while the node runs."""
+        self._ticker.every(period_ms, callback)
+
     def set_local_hosts(self, hosts: frozenset[str]) -> None:
         """Name the addresses from which the target makes its own calls."""
         self._callers.own_hosts = hosts
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -9,6 +9,7 @@
 
 from adapter import config
 from adapter import listeners
+from adapter import process
 from adapter import settings
 from adapter import units
 from parsleystile import clock as clocks
@@ -186,9 +187,7 @@
         clock = clocks.system_clock()
         descriptor = os.open(os.devnull, os.O_WRONLY)
         record = records.recorder('n1', clock, descriptor)
-        listener = listeners.ReportListener(
-            '10.1.0.2:5', taken.append, record
-        )
+        listener = listeners.ReportListener('10.1.0.2:5', taken.append, record)
         server = httpin.http_server(clock, frozenset(), listener.handle)
         host, port = await server.listen('127.0.0.1', 0)
         reader, writer = await asyncio.open_connection(host, port)
@@ -313,3 +312,35 @@
     import platform
 
     assert platform.python_version_tuple()[0] == '3'
+
+
+class _Node:
+    service = 'yard'
+
+
+def test_changed_settings_are_taken_over_without_a_signal(
+    tmp_path, monkeypatch
+):
+    path = tmp_path / 'boot.json'
+    path.write_bytes(_settings_file())
+    monkeypatch.setenv(settings.PATH_VARIABLE, str(path))
+    reader, writer = os.pipe()
+    record = records.recorder('n1', clocks.manual_clock(), writer)
+    node = _Node()
+    watch = process.SettingsWatch(settings.load(), node, record)
+    path.write_bytes(b'{"node_name":')
+    os.utime(path, ns=(1, 1))
+    watch.look()
+    assert node.service == 'yard'
+    path.write_bytes(_settings_file(service='stock', zone='savo-b'))
+    os.utime(path, ns=(2, 2))
+    watch.look()
+    watch.look()
+    assert node.service == 'stock'
+    record.log.flush()
+    lines = [
+        msgspec.json.decode(line)
+        for line in os.read(reader, 1 << 20).splitlines()
+    ]
+    assert [line['event'] for line in lines] == ['input-rejected', 'process']
+    assert 'after a restart: domain' in lines[1]['detail']
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -6,6 +6,7 @@
 import pytest
 
 from parsleystile import errors
+from parsleystile.gen import ttypes
 from parsleystile.relay import httpout
 from parsleystile.relay import reports
 from tests import asyncutil
@@ -328,6 +329,42 @@
     platformfleet.play(body, serving=[1])
 
 
+def test_a_target_that_never_answers_holds_no_slot_for_ever():
+    async def body(fleet):
+        first, second = fleet.machines
+        second.target.work_ms = 60_000.0
+        box = asyncutil.Box()
+        call = second.node.gate.submit(
+            ttypes.Call(
+                call_id=1,
+                root_id='c1',
+                organisation='',
+                importance=0,
+                deadline_ms=50,
+                depth=1,
+                retry_allowance=0,
+                idempotent=True,
+                draw=0.5,
+                caller_service='yard',
+                callee_service='yard',
+                route='browse',
+                method='GET',
+                path='/stock/x',
+                headers=['Host', 'h', 'Parsleystile-Attempt-Id', 'c1'],
+                body=b'',
+                idempotency_key='',
+            ),
+            box.put,
+        )
+        assert call is not None
+        answer = await box.get()
+        assert answer.outcome == errors.Outcome.UNKNOWN
+        assert second.node.gate.in_flight == 0
+        assert first.node.spread.policy is not None
+
+    platformfleet.play(body, serving=[1])
+
+
 def test_a_caller_that_leaves_ends_the_work_below():
     async def body(fleet):
         first, second = fleet.machines
