--- a/src/parsleystile/relay/front.py
+++ b/src/parsleystile/relay/front.py
@@ -227,6 +227,10 @@
         parts.record.ended(
             'refused' if is_not_run else 'unknown', reason, waited_ms
         )
+        request.answer(status, headers, f'{reason}\n'.encode())
+        kind = records.CallRefused if is_not_run else records.CallUnknown
+        if not parts.record.log.wants(kind):
+            return
         fields = {
             'call': head.call_id,
             'organisation': organisation,
@@ -238,12 +242,9 @@
             'waited_ms': round(waited_ms, 1),
             'policy_version': version,
         }
-        parts.record.log.write(
-            records.CallRefused(retry_after_ms=retry_after_ms, **fields)
-            if is_not_run
-            else records.CallUnknown(**fields)
-        )
-        request.answer(status, headers, f'{reason}\n'.encode())
+        if is_not_run:
+            fields['retry_after_ms'] = retry_after_ms
+        parts.record.log.append(kind(**fields))
 
 
 class _Passage:
@@ -365,7 +366,10 @@
         request = self._request
         waited_ms = parts.sender.clock.now_ms() - request.arrived_ms
         parts.record.ended('answered', f'{reply.status // 100}xx', waited_ms)
-        parts.record.log.write(
+        request.answer(reply.status, _kept(reply.headers), reply.body)
+        if not parts.record.log.wants(records.CallAnswered):
+            return
+        parts.record.log.append(
             records.CallAnswered(
                 call=self._head.call_id,
                 organisation=self._organisation_id,
@@ -378,7 +382,6 @@
                 policy_version=self._version,
             )
         )
-        request.answer(reply.status, _kept(reply.headers), reply.body)
 
     def _refuse(self, refusal: errors.Refusal) -> None:
         sends = 0 if self._sending is None else self._sending.sends
--- a/src/parsleystile/relay/records.py
+++ b/src/parsleystile/relay/records.py
@@ -234,10 +234,13 @@
         self._size = 0
         self.dropped = 0
 
-    def write(self, line: _Line) -> bool:
-        """Take a line; False if its kind is over its rate."""
+    def wants(self, kind: type[_Line]) -> bool:
+        """Take a line of a kind into its rate; False if it is over.
+
+        Whoever asks and gets True writes the line by ``append``; under load
+        most lines are then never made.
+        """
         now_ms = self._clock.now_ms()
-        kind = type(line)
         budget = self._budgets.get(kind)
         if budget is None:
             per_s = _SAMPLED_PER_S if kind in _FREQUENT else _LINES_PER_S
@@ -249,10 +252,18 @@
             budget.suppressed += 1
             return False
         budget.lines -= 1.0
-        self._append(line, budget)
         return True
 
-    def _append(self, line: _Line, budget: _Budget) -> None:
+    def write(self, line: _Line) -> bool:
+        """Take a line; False if its kind is over its rate."""
+        if not self.wants(type(line)):
+            return False
+        self.append(line)
+        return True
+
+    def append(self, line: _Line) -> None:
+        """Write a line that its rate allows."""
+        budget = self._budgets[type(line)]
         if self._size > _MAX_BUFFERED_BYTES:
             self.dropped += 1
             return
@@ -360,7 +371,9 @@
         """Record that the guard let a call not pass."""
         reason = refusal.reason.name.lower()
         self._child(self._guard, reason).inc()
-        self.log.write(
+        if not self.log.wants(GuardRefused):
+            return
+        self.log.append(
             GuardRefused(
                 call=call,
                 service=service,
--- a/src/parsleystile/relay/sender.py
+++ b/src/parsleystile/relay/sender.py
@@ -255,8 +255,11 @@
         return self.deadline_ms - now_ms > _LEAST_TIME_SHARE * given_ms
 
     def _note_repeat(self, refusal: errors.Refusal, now_ms: float) -> None:
-        self._parts.record.count('repeats')
-        self._parts.record.log.write(
+        record = self._parts.record
+        record.count('repeats')
+        if not record.log.wants(records.CallRepeated):
+            return
+        record.log.append(
             records.CallRepeated(
                 call=self.call.root_id,
                 service=self.service,
