--- a/src/parsleystile/exchange.py
+++ b/src/parsleystile/exchange.py
@@ -6,6 +6,7 @@
 from parsleystile import context
 from parsleystile import errors
 from parsleystile import fleetconfig
+from parsleystile import hopheaders
 from parsleystile import ids
 from parsleystile import retries
 
@@ -17,24 +18,8 @@
 _MAX_TIMEOUT_DIGITS = 9
 _INTERNAL_PREFIX = 'x-parsleystile-'
 
-# Headers about one connection, not about the request (RFC 9110, 7.6.1),
-# and those that the next hop sets for itself.
-_HOP_HEADERS = frozenset(
-    {
-        'connection',
-        'content-length',
-        'expect',
-        'host',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    }
-)
+# The next hop sets the host for itself.
+_HOP_HEADERS = hopheaders.HOP_HEADERS | {'host'}
 
 
 class ExchangeState(enum.Enum):
--- a/src/parsleystile/relay/front.py
+++ b/src/parsleystile/relay/front.py
@@ -6,9 +6,11 @@
 
 from parsleystile import errors
 from parsleystile.gen import ttypes
+from parsleystile import hopheaders
 from parsleystile import ids
 from parsleystile.relay import gate as gates
 from parsleystile.relay import httpin
+from parsleystile.relay import lines
 from parsleystile.relay import policy as policies
 from parsleystile.relay import ratekeeper
 from parsleystile.relay import records
@@ -24,21 +26,6 @@
 _RETRY_AFTER_MS = (200, 600)
 # Longer than any deadline of a caller.
 _MAX_DIGITS = 9
-_HOP_HEADERS = frozenset(
-    {
-        'connection',
-        'content-length',
-        'expect',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    }
-)
 _NOT_RUN_STATUS = {
     errors.Reason.KEY_MISSING: 401,
     errors.Reason.KEY_REJECTED: 401,
@@ -115,7 +102,7 @@
     def __init__(self, parts: Parts) -> None:
         self._parts = parts
         names = parts.names
-        self._dropped = _HOP_HEADERS | names.set_by_node()
+        self._dropped = hopheaders.HOP_HEADERS | names.set_by_node()
         self._call_id = names.call_id.lower()
         self._deadline = names.deadline.lower()
         self._key = names.key.lower()
@@ -228,7 +215,7 @@
             'refused' if is_not_run else 'unknown', reason, waited_ms
         )
         request.answer(status, headers, f'{reason}\n'.encode())
-        kind = records.CallRefused if is_not_run else records.CallUnknown
+        kind = lines.CallRefused if is_not_run else lines.CallUnknown
         if not parts.record.log.wants(kind):
             return
         fields = {
@@ -367,10 +354,10 @@
         waited_ms = parts.sender.clock.now_ms() - request.arrived_ms
         parts.record.ended('answered', f'{reply.status // 100}xx', waited_ms)
         request.answer(reply.status, _kept(reply.headers), reply.body)
-        if not parts.record.log.wants(records.CallAnswered):
+        if not parts.record.log.wants(lines.CallAnswered):
             return
         parts.record.log.append(
-            records.CallAnswered(
+            lines.CallAnswered(
                 call=self._head.call_id,
                 organisation=self._organisation_id,
                 route=self._route.route_id,
@@ -405,7 +392,7 @@
         waited_ms = parts.sender.clock.now_ms() - self._request.arrived_ms
         parts.record.ended('abandoned', 'caller-left', waited_ms)
         parts.record.log.write(
-            records.CallAbandoned(
+            lines.CallAbandoned(
                 call=self._head.call_id,
                 route=self._route.route_id,
                 sends=sends,
@@ -418,7 +405,7 @@
     """Return the headers of an answer that go back to its caller."""
     kept: list[str] = []
     for i in range(0, len(headers), 2):
-        if headers[i].lower() not in _HOP_HEADERS:
+        if headers[i].lower() not in hopheaders.HOP_HEADERS:
             kept.append(headers[i])
             kept.append(headers[i + 1])
     return kept
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -17,8 +17,8 @@
 from parsleystile.relay import gate
 from parsleystile.relay import httpin
 from parsleystile.relay import httpout
+from parsleystile.relay import lines
 from parsleystile.relay import pacing
-from parsleystile.relay import policy as policies
 from parsleystile.relay import ratekeeper
 from parsleystile.relay import records
 from parsleystile.relay import repeats
@@ -40,6 +40,10 @@
 _QUEUE_PER_SLOT = 16
 # Levels of the target's own calls are kept under this route.
 _CHILDREN = ids.RouteId('children')
+# Frames hold the largest body that any policy lets a caller send, 64 MiB.
+_MAX_FRAME_BYTES = 65 * 1_048_576
+# A target that turns cold before its service is known bears little.
+_UNKNOWN_COLD_PER_S = 5.0
 # Time left for the last answers before the process is ended from outside.
 _END_MARGIN_MS = 500.0
 
@@ -105,8 +109,7 @@
             links_module.LinkSettings(
                 setup.node_id,
                 setup.secret,
-                policies.CallerLimits().body_bytes * _BODY_FACTOR
-                + wire.FRAME_OVERHEAD_BYTES,
+                _MAX_FRAME_BYTES + wire.FRAME_OVERHEAD_BYTES,
             ),
             clock,
             wheel,
@@ -276,7 +279,7 @@
         if current is None:
             return
         self.record.log.write(
-            records.TargetChanged(
+            lines.TargetChanged(
                 target=current.target_id,
                 state='lost',
                 service=current.service,
@@ -292,7 +295,7 @@
 
     def _record_target(self, report: reports.Report, why: str) -> None:
         self.record.log.write(
-            records.TargetChanged(
+            lines.TargetChanged(
                 target=report.target_id,
                 state=report.state.value,
                 service=report.service,
@@ -397,7 +400,7 @@
     def _rejected(self, status: int, why: str) -> None:
         self.record.count('malformed-requests')
         self.record.log.write(
-            records.Rejected(where='caller', why=f'{status}: {why}')
+            lines.Rejected(where='caller', why=f'{status}: {why}')
         )
 
     # The end.
@@ -408,7 +411,7 @@
             return
         self._stop_asked_ms = self._clock.now_ms()
         self.record.log.write(
-            records.Process(state='draining', detail='asked to stop')
+            lines.Process(state='draining', detail='asked to stop')
         )
         self._callers.is_closing = True
         self.gate.refuse_new(errors.Reason.LEAVING)
@@ -432,12 +435,6 @@
         self.record.log.flush()
 
 
-# Frames hold the largest body that a caller may send.
-_BODY_FACTOR = 65
-# A target that turns cold before its service is known bears little.
-_UNKNOWN_COLD_PER_S = 5.0
-
-
 def build_node(
     setup: Setup,
     decode: spread.Decode,
--- a/src/parsleystile/relay/pacing.py
+++ b/src/parsleystile/relay/pacing.py
@@ -12,6 +12,8 @@
 # Part of the declared cold rate in use; the rest covers calls that are on
 # their way when the target turns cold.
 COLD_RATE_SHARE = 0.9
+# How fast the usual time of an answer follows.
+_LEARN = 0.05
 
 
 class DeclaredLimit:
@@ -107,9 +109,6 @@
         )
 
 
-_LEARN = 0.05
-
-
 def declared_limit() -> DeclaredLimit:
     """Create the limit of a target that is not there yet."""
     return DeclaredLimit()
--- a/src/parsleystile/relay/ratekeeper.py
+++ b/src/parsleystile/relay/ratekeeper.py
@@ -11,6 +11,7 @@
 from parsleystile import errors
 from parsleystile import ids
 from parsleystile import link as links_module
+from parsleystile.relay import lines
 from parsleystile.relay import policy as policies
 from parsleystile.relay import records
 from parsleystile.relay import roster as rosters
@@ -132,7 +133,7 @@
             return msgspec.msgpack.decode(reply, type=_Grant).tokens
         except msgspec.MsgspecError as exc:
             self._record.log.write(
-                records.Rejected(where=ASK_KIND, why=str(exc))
+                lines.Rejected(where=ASK_KIND, why=str(exc))
             )
             return 0.0
 
@@ -170,7 +171,7 @@
             ask = msgspec.msgpack.decode(payload, type=_Ask)
         except msgspec.MsgspecError as exc:
             self._record.log.write(
-                records.Rejected(where=ASK_KIND, why=str(exc))
+                lines.Rejected(where=ASK_KIND, why=str(exc))
             )
             reply(msgspec.msgpack.encode(_Grant(0.0)))
             return
--- a/src/parsleystile/relay/records.py
+++ b/src/parsleystile/relay/records.py
@@ -17,6 +17,7 @@
 from parsleystile import errors
 from parsleystile.gen import ttypes
 from parsleystile import ids
+from parsleystile.relay import lines
 
 # Lines a second of one kind, and how many may come at once.
 _LINES_PER_S = 20.0
@@ -40,169 +41,7 @@
 )
 
 
-class _Line(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """Base of all lines; ``event`` names the kind."""
-
-
-class CallRefused(_Line, tag_field='event', tag='call-refused'):
-    """A request got an answer of ours that says it has not run."""
-
-    call: str
-    organisation: str
-    route: str
-    reason: str
-    detail: str
-    status: int
-    retry_after_ms: int
-    sends: int
-    waited_ms: float
-    policy_version: int
-
-
-class CallUnknown(_Line, tag_field='event', tag='call-unknown'):
-    """A request ended without an answer; it may have run."""
-
-    call: str
-    organisation: str
-    route: str
-    reason: str
-    detail: str
-    status: int
-    sends: int
-    waited_ms: float
-    policy_version: int
-
-
-class CallAnswered(_Line, tag_field='event', tag='call-answered'):
-    """A target's answer went back."""
-
-    call: str
-    organisation: str
-    route: str
-    service: str
-    node: str
-    status: int
-    sends: int
-    waited_ms: float
-    policy_version: int
-
-
-class CallRepeated(_Line, tag_field='event', tag='call-repeated'):
-    """A request is sent to another target."""
-
-    call: str
-    service: str
-    node: str
-    reason: str
-    detail: str
-    sends: int
-    remaining_ms: float
-
-
-class CallAbandoned(_Line, tag_field='event', tag='call-abandoned'):
-    """The caller left before its answer."""
-
-    call: str
-    route: str
-    sends: int
-    waited_ms: float
-
-
-class GuardRefused(_Line, tag_field='event', tag='guard-refused'):
-    """The guard of a target refused a call before the target saw it."""
-
-    call: str
-    service: str
-    reason: str
-    detail: str
-    in_flight: int
-    limit: int
-    queued: int
-    level: float
-
-
-class TargetFailed(_Line, tag_field='event', tag='target-failed'):
-    """A call was sent to the target and got no proper answer."""
-
-    call: str
-    target: str
-    detail: str
-    spent_ms: float
-
-
-class TargetChanged(_Line, tag_field='event', tag='target-changed'):
-    """What this node holds of the target beside it."""
-
-    target: str
-    state: str
-    service: str
-    slots: int
-    cold_ms: float
-    sequence: int
-    why: str
-
-
-class PolicyInForce(_Line, tag_field='event', tag='policy-in-force'):
-    """A newer version binds here from now on."""
-
-    version: int
-    seen_at: int
-    source: str
-    domains_out: list[str]
-
-
-class PolicyRejected(_Line, tag_field='event', tag='policy-rejected'):
-    """A version can't be read or doesn't hold; the one before stays."""
-
-    seen_at: int
-    why: str
-
-
-class MemberChanged(_Line, tag_field='event', tag='member-changed'):
-    """A node's own account of itself, as it reached this one."""
-
-    member: str
-    service: str
-    target: str
-    state: str
-    incarnation: int
-    sequence: int
-    source: str
-
-
-class NodeReach(_Line, tag_field='event', tag='node-reach'):
-    """Another node can be reached again, or not any more."""
-
-    member: str
-    is_reached: bool
-    why: str
-
-
-class StoreReach(_Line, tag_field='event', tag='store-reach'):
-    """The platform's store answers again, or not any more."""
-
-    table: str
-    is_reached: bool
-    why: str
-    at_version: int
-
-
-class Process(_Line, tag_field='event', tag='process'):
-    """This process starts, reloads its settings, drains or ends."""
-
-    state: str
-    detail: str
-
-
-class Rejected(_Line, tag_field='event', tag='input-rejected'):
-    """Input from outside that is not what it should be."""
-
-    where: str
-    why: str
-
-
-Line = _Line
-_FREQUENT = (CallAnswered,)
+_FREQUENT = (lines.CallAnswered,)
 
 
 class _Budget:
@@ -228,13 +67,13 @@
         self._node = node_id
         self._clock = clock
         self._descriptor = descriptor
-        self._budgets: dict[type[_Line], _Budget] = {}
+        self._budgets: dict[type[lines.Line], _Budget] = {}
         self._encoder = msgspec.json.Encoder()
         self._chunks: list[bytes] = []
         self._size = 0
         self.dropped = 0
 
-    def wants(self, kind: type[_Line]) -> bool:
+    def wants(self, kind: type[lines.Line]) -> bool:
         """Take a line of a kind into its rate; False if it is over.
 
         Whoever asks and gets True writes the line by ``append``; under load
@@ -254,14 +93,14 @@
         budget.lines -= 1.0
         return True
 
-    def write(self, line: _Line) -> bool:
+    def write(self, line: lines.Line) -> bool:
         """Take a line; False if its kind is over its rate."""
         if not self.wants(type(line)):
             return False
         self.append(line)
         return True
 
-    def append(self, line: _Line) -> None:
+    def append(self, line: lines.Line) -> None:
         """Write a line that its rate allows."""
         budget = self._budgets[type(line)]
         if self._size > _MAX_BUFFERED_BYTES:
@@ -371,10 +210,10 @@
         """Record that the guard let a call not pass."""
         reason = refusal.reason.name.lower()
         self._child(self._guard, reason).inc()
-        if not self.log.wants(GuardRefused):
+        if not self.log.wants(lines.GuardRefused):
             return
         self.log.append(
-            GuardRefused(
+            lines.GuardRefused(
                 call=call,
                 service=service,
                 reason=reason,
@@ -396,7 +235,7 @@
         """Record that the target gave no proper answer."""
         self.count('target-failed')
         self.log.write(
-            TargetFailed(
+            lines.TargetFailed(
                 call=call,
                 target=target,
                 detail=refusal.detail,
--- a/src/parsleystile/relay/sender.py
+++ b/src/parsleystile/relay/sender.py
@@ -12,6 +12,7 @@
 from parsleystile import link as links_module
 from parsleystile import members
 from parsleystile.relay import gate as gates
+from parsleystile.relay import lines
 from parsleystile.relay import policy as policies
 from parsleystile.relay import records
 from parsleystile.relay import repeats
@@ -257,10 +258,10 @@
     def _note_repeat(self, refusal: errors.Refusal, now_ms: float) -> None:
         record = self._parts.record
         record.count('repeats')
-        if not record.log.wants(records.CallRepeated):
+        if not record.log.wants(lines.CallRepeated):
             return
         record.log.append(
-            records.CallRepeated(
+            lines.CallRepeated(
                 call=self.call.root_id,
                 service=self.service,
                 node=self.node_id,
--- a/src/parsleystile/relay/spread.py
+++ b/src/parsleystile/relay/spread.py
@@ -17,6 +17,7 @@
 from parsleystile import errors
 from parsleystile import ids
 from parsleystile import link as links_module
+from parsleystile.relay import lines
 from parsleystile.relay import policy as policies
 from parsleystile.relay import records
 from parsleystile.relay import roster as rosters
@@ -133,15 +134,13 @@
         policy = self._decode(snapshot.payload)
         if isinstance(policy, errors.SettingsError):
             self._record.log.write(
-                records.PolicyRejected(
-                    seen_at=snapshot.seen_at, why=str(policy)
-                )
+                lines.PolicyRejected(seen_at=snapshot.seen_at, why=str(policy))
             )
             return False
         before = self.policy
         if before is not None and policy.version < before.version:
             self._record.log.write(
-                records.PolicyRejected(
+                lines.PolicyRejected(
                     seen_at=snapshot.seen_at,
                     why=f'version {policy.version} after {before.version}',
                 )
@@ -150,7 +149,7 @@
         self.snapshot = snapshot
         self.policy = policy
         self._record.log.write(
-            records.PolicyInForce(
+            lines.PolicyInForce(
                 version=policy.version,
                 seen_at=snapshot.seen_at,
                 source=source,
@@ -172,7 +171,7 @@
             if row.node_id == self._roster.me.node_id:
                 self.publish()
             self._record.log.write(
-                records.MemberChanged(
+                lines.MemberChanged(
                     member=row.node_id,
                     service=row.service,
                     target=row.target_id,
@@ -316,7 +315,7 @@
             return None
 
     def _reject(self, where: str, why: str) -> None:
-        self._record.log.write(records.Rejected(where=where, why=why))
+        self._record.log.write(lines.Rejected(where=where, why=why))
 
     # Who answers.
 
@@ -385,7 +384,7 @@
         self, node_id: ids.NodeId, is_reached: bool, why: str
     ) -> None:
         self._record.log.write(
-            records.NodeReach(member=node_id, is_reached=is_reached, why=why)
+            lines.NodeReach(member=node_id, is_reached=is_reached, why=why)
         )
         self.on_members()
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -15,6 +15,7 @@
 from parsleystile import clock as clocks
 from parsleystile import errors
 from parsleystile.relay import httpin
+from parsleystile.relay import lines
 from parsleystile.relay import records
 from parsleystile.relay import reports
 from tests import asyncutil
@@ -277,16 +278,16 @@
         reader, writer = os.pipe()
         clock = clocks.manual_clock()
         record = records.recorder('n1', clock, writer)
-        line = records.Rejected(where='x', why='y')
+        line = lines.Rejected(where='x', why='y')
         taken = sum(record.log.write(line) for _ in range(1000))
         assert taken < 100
         clock.advance(1_000.0)
         record.log.write(line)
-        lines = self._lines(record.log, reader)
-        assert len(lines) == taken + 1
-        assert lines[-1]['suppressed'] == 1000 - taken
-        assert lines[0]['event'] == 'input-rejected'
-        assert lines[0]['node'] == 'n1'
+        written = self._lines(record.log, reader)
+        assert len(written) == taken + 1
+        assert written[-1]['suppressed'] == 1000 - taken
+        assert written[0]['event'] == 'input-rejected'
+        assert written[0]['node'] == 'n1'
 
     def test_a_reader_that_stops_costs_lines_and_no_time(self):
         _, writer = os.pipe()
@@ -295,7 +296,7 @@
         why = 'z' * 2_000
         for _ in range(2_000):
             clock.advance(100.0)
-            record.log.write(records.Rejected(where='x', why=why))
+            record.log.write(lines.Rejected(where='x', why=why))
             record.log.flush()
         assert record.log.dropped > 0
 
@@ -303,7 +304,7 @@
         reader, writer = os.pipe()
         os.close(reader)
         record = records.recorder('n1', clocks.manual_clock(), writer)
-        record.log.write(records.Rejected(where='x', why='y'))
+        record.log.write(lines.Rejected(where='x', why='y'))
         record.log.flush()
         assert record.log.dropped == 1
 
@@ -338,9 +339,9 @@
     watch.look()
     assert node.service == 'stock'
     record.log.flush()
-    lines = [
+    written = [
         msgspec.json.decode(line)
         for line in os.read(reader, 1 << 20).splitlines()
     ]
-    assert [line['event'] for line in lines] == ['input-rejected', 'process']
-    assert 'after a restart: domain' in lines[1]['detail']
+    assert [line['event'] for line in written] == ['input-rejected', 'process']
+    assert 'after a restart: domain' in written[1]['detail']
