--- a/src/parsleystile/deadlines.py
+++ b/src/parsleystile/deadlines.py
@@ -8,14 +8,29 @@
 class Deadline:
     """One callback that is due at a time, unless cancelled."""
 
-    __slots__ = ('callback',)
+    __slots__ = ('_slot', '_slots', 'callback')
 
-    def __init__(self, callback: typing.Callable[[], None]) -> None:
+    def __init__(
+        self,
+        callback: typing.Callable[[], None],
+        slots: dict[int, dict['Deadline', None]],
+        slot: int,
+    ) -> None:
         self.callback: typing.Callable[[], None] | None = callback
+        self._slots = slots
+        self._slot = slot
 
     def cancel(self) -> None:
         """Drop the callback."""
+        if self.callback is None:
+            return
         self.callback = None
+        entries = self._slots.get(self._slot)
+        if entries is not None:
+            entries.pop(self, None)
+            # Nobody need wake up for a slot that holds nothing any more.
+            if not entries:
+                del self._slots[self._slot]
 
 
 class DeadlineWheel:
@@ -33,7 +48,7 @@
         Args:
             on_earlier: Called when ``next_due_ms`` moves to an earlier time.
         """
-        self._slots: dict[int, list[Deadline]] = {}
+        self._slots: dict[int, dict[Deadline, None]] = {}
         self._next_slot: int | None = None
         self.on_earlier = on_earlier
 
@@ -48,16 +63,16 @@
         self, due_ms: float, callback: typing.Callable[[], None]
     ) -> Deadline:
         """Call ``callback`` at the first expiry at or after ``due_ms``."""
-        deadline = Deadline(callback)
         slot = int(due_ms / _SLOT_MS) + 1
+        deadline = Deadline(callback, self._slots, slot)
         entries = self._slots.get(slot)
         if entries is None:
-            self._slots[slot] = [deadline]
+            self._slots[slot] = {deadline: None}
             if self._next_slot is None or slot < self._next_slot:
                 self._next_slot = slot
                 self.on_earlier()
         else:
-            entries.append(deadline)
+            entries[deadline] = None
         return deadline
 
     def expire(self, now_ms: float) -> None:
@@ -67,7 +82,8 @@
             return
         due = sorted(slot for slot in self._slots if slot <= current)
         for slot in due:
-            for deadline in self._slots.pop(slot):
+            # A callback may cancel others of its slot, or empty a later one.
+            for deadline in self._slots.pop(slot, ()):
                 if deadline.callback is not None:
                     callback, deadline.callback = deadline.callback, None
                     callback()
--- a/src/parsleystile/fairqueue.py
+++ b/src/parsleystile/fairqueue.py
@@ -95,7 +95,10 @@
     @property
     def next_drop_ms(self) -> float:
         """When ``pop_late`` may next find something; inf if never."""
-        return self._drops[0][0] if self._drops else float('inf')
+        drops = self._drops
+        while drops and not drops[0][2].is_live:
+            heapq.heappop(drops)
+        return drops[0][0] if drops else float('inf')
 
     def standing(self, since_ms: float) -> typing.Iterator[ids.OrganisationId]:
         """Yield organisations with calls queued ever since a time."""
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -31,8 +31,9 @@
 from parsleystile import ticker as tickers
 from parsleystile import wire
 
+# All periods are multiples of one, so that one wake-up serves several.
 _SWEEP_PERIOD_MS = 500.0
-_FLUSH_PERIOD_MS = 100.0
+_FLUSH_PERIOD_MS = 125.0
 _GAUGE_PERIOD_MS = 5_000.0
 _SYNC_LOOK_MS = 125.0
 # A target's own calls are better late than refused, since the work above
--- a/src/parsleystile/relay/sender.py
+++ b/src/parsleystile/relay/sender.py
@@ -5,6 +5,7 @@
 
 from parsleystile import balancer
 from parsleystile import clock as clocks
+from parsleystile import context
 from parsleystile import deadlines
 from parsleystile import errors
 from parsleystile.gen import ttypes
@@ -201,7 +202,10 @@
 
     def _judge_answer(self, answer: ttypes.Answer, now_ms: float) -> None:
         is_failure = answer.status >= _FIRST_SERVER_ERROR
-        if is_failure and self.route.is_idempotent:
+        # A target below that sheds fails the calls above it: another run
+        # would only add to its load.
+        is_full = answer.load.admission_level < context.RANK_LIMIT
+        if is_failure and self.route.is_idempotent and not is_full:
             self._excluded |= {self.node_id}
             refusal = errors.unknown(
                 errors.Reason.TARGET_FAILED, f'status {answer.status}'
--- a/src/parsleystile/relay/spread.py
+++ b/src/parsleystile/relay/spread.py
@@ -37,7 +37,7 @@
 WATCH_PERIOD_MS = 250.0
 _PING_TIMEOUT_MS = 450.0
 # Nodes that do not answer are asked again so often.
-PROBE_PERIOD_MS = 300.0
+PROBE_PERIOD_MS = 375.0
 
 
 class Snapshot(msgspec.Struct, frozen=True):
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -75,3 +75,32 @@
     assert left == [targetwatch.TargetLeaving()]
     assert watch.handle(_announced(), 20.0) == []
     assert watch.handle(_announced('i2'), 30.0) == [_UP]
+
+
+def test_a_slot_whose_deadlines_are_all_cancelled_wakes_nobody():
+    wheel = deadlines.DeadlineWheel()
+    first = wheel.add(100.0, lambda: None)
+    second = wheel.add(100.0, lambda: None)
+    wheel.add(500.0, lambda: None)
+    first.cancel()
+    second.cancel()
+    second.cancel()
+    wheel.expire(50.0)
+    wheel.expire(120.0)
+    assert wheel.next_due_ms > 400.0
+
+
+def test_a_callback_may_cancel_another_of_its_slot():
+    wheel = deadlines.DeadlineWheel()
+    called = []
+    second = None
+
+    def cancel_second():
+        called.append(1)
+        second.cancel()
+
+    wheel.add(100.0, cancel_second)
+    second = wheel.add(100.0, lambda: called.append(2))
+    wheel.expire(200.0)
+    assert called == [1]
+    assert wheel.next_due_ms is None
