Ask one more target where one is too slow for a call

Ruled out: full queues (0 queued), the rolling restart (leaving nodes refuse with another reason and calls move). The test fails before.

--- a/src/parsleystile/relay/sender.py
+++ b/src/parsleystile/relay/sender.py
@@ -22,9 +22,12 @@
 
 # Guards that may refuse one request before it is given back to its caller.
 _MAX_MOVES = 3
-# Where targets are full, the others are about as full: one more is asked.
+# Where a target is full or too slow, the others may be no better: one more is
+# asked.
 _MAX_MOVES_WHEN_FULL = 1
-_FULL = frozenset({errors.Reason.QUEUE_FULL, errors.Reason.SHED})
+_FULL = frozenset(
+    {errors.Reason.QUEUE_FULL, errors.Reason.SHED, errors.Reason.DEADLINE}
+)
 # A repeat needs at least this part of the time that was there at first.
 _LEAST_TIME_SHARE = 0.15
 _FIRST_SERVER_ERROR = 500
@@ -224,7 +227,7 @@
             if may_repeat and self._repeat(refusal, now_ms):
                 return
         elif (
-            refusal.is_retryable
+            (refusal.is_retryable or refusal.reason in _FULL)
             and self.sends <= self._most_moves(refusal)
             and self._has_time(now_ms)
         ):
--- /dev/null
+++ b/tests/test_relay_sender.py
@@ -0,0 +1,180 @@
+"""Where a request goes after a refusal, and when it goes nowhere."""
+
+import os
+import random
+
+import pytest
+
+from parsleystile import balancer
+from parsleystile import clock as clocks
+from parsleystile import deadlines
+from parsleystile import errors
+from parsleystile.gen import ttypes
+from parsleystile import ids
+from parsleystile import members
+from parsleystile.relay import policy
+from parsleystile.relay import records
+from parsleystile.relay import repeats
+from parsleystile.relay import sender
+from parsleystile import transport
+from parsleystile import wire
+
+_FULL = ttypes.Load(20, 20, 5, 3.0)
+_SHEDDING = ttypes.Load(20, 20, 90, 2.4)
+
+
+class _Links:
+    """Answers each call by the next step of a script."""
+
+    def __init__(self, script):
+        self._script = list(script)
+        self.sent = []
+
+    def call(self, to, call, on_answer):
+        self.sent.append(to)
+        step = self._script.pop(0)
+        if isinstance(step, tuple):
+            refusal, load = step
+            step = wire.refusal_answer(1, refusal, 0, load)
+        on_answer(step)
+
+
+def _answer(status, load=_FULL):
+    return ttypes.Answer(
+        1, errors.Outcome.ANSWERED, status, [], b'', 0, '', 0, 0, load, False
+    )
+
+
+def _send(script, is_idempotent=True, slack=1000.0):
+    """Return the reply to one request and the links that carried it."""
+    rng = random.Random(4)
+    found = [
+        members.Member(
+            ids.NodeId(f'n{i}'),
+            ids.VmId(f'n{i}'),
+            ids.RegionId('r'),
+            ids.FailureDomainId('a'),
+            ids.ServiceName('yard'),
+            20,
+            transport.Address('127.0.0.1', i),
+            transport.Address('127.0.0.1', i),
+            ids.Incarnation(1),
+        )
+        for i in range(1, 5)
+    ]
+    chooser = balancer.balancer('a', 'r', 'n0', rng)
+    chooser.set_members('yard', found)
+    clock = clocks.manual_clock()
+    links = _Links(script)
+    replies = []
+    route = policy.Route(
+        ids.RouteId('browse'),
+        'h',
+        '/a/',
+        (policy.Destination(ids.ServiceName('yard')),),
+        is_idempotent,
+        False,
+        1000.0,
+        100.0,
+        2,
+        0,
+    )
+    call = ttypes.Call(
+        callee_service='yard',
+        root_id='c1',
+        depth=1,
+        organisation='',
+        idempotent=is_idempotent,
+    )
+    descriptor = os.open(os.devnull, os.O_WRONLY)
+    parts = sender.Parts(
+        own_node_id=ids.NodeId('n0'),
+        balancer=chooser,
+        budget=repeats.repeat_budget(repeats.Bounds(0.0, slack, 10_000.0)),
+        links=links,
+        gate=None,
+        clock=clock,
+        wheel=deadlines.DeadlineWheel(),
+        record=records.recorder('n0', clock, descriptor),
+        on_unreached=lambda node_id, why: None,
+        on_level=lambda *told: None,
+    )
+    sender.Sending(parts, call, route, 1000.0, replies.append).start()
+    os.close(descriptor)
+    (reply,) = replies
+    return reply, links
+
+
+def _refused(reason, load=_FULL):
+    return errors.not_run(reason), load
+
+
+@pytest.mark.parametrize(
+    'reason',
+    [
+        errors.Reason.DEADLINE,
+        errors.Reason.QUEUE_FULL,
+        errors.Reason.SHED,
+        errors.Reason.LEAVING,
+        errors.Reason.DOMAIN_OUT,
+        errors.Reason.UNREACHABLE,
+    ],
+    ids=lambda reason: reason.name,
+)
+@pytest.mark.parametrize('is_idempotent', [True, False])
+def test_what_a_guard_refused_goes_to_another_target(reason, is_idempotent):
+    reply, links = _send([_refused(reason), _answer(200)], is_idempotent)
+    assert reply.status == 200
+    assert links.sent[0] != links.sent[1]
+
+
+def test_full_targets_are_not_asked_in_a_row():
+    full = _refused(errors.Reason.QUEUE_FULL)
+    reply, links = _send([full] * 4)
+    assert reply.outcome is errors.Outcome.NOT_RUN
+    assert len(links.sent) == 2
+
+
+def test_leaving_targets_are_passed_by():
+    leaving = _refused(errors.Reason.LEAVING)
+    reply, links = _send([leaving, leaving, leaving, _answer(200)])
+    assert reply.status == 200
+    assert len(links.sent) == 4
+
+
+def test_a_lost_call_is_repeated_only_if_it_may_run_twice():
+    lost = errors.unknown(errors.Reason.LINK_LOST)
+    reply, links = _send([lost, _answer(200)])
+    assert reply.status == 200
+    reply, links = _send([lost, _answer(200)], is_idempotent=False)
+    assert reply.outcome is errors.Outcome.UNKNOWN
+    assert len(links.sent) == 1
+
+
+def test_no_more_targets_than_the_route_allows():
+    lost = errors.unknown(errors.Reason.LINK_LOST)
+    reply, links = _send([lost] * 4)
+    assert reply.outcome is errors.Outcome.UNKNOWN
+    assert len(links.sent) == 2
+
+
+def test_a_later_refusal_does_not_hide_that_it_may_have_run():
+    lost = errors.unknown(errors.Reason.LINK_LOST)
+    full = _refused(errors.Reason.QUEUE_FULL)
+    reply, _ = _send([lost, full, full, full])
+    assert reply.outcome is errors.Outcome.UNKNOWN
+
+
+def test_nothing_is_repeated_without_budget():
+    lost = errors.unknown(errors.Reason.LINK_LOST)
+    reply, links = _send([lost, _answer(200)], slack=0.0)
+    assert reply.outcome is errors.Outcome.UNKNOWN
+    assert len(links.sent) == 1
+
+
+def test_a_failure_is_run_again_but_not_where_load_causes_it():
+    reply, links = _send([_answer(500), _answer(200)])
+    assert reply.status == 200
+    reply, links = _send([_answer(500, _SHEDDING), _answer(200)])
+    assert reply.status == 500
+    assert len(links.sent) == 1
