Record rejected input in one place; take out what nothing uses

Unused: closing idle callers, the HEAD flag and connection count of the HTTP client, a header name that nothing reads, a parameter that was deleted at once. Behaviour stays; no test changed.

--- a/src/parsleystile/relay/gate.py
+++ b/src/parsleystile/relay/gate.py
@@ -236,7 +236,7 @@
         if self._calls.pop(running.key, None) is None:
             return
         self._stop(running)
-        self._parts.record.cancelled(running.call.root_id)
+        self._parts.record.count('guard-cancelled')
 
     def _stop(self, running: _Running) -> None:
         if running.pending is None:
@@ -292,7 +292,6 @@
         outbound = httpout.Outbound(
             self._request_bytes(call, target, running.deadline_ms - now_ms),
             call.root_id,
-            call.method == 'HEAD',
             not call.idempotent,
         )
 
--- a/src/parsleystile/relay/httpin.py
+++ b/src/parsleystile/relay/httpin.py
@@ -253,10 +253,6 @@
         elif waited_ms > limits.idle_timeout_ms:
             self._transport.close()
 
-    def close_if_idle(self) -> None:
-        if self.current is None and not self._reading_bytes:
-            self._transport.close()
-
     def abort(self) -> None:
         if self._transport is not None:
             self._transport.abort()
@@ -344,11 +340,6 @@
         """Requests that have no answer yet."""
         return sum(c.current is not None for c in self.connections)
 
-    def close_idle(self) -> None:
-        """Close the connections that wait for no answer."""
-        for connection in list(self.connections):
-            connection.close_if_idle()
-
     def close(self) -> None:
         """Stop listening and drop every connection."""
         for server in self._servers:
--- a/src/parsleystile/relay/httpout.py
+++ b/src/parsleystile/relay/httpout.py
@@ -43,13 +43,11 @@
         data: Its bytes, as they are sent.
         echo: Value of the echo header that the answer must carry; empty
             for any answer.
-        is_head: The answer has no body.
         needs_fresh: Only a connection used lately may carry it.
     """
 
     data: bytes
     echo: str = ''
-    is_head: bool = False
     needs_fresh: bool = False
 
 
@@ -269,7 +267,6 @@
     Attributes:
         echo_header: Lower-case name of the header that names the request
             on its answer.
-        opened: Connections opened so far.
         stray: Answers that nobody had asked for.
     """
 
@@ -279,7 +276,6 @@
         self.host = host
         self.port = port
         self.echo_header = echo_header.lower()
-        self.opened = 0
         self.stray = 0
         self._clock = clock
         self._loop = asyncio.get_running_loop()
@@ -333,7 +329,6 @@
                 )
             )
             return
-        self.opened += 1
         if exchange.on_answer is None:
             self.release(connection)
         else:
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -405,9 +405,7 @@
 
     def _rejected(self, status: int, why: str) -> None:
         self.record.count('malformed-requests')
-        self.record.log.write(
-            lines.Rejected(where='caller', why=f'{status}: {why}')
-        )
+        self.record.rejected('caller', f'{status}: {why}')
 
     # The end.
 
--- a/src/parsleystile/relay/ratekeeper.py
+++ b/src/parsleystile/relay/ratekeeper.py
@@ -11,7 +11,6 @@
 from parsleystile import errors
 from parsleystile import ids
 from parsleystile import link as links_module
-from parsleystile.relay import lines
 from parsleystile.relay import policy as policies
 from parsleystile.relay import records
 from parsleystile.relay import roster as rosters
@@ -132,9 +131,7 @@
         try:
             return msgspec.msgpack.decode(reply, type=_Grant).tokens
         except msgspec.MsgspecError as exc:
-            self._record.log.write(
-                lines.Rejected(where=ASK_KIND, why=str(exc))
-            )
+            self._record.rejected(ASK_KIND, str(exc))
             return 0.0
 
     def _received(
@@ -170,9 +167,7 @@
         try:
             ask = msgspec.msgpack.decode(payload, type=_Ask)
         except msgspec.MsgspecError as exc:
-            self._record.log.write(
-                lines.Rejected(where=ASK_KIND, why=str(exc))
-            )
+            self._record.rejected(ASK_KIND, str(exc))
             reply(msgspec.msgpack.encode(_Grant(0.0)))
             return
         tokens = self.shares.give(
--- a/src/parsleystile/relay/records.py
+++ b/src/parsleystile/relay/records.py
@@ -243,10 +243,9 @@
             )
         )
 
-    def cancelled(self, call: str) -> None:
-        """Record that a call at the guard has lost its caller."""
-        del call
-        self.count('guard-cancelled')
+    def rejected(self, where: str, why: str) -> None:
+        """Record input from outside that is not what it should be."""
+        self.log.write(lines.Rejected(where=where, why=why))
 
     def _child(self, metric: typing.Any, label: str) -> typing.Any:
         key = (metric._name, label)
--- a/src/parsleystile/relay/spread.py
+++ b/src/parsleystile/relay/spread.py
@@ -301,7 +301,7 @@
     ) -> None:
         row = rosters.decode_row(payload)
         if row is None:
-            self._reject(ROW_KIND, 'not a row')
+            self._record.rejected(ROW_KIND, 'not a row')
         else:
             self.learn([row], 'author')
             self.reached(row.node_id)
@@ -311,12 +311,9 @@
         try:
             return msgspec.msgpack.decode(payload, type=_Sync)
         except msgspec.MsgspecError as exc:
-            self._reject(SYNC_KIND, str(exc))
+            self._record.rejected(SYNC_KIND, str(exc))
             return None
 
-    def _reject(self, where: str, why: str) -> None:
-        self._record.log.write(lines.Rejected(where=where, why=why))
-
     # Who answers.
 
     def watch_links(self) -> None:
--- a/src/parsleystile/relay/vocabulary.py
+++ b/src/parsleystile/relay/vocabulary.py
@@ -14,7 +14,6 @@
         caller_service: Tells a target which service made the call.
         expected_target: A target with another id refuses the call.
         not_run: A target's word that it did not run the call.
-        target_id: A target's id on its own answers.
         key: Holds the caller's key after ``key_scheme``.
     """
 
@@ -24,7 +23,6 @@
     caller_service: str
     expected_target: str
     not_run: str
-    target_id: str
     key: str = 'Authorization'
     key_scheme: str = 'Bearer '
 
