Wake timers after their time, not just before it

Cause: libuv keeps whole milliseconds, so the ticker woke up to 1.5 ms early, found nothing due and asked for a timer of 0 ms until the time had come. Now the timer aims 2 ms behind the slot.

--- a/src/parsleystile/ticker.py
+++ b/src/parsleystile/ticker.py
@@ -7,14 +7,27 @@
 from parsleystile import deadlines
 
 _MS_PER_S = 1000.0
+# A loop that keeps time in whole milliseconds wakes up to 1.5 ms early: it
+# cuts off the present and rounds the delay. It would find nothing due, and
+# again at once, until the time has come.
+_TIMER_ERROR_MS = 2.0
+
+
+class TimerLoop(typing.Protocol):
+    """What a ticker needs of an event loop."""
+
+    def call_later(
+        self, delay: float, callback: typing.Callable[[], None]
+    ) -> asyncio.TimerHandle:
+        """Call back after ``delay`` seconds."""
 
 
 class Ticker:
     """Expires the deadlines of a wheel on the running event loop."""
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    def __init__(self, clock: clocks.Clock, loop: TimerLoop) -> None:
         self._clock = clock
-        self._loop = asyncio.get_running_loop()
+        self._loop = loop
         self._timer: asyncio.TimerHandle | None = None
         self.wheel = deadlines.DeadlineWheel(self._schedule)
         self._closed = False
@@ -43,7 +56,8 @@
             return
         if self._timer is not None:
             self._timer.cancel()
-        delay_ms = max(0.0, due_ms - self._clock.now_ms())
+        wait_ms = max(0.0, due_ms - self._clock.now_ms())
+        delay_ms = wait_ms + _TIMER_ERROR_MS
         self._timer = self._loop.call_later(delay_ms / _MS_PER_S, self._turn)
 
     def _turn(self) -> None:
@@ -54,6 +68,6 @@
             self._schedule()
 
 
-def ticker(clock: clocks.Clock) -> Ticker:
-    """Create a ticker on the running event loop."""
-    return Ticker(clock)
+def ticker(clock: clocks.Clock, loop: TimerLoop | None = None) -> Ticker:
+    """Create a ticker on an event loop, by default on the running one."""
+    return Ticker(clock, loop or asyncio.get_running_loop())
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -1,5 +1,11 @@
+import unittest.mock
+
+import pytest
+
+from parsleystile import clock as clocks
 from parsleystile import deadlines
 from parsleystile import targetwatch
+from parsleystile import ticker as tickers
 
 
 def test_deadlines_come_once_in_order_and_never_early():
@@ -104,3 +110,33 @@
     wheel.expire(200.0)
     assert called == [1]
     assert wheel.next_due_ms is None
+
+
+class _CoarseLoop:
+    """An event loop that keeps time in whole milliseconds, as libuv does."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._callback = None
+        self._at_ms = 0.0
+
+    def call_later(self, delay, callback):
+        self._at_ms = int(self._clock.now_ms()) + round(delay * 1000)
+        self._callback = callback
+        return unittest.mock.Mock()
+
+    def turn(self):
+        self._clock.advance(max(0.0, self._at_ms - self._clock.now_ms()))
+        callback, self._callback = self._callback, None
+        callback()
+
+
+@pytest.mark.parametrize('start_ms', [1000.0, 1000.3, 1001.9, 1003.999])
+def test_a_loop_that_wakes_early_is_not_woken_for_nothing(start_ms):
+    clock = clocks.manual_clock(start_ms)
+    loop = _CoarseLoop(clock)
+    ticks = []
+    tickers.ticker(clock, loop).every(10.0, lambda: ticks.append(1))
+    for turns in range(1, 50):
+        loop.turn()
+        assert len(ticks) == turns
