--- a/src/parsleystile/wire.py
+++ b/src/parsleystile/wire.py
@@ -5,8 +5,8 @@
 """
 
 import enum
+import operator
 import struct
-import typing
 
 from thrift.protocol import TBinaryProtocol
 from thrift.transport import TTransport
@@ -65,6 +65,16 @@
     return _HEADER.pack(len(payload) + 1, kind) + payload
 
 
+# Reads all fields of a message at once. The type is read as well, since a
+# getter of one field returns no tuple.
+_FIELDS = {
+    t: operator.attrgetter(*t.__slots__, '__class__')
+    for t in (*_TYPES.values(), ttypes.Load)
+}
+_OUTCOMES = frozenset(map(int, errors.Outcome))
+_REASONS = frozenset(map(int, errors.Reason))
+
+
 def _decode_payload(kind: int, payload: bytes) -> Message:
     message_type = _TYPES.get(kind)
     if message_type is None:
@@ -72,10 +82,10 @@
     message = message_type()
     _DECODER.trans = TTransport.TMemoryBuffer(payload)
     _DECODER.string_length_limit = len(payload)
-    # The generated reader raises whatever its input makes it raise: type,
-    # overflow, unicode and protocol errors alike mean a bad frame.
+    # The decoder raises whatever its input makes it raise: type, overflow,
+    # unicode and protocol errors alike mean a bad frame.
     try:
-        message.read(_DECODER)
+        _DECODER._fast_decode(message, _DECODER, _SPECS[message_type])
     except Exception as exc:
         raise errors.FrameError(
             f'malformed {FrameKind(kind).name} frame: {type(exc).__name__}'
@@ -85,25 +95,22 @@
 
 
 def _check(message: Message) -> None:
-    match message:
-        case ttypes.Call():
-            _check_call(message)
-        case ttypes.Answer():
-            _check_answer(message)
-        case _:
-            _check_fields(message, message.__slots__)
+    _check_fields(message)
+    if type(message) is ttypes.Call:
+        _check_call(message)
+    elif type(message) is ttypes.Answer:
+        _check_answer(message)
 
 
-def _check_fields(message: Message, names: typing.Iterable[str]) -> None:
-    for name in names:
-        if getattr(message, name) is None:
-            raise errors.FrameError(
-                f'{type(message).__name__} frame without {name}'
-            )
+def _check_fields(message: Message | ttypes.Load) -> None:
+    kind = type(message)
+    found = _FIELDS[kind](message)
+    if None in found:
+        name = kind.__slots__[found.index(None)]
+        raise errors.FrameError(f'{kind.__name__} frame without {name}')
 
 
 def _check_call(call: ttypes.Call) -> None:
-    _check_fields(call, call.__slots__)
     _check_headers(call.headers)
     if not 0 <= call.importance < len(context.Importance):
         raise errors.FrameError(
@@ -111,7 +118,7 @@
         )
     if not 0.0 <= call.draw < 1.0:
         raise errors.FrameError(f'Call frame with draw {call.draw}')
-    if min(call.depth - 1, call.retry_allowance, call.deadline_ms) < 0:
+    if call.depth < 1 or call.retry_allowance < 0 or call.deadline_ms < 0:
         raise errors.FrameError(
             f'Call frame with depth {call.depth},'
             f' retry allowance {call.retry_allowance},'
@@ -120,14 +127,12 @@
 
 
 def _check_answer(answer: ttypes.Answer) -> None:
-    _check_fields(answer, answer.__slots__)
-    _check_fields(answer.load, answer.load.__slots__)
+    _check_fields(answer.load)
     _check_headers(answer.headers)
-    try:
-        errors.Outcome(answer.outcome)
-        errors.Reason(answer.reason)
-    except ValueError as exc:
-        raise errors.FrameError(f'Answer frame: {exc}') from exc
+    if answer.outcome not in _OUTCOMES:
+        raise errors.FrameError(f'Answer frame with outcome {answer.outcome}')
+    if answer.reason not in _REASONS:
+        raise errors.FrameError(f'Answer frame with reason {answer.reason}')
 
 
 def _check_headers(headers: list[str]) -> None:
@@ -152,22 +157,32 @@
         Raises:
             errors.FrameError: The stream is broken and must be closed.
         """
-        buffer = self._buffer
-        buffer += data
-        messages: list[Message] = []
+        # Most reads bring whole frames; only what is cut off is kept.
+        if self._buffer:
+            self._buffer += data
+            used = self._cut(self._buffer, messages := [])
+            del self._buffer[:used]
+            return messages
+        used = self._cut(data, messages := [])
+        if used < len(data):
+            self._buffer += data[used:]
+        return messages
+
+    def _cut(self, data: bytes | bytearray, messages: list[Message]) -> int:
+        """Append the whole messages of ``data``; return their bytes."""
         start = 0
-        while len(buffer) - start > _LENGTH_BYTES:
-            length, kind = _HEADER.unpack_from(buffer, start)
+        size = len(data)
+        while size - start > _LENGTH_BYTES:
+            length, kind = _HEADER.unpack_from(data, start)
             if not 0 < length <= self._max_frame_bytes:
                 raise errors.FrameError(f'frame of {length} bytes')
             end = start + _LENGTH_BYTES + length
-            if len(buffer) < end:
+            if size < end:
                 break
-            payload = bytes(buffer[start + _HEADER.size : end])
+            payload = bytes(data[start + _HEADER.size : end])
             messages.append(_decode_payload(kind, payload))
             start = end
-        del buffer[:start]
-        return messages
+        return start
 
 
 def refusal_answer(
