Make less per call: structs for events, headers read once

Frozen data classes set each field by a call, header names were lowered up to four times, addresses hashed in Python.

--- a/src/parsleystile/admission.py
+++ b/src/parsleystile/admission.py
@@ -1,10 +1,11 @@
 """The guard's decision on each call for its target: start, wait, refuse."""
 
-import dataclasses
 import math
 import random
 import typing
 
+import msgspec
+
 from parsleystile import concurrency
 from parsleystile import errors
 from parsleystile import fairqueue
@@ -14,6 +15,9 @@
 
 CallKey = typing.Hashable
 
+# Events and actions are structs, not data classes: several are made for each
+# call, and a frozen data class sets its fields one by one in Python.
+
 QUEUE_PER_SLOT = 4
 QUEUE_FLOOR = 8
 # Calls of an organisation queued without a break for so long, or for a
@@ -26,8 +30,7 @@
 _MAX_CLASS = 2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Arrive:
+class Arrive(msgspec.Struct, frozen=True):
     """A call for the target.
 
     Attributes:
@@ -49,8 +52,7 @@
     is_sheddable: bool = True
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Complete:
+class Complete(msgspec.Struct, frozen=True):
     """The target is done with a started call; its slot is free.
 
     Attributes:
@@ -68,8 +70,7 @@
     child_ms: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Cancel:
+class Cancel(msgspec.Struct, frozen=True):
     """The caller is gone.
 
     A queued call is forgotten without an action. A started one keeps its
@@ -79,25 +80,21 @@
     call_key: CallKey
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Tick:
+class Tick(msgspec.Struct, frozen=True):
     """Nothing happened, but time passed."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Announce:
+class Announce(msgspec.Struct, frozen=True):
     """The target has started, or started anew; with 0 slots it is gone."""
 
     slots: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Drain:
+class Drain(msgspec.Struct, frozen=True):
     """The target is leaving: nothing new until the next Announce."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Level:
+class Level(msgspec.Struct, frozen=True):
     """The highest admission level that operators allow."""
 
     admission_level: float
@@ -106,15 +103,13 @@
 Event = Arrive | Complete | Cancel | Tick | Announce | Drain | Level
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Start:
+class Start(msgspec.Struct, frozen=True):
     """Hand the call to the target now."""
 
     call_key: CallKey
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refuse:
+class Refuse(msgspec.Struct, frozen=True):
     """Refuse the call; nothing of it has reached the target."""
 
     call_key: CallKey
@@ -124,8 +119,7 @@
 Action = Start | Refuse
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Load:
+class Load(msgspec.Struct, frozen=True):
     """What a guard tells upstream on each answer."""
 
     in_flight: int
--- a/src/parsleystile/clock.py
+++ b/src/parsleystile/clock.py
@@ -3,6 +3,10 @@
 import abc
 import time
 
+# The present is asked for some twenty times a call.
+_clock_gettime = time.clock_gettime
+_BOOTTIME = time.CLOCK_BOOTTIME
+
 
 class Clock(abc.ABC):
     """A source of time in milliseconds."""
@@ -23,7 +27,7 @@
         """Return milliseconds since boot, time in suspend included."""
         # CLOCK_MONOTONIC stands still while a VM is suspended; a lease
         # holder that slept through its lease must notice, so boot time.
-        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) / 1e6
+        return _clock_gettime(_BOOTTIME) * 1e3
 
     def wall_ms(self) -> float:
         """Return milliseconds since 1970-01-01 UTC."""
--- a/src/parsleystile/fairqueue.py
+++ b/src/parsleystile/fairqueue.py
@@ -5,6 +5,8 @@
 import heapq
 import typing
 
+import msgspec
+
 from parsleystile import ids
 
 _CLASSES = 3
@@ -13,8 +15,7 @@
 _STALE_FLOOR = 64
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class Waiting:
+class Waiting(msgspec.Struct, eq=False):
     """A call that waits.
 
     Attributes:
--- a/src/parsleystile/relay/front.py
+++ b/src/parsleystile/relay/front.py
@@ -102,10 +102,15 @@
     def __init__(self, parts: Parts) -> None:
         self._parts = parts
         names = parts.names
-        self._dropped = hopheaders.HOP_HEADERS | names.set_by_node()
         self._call_id = names.call_id.lower()
         self._deadline = names.deadline.lower()
         self._key = names.key.lower()
+        # All others are passed on unread.
+        self._noted = (
+            hopheaders.HOP_HEADERS
+            | names.set_by_node()
+            | {'host', self._call_id, self._deadline, self._key}
+        )
 
     def handle(self, request: httpin.Request) -> None:
         """Take a request; it is answered exactly once."""
@@ -129,21 +134,22 @@
     def _read_head(self, headers: list[str]) -> _Head:
         kept: list[str] = []
         head = _Head(kept)
-        for i in range(0, len(headers), 2):
-            name = headers[i].lower()
-            value = headers[i + 1]
-            if name not in self._dropped:
-                kept.append(headers[i])
-                kept.append(value)
-                if name == 'host':
-                    head.host = value
-                elif name == self._call_id:
-                    head.call_id = value
-            elif name == self._deadline:
+        entries = iter(headers)
+        for name, value in zip(entries, entries, strict=True):
+            lower = name.lower()
+            if lower not in self._noted:
+                kept += (name, value)
+            elif lower == self._key:
+                head.key = value
+            elif lower == self._deadline:
                 if value.isascii() and value.isdigit():
                     head.wait_ms = float(value[:_MAX_DIGITS])
-            elif name == self._key:
-                head.key = value
+            elif lower == self._call_id:
+                kept += (name, value)
+                head.call_id = value
+            elif lower == 'host':
+                kept += (name, value)
+                head.host = value
         return head
 
     def _authorise(
--- a/src/parsleystile/relay/httpin.py
+++ b/src/parsleystile/relay/httpin.py
@@ -18,6 +18,7 @@
 _REASONS = {status.value: status.phrase for status in http.HTTPStatus}
 # A status without a body by definition (RFC 9110, 6.4.1).
 _BODILESS = frozenset({204, 304})
+_EXPECT_BYTES = len(b'expect')
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 # Requests that a connection may send ahead of its answers.
 _MAX_PIPELINED = 16
@@ -88,6 +89,7 @@
 
     __slots__ = (
         '_body',
+        '_expects_word',
         '_headers',
         '_is_ending',
         '_is_local',
@@ -108,6 +110,8 @@
         self._url = b''
         self._headers: list[str] = []
         self._body: list[bytes] = []
+        # Whether the caller sends its body only once it is told to.
+        self._expects_word = False
         self._reading_bytes = 0
         self._queue: collections.deque[Request] = collections.deque()
         self._is_ending = False
@@ -174,20 +178,21 @@
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if len(name) == _EXPECT_BYTES and name.lower() == b'expect':
+            self._expects_word = True
         headers = self._headers
         headers.append(name.decode('latin-1'))
         headers.append(value.decode('latin-1'))
 
     def on_headers_complete(self) -> None:
-        headers = self._headers
         if self._reading_bytes > self._server.limits.header_bytes:
-            size = sum(map(len, headers)) + len(self._url)
+            size = sum(map(len, self._headers)) + len(self._url)
             if size > self._server.limits.header_bytes:
                 self._reject(431, 'header too large')
                 return
-        for i in range(0, len(headers), 2):
-            if headers[i].lower() == 'expect':
-                self._transport.write(_CONTINUE)
+        if self._expects_word:
+            self._expects_word = False
+            self._transport.write(_CONTINUE)
 
     def on_body(self, chunk: bytes) -> None:
         self._body.append(chunk)
--- a/src/parsleystile/relay/httpout.py
+++ b/src/parsleystile/relay/httpout.py
@@ -5,11 +5,11 @@
 """
 
 import asyncio
-import dataclasses
 import socket
 import typing
 
 import httptools
+import msgspec
 
 from parsleystile import clock as clocks
 from parsleystile import errors
@@ -18,6 +18,7 @@
 
 _FIRST_FINAL_STATUS = 200
 _BODILESS = frozenset({204, 304})
+_FRAMING = frozenset({b'content-length', b'transfer-encoding'})
 # A silent peer is found by these: first probe after, apart, and how many.
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1
@@ -35,8 +36,7 @@
 OnAnswer = targetclient.OnTargetAnswer
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Outbound:
+class Outbound(msgspec.Struct, frozen=True):
     """One request to the origin.
 
     Attributes:
@@ -86,6 +86,9 @@
         self._headers: list[str] = []
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._echo: str | None = None
+        self._has_length = False
+        self._idle_text = ''
         self._has_head = False
         self._is_framed = False
         self._is_closed = False
@@ -154,25 +157,29 @@
         self._headers = []
         self._body = []
         self._body_bytes = 0
+        self._echo = None
+        self._has_length = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        text = value.decode('latin-1')
         headers = self._headers
         headers.append(name.decode('latin-1'))
-        headers.append(value.decode('latin-1'))
+        headers.append(text)
+        key = name.lower()
+        if key in _FRAMING:
+            self._has_length = True
+        elif key == self._origin.echo_header:
+            if self._echo is None:
+                self._echo = text
+        elif key == b'keep-alive':
+            self._note_idle_limit(text)
 
     def on_headers_complete(self) -> None:
         status = self._parser.get_status_code()
         if status < _FIRST_FINAL_STATUS:
             return
         self._has_head = True
-        self._is_framed = status in _BODILESS
-        headers = self._headers
-        for i in range(0, len(headers), 2):
-            name = headers[i].lower()
-            if name in ('content-length', 'transfer-encoding'):
-                self._is_framed = True
-            elif name == 'keep-alive':
-                self._note_idle_limit(headers[i + 1])
+        self._is_framed = self._has_length or status in _BODILESS
 
     def on_body(self, chunk: bytes) -> None:
         self._body.append(chunk)
@@ -188,7 +195,7 @@
             # A second answer: what follows it can't be trusted either.
             self._is_tainted = True
             return
-        echo = self._echo()
+        echo = self._echo
         if echo != self.exchange.outbound.echo and echo is not None:
             # An answer to a request before this one; ours may follow.
             self._origin.on_stray()
@@ -206,6 +213,9 @@
         )
 
     def _note_idle_limit(self, value: str) -> None:
+        if value == self._idle_text:
+            return
+        self._idle_text = value
         _, _, rest = value.partition('timeout=')
         digits = rest.partition(',')[0].strip()
         if digits.isascii() and digits.isdigit():
@@ -223,14 +233,6 @@
             self._origin.release(self)
         exchange.finish(answer)
 
-    def _echo(self) -> str | None:
-        name = self._origin.echo_header
-        headers = self._headers
-        for i in range(0, len(headers), 2):
-            if headers[i].lower() == name:
-                return headers[i + 1]
-        return None
-
     def _fail(self, why: str) -> None:
         exchange, self.exchange = self.exchange, None
         self._answer = None
@@ -275,7 +277,7 @@
     ) -> None:
         self.host = host
         self.port = port
-        self.echo_header = echo_header.lower()
+        self.echo_header = echo_header.lower().encode()
         self.stray = 0
         self._clock = clock
         self._loop = asyncio.get_running_loop()
--- a/src/parsleystile/targetclient.py
+++ b/src/parsleystile/targetclient.py
@@ -13,6 +13,7 @@
 import stat
 import typing
 
+import msgspec
 import pycurl
 
 from parsleystile import errors
@@ -48,8 +49,7 @@
     timeout_ms: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TargetAnswer:
+class TargetAnswer(msgspec.Struct, frozen=True):
     """The whole answer of a target; headers are names and values in turn."""
 
     status: int
--- a/src/parsleystile/transport.py
+++ b/src/parsleystile/transport.py
@@ -1,15 +1,15 @@
 """How a node reaches other nodes; faked in tests, TCP and UDP in service."""
 
 import abc
-import dataclasses
 import typing
 
+import msgspec
+
 from parsleystile import errors
 from parsleystile.gen import ttypes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Address:
+class Address(msgspec.Struct, frozen=True):
     """Where a node listens, by IP number."""
 
     host: str
