Answer HEAD at its headers; an equal policy does not come into force again

Cause: the parser of answers can't know that they belong to HEAD, so such a call waited for a body until its deadline, and ours claimed Content-Length 0. A full read of the store brings the document in force at a later version: each node reconfigured and wrote a line. Before: tests/test_platform_node.py -k head ends by its deadline; after: at once. Costs a connection for each HEAD.

--- a/src/parsleystile/relay/gate.py
+++ b/src/parsleystile/relay/gate.py
@@ -293,6 +293,7 @@
             self._request_bytes(call, target, running.deadline_ms - now_ms),
             call.root_id,
             not call.idempotent,
+            call.method == 'HEAD',
         )
 
         def on_answer(
--- a/src/parsleystile/relay/httpin.py
+++ b/src/parsleystile/relay/httpin.py
@@ -283,12 +283,13 @@
     lines = [f'HTTP/1.1 {status} {_REASONS.get(status, "Unknown")}']
     for i in range(0, len(headers), 2):
         lines.append(f'{headers[i]}: {headers[i + 1]}')
-    if status not in _BODILESS:
+    has_body = not is_head and status not in _BODILESS
+    if has_body:
         lines.append(f'Content-Length: {len(body)}')
     if closes:
         lines.append('Connection: close')
     head = '\r\n'.join(lines).encode('latin-1', 'replace') + b'\r\n\r\n'
-    return head if is_head or status in _BODILESS else head + body
+    return head + body if has_body else head
 
 
 class HttpServer:
--- a/src/parsleystile/relay/httpout.py
+++ b/src/parsleystile/relay/httpout.py
@@ -44,11 +44,13 @@
         echo: Value of the echo header that the answer must carry; empty
             for any answer.
         needs_fresh: Only a connection used lately may carry it.
+        is_head: Its answer has no body, whatever the headers say.
     """
 
     data: bytes
     echo: str = ''
     needs_fresh: bool = False
+    is_head: bool = False
 
 
 class _Exchange(transports.PendingCall):
@@ -180,6 +182,11 @@
             return
         self._has_head = True
         self._is_framed = self._has_length or status in _BODILESS
+        if self.exchange.outbound.is_head:
+            # The parser can't be told and would wait for the body.
+            self._is_framed = True
+            self._is_tainted = True
+            self.on_message_complete()
 
     def on_body(self, chunk: bytes) -> None:
         self._body.append(chunk)
--- a/src/parsleystile/relay/spread.py
+++ b/src/parsleystile/relay/spread.py
@@ -131,6 +131,11 @@
         """Put a snapshot in force if it is newer and holds."""
         if snapshot.seen_at <= self.snapshot.seen_at:
             return False
+        is_same = snapshot.payload == self.snapshot.payload
+        if is_same and self.policy is not None:
+            # A full read brings what is in force at a later version.
+            self.snapshot = snapshot
+            return False
         policy = self._decode(snapshot.payload)
         if isinstance(policy, errors.SettingsError):
             self._record.log.write(
--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -179,7 +179,8 @@
             head += f'Content-Length: {len(body)}\r\n'
         box = asyncutil.Box()
         data = (head + extra + '\r\n').encode() + body
-        self.outside.send(httpout.Outbound(data, call_id), box.put)
+        request = httpout.Outbound(data, call_id, is_head=method == 'HEAD')
+        self.outside.send(request, box.put)
         return await box.get()
 
 
--- a/tests/test_platform_changes.py
+++ b/tests/test_platform_changes.py
@@ -5,6 +5,7 @@
 
 from parsleystile import errors
 from parsleystile.relay import reports
+from parsleystile.relay import spread
 from tests import asyncutil
 from tests import platformfleet
 
@@ -60,6 +61,21 @@
     platformfleet.play(body)
 
 
+def test_the_same_policy_at_a_later_version_changes_nothing():
+    async def body(fleet):
+        found = fleet.machines[0].node.spread
+        changes = []
+        found.on_policy = lambda: changes.append(1)
+        later = spread.Snapshot(
+            found.snapshot.seen_at + 5, found.snapshot.payload
+        )
+        assert not found.offer(later, 'store')
+        assert found.snapshot.seen_at == later.seen_at
+        assert not changes
+
+    platformfleet.play(body, count=1)
+
+
 def test_a_forgotten_history_is_read_anew():
     async def body(fleet):
         fleet.store.drop_history()
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -28,6 +28,19 @@
     platformfleet.play(body, serving=[1])
 
 
+def test_a_head_request_does_not_wait_for_a_body():
+    async def body(fleet):
+        first, second = fleet.machines
+        second.target.answer = lambda request: request.answer(
+            200, ['Parsleystile-Attempt-Id', 'c1', 'X-Size', '5'], b'hello'
+        )
+        answer = await first.call(method='HEAD', wait_ms=60_000)
+        assert (answer.status, answer.body) == (200, b'')
+        assert 'X-Size' in answer.headers
+
+    platformfleet.play(body, count=2, serving=[1])
+
+
 def test_a_body_passes_unchanged():
     async def body(fleet):
         data = bytes(range(256)) * 100
--- a/tests/test_relay_http.py
+++ b/tests/test_relay_http.py
@@ -23,6 +23,10 @@
     return f'{head}Content-Length: {len(body)}\r\n\r\n'.encode() + body
 
 
+def _head_answer(call_id):
+    return _answer(call_id, b'hello')[: -len(b'hello')]
+
+
 class _Target:
     """Answers the requests of each connection by a script.
 
@@ -95,6 +99,19 @@
         assert [r.status for r in results] == [200] * 5
         assert target.connections == 1
 
+    def test_an_answer_to_head_ends_with_its_headers(self):
+        async def body():
+            target = _Target(lambda n: _head_answer(f'c{n}'))
+            origin = await target.start()
+            first = await _send(origin, 'c1', is_head=True)
+            second = await _send(origin, 'c2', is_head=True)
+            origin.close()
+            return first, second
+
+        first, second = asyncutil.run(body())
+        assert (first.status, first.body) == (200, b'')
+        assert second.headers == [_ECHO, 'c2', 'Content-Length', '5']
+
     def test_close_in_an_answer_is_heeded(self):
         results, target, _ = _run(
             lambda n: _answer(f'c{n}', extra='Connection: close\r\n'), 3
@@ -285,6 +302,10 @@
             assert answer.startswith(b'HTTP/1.1 200 OK')
             assert server.requests[0].body == b'body'
 
+    def test_an_answer_to_head_says_nothing_of_a_body(self):
+        answer, _ = _talk(b'HEAD /1 HTTP/1.1\r\n\r\n')
+        assert answer == b'HTTP/1.1 200 OK\r\nX-A: b\r\n\r\n'
+
     def test_requests_of_one_connection_are_answered_in_order(self):
         answer, _ = _talk(b'GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n')
         assert answer.index(b'GET /1') < answer.index(b'GET /2')
