--- a/src/parsleystile/relay/gate.py
+++ b/src/parsleystile/relay/gate.py
@@ -142,7 +142,7 @@
         )
         is_new = before is None or before.target_id != target.target_id
         if is_new or before.slots != target.slots:
-            self._handle(admission.Announce(target.slots))
+            self._handle(admission.Announce(target.slots), now_ms)
 
     def close(self, why: errors.Reason) -> None:
         """Start nothing more at the target; running calls go on."""
@@ -176,9 +176,10 @@
         until_ms = max(target.cold_until_ms, now_ms + _SUSPECT_MS)
         self._parts.limit.set_cold(until_ms, target.cold_per_s, now_ms)
 
-    def load(self, organisation: ids.OrganisationId) -> ttypes.Load:
+    def _load(
+        self, organisation: ids.OrganisationId, now_ms: float
+    ) -> ttypes.Load:
         """Return the load to tell on an answer to an organisation."""
-        now_ms = self._parts.clock.now_ms()
         load = self._parts.queue.load(now_ms, organisation)
         limit = load.limit if self._target is not None else 0
         if self._parts.limit.is_cold(now_ms):
@@ -194,11 +195,11 @@
         self, call: ttypes.Call, on_answer: OnAnswer
     ) -> transports.PendingCall | None:
         """Take a call; ``on_answer`` is called exactly once."""
+        now_ms = self._parts.clock.now_ms()
         refusal = self._refusal(call)
         if refusal is not None:
-            on_answer(self._refused(call, refusal))
+            on_answer(self._refused(call, refusal, now_ms))
             return None
-        now_ms = self._parts.clock.now_ms()
         running = _Running(
             self,
             next(self._keys),
@@ -216,7 +217,8 @@
                 1.0,
                 call.route,
                 call.depth == ROOT_DEPTH,
-            )
+            ),
+            now_ms,
         )
         return running
 
@@ -239,37 +241,40 @@
         self._parts.record.count('guard-cancelled')
 
     def _stop(self, running: _Running) -> None:
+        now_ms = self._parts.clock.now_ms()
         if running.pending is None:
-            self._handle(admission.Cancel(running.key))
+            self._handle(admission.Cancel(running.key), now_ms)
             return
         self._drop_timer(running)
         running.pending.cancel()
-        spent_ms = self._parts.clock.now_ms() - running.started_ms
-        self._handle(admission.Cancel(running.key))
-        self._handle(admission.Complete(running.key, True, spent_ms))
+        spent_ms = now_ms - running.started_ms
+        self._handle(admission.Cancel(running.key), now_ms)
+        self._handle(admission.Complete(running.key, True, spent_ms), now_ms)
 
     def _give_up(self, running: _Running, refusal: errors.Refusal) -> None:
         if self._calls.pop(running.key, None) is None:
             return
         self._stop(running)
-        running.on_answer(self._refused(running.call, refusal))
+        now_ms = self._parts.clock.now_ms()
+        running.on_answer(self._refused(running.call, refusal, now_ms))
 
-    def _handle(self, event: admission.Event) -> None:
+    def _handle(self, event: admission.Event, now_ms: float) -> None:
         parts = self._parts
-        now_ms = parts.clock.now_ms()
         for action in parts.queue.handle(event, now_ms):
             match action:
                 case admission.Start(call_key):
                     running = self._calls.get(call_key)
                     if running is None:
                         # Cancelled by an action before this one.
-                        self._handle(admission.Complete(call_key, True, 0.0))
+                        done = admission.Complete(call_key, True, 0.0)
+                        self._handle(done, now_ms)
                     else:
                         self._start(running, now_ms)
                 case admission.Refuse(call_key, refusal):
                     running = self._calls.pop(call_key, None)
                     if running is not None:
-                        running.on_answer(self._refused(running.call, refusal))
+                        answer = self._refused(running.call, refusal, now_ms)
+                        running.on_answer(answer)
         due_ms = parts.queue.next_tick_ms
         if due_ms < self._tick_due_ms:
             self._tick_due_ms = due_ms
@@ -277,16 +282,16 @@
 
     def _tick(self) -> None:
         self._tick_due_ms = float('inf')
-        self._handle(admission.Tick())
+        self._handle(admission.Tick(), self._parts.clock.now_ms())
 
     def _start(self, running: _Running, now_ms: float) -> None:
         target = self._target
         running.started_ms = now_ms
         if target is None:
             del self._calls[running.key]
-            self._handle(admission.Complete(running.key, True, 0.0))
+            self._handle(admission.Complete(running.key, True, 0.0), now_ms)
             refusal = errors.not_run(errors.Reason.LEAVING, 'target left')
-            running.on_answer(self._refused(running.call, refusal))
+            running.on_answer(self._refused(running.call, refusal, now_ms))
             return
         call = running.call
         outbound = httpout.Outbound(
@@ -351,9 +356,9 @@
         if isinstance(result, targetclient.TargetAnswer):
             result = self._judge(result, target)
         is_ok = isinstance(result, targetclient.TargetAnswer)
-        self._handle(admission.Complete(running.key, is_ok, spent_ms))
+        self._handle(admission.Complete(running.key, is_ok, spent_ms), now_ms)
         if is_ok:
-            running.on_answer(self._answered(running.call, result))
+            running.on_answer(self._answered(running.call, result, now_ms))
             return
         if result.reason is errors.Reason.UNREACHABLE:
             self.on_lost(result.detail)
@@ -361,7 +366,7 @@
             self._parts.record.target_failed(
                 running.call.root_id, target.target_id, result, spent_ms
             )
-        running.on_answer(self._refused(running.call, result))
+        running.on_answer(self._refused(running.call, result, now_ms))
 
     def _judge(
         self, answer: targetclient.TargetAnswer, target: Target
@@ -383,7 +388,10 @@
         )
 
     def _answered(
-        self, call: ttypes.Call, answer: targetclient.TargetAnswer
+        self,
+        call: ttypes.Call,
+        answer: targetclient.TargetAnswer,
+        now_ms: float,
     ) -> ttypes.Answer:
         return ttypes.Answer(
             call_id=call.call_id,
@@ -395,14 +403,14 @@
             detail='',
             retry_after_ms=0,
             retry_unspent=0,
-            load=self.load(ids.OrganisationId(call.organisation)),
+            load=self._load(ids.OrganisationId(call.organisation), now_ms),
             is_final=False,
         )
 
     def _refused(
-        self, call: ttypes.Call, refusal: errors.Refusal
+        self, call: ttypes.Call, refusal: errors.Refusal, now_ms: float
     ) -> ttypes.Answer:
-        load = self.load(ids.OrganisationId(call.organisation))
+        load = self._load(ids.OrganisationId(call.organisation), now_ms)
         self._parts.record.guard_refused(
             call.root_id, call.callee_service, refusal, load
         )
--- a/src/parsleystile/wire.py
+++ b/src/parsleystile/wire.py
@@ -79,7 +79,8 @@
     message_type = _TYPES.get(kind)
     if message_type is None:
         raise errors.FrameError(f'unknown frame kind {kind}')
-    message = message_type()
+    # Without its defaults: a field that the frame lacks is missed below.
+    message = message_type.__new__(message_type)
     _DECODER.trans = TTransport.TMemoryBuffer(payload)
     _DECODER.string_length_limit = len(payload)
     # The decoder raises whatever its input makes it raise: type, overflow,
@@ -104,10 +105,14 @@
 
 def _check_fields(message: Message | ttypes.Load) -> None:
     kind = type(message)
-    found = _FIELDS[kind](message)
-    if None in found:
-        name = kind.__slots__[found.index(None)]
-        raise errors.FrameError(f'{kind.__name__} frame without {name}')
+    try:
+        is_whole = None not in _FIELDS[kind](message)
+    except AttributeError:
+        is_whole = False
+    if not is_whole:
+        names = kind.__slots__
+        lacks = [n for n in names if getattr(message, n, None) is None]
+        raise errors.FrameError(f'{kind.__name__} frame without {lacks[0]}')
 
 
 def _check_call(call: ttypes.Call) -> None:
