--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -238,6 +238,8 @@
             case reports.Verdict.SERVING:
                 self._serve(report)
             case reports.Verdict.LEAVING:
+                # The cause first: what waits is refused for it.
+                self._record_target(report, 'takes its leave')
                 self.gate.close(errors.Reason.LEAVING)
                 self._note_departed(report)
         return verdict
@@ -273,7 +275,6 @@
         )
 
     def _note_departed(self, report: reports.Report) -> None:
-        self._record_target(report, 'takes its leave')
         self._change_row(
             is_serving=False,
             departed_id=report.target_id,
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -8,6 +8,7 @@
 from parsleystile import errors
 from parsleystile.gen import ttypes
 from parsleystile.relay import httpout
+from parsleystile.relay import lines
 from parsleystile.relay import reports
 from tests import asyncutil
 from tests import platformfleet
@@ -197,6 +198,25 @@
     platformfleet.play(body)
 
 
+def test_the_line_on_a_leaving_target_comes_before_what_it_refuses():
+    async def body(fleet):
+        machine = fleet.machines[0]
+        machine.target.work_ms = 100.0
+        machine.report(slots=1)
+        calls = [
+            asyncio.ensure_future(machine.call(call_id=f'c{i}'))
+            for i in range(3)
+        ]
+        await asyncutil.until(lambda: machine.node.gate.in_flight == 3)
+        kinds = []
+        machine.node.record.log.append = lambda line: kinds.append(type(line))
+        machine.report(reports.TargetState.DRAINING)
+        assert kinds[:2] == [lines.TargetChanged, lines.GuardRefused]
+        await asyncio.gather(*calls)
+
+    platformfleet.play(body, count=1)
+
+
 def test_a_late_report_after_a_restart_of_the_node_does_not_revive():
     async def body(fleet):
         _, second = fleet.machines
