--- a/src/parsleystile/guard.py
+++ b/src/parsleystile/guard.py
@@ -14,6 +14,7 @@
 from parsleystile import inflight
 from parsleystile import metrics as metric
 from parsleystile import observer
+from parsleystile import targetanswer
 from parsleystile import targetclient
 from parsleystile import targetfault
 from parsleystile import transport
@@ -251,7 +252,7 @@
         )
 
         def on_answer(
-            result: targetclient.TargetAnswer | errors.Refusal,
+            result: targetanswer.TargetAnswer | errors.Refusal,
         ) -> None:
             self._finish(guarded, running, result)
 
@@ -278,7 +279,7 @@
         self,
         guarded: _GuardedCall,
         running: inflight.CallInFlight,
-        result: targetclient.TargetAnswer | errors.Refusal,
+        result: targetanswer.TargetAnswer | errors.Refusal,
     ) -> None:
         self._waiting.pop(guarded.key, None)
         now_ms = self._clock.now_ms()
@@ -300,7 +301,7 @@
                 answer = wire.refusal_answer(
                     guarded.call.call_id, result, running.ledger.unspent, load
                 )
-            case targetclient.TargetAnswer():
+            case targetanswer.TargetAnswer():
                 answer = ttypes.Answer(
                     call_id=guarded.call.call_id,
                     outcome=errors.Outcome.ANSWERED,
--- a/src/parsleystile/relay/gate.py
+++ b/src/parsleystile/relay/gate.py
@@ -19,7 +19,7 @@
 from parsleystile.relay import pacing
 from parsleystile.relay import records
 from parsleystile.relay import vocabulary as vocabularies
-from parsleystile import targetclient
+from parsleystile import targetanswer
 from parsleystile import transport as transports
 from parsleystile import wire
 
@@ -302,7 +302,7 @@
         )
 
         def on_answer(
-            result: targetclient.TargetAnswer | errors.Refusal,
+            result: targetanswer.TargetAnswer | errors.Refusal,
         ) -> None:
             self._finish(running, target, result)
 
@@ -346,16 +346,16 @@
         self,
         running: _Running,
         target: Target,
-        result: targetclient.TargetAnswer | errors.Refusal,
+        result: targetanswer.TargetAnswer | errors.Refusal,
     ) -> None:
         if self._calls.pop(running.key, None) is None:
             return
         self._drop_timer(running)
         now_ms = self._parts.clock.now_ms()
         spent_ms = now_ms - running.started_ms
-        if isinstance(result, targetclient.TargetAnswer):
+        if isinstance(result, targetanswer.TargetAnswer):
             result = self._judge(result, target)
-        is_ok = isinstance(result, targetclient.TargetAnswer)
+        is_ok = isinstance(result, targetanswer.TargetAnswer)
         self._handle(admission.Complete(running.key, is_ok, spent_ms), now_ms)
         if is_ok:
             running.on_answer(self._answered(running.call, result, now_ms))
@@ -369,8 +369,8 @@
         running.on_answer(self._refused(running.call, result, now_ms))
 
     def _judge(
-        self, answer: targetclient.TargetAnswer, target: Target
-    ) -> targetclient.TargetAnswer | errors.Refusal:
+        self, answer: targetanswer.TargetAnswer, target: Target
+    ) -> targetanswer.TargetAnswer | errors.Refusal:
         """Return the refusal that an answer stands for, or the answer."""
         if answer.status not in _REFUSED_STATUS:
             return answer
@@ -390,7 +390,7 @@
     def _answered(
         self,
         call: ttypes.Call,
-        answer: targetclient.TargetAnswer,
+        answer: targetanswer.TargetAnswer,
         now_ms: float,
     ) -> ttypes.Answer:
         return ttypes.Answer(
--- a/src/parsleystile/relay/httpout.py
+++ b/src/parsleystile/relay/httpout.py
@@ -13,7 +13,7 @@
 
 from parsleystile import clock as clocks
 from parsleystile import errors
-from parsleystile import targetclient
+from parsleystile import targetanswer
 from parsleystile import transport as transports
 
 _FIRST_FINAL_STATUS = 200
@@ -33,7 +33,7 @@
 _FRESH_MS = 2_500.0
 _MAX_BODY_BYTES = 64 * 1_048_576
 
-OnAnswer = targetclient.OnTargetAnswer
+OnAnswer = targetanswer.OnTargetAnswer
 
 
 class Outbound(msgspec.Struct, frozen=True):
@@ -67,7 +67,7 @@
         self.connection: _Connection | None = None
 
     def finish(
-        self, result: targetclient.TargetAnswer | errors.Refusal
+        self, result: targetanswer.TargetAnswer | errors.Refusal
     ) -> None:
         on_answer, self.on_answer = self.on_answer, None
         if on_answer is not None:
@@ -94,7 +94,7 @@
         self._has_head = False
         self._is_framed = False
         self._is_closed = False
-        self._answer: targetclient.TargetAnswer | None = None
+        self._answer: targetanswer.TargetAnswer | None = None
         # Not to be used again once the answer at hand is handed over.
         self._is_tainted = False
         self.channel: asyncio.Transport | None = None
@@ -213,7 +213,7 @@
             return
         if not self._parser.should_keep_alive():
             self._is_tainted = True
-        self._answer = targetclient.TargetAnswer(
+        self._answer = targetanswer.TargetAnswer(
             self._parser.get_status_code(),
             self._headers,
             b''.join(self._body),
--- a/src/parsleystile/targetclient.py
+++ b/src/parsleystile/targetclient.py
@@ -11,12 +11,11 @@
 import dataclasses
 import os
 import stat
-import typing
 
-import msgspec
 import pycurl
 
 from parsleystile import errors
+from parsleystile import targetanswer
 from parsleystile import transport
 
 _MAX_IDLE_HANDLES = 256
@@ -49,23 +48,12 @@
     timeout_ms: float
 
 
-class TargetAnswer(msgspec.Struct, frozen=True):
-    """The whole answer of a target; headers are names and values in turn."""
-
-    status: int
-    headers: list[str]
-    body: bytes
-
-
-OnTargetAnswer = typing.Callable[[TargetAnswer | errors.Refusal], None]
-
-
 class TargetCaller(abc.ABC):
     """Sends requests to the target; faked in driven runs."""
 
     @abc.abstractmethod
     def send(
-        self, request: TargetRequest, on_answer: OnTargetAnswer
+        self, request: TargetRequest, on_answer: targetanswer.OnTargetAnswer
     ) -> transport.PendingCall:
         """Start a request; ``on_answer`` is called once unless cancelled.
 
@@ -93,14 +81,14 @@
         self,
         client: 'TargetClient',
         handle: pycurl.Curl,
-        on_answer: OnTargetAnswer,
+        on_answer: targetanswer.OnTargetAnswer,
         is_head: bool,
     ) -> None:
         # A handle keeps its no-body option; one that sent HEAD is not kept.
         self.is_head = is_head
         self.client = client
         self.handle = handle
-        self.on_answer: OnTargetAnswer | None = on_answer
+        self.on_answer: targetanswer.OnTargetAnswer | None = on_answer
         self.header_lines: list[bytes] = []
         self.body: list[bytes] = []
         self.body_bytes = 0
@@ -157,7 +145,7 @@
         self._multi.setopt(pycurl.M_MAXCONNECTS, _MAX_CONNECTIONS)
 
     def send(
-        self, request: TargetRequest, on_answer: OnTargetAnswer
+        self, request: TargetRequest, on_answer: targetanswer.OnTargetAnswer
     ) -> transport.PendingCall:
         """Start a request; see ``TargetCaller.send``."""
         handle = self._idle.pop() if self._idle else _new_handle()
@@ -321,7 +309,7 @@
 
 def _result(
     transfer: _Transfer, handle: pycurl.Curl, code: int
-) -> TargetAnswer | errors.Refusal:
+) -> targetanswer.TargetAnswer | errors.Refusal:
     if code == pycurl.E_OK:
         status = handle.getinfo(pycurl.RESPONSE_CODE)
         if status < _FIRST_FINAL_STATUS:
@@ -333,7 +321,9 @@
             return errors.unknown(
                 errors.Reason.TOO_LARGE, f'{len(headers) // 2} headers'
             )
-        return TargetAnswer(status, headers, b''.join(transfer.body))
+        return targetanswer.TargetAnswer(
+            status, headers, b''.join(transfer.body)
+        )
     if transfer.sends == 0:
         return errors.not_run(
             errors.Reason.UNREACHABLE, f'target not reached: curl {code}'
--- a/src/parsleystile/targetfault.py
+++ b/src/parsleystile/targetfault.py
@@ -1,7 +1,7 @@
 """Whether what came back from a target speaks against its health."""
 
 from parsleystile import errors
-from parsleystile import targetclient
+from parsleystile import targetanswer
 
 # Statuses by which servers and their frameworks tell of overload; 500 is
 # more often a defect that fewer calls at once would not mend.
@@ -12,7 +12,7 @@
 
 
 def is_fault(
-    result: targetclient.TargetAnswer | errors.Refusal,
+    result: targetanswer.TargetAnswer | errors.Refusal,
     child_refused: bool,
     child_ms: float,
 ) -> bool:
--- a/tests/drivenfleet.py
+++ b/tests/drivenfleet.py
@@ -14,6 +14,7 @@
 from parsleystile import node as nodes
 from parsleystile import observer
 from parsleystile import settings
+from parsleystile import targetanswer
 from parsleystile import targetclient
 from parsleystile import targetwatch
 from parsleystile import transport
@@ -200,7 +201,7 @@
                 answer(errors.unknown(errors.Reason.TARGET_FAILED))
             else:
                 code = 500 if fate is Fate.ERROR else status
-                answer(targetclient.TargetAnswer(code, [], body))
+                answer(targetanswer.TargetAnswer(code, [], body))
 
         work_ms = 350.0 if fate is Fate.LATE else 5.0
         fleet.after(work_ms, self._child, headers, end, pending)
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -11,12 +11,12 @@
 from parsleystile import inflight
 from parsleystile import metrics
 from parsleystile import observer
-from parsleystile import targetclient
+from parsleystile import targetanswer
 from parsleystile import transport
 
 
 NOW_MS = 1000.0
-_ANSWER = targetclient.TargetAnswer(200, ['A', 'b', 'Host', 'x'], b'ok')
+_ANSWER = targetanswer.TargetAnswer(200, ['A', 'b', 'Host', 'x'], b'ok')
 
 
 class _Transfer(transport.PendingCall):
--- a/tests/test_targetclient.py
+++ b/tests/test_targetclient.py
@@ -3,6 +3,7 @@
 import pytest
 
 from parsleystile import errors
+from parsleystile import targetanswer
 from parsleystile import targetclient
 from tests import asyncutil
 
@@ -75,7 +76,7 @@
 def test_an_answer_comes_back_whole():
     async def body(target, client, port):
         answer = await _send(client, _request(port))
-        assert answer == targetclient.TargetAnswer(
+        assert answer == targetanswer.TargetAnswer(
             200, ['Content-Length', '2', 'X-Way', 'back'], b'hi'
         )
 
--- a/tests/test_targetfault.py
+++ b/tests/test_targetfault.py
@@ -1,12 +1,12 @@
 import pytest
 
 from parsleystile import errors
-from parsleystile import targetclient
+from parsleystile import targetanswer
 from parsleystile import targetfault
 
 
 def _answer(status):
-    return targetclient.TargetAnswer(status, [], b'')
+    return targetanswer.TargetAnswer(status, [], b'')
 
 
 @pytest.mark.parametrize(
