Count in plain numbers, keep slots of deadlines in a heap

A deadline that lies in the past now comes with the next slot, so that one that adds itself again can't hold the loop.

--- a/src/parsleystile/deadlines.py
+++ b/src/parsleystile/deadlines.py
@@ -1,5 +1,6 @@
 """Many deadlines on one timer."""
 
+import heapq
 import typing
 
 _SLOT_MS = 4.0
@@ -49,6 +50,10 @@
             on_earlier: Called when ``next_due_ms`` moves to an earlier time.
         """
         self._slots: dict[int, dict[Deadline, None]] = {}
+        # Each slot in use, and some that were emptied by cancelling.
+        self._order: list[int] = []
+        # Slots up to here are over; what is due already comes with the next.
+        self._over = -1
         self._next_slot: int | None = None
         self.on_earlier = on_earlier
 
@@ -63,11 +68,12 @@
         self, due_ms: float, callback: typing.Callable[[], None]
     ) -> Deadline:
         """Call ``callback`` at the first expiry at or after ``due_ms``."""
-        slot = int(due_ms / _SLOT_MS) + 1
+        slot = max(int(due_ms / _SLOT_MS), self._over) + 1
         deadline = Deadline(callback, self._slots, slot)
         entries = self._slots.get(slot)
         if entries is None:
             self._slots[slot] = {deadline: None}
+            heapq.heappush(self._order, slot)
             if self._next_slot is None or slot < self._next_slot:
                 self._next_slot = slot
                 self.on_earlier()
@@ -80,11 +86,14 @@
         current = int(now_ms / _SLOT_MS)
         if self._next_slot is None or self._next_slot > current:
             return
-        due = sorted(slot for slot in self._slots if slot <= current)
-        for slot in due:
+        self._over = current
+        order = self._order
+        while order and order[0] <= current:
             # A callback may cancel others of its slot, or empty a later one.
-            for deadline in self._slots.pop(slot, ()):
+            for deadline in self._slots.pop(heapq.heappop(order), ()):
                 if deadline.callback is not None:
                     callback, deadline.callback = deadline.callback, None
                     callback()
-        self._next_slot = min(self._slots, default=None)
+        while order and order[0] not in self._slots:
+            heapq.heappop(order)
+        self._next_slot = order[0] if order else None
--- a/src/parsleystile/relay/records.py
+++ b/src/parsleystile/relay/records.py
@@ -8,16 +8,15 @@
 """
 
 import os
-import typing
 
 import msgspec
-import prometheus_client
 
 from parsleystile import clock as clocks
 from parsleystile import errors
 from parsleystile.gen import ttypes
 from parsleystile import ids
 from parsleystile.relay import lines
+from parsleystile.relay import tallies
 
 # Lines a second of one kind, and how many may come at once.
 _LINES_PER_S = 20.0
@@ -142,63 +141,49 @@
 
     def __init__(self, log: LineLog) -> None:
         self.log = log
-        self.registry = prometheus_client.CollectorRegistry()
-        self._ends = prometheus_client.Counter(
+        self._ends = tallies.counter(
             'parsleystile_calls',
             'Requests by how they ended here',
-            ('end', 'reason'),
-            registry=self.registry,
+            'end',
+            'reason',
         )
-        self._guard = prometheus_client.Counter(
+        self._guard = tallies.counter(
             'parsleystile_guard_refusals',
             'Calls that the guard refused',
-            ('reason',),
-            registry=self.registry,
+            'reason',
         )
-        self._events = prometheus_client.Counter(
-            'parsleystile_events',
-            'Other events by kind',
-            ('kind',),
-            registry=self.registry,
+        self._events = tallies.counter(
+            'parsleystile_events', 'Other events by kind', 'kind'
         )
-        self._gauges = prometheus_client.Gauge(
-            'parsleystile_state',
-            'Figures of this node now',
-            ('name',),
-            registry=self.registry,
+        self._gauges = tallies.gauge(
+            'parsleystile_state', 'Figures of this node now', 'name'
         )
-        self._latency = prometheus_client.Histogram(
+        self._latency = tallies.Times(
             'parsleystile_call_seconds',
             'Time from a whole request to its answer',
-            ('end',),
-            buckets=_LATENCY_BUCKETS_S,
-            registry=self.registry,
+            'end',
+            _LATENCY_BUCKETS_S,
+        )
+        self._page = tallies.Page(
+            self._ends, self._guard, self._events, self._gauges, self._latency
         )
-        self._seen: dict[tuple[str, str], typing.Any] = {}
 
     def page(self) -> bytes:
         """Return all numbers as text."""
-        return prometheus_client.generate_latest(self.registry)
+        return self._page.text()
 
     def count(self, kind: str, amount: int = 1) -> None:
         """Count an event."""
-        self._child(self._events, kind).inc(amount)
+        self._events.add((kind,), amount)
 
     def gauge(self, name: str, value: float) -> None:
         """Set a figure of this node."""
-        self._child(self._gauges, name).set(value)
+        self._gauges.values[(name,)] = value
 
     def ended(self, end: str, reason: str, spent_ms: float) -> None:
         """Count the end of a request."""
-        key = (end, reason)
-        children = self._seen.get(key)
-        if children is None:
-            children = self._seen[key] = (
-                self._ends.labels(end, reason),
-                self._latency.labels(end),
-            )
-        children[0].inc()
-        children[1].observe(spent_ms / 1e3)
+        self._ends.add((end, reason))
+        self._latency.observe(end, spent_ms / 1e3)
 
     def guard_refused(
         self,
@@ -209,7 +194,7 @@
     ) -> None:
         """Record that the guard let a call not pass."""
         reason = refusal.reason.name.lower()
-        self._child(self._guard, reason).inc()
+        self._guard.add((reason,))
         if not self.log.wants(lines.GuardRefused):
             return
         self.log.append(
@@ -247,13 +232,6 @@
         """Record input from outside that is not what it should be."""
         self.log.write(lines.Rejected(where=where, why=why))
 
-    def _child(self, metric: typing.Any, label: str) -> typing.Any:
-        key = (metric._name, label)
-        child = self._seen.get(key)
-        if child is None:
-            child = self._seen[key] = metric.labels(label)
-        return child
-
 
 def recorder(
     node_id: ids.NodeId, clock: clocks.Clock, descriptor: int
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -140,3 +140,46 @@
     for turns in range(1, 50):
         loop.turn()
         assert len(ticks) == turns
+
+
+def test_a_deadline_in_the_past_comes_once_and_does_not_hold_the_loop():
+    wheel = deadlines.DeadlineWheel()
+    seen = []
+
+    def again():
+        seen.append('again')
+        wheel.add(10.0, again)
+
+    wheel.add(10.0, again)
+    wheel.expire(100.0)
+    assert seen == ['again']
+    assert wheel.next_due_ms == 104.0
+
+
+def test_slots_emptied_by_cancelling_wake_nobody():
+    wheel = deadlines.DeadlineWheel()
+    for i in range(1, 500):
+        wheel.add(i * 4.0, lambda: None).cancel()
+    kept = []
+    wheel.add(3000.0, lambda: kept.append(1))
+    wheel.add(1.0, lambda: None)
+    wheel.expire(5.0)
+    assert wheel.next_due_ms == 3004.0
+    wheel.expire(3004.0)
+    assert kept == [1]
+    assert wheel.next_due_ms is None
+
+
+def test_a_callback_that_fails_loses_no_other():
+    wheel = deadlines.DeadlineWheel()
+    seen = []
+
+    def fail():
+        raise ValueError('on purpose')
+
+    wheel.add(10.0, fail)
+    wheel.add(20.0, lambda: seen.append('kept'))
+    with pytest.raises(ValueError, match='on purpose'):
+        wheel.expire(50.0)
+    wheel.expire(50.0)
+    assert seen == ['kept']
