--- a/src/parsleystile/cli.py
+++ b/src/parsleystile/cli.py
@@ -102,6 +102,18 @@
     return exitcodes.ExitCode.ACCEPTED
 
 
+def _explain_log(call_id: str, path: str) -> exitcodes.ExitCode:
+    from parsleystile.relay import walk
+
+    try:
+        with open(path, encoding='utf-8', errors='replace') as lines:
+            found = walk.walk(call_id, lines)
+    except OSError as exc:
+        return _fail(f'{path}: {exc.strerror}', exitcodes.ExitCode.USAGE)
+    print(found)
+    return exitcodes.ExitCode.ACCEPTED
+
+
 def run(command: commands.Command) -> exitcodes.ExitCode:
     """Run a command and return its exit code."""
     match command:
@@ -111,6 +123,8 @@
             return _check_settings(path)
         case commands.CheckConfig(path=path):
             return _check_config(path)
+        case commands.ExplainLog(call_id=call_id, path=path):
+            return _explain_log(call_id, path)
         case commands.MakeKey():
             key = keys.new_key()
             print(f'key {key}\nfingerprint {keys.fingerprint(key)}')
--- a/src/parsleystile/commands.py
+++ b/src/parsleystile/commands.py
@@ -56,6 +56,14 @@
     """Base of all commands."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExplainLog(Command):
+    """Tell from a file of lines what happened to a request."""
+
+    call_id: str
+    path: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunNode(Command):
     """Run one node until it is told to stop."""
--- a/src/parsleystile/console.py
+++ b/src/parsleystile/console.py
@@ -345,8 +345,15 @@
         return commands.RunNode(settings)
 
     @decorators.SetParseFn(str)
-    def explain(self, root_id: str) -> commands.Command:
-        """Tell what happened to a recent call and why."""
+    def explain(self, root_id: str, log: str = '') -> commands.Command:
+        """Tell what happened to a recent call and why.
+
+        Args:
+            root_id: Id of the call, or of the try as the caller named it.
+            log: File with lines of the nodes; empty to ask the nodes.
+        """
+        if log:
+            return commands.ExplainLog(root_id, log)
         return commands.Explain(self._options, root_id)
 
     @decorators.SetParseFn(str)
--- a/src/parsleystile/relay/front.py
+++ b/src/parsleystile/relay/front.py
@@ -127,7 +127,9 @@
         route = policy.match(head.host, request.path)
         found = self._authorise(request, head, route, policy)
         if isinstance(found, errors.Refusal):
-            self._refuse(request, head, route, '', found)
+            self._refuse(
+                request, head, route, '', found, version=policy.version
+            )
             return
         _Passage(self, request, head, route, found, policy.version).start()
 
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -91,6 +91,18 @@
     platformfleet.play(body)
 
 
+def test_a_refused_key_is_recorded_with_the_version_that_refused_it():
+    async def body(fleet):
+        machine = fleet.machines[0]
+        written = []
+        machine.node.record.log.append = written.append
+        await machine.call(key='not-a-key')
+        refused = [w for w in written if isinstance(w, lines.CallRefused)]
+        assert [w.policy_version for w in refused] == [1]
+
+    platformfleet.play(body, count=1)
+
+
 def test_an_open_route_needs_no_key():
     async def body(fleet):
         fleet.machines[0].node.set_local_hosts(frozenset())
