--- a/src/parsleystile/relay/httpin.py
+++ b/src/parsleystile/relay/httpin.py
@@ -95,7 +95,6 @@
         '_is_local',
         '_parser',
         '_queue',
-        '_read_ms',
         '_reading_bytes',
         '_server',
         '_transport',
@@ -119,7 +118,6 @@
         self.current: Request | None = None
         self._is_local: bool | None = None
         self.since_ms = server.clock.now_ms()
-        self._read_ms = self.since_ms
 
     @property
     def is_local(self) -> bool:
@@ -139,9 +137,8 @@
     def data_received(self, data: bytes) -> None:
         if self._is_ending:
             return
-        self._read_ms = self._server.clock.now_ms()
         if self.current is None and not self._reading_bytes:
-            self.since_ms = self._read_ms
+            self.since_ms = self._server.clock.now_ms()
         self._reading_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -214,7 +211,7 @@
             self._url.decode('latin-1'),
             self._headers,
             body[0] if len(body) == 1 else b''.join(body),
-            self._read_ms,
+            self._server.clock.now_ms(),
         )
         self._body = []
         if not self._parser.should_keep_alive():
--- a/src/parsleystile/wire.py
+++ b/src/parsleystile/wire.py
@@ -5,7 +5,6 @@
 """
 
 import enum
-import io
 import operator
 import struct
 
@@ -57,19 +56,6 @@
     fallback=False,
     container_length_limit=_MAX_HEADER_STRINGS,
 )
-
-
-class _Source:
-    """Where the accelerated decoder reads; a frame is there as a whole."""
-
-    cstringio_buf = io.BytesIO()
-
-    def cstringio_refill(self, partial: bytes, wanted: int) -> io.BytesIO:
-        raise EOFError(f'{wanted} bytes beyond the end of a frame')
-
-
-_SOURCE = _Source()
-_DECODER.trans = _SOURCE
 _SPECS = {t: [t, t.thrift_spec] for t in _TYPES.values()}
 
 
@@ -95,7 +81,7 @@
         raise errors.FrameError(f'unknown frame kind {kind}')
     # Without its defaults: a field that the frame lacks is missed below.
     message = message_type.__new__(message_type)
-    _SOURCE.cstringio_buf = io.BytesIO(payload)
+    _DECODER.trans = TTransport.TMemoryBuffer(payload)
     _DECODER.string_length_limit = len(payload)
     # The decoder raises whatever its input makes it raise: type, overflow,
     # unicode and protocol errors alike mean a bad frame.
