End the demo's and benches' processes on SIGTERM, too

Cause: SIGTERM ended Python at once, so the fleet's exit never ran and its processes stayed. Test: a fleet that is ended by SIGTERM; it failed before.

--- a/stubs/processes.py
+++ b/stubs/processes.py
@@ -15,6 +15,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import typing
 import urllib.request
@@ -110,9 +111,17 @@
         return json.loads(answer.read())
 
 
+def _exit_by(number: int, frame: object) -> typing.NoReturn:
+    """End this process as the shell would report it, but clean up first."""
+    del frame
+    raise SystemExit(128 + number)
+
+
 class Fleet:
     """Stand-in table, nodes and targets; a context manager that ends all.
 
+    It ends all on SIGTERM, too, where nothing else handles that.
+
     Args:
         directory: For settings, logs and records; a temporary one if None.
         records: Whether nodes and targets record what happens.
@@ -129,6 +138,7 @@
         self.nodes: dict[str, RunningNode] = {}
         self.table_port = 0
         self._processes: list[subprocess.Popen] = []
+        self._on_exit: typing.Callable[[], object] = lambda: None
 
     def __enter__(self) -> 'Fleet':
         if self._directory is None:
@@ -136,9 +146,22 @@
                 self._stack.enter_context(tempfile.TemporaryDirectory())
             )
         (self._directory / 'secret').write_text(self.secret)
+        self._handle_termination()
         return self
 
+    def _handle_termination(self) -> None:
+        is_main = threading.current_thread() is threading.main_thread()
+        before = signal.getsignal(signal.SIGTERM)
+        if is_main and before is signal.SIG_DFL:
+            signal.signal(signal.SIGTERM, _exit_by)
+            self._stack.callback(signal.signal, signal.SIGTERM, before)
+            # Another one must not cut the cleaning up short.
+            self._on_exit = lambda: signal.signal(
+                signal.SIGTERM, signal.SIG_IGN
+            )
+
     def __exit__(self, *_exc: object) -> None:
+        self._on_exit()
         for process in reversed(self._processes):
             if process.poll() is None:
                 # A stopped process acts on nothing but these two.
