Record rejected peers in the node's own lines

Cause: links wrote them by absl.logging, which a node on the users' platform does not set up, so they were no JSON lines of that node; and each node loaded absl for it. Test: a peer that speaks HTTP to the link's port.

--- a/src/parsleystile/_linkends.py
+++ b/src/parsleystile/_linkends.py
@@ -17,8 +17,6 @@
 from parsleystile import errors
 from parsleystile.gen import ttypes
 from parsleystile import ids
-from parsleystile import logevents
-from parsleystile import logs
 from parsleystile import metrics as metric
 from parsleystile import transport
 from parsleystile import wire
@@ -37,6 +35,14 @@
 ]
 
 
+def _log_rejected(address: str, why: str) -> None:
+    # A node that keeps its lines elsewhere does without these modules.
+    from parsleystile import logevents
+    from parsleystile import logs
+
+    logs.event(logevents.PeerRejected(address=address, why=why))
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LinkSettings:
     """What every link of a node needs.
@@ -44,11 +50,14 @@
     Attributes:
         secret: Shared by all nodes of the fleet.
         max_frame_bytes: Longest frame that either end accepts.
+        on_rejected: Called with the address of a peer that does not keep
+            to the protocol, and why.
     """
 
     node_id: ids.NodeId
     secret: bytes
     max_frame_bytes: int
+    on_rejected: typing.Callable[[str, str], None] = _log_rejected
 
 
 def _proof(
@@ -88,7 +97,7 @@
         except errors.FrameError as exc:
             self._metrics.incr('link.frame_errors')
             peer = self._transport.get_extra_info('peername')
-            logs.event(logevents.PeerRejected(address=str(peer), why=str(exc)))
+            self._settings.on_rejected(str(peer), str(exc))
             self.close()
 
     def _receive(self, message: wire.Message) -> None:
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -111,6 +111,7 @@
                 setup.node_id,
                 setup.secret,
                 _MAX_FRAME_BYTES + wire.FRAME_OVERHEAD_BYTES,
+                lambda peer, why: record.rejected(f'link {peer}', why),
             ),
             clock,
             wheel,
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -91,6 +91,22 @@
     platformfleet.play(body)
 
 
+def test_a_peer_that_speaks_no_protocol_of_ours_is_recorded():
+    async def body(fleet):
+        machine = fleet.machines[0]
+        written = []
+        machine.node.record.log.append = written.append
+        me = machine.node.roster.me
+        _, writer = await asyncio.open_connection(me.host, me.port)
+        writer.write(b'GET / HTTP/1.1\r\n\r\n')
+        await asyncutil.until(lambda: written)
+        writer.close()
+        assert isinstance(written[0], lines.Rejected)
+        assert 'frame of' in written[0].why
+
+    platformfleet.play(body, count=1)
+
+
 def test_a_refused_key_is_recorded_with_the_version_that_refused_it():
     async def body(fleet):
         machine = fleet.machines[0]
