--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -82,7 +82,8 @@
             ({'platform': {}}, 'platform'),
             ({'app_address': 'nowhere'}, 'app_address'),
             ({'internal_port_range': [7000]}, 'internal_port_range'),
-            ({'bounds': {'grace': 'soon'}}, 'bounds'),
+            ({'bounds': {'grace': 'soon'}}, 'bounds.grace'),
+            ({'bounds': {'budget_window': '7'}}, 'bounds.budget_window'),
         ],
     )
     def test_errors_name_the_path(self, changes, path):
@@ -90,6 +91,17 @@
             settings.parse(_settings_file(**changes))
         assert caught.value.path == path
 
+    def test_a_file_is_checked_without_a_start(self, tmp_path, capsys):
+        path = tmp_path / 'boot.json'
+        path.write_bytes(_settings_file())
+        assert process.main(['--check', str(path)]) == 0
+        assert ': valid' in capsys.readouterr().out
+        path.write_bytes(_settings_file(app_address='nowhere'))
+        assert process.main(['--check', str(path)]) == 2
+        told = capsys.readouterr().err
+        assert told == "settings: app_address: 'nowhere' is no IP:PORT\n"
+        assert process.main(['--chekc']) == 2
+
     def test_a_missing_file_is_told(self, monkeypatch):
         monkeypatch.setenv(settings.PATH_VARIABLE, '/nonexistent/boot.json')
         with pytest.raises(errors.SettingsError, match='No such file'):
