--- a/src/parsleystile/operate.py
+++ b/src/parsleystile/operate.py
@@ -21,6 +21,7 @@
 from parsleystile import operatorclient
 from parsleystile import render
 from parsleystile import report
+from parsleystile import reportforms
 
 POLL_MS = 500
 CHANGE_ID_BYTES = 12
@@ -356,7 +357,7 @@
             for name, o in document.organisations.items()
         }
         made = report.make(found, document.objectives, len(failed), limits)
-        text = report.render_as(made, form.value)
+        text = reportforms.render_as(made, form.value)
         if output:
             pathlib.Path(output).write_text(text, encoding='utf-8')
         else:
--- a/src/parsleystile/report.py
+++ b/src/parsleystile/report.py
@@ -1,4 +1,4 @@
-"""The service-level burn report, as text, JSON or one HTML page."""
+"""The service-level burn report and its text for a terminal."""
 
 import dataclasses
 import typing
@@ -317,16 +317,3 @@
     for section in sections(report):
         parts.append(f'{section.heading}\n{render.text(section.table)}')
     return '\n\n'.join(parts)
-
-
-def render_as(report: Report, form: str) -> str:
-    """Return the report as ``text``, ``json`` or ``html``."""
-    match form:
-        case 'json':
-            return render.as_json(report)
-        case 'html':
-            # Drawing takes a second to load; the other forms do without.
-            from parsleystile import reporthtml
-
-            return reporthtml.page(report)
-    return render_text(report)
