--- a/src/parsleystile/relay/front.py
+++ b/src/parsleystile/relay/front.py
@@ -312,6 +312,9 @@
         if is_child:
             return _LEAST_IMPORTANT
         priority = self._route.priority
+        owner = self._organisation
+        if owner is not None and owner.priority is not None:
+            priority = owner.priority
         return max(0, min(priority, _LEAST_IMPORTANT))
 
     def _call(self, rank: float, is_child: bool) -> ttypes.Call:
--- a/src/parsleystile/relay/policy.py
+++ b/src/parsleystile/relay/policy.py
@@ -54,7 +54,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Organisation:
-    """Fleet-wide rate of an organisation; a rate of 0 is no limit."""
+    """What holds for all requests of an organisation.
+
+    Attributes:
+        rate_per_s: Over the whole fleet; 0 is no limit.
+        burst: Requests that may come at once.
+        priority: Instead of that of the route; None where it has none.
+    """
 
     organisation_id: ids.OrganisationId
     rate_per_s: float
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -91,6 +91,38 @@
     platformfleet.play(body)
 
 
+@pytest.mark.parametrize(
+    ('fields', 'importance'), [({'priority': 0}, 0), ({}, 1)]
+)
+def test_the_priority_of_an_organisation_goes_before_the_routes(
+    fields, importance
+):
+    tenant = {
+        'name': 'households',
+        'api_keys': [platformfleet.KEY],
+        'rate_per_s': 1000,
+        'burst': 1000,
+        **fields,
+    }
+
+    async def body(fleet):
+        machine = fleet.machines[0]
+        gate = machine.node.gate
+        seen = []
+        submit = gate.submit
+
+        def watch(call, on_answer):
+            seen.append(call.importance)
+            return submit(call, on_answer)
+
+        gate.submit = watch
+        answer = await machine.call()
+        assert answer.status == 200
+        assert seen == [importance]
+
+    platformfleet.play(body, count=1, tenants=[tenant])
+
+
 def test_a_peer_that_speaks_no_protocol_of_ours_is_recorded():
     async def body(fleet):
         machine = fleet.machines[0]
