--- a/src/parsleystile/idempotencyservice.py
+++ b/src/parsleystile/idempotencyservice.py
@@ -15,12 +15,9 @@
 from parsleystile import exchange as exchanges
 from parsleystile import idempotency
 from parsleystile import ids
-from parsleystile import leaselog
 from parsleystile import leases
-from parsleystile import logs
-from parsleystile import members as member_types
 from parsleystile import metrics as metric
-from parsleystile import ownermaps
+from parsleystile import ownerduties
 from parsleystile import ownership
 from parsleystile import promiseservice
 from parsleystile import settings as node_settings
@@ -29,12 +26,10 @@
 from parsleystile import transport
 
 TICK_MS = 20.0
-_GAUGE_MS = 5_000.0
 _RELEASED_TIMEOUT_MS = 300.0
 
 _T = typing.TypeVar('_T')
 Send = typing.Callable[[exchanges.Exchange], None]
-GetMembers = typing.Callable[[], list[member_types.Member]]
 Reply = typing.Callable[[bytes], None]
 Action = claimhome.Action | idempotency.Action
 
@@ -50,7 +45,7 @@
         network: transport.Transport,
         rows: table.TableClient,
         metrics: metric.Metrics,
-        get_members: GetMembers,
+        get_members: ownerduties.GetMembers,
         promises: promiseservice.PromiseService,
     ) -> None:
         self._node_id = identity.node_id
@@ -58,13 +53,8 @@
         self._network = network
         self._rng = rng
         self._metrics = metrics
-        self._get_members = get_members
         self._promises = promises
         self._runner = tableio.table_runner(rows, clock)
-        self._addresses: dict[ids.NodeId, transport.Address] = {}
-        self._next_members_ms = 0.0
-        self._next_gauge_ms = 0.0
-        self._lease_log = leaselog.lease_log('claims', logs.event)
         self.home = claimhome.claim_home(
             identity.node_id, identity.failure_domain, rng, clock.now_ms()
         )
@@ -73,9 +63,16 @@
         network.handle_control(claimwire.SETTLE_KIND, self._on_settle)
         network.handle_control(claimwire.COPY_KIND, self._on_copy)
         network.handle_control(claimwire.RELEASED_KIND, self._on_released)
-        promises.serve(claimwire.LEASE_PREFIX, self.home.ownership)
-        self._map = ownermaps.owner_map(
-            self.home.ownership, network, clock, rng
+        self._duties = ownerduties.owner_duties(
+            'claims',
+            claimwire.LEASE_PREFIX,
+            self.home,
+            clock,
+            rng,
+            network,
+            get_members,
+            promises,
+            lambda: metrics.gauge('claims.remembered', self.home.claims),
         )
 
     def claim(
@@ -166,15 +163,10 @@
 
     def tick(self, now_ms: float) -> None:
         """Do what time has made due; wanted every ``TICK_MS``."""
-        if now_ms >= self._next_members_ms:
-            self._take_members(now_ms)
+        self._duties.before_tick(now_ms)
         self._perform(self.home.tick(now_ms))
-        self._map.tick(self._addresses.values(), now_ms)
-        self._lease_log.observe(self.home.ownership, now_ms)
         self._perform(self.client.tick(now_ms))
-        if now_ms >= self._next_gauge_ms:
-            self._next_gauge_ms = now_ms + _GAUGE_MS
-            self._metrics.gauge('claims.remembered', self.home.claims)
+        self._duties.after_tick(now_ms)
 
     async def stop(self) -> None:
         """Give up every shard; the deputies hold the claims."""
@@ -192,7 +184,7 @@
             if not heard.done():
                 heard.set_result(None)
 
-        address = self._addresses.get(deputy)
+        address = self._duties.addresses.get(deputy)
         if address is None:
             heard.set_result(None)
         else:
@@ -222,13 +214,6 @@
         exchange.on_settled(functools.partial(self.settle, claim))
         send(exchange)
 
-    def _take_members(self, now_ms: float) -> None:
-        members = self._get_members()
-        self._addresses = {m.node_id: m.link for m in members}
-        self.home.set_members(members)
-        period_ms = ownership.members_period_ms(members)
-        self._next_members_ms = now_ms + period_ms
-
     def _home_of(self, shard: int) -> ids.NodeId | None:
         owners = self.home.ownership.part_map.owners(shard)
         return next(iter(owners), None)
@@ -243,10 +228,13 @@
                 case claimcopy.SendCopy():
                     self._send_copy(action)
                 case leases.AskPromise():
-                    self._promises.ask(action, self._addresses, self._handle)
+                    self._ask_promise(action)
                 case _:
                     self._runner.submit(action, self._on_table)
 
+    def _ask_promise(self, action: leases.AskPromise) -> None:
+        self._promises.ask(action, self._duties.addresses, self._handle)
+
     def _on_table(self, event: ownership.Event, now_ms: float) -> None:
         self._perform(self.home.handle(event, now_ms))
 
@@ -318,7 +306,7 @@
         reply_type: type[_T],
         on_reply: typing.Callable[[_T | None], None],
     ) -> None:
-        address = self._addresses.get(to)
+        address = self._duties.addresses.get(to)
         if address is None:
             on_reply(None)
             return
@@ -377,7 +365,7 @@
     network: transport.Transport,
     rows: table.TableClient,
     metrics: metric.Metrics,
-    get_members: GetMembers,
+    get_members: ownerduties.GetMembers,
     promises: promiseservice.PromiseService,
 ) -> IdempotencyService:
     """Create the service; the caller drives ``tick`` every ``TICK_MS``.
--- a/src/parsleystile/quotaservice.py
+++ b/src/parsleystile/quotaservice.py
@@ -10,12 +10,9 @@
 from parsleystile import errors
 from parsleystile import fleetconfig
 from parsleystile import ids
-from parsleystile import leaselog
 from parsleystile import leases
-from parsleystile import logs
-from parsleystile import members as member_types
 from parsleystile import metrics as metric
-from parsleystile import ownermaps
+from parsleystile import ownerduties
 from parsleystile import ownership
 from parsleystile import promiseservice
 from parsleystile import quota
@@ -28,10 +25,6 @@
 from parsleystile import transport
 
 TICK_MS = 20.0
-_GAUGE_MS = 5_000.0
-# Taking in the members costs time with each, so more of them more seldom.
-
-GetMembers = typing.Callable[[], list[member_types.Member]]
 
 
 class QuotaService:
@@ -46,20 +39,15 @@
         rows: table.TableClient,
         metrics: metric.Metrics,
         get_config: quota.GetConfig,
-        get_members: GetMembers,
+        get_members: ownerduties.GetMembers,
         promises: promiseservice.PromiseService,
     ) -> None:
         self._clock = clock
         self._network = network
         self._metrics = metrics
-        self._get_members = get_members
         self._promises = promises
         self._runner = tableio.table_runner(rows, clock)
-        self._addresses: dict[ids.NodeId, transport.Address] = {}
         self._is_pump_due = False
-        self._next_gauge_ms = 0.0
-        self._lease_log = leaselog.lease_log('quota', logs.event)
-        self._next_members_ms = 0.0
         self.node = quota.quota_node(
             identity.node_id,
             identity.failure_domain,
@@ -69,9 +57,16 @@
             clock.now_ms(),
         )
         network.handle_control(quotawire.ASK_KIND, self._on_ask)
-        promises.serve(quotawire.LEASE_PREFIX, self.node.ownership)
-        self._map = ownermaps.owner_map(
-            self.node.ownership, network, clock, rng
+        self._duties = ownerduties.owner_duties(
+            'quota',
+            quotawire.LEASE_PREFIX,
+            self.node,
+            clock,
+            rng,
+            network,
+            get_members,
+            promises,
+            self._report,
         )
 
     def try_take(
@@ -102,27 +97,15 @@
 
     def tick(self, now_ms: float) -> None:
         """Do what time has made due; wanted every ``TICK_MS``."""
-        if now_ms >= self._next_members_ms:
-            self._take_members(now_ms)
+        self._duties.before_tick(now_ms)
         self._perform(self.node.tick(now_ms))
-        self._map.tick(self._addresses.values(), now_ms)
-        self._lease_log.observe(self.node.ownership, now_ms)
-        if now_ms >= self._next_gauge_ms:
-            self._next_gauge_ms = now_ms + _GAUGE_MS
-            self._report()
+        self._duties.after_tick(now_ms)
 
     async def stop(self) -> None:
         """Give back and give up everything; takes no longer succeed."""
         self._perform(self.node.stop(self._clock.now_ms()))
         await self._runner.drain()
 
-    def _take_members(self, now_ms: float) -> None:
-        members = self._get_members()
-        period_ms = ownership.members_period_ms(members)
-        self._next_members_ms = now_ms + period_ms
-        self._addresses = {m.node_id: m.link for m in members}
-        self.node.set_members(members)
-
     def _pump_soon(self) -> None:
         if not self._is_pump_due:
             self._is_pump_due = True
@@ -138,10 +121,13 @@
                 case quotalinks.SendAsk():
                     self._send_ask(action)
                 case leases.AskPromise():
-                    self._promises.ask(action, self._addresses, self._handle)
+                    self._ask_promise(action)
                 case _:
                     self._runner.submit(action, self._on_table)
 
+    def _ask_promise(self, action: leases.AskPromise) -> None:
+        self._promises.ask(action, self._duties.addresses, self._handle)
+
     def _on_table(self, event: ownership.Event, now_ms: float) -> None:
         self._perform(self.node.handle(event, now_ms))
 
@@ -150,7 +136,7 @@
 
     def _send_ask(self, action: quotalinks.SendAsk) -> None:
         seq = action.ask.seq
-        address = self._addresses.get(action.to)
+        address = self._duties.addresses.get(action.to)
         if address is None:
             self._handle(quota.GrantsReceived(action.to, seq, None))
             return
@@ -208,7 +194,7 @@
     rows: table.TableClient,
     metrics: metric.Metrics,
     get_config: typing.Callable[[], fleetconfig.FleetConfig],
-    get_members: GetMembers,
+    get_members: ownerduties.GetMembers,
     promises: promiseservice.PromiseService,
 ) -> QuotaService:
     """Create the service; the caller drives ``tick`` every ``TICK_MS``.
