Keep one copy of what stood twice in the node and its services

Found in a last reading of the change; behaviour is as it was. A call that is given up goes by one time.

--- a/src/parsleystile/idempotencyservice.py
+++ b/src/parsleystile/idempotencyservice.py
@@ -53,7 +53,6 @@
         self._network = network
         self._rng = rng
         self._metrics = metrics
-        self._promises = promises
         self._runner = tableio.table_runner(rows, clock)
         self.home = claimhome.claim_home(
             identity.node_id, identity.failure_domain, rng, clock.now_ms()
@@ -228,13 +227,10 @@
                 case claimcopy.SendCopy():
                     self._send_copy(action)
                 case leases.AskPromise():
-                    self._ask_promise(action)
+                    self._duties.ask_promise(action, self._handle)
                 case _:
                     self._runner.submit(action, self._on_table)
 
-    def _ask_promise(self, action: leases.AskPromise) -> None:
-        self._promises.ask(action, self._duties.addresses, self._handle)
-
     def _on_table(self, event: ownership.Event, now_ms: float) -> None:
         self._perform(self.home.handle(event, now_ms))
 
--- a/src/parsleystile/ownerduties.py
+++ b/src/parsleystile/ownerduties.py
@@ -10,6 +10,7 @@
 from parsleystile import clock as clocks
 from parsleystile import ids
 from parsleystile import leaselog
+from parsleystile import leases
 from parsleystile import logs
 from parsleystile import members as member_types
 from parsleystile import ownermaps
@@ -60,8 +61,15 @@
         self._next_members_ms = 0.0
         self._next_gauge_ms = 0.0
         self.addresses: dict[ids.NodeId, transport.Address] = {}
+        self._promises = promises
         promises.serve(prefix, owner.ownership)
 
+    def ask_promise(
+        self, action: leases.AskPromise, on_reply: promiseservice.OnReply
+    ) -> None:
+        """Ask a deputy; ``on_reply`` is called if it answers."""
+        self._promises.ask(action, self.addresses, on_reply)
+
     def before_tick(self, now_ms: float) -> None:
         """Take in the members if it is time to."""
         if now_ms < self._next_members_ms:
@@ -102,7 +110,7 @@
         rng: Source of jitter.
         network: Reaches other nodes.
         get_members: Returns the members known here.
-        promises: Answers other nodes' asks for promises.
+        promises: Answers and asks for promises of deputies.
         report: Reports the service's numbers.
     """
     return OwnerDuties(
--- a/src/parsleystile/quotaservice.py
+++ b/src/parsleystile/quotaservice.py
@@ -45,7 +45,6 @@
         self._clock = clock
         self._network = network
         self._metrics = metrics
-        self._promises = promises
         self._runner = tableio.table_runner(rows, clock)
         self._is_pump_due = False
         self.node = quota.quota_node(
@@ -121,13 +120,10 @@
                 case quotalinks.SendAsk():
                     self._send_ask(action)
                 case leases.AskPromise():
-                    self._ask_promise(action)
+                    self._duties.ask_promise(action, self._handle)
                 case _:
                     self._runner.submit(action, self._on_table)
 
-    def _ask_promise(self, action: leases.AskPromise) -> None:
-        self._promises.ask(action, self._duties.addresses, self._handle)
-
     def _on_table(self, event: ownership.Event, now_ms: float) -> None:
         self._perform(self.node.handle(event, now_ms))
 
--- a/src/parsleystile/relay/gate.py
+++ b/src/parsleystile/relay/gate.py
@@ -237,11 +237,10 @@
         """Give up a call: its caller wants no answer."""
         if self._calls.pop(running.key, None) is None:
             return
-        self._stop(running)
+        self._stop(running, self._parts.clock.now_ms())
         self._parts.record.count('guard-cancelled')
 
-    def _stop(self, running: _Running) -> None:
-        now_ms = self._parts.clock.now_ms()
+    def _stop(self, running: _Running, now_ms: float) -> None:
         if running.pending is None:
             self._handle(admission.Cancel(running.key), now_ms)
             return
@@ -254,8 +253,8 @@
     def _give_up(self, running: _Running, refusal: errors.Refusal) -> None:
         if self._calls.pop(running.key, None) is None:
             return
-        self._stop(running)
         now_ms = self._parts.clock.now_ms()
+        self._stop(running, now_ms)
         running.on_answer(self._refused(running.call, refusal, now_ms))
 
     def _handle(self, event: admission.Event, now_ms: float) -> None:
--- a/src/parsleystile/relay/httpout.py
+++ b/src/parsleystile/relay/httpout.py
@@ -119,7 +119,7 @@
         self.channel = typing.cast(asyncio.Transport, transport)
         sock = self.channel.get_extra_info('socket')
         if sock is not None:
-            set_liveness_options(sock)
+            _set_liveness_options(sock)
 
     def data_received(self, data: bytes) -> None:
         if self.exchange is None:
@@ -257,7 +257,7 @@
     return errors.unknown(errors.Reason.TARGET_FAILED, why)
 
 
-def set_liveness_options(sock: socket.socket) -> None:
+def _set_liveness_options(sock: socket.socket) -> None:
     """Make the kernel notice a peer that has gone silent."""
     for level, option, value in (
         (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
--- a/src/parsleystile/relay/reports.py
+++ b/src/parsleystile/relay/reports.py
@@ -80,10 +80,6 @@
             case TargetState.DRAINING | TargetState.GONE:
                 return self._leaving(report)
 
-    def lost(self) -> None:
-        """Forget the current target until it reports itself again."""
-        self.current = None
-
     def _ready(self, report: Report) -> Verdict:
         departed_ms = self._departed.get(report.target_id)
         if departed_ms is not None and report.born_ms <= departed_ms:
--- a/src/parsleystile/relay/spread.py
+++ b/src/parsleystile/relay/spread.py
@@ -331,15 +331,26 @@
         ]
         self._received = dict(waiting)
         for address in silent:
-            if address not in self._pinged:
-                self._ping(address)
+            self._watch(address)
 
-    def _ping(self, address: transport.Address) -> None:
+    def _ping(
+        self, address: transport.Address, on_reply: transport.OnControl
+    ) -> None:
+        """Ask whether anybody answers there, one question at a time."""
+        if address in self._pinged:
+            return
         self._pinged.add(address)
+
+        def done(reply: bytes | errors.Refusal) -> None:
+            self._pinged.discard(address)
+            on_reply(reply)
+
+        self._links.control(address, PING_KIND, b'', _PING_TIMEOUT_MS, done)
+
+    def _watch(self, address: transport.Address) -> None:
         before = self._received[address]
 
         def on_reply(reply: bytes | errors.Refusal) -> None:
-            self._pinged.discard(address)
             is_silent = dict(self._links.waiting()).get(address) == before
             if isinstance(reply, errors.Refusal) and is_silent:
                 why = 'no reply on a link that owes answers'
@@ -348,9 +359,7 @@
                     if row.link == address:
                         self.unreached(row.node_id, why)
 
-        self._links.control(
-            address, PING_KIND, b'', _PING_TIMEOUT_MS, on_reply
-        )
+        self._ping(address, on_reply)
 
     def probe(self) -> None:
         """Ask the nodes that did not answer whether they do now."""
@@ -358,19 +367,12 @@
             self._probe(row)
 
     def _probe(self, row: rosters.Row) -> None:
-        if row.link in self._pinged:
-            return
-        self._pinged.add(row.link)
-
         def on_reply(reply: bytes | errors.Refusal) -> None:
-            self._pinged.discard(row.link)
             if not isinstance(reply, errors.Refusal):
                 self.reached(row.node_id)
                 self._next_sync_ms = 0.0
 
-        self._links.control(
-            row.link, PING_KIND, b'', _PING_TIMEOUT_MS, on_reply
-        )
+        self._ping(row.link, on_reply)
 
     def reached(self, node_id: ids.NodeId) -> None:
         """Note that a node answers."""
