Log why a connection closed and what a planned stop still owed

call-abandoned said that the caller had disconnected also where the node itself closed the connection, and nothing told whether a stop ended idle or by time. call-cut names the reason, drain-ended the requests, calls and bytes left. No decision changes.

--- a/src/parsleystile/_linkprotocol.py
+++ b/src/parsleystile/_linkprotocol.py
@@ -120,6 +120,13 @@
         channel.write(wire.encode(kind, message))
         return True
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of frames that the kernel has not taken yet."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
     def abort(self) -> None:
         """Close the connection at once and discard buffered data."""
         if self._transport is not None:
--- a/src/parsleystile/link.py
+++ b/src/parsleystile/link.py
@@ -164,6 +164,12 @@
         """Open connections from other nodes, authenticated or not."""
         return len(self._accepted)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of frames that the kernel has not taken yet, on all links."""
+        links = [*self._links.values(), *self._accepted]
+        return sum(link.unsent_bytes for link in links)
+
     async def close(self) -> None:
         """Close every link; outstanding calls end as UNKNOWN."""
         if self._server is not None:
--- a/src/parsleystile/relay/httpserver.py
+++ b/src/parsleystile/relay/httpserver.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import enum
 import http
 import socket
 import typing
@@ -31,6 +32,17 @@
 _TCP_USER_TIMEOUT_MS = 5_000
 
 
+class Disconnect(enum.Enum):
+    """Why a connection closed before the answer to a request."""
+
+    CALLER_LEFT = 'caller-left'
+    NOT_ACKNOWLEDGED = 'not-acknowledged'
+    ANSWERS_UNREAD = 'answers-unread'
+    TOO_MANY_REQUESTS = 'too-many-requests'
+    INVALID_REQUEST = 'invalid-request'
+    SERVER_CLOSED = 'server-closed'
+
+
 class Request:
     """A whole request; it is answered once or abandoned by its caller.
 
@@ -40,7 +52,8 @@
         headers: Names and values in turn, as sent.
         body: Whole body.
         arrived_ms: Time at which its last byte was read.
-        on_disconnect: Called if the caller disconnects before the answer.
+        on_disconnect: Called with the reason if the connection closes before
+            the answer.
     """
 
     __slots__ = (
@@ -68,7 +81,7 @@
         self.headers = headers
         self.body = body
         self.arrived_ms = arrived_ms
-        self.on_disconnect: typing.Callable[[], None] | None = None
+        self.on_disconnect: typing.Callable[[Disconnect], None] | None = None
 
     @property
     def is_local(self) -> bool:
@@ -91,6 +104,7 @@
 
     __slots__ = (
         '_body',
+        '_disconnect',
         '_expects_continue',
         '_headers',
         '_will_close',
@@ -117,6 +131,7 @@
         self._request_bytes = 0
         self._queue: collections.deque[Request] = collections.deque()
         self._will_close = False
+        self._disconnect = Disconnect.CALLER_LEFT
         self.current: Request | None = None
         self._is_local: bool | None = None
         self.phase_started_ms = server.clock.now_ms()
@@ -165,9 +180,11 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._server.connections.discard(self)
         self._queue.clear()
+        if isinstance(exc, TimeoutError):
+            self._disconnect = Disconnect.NOT_ACKNOWLEDGED
         request, self.current = self.current, None
         if request is not None and request.on_disconnect is not None:
-            request.on_disconnect()
+            request.on_disconnect(self._disconnect)
 
     # Callbacks of httptools.
 
@@ -224,7 +241,7 @@
         elif len(self._queue) < _MAX_PIPELINED:
             self._queue.append(request)
         else:
-            self._transport.abort()
+            self.abort(Disconnect.TOO_MANY_REQUESTS)
 
     # Answers.
 
@@ -233,7 +250,7 @@
     ) -> None:
         transport = self._transport
         if transport.get_write_buffer_size() > _MAX_UNREAD_BYTES:
-            transport.abort()
+            self.abort(Disconnect.ANSWERS_UNREAD)
             return
         is_last = self._will_close and not self._queue
         closes = is_last or self._server.is_closing
@@ -260,14 +277,23 @@
         elif waited_ms > limits.idle_timeout_ms:
             self._transport.close()
 
-    def abort(self) -> None:
-        if self._transport is not None:
-            self._transport.abort()
+    @property
+    def queued_requests(self) -> int:
+        return len(self._queue)
+
+    @property
+    def unsent_bytes(self) -> int:
+        return self._transport.get_write_buffer_size()
+
+    def abort(self, why: Disconnect = Disconnect.SERVER_CLOSED) -> None:
+        self._disconnect = why
+        self._transport.abort()
 
     def _reject(self, status: int, why: str) -> None:
         if self._will_close:
             return
         self._will_close = True
+        self._disconnect = Disconnect.INVALID_REQUEST
         self._server.on_rejected(status, why)
         if self.current is None:
             body = why.encode()
@@ -348,6 +374,16 @@
         """Number of connections with an unanswered request."""
         return sum(c.current is not None for c in self.connections)
 
+    @property
+    def queued_requests(self) -> int:
+        """Number of whole requests that wait behind an unanswered one."""
+        return sum(c.queued_requests for c in self.connections)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that the kernel has not taken yet."""
+        return sum(c.unsent_bytes for c in self.connections)
+
     def close(self) -> None:
         """Stop listening and abort all connections."""
         for server in self._servers:
--- a/src/parsleystile/relay/ingress.py
+++ b/src/parsleystile/relay/ingress.py
@@ -431,7 +431,7 @@
             self._version,
         )
 
-    def _on_disconnect(self) -> None:
+    def _on_disconnect(self, why: httpserver.Disconnect) -> None:
         deps = self._ingress._deps
         attempts = 0
         if self._dispatch is not None:
@@ -441,11 +441,23 @@
         waited_ms = (
             deps.dispatch_deps.clock.now_ms() - self._request.arrived_ms
         )
-        deps.recorder.request_ended('abandoned', 'caller-left', waited_ms)
+        if why is httpserver.Disconnect.CALLER_LEFT:
+            deps.recorder.request_ended('abandoned', why.value, waited_ms)
+            deps.recorder.log.write(
+                logevents.CallAbandoned(
+                    call=self._head.call_id,
+                    route=self._route.route_id,
+                    sends=attempts,
+                    waited_ms=round(waited_ms, 1),
+                )
+            )
+            return
+        deps.recorder.request_ended('cut', why.value, waited_ms)
         deps.recorder.log.write(
-            logevents.CallAbandoned(
+            logevents.CallCut(
                 call=self._head.call_id,
                 route=self._route.route_id,
+                reason=why.value,
                 sends=attempts,
                 waited_ms=round(waited_ms, 1),
             )
--- a/src/parsleystile/relay/logevents.py
+++ b/src/parsleystile/relay/logevents.py
@@ -71,6 +71,16 @@
     waited_ms: float
 
 
+class CallCut(LogEvent, tag_field='event', tag='call-cut'):
+    """The node closed the caller's connection before the answer."""
+
+    call: str
+    route: str
+    reason: str
+    sends: int
+    waited_ms: float
+
+
 class GuardRefused(LogEvent, tag_field='event', tag='guard-refused'):
     """The guard of a target refused a call before the target saw it."""
 
@@ -157,6 +167,18 @@
     detail: str
 
 
+class DrainEnded(LogEvent, tag_field='event', tag='drain-ended'):
+    """A planned stop ended; the counts say what the node still owed."""
+
+    is_timed_out: bool
+    drained_ms: float
+    requests_open: int
+    requests_queued: int
+    calls_at_guard: int
+    caller_bytes_unsent: int
+    link_bytes_unsent: int
+
+
 class InputRejected(LogEvent, tag_field='event', tag='input-rejected'):
     """Input from outside is invalid."""
 
--- a/src/parsleystile/relay/logtrace.py
+++ b/src/parsleystile/relay/logtrace.py
@@ -19,7 +19,13 @@
 MAX_SHOWN = 5
 
 _FINAL_EVENTS = frozenset(
-    {'call-refused', 'call-unknown', 'call-answered', 'call-abandoned'}
+    {
+        'call-refused',
+        'call-unknown',
+        'call-answered',
+        'call-abandoned',
+        'call-cut',
+    }
 )
 _OVERLOAD_REASONS = frozenset({'shed', 'queue_full', 'deadline', 'no_target'})
 _CONFIGURATION_REASONS = frozenset(
@@ -110,12 +116,12 @@
         return False
     if entry.event == 'node-reach':
         return entry.node == end.node
-    return entry.event in ('target-changed', 'process')
+    return entry.event in ('target-changed', 'process', 'drain-ended')
 
 
 def _cause_filter(end: Entry) -> typing.Callable[[Entry, Entry], bool] | None:
     reason = end.fields.get('reason', '')
-    if end.event == 'call-unknown':
+    if end.event in ('call-unknown', 'call-cut'):
         return _explains_unreachable
     if end.event != 'call-refused':
         return None
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -449,8 +449,23 @@
         )
         is_timed_out = passed_ms >= self._setup.stop_ms - _SHUTDOWN_MARGIN_MS
         if is_timed_out or (is_idle and passed_ms >= self._setup.lame_duck_ms):
+            self._record_drain_end(is_timed_out, passed_ms)
             self.on_end()
 
+    def _record_drain_end(self, is_timed_out: bool, passed_ms: float) -> None:
+        server = self._http_server
+        self.recorder.log.write(
+            logevents.DrainEnded(
+                is_timed_out=is_timed_out,
+                drained_ms=round(passed_ms, 1),
+                requests_open=server.open_requests,
+                requests_queued=server.queued_requests,
+                calls_at_guard=self.guard.in_flight,
+                caller_bytes_unsent=server.unsent_bytes,
+                link_bytes_unsent=self._links.unsent_bytes,
+            )
+        )
+
     async def close(self) -> None:
         """Close every socket."""
         self._ticker.close()
--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -1,6 +1,7 @@
 """A small fleet of nodes on a simulated platform, on loopback."""
 
 import asyncio
+import dataclasses
 import json
 import os
 import random
@@ -85,6 +86,8 @@
         self.domain = domain
         self.target = platformtarget.platform_target(f'i-{name}')
         self.log_path = os.devnull
+        self.stop_ms = 6000.0
+        self.lame_duck_ms = 3000.0
         self.sequence = 0
         self.node = None
         self.store_client = None
@@ -113,7 +116,7 @@
             target=transport.Address(*self.target.address),
             service='yard',
             store=transport.Address(*self.fleet.address),
-            stop_ms=6000.0,
+            stop_ms=self.stop_ms,
             repeat_share=0.2,
             repeat_slack=48.0,
             repeat_window_ms=10_000.0,
@@ -122,8 +125,11 @@
         rng = random.Random(self.name)
         descriptor = os.open(self.log_path, os.O_WRONLY)
         recorder = telemetry.recorder(self.name, clock, descriptor)
+        setup = dataclasses.replace(
+            process.setup(settings), lame_duck_ms=self.lame_duck_ms
+        )
         self.node = nodes.build_node(
-            process.setup(settings), config.decode, clock, rng, recorder
+            setup, config.decode, clock, rng, recorder
         )
         self.node.service = 'yard'
         self.store_client = stores.store_client(
@@ -204,13 +210,15 @@
         """Return an unused loopback address."""
         return f'127.0.0.{next(self._hosts)}'
 
-    async def start(self, count=2, serving=None, **changes):
+    async def start(self, count=2, serving=None, stop_ms=6000.0, **changes):
         """Start machines, the first half of them in domain a."""
         self.address = await self.store.start()
         self.put_document(document(**changes))
         for i in range(count):
             domain = 'a' if i < (count + 1) // 2 else 'b'
             machine = Machine(self, f'n{i}', domain)
+            machine.stop_ms = stop_ms
+            machine.lame_duck_ms = stop_ms / 2
             self.machines.append(machine)
             await machine.start()
         await self.wait_settled()
--- a/tests/test_relay_http.py
+++ b/tests/test_relay_http.py
@@ -266,7 +266,8 @@
             body = f'{request.method} {request.path} '.encode()
             request.answer(200, ['X-A', 'b'], body + request.body)
 
-    def _on_disconnect(self):
+    def _on_disconnect(self, why):
+        assert why is httpserver.Disconnect.CALLER_LEFT
         self.disconnects += 1
 
 
