--- a/tests/test_platform_stops.py
+++ b/tests/test_platform_stops.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from parsleystile import errors
 from parsleystile.relay import logevents
 from tests import asyncutil
 from tests import platformfleet
@@ -51,3 +52,40 @@
         await call
 
     platformfleet.run_with_fleet(body, serving=[1], stop_ms=600.0)
+
+
+def test_requests_sent_long_after_a_stop_request_are_refused_not_cut():
+    async def body(fleet):
+        first, second = fleet.machines
+        ended = asyncio.Event()
+        first.node.on_end = ended.set
+        second.target.work_ms = 60.0
+        results = {}
+
+        async def send_until_ended(caller):
+            while not ended.is_set():
+                call_id = f'{caller}-{len(results)}'
+                results[call_id] = None
+                results[call_id] = await first.call(call_id=call_id)
+
+        async def end():
+            await ended.wait()
+            await first.node.close()
+
+        callers = [send_until_ended(i) for i in range(5)]
+        sending = asyncio.gather(end(), *callers)
+        await asyncutil.wait_until(lambda: len(results) > 20)
+        first.node.stop()
+        await sending
+        answers = {
+            call_id: result
+            for call_id, result in results.items()
+            if not isinstance(result, errors.Refusal)
+        }
+        served = [i for i, answer in answers.items() if answer.status == 200]
+        assert sorted(fleet.executed_ids()) == sorted(served)
+        refused = [a for a in answers.values() if a.status == 503]
+        assert refused
+        assert all('Retry-After' in answer.headers for answer in refused)
+
+    platformfleet.run_with_fleet(body, serving=[1], stop_ms=1200.0)
