Answer every request that was read before its connection closes

Callers saw their connection close with no answer although the request had been passed on: when requests read ahead of their answers were on a closing server (1 of 3 answered), behind the 16th of them, when 4 MiB of an earlier answer were unread, and when a malformed or too large request came behind a good one.

Cause: the connection counted itself, not its requests, and closed or aborted with requests under way. Now it knows what it owes: a rejection waits for the answers before it, Connection: close goes with the last answer only, reading pauses while 16 requests wait, and the next request waits while the caller doesn't read. The body limit is counted by body bytes, since the bytes of a request behind another in one read were not counted.

--- a/src/parsleystile/relay/_httpconnection.py
+++ b/src/parsleystile/relay/_httpconnection.py
@@ -1,4 +1,9 @@
-"""One connection of a caller to the HTTP server."""
+"""One connection of a caller to the HTTP server.
+
+Requests are answered in the order in which they were read. A request that
+was read is owed an answer: it is answered before the connection closes,
+unless the caller leaves first.
+"""
 
 import asyncio
 import collections
@@ -16,11 +21,8 @@
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _EXPECT_BYTES = len(b'expect')
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
-# Requests that may be queued on a connection ahead of their answers.
-_MAX_PIPELINED = 16
-# A connection with more unsent bytes than this is aborted: its caller does not
-# read.
-_MAX_UNREAD_BYTES = 4 * 1_048_576
+# Reading pauses while this many requests wait behind an unanswered one.
+_MAX_QUEUED_REQUESTS = 16
 
 
 class Disconnect(enum.Enum):
@@ -28,9 +30,6 @@
 
     CALLER_LEFT = 'caller-left'
     NOT_ACKNOWLEDGED = 'not-acknowledged'
-    ANSWERS_UNREAD = 'answers-unread'
-    TOO_MANY_REQUESTS = 'too-many-requests'
-    INVALID_REQUEST = 'invalid-request'
     SERVER_CLOSED = 'server-closed'
 
 
@@ -97,23 +96,49 @@
     limits: policies.CallerLimits
     local_hosts: frozenset[str]
     is_closing: bool
-    connections: set['Connection']
     on_request: typing.Callable[[Request], None]
     on_rejected: typing.Callable[[int, str], None]
 
+    def opened(self, connection: 'Connection') -> None:
+        """Register an accepted connection."""
+
+    def closed(self, connection: 'Connection') -> None:
+        """Remove a connection that is closed."""
+
+
+class _Reading(enum.Enum):
+    """What happens to the bytes that a caller sends."""
+
+    REQUESTS = 'requests'
+    # The caller asked to close after the last request read.
+    ENDED = 'ended'
+    # A request was rejected.
+    DISCARDED = 'discarded'
+
 
 class Connection(asyncio.Protocol):
-    """One connection of a caller."""
+    """One connection of a caller.
+
+    Attributes:
+        current: The request that waits for its answer.
+        phase_started_ms: Start of the wait for the next request or of the
+            request being read.
+    """
 
     __slots__ = (
         '_body',
+        '_body_bytes',
         '_disconnect',
         '_expects_continue',
         '_headers',
-        '_will_close',
         '_is_local',
+        '_is_proceeding',
+        '_is_reading_paused',
+        '_is_writing_paused',
         '_parser',
         '_queue',
+        '_reading',
+        '_rejection',
         '_request_bytes',
         '_server',
         '_transport',
@@ -129,11 +154,17 @@
         self._url = b''
         self._headers: list[str] = []
         self._body: list[bytes] = []
+        self._body_bytes = 0
         # The caller waits for 100 Continue before it sends the body.
         self._expects_continue = False
         self._request_bytes = 0
         self._queue: collections.deque[Request] = collections.deque()
-        self._will_close = False
+        # Sent after the answers to all requests read before it.
+        self._rejection = b''
+        self._reading = _Reading.REQUESTS
+        self._is_reading_paused = False
+        self._is_writing_paused = False
+        self._is_proceeding = False
         self._disconnect = Disconnect.CALLER_LEFT
         self.current: Request | None = None
         self._is_local: bool | None = None
@@ -149,14 +180,24 @@
             self._is_local = peer is not None and peer[0] in hosts
         return self._is_local
 
+    @property
+    def owed_requests(self) -> int:
+        """Number of requests that were read and have no answer yet."""
+        return len(self._queue) + (self.current is not None)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that the kernel has not taken yet."""
+        return self._transport.get_write_buffer_size()
+
     # asyncio.Protocol.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = typing.cast(asyncio.Transport, transport)
-        self._server.connections.add(self)
+        self._server.opened(self)
 
     def data_received(self, data: bytes) -> None:
-        if self._will_close:
+        if self._reading is not _Reading.REQUESTS:
             return
         if self.current is None and not self._request_bytes:
             self.phase_started_ms = self._server.clock.now_ms()
@@ -172,17 +213,25 @@
         limits = self._server.limits
         if (
             not self._body
-            and not self._queue
-            and self.current is None
+            and not self.owed_requests
             and self._request_bytes > limits.header_bytes + len(data)
         ):
             self._reject(431, f'over {limits.header_bytes} header bytes')
 
     def eof_received(self) -> bool:
+        # A caller that closes and one that only ends its side look the same,
+        # and work for a caller that left has to stop.
         return False
 
+    def pause_writing(self) -> None:
+        self._is_writing_paused = True
+
+    def resume_writing(self) -> None:
+        self._is_writing_paused = False
+        self._proceed()
+
     def connection_lost(self, exc: Exception | None) -> None:
-        self._server.connections.discard(self)
+        self._server.closed(self)
         self._queue.clear()
         if isinstance(exc, TimeoutError):
             self._disconnect = Disconnect.NOT_ACKNOWLEDGED
@@ -196,6 +245,7 @@
         self._url = b''
         self._headers = []
         self._body = []
+        self._body_bytes = 0
 
     def on_url(self, url: bytes) -> None:
         self._url += url
@@ -219,15 +269,18 @@
 
     def on_body(self, chunk: bytes) -> None:
         self._body.append(chunk)
+        self._body_bytes += len(chunk)
         limit = self._server.limits.body_bytes
-        if self._request_bytes > limit and sum(map(len, self._body)) > limit:
+        if self._body_bytes > limit:
+            self._body.clear()
             self._reject(413, f'over {limit} body bytes')
 
     def on_message_complete(self) -> None:
-        if self._will_close:
+        if self._reading is not _Reading.REQUESTS:
             return
         self._request_bytes = 0
         body = self._body
+        self._body = []
         request = Request(
             self,
             self._parser.get_method().decode('latin-1'),
@@ -236,16 +289,16 @@
             body[0] if len(body) == 1 else b''.join(body),
             self._server.clock.now_ms(),
         )
-        self._body = []
         if not self._parser.should_keep_alive():
-            self._will_close = True
-        if self.current is None:
+            self._reading = _Reading.ENDED
+        if not self.owed_requests and self._is_free:
             self.current = request
             self._server.on_request(request)
-        elif len(self._queue) < _MAX_PIPELINED:
-            self._queue.append(request)
-        else:
-            self.abort(Disconnect.TOO_MANY_REQUESTS)
+            return
+        self._queue.append(request)
+        if len(self._queue) >= _MAX_QUEUED_REQUESTS:
+            self._is_reading_paused = True
+            self._transport.pause_reading()
 
     # Answers.
 
@@ -253,27 +306,62 @@
         self, request: Request, status: int, headers: list[str], body: bytes
     ) -> None:
         """Write the answer to the current request, then serve the next."""
-        transport = self._transport
-        if transport.get_write_buffer_size() > _MAX_UNREAD_BYTES:
-            self.abort(Disconnect.ANSWERS_UNREAD)
-            return
-        is_last = self._will_close and not self._queue
-        closes = is_last or self._server.is_closing
-        transport.write(
+        closes = (
+            not self._queue
+            and not self._rejection
+            and (
+                self._reading is not _Reading.REQUESTS
+                or self._server.is_closing
+            )
+        )
+        self._transport.write(
             _encode(status, headers, body, closes, request.method == 'HEAD')
         )
         self.current = None
         self.phase_started_ms = self._server.clock.now_ms()
-        if self._queue and not self._server.is_closing:
-            self.current = self._queue.popleft()
-            self._server.on_request(self.current)
-        elif closes:
-            self._will_close = True
-            transport.close()
+        if closes:
+            self._transport.close()
+        else:
+            self._proceed()
+
+    def _proceed(self) -> None:
+        """Serve the queued requests, then reject what followed them."""
+        if self._is_proceeding:
+            # Called from the loop below by a request answered at once.
+            return
+        self._is_proceeding = True
+        try:
+            while self._queue and self._is_free:
+                self.current = self._queue.popleft()
+                if self._is_reading_paused:
+                    self._is_reading_paused = False
+                    self._transport.resume_reading()
+                self._server.on_request(self.current)
+        finally:
+            self._is_proceeding = False
+        if self._rejection and not self._queue and self._is_free:
+            self._transport.write(self._rejection)
+            self._rejection = b''
+            self._transport.close()
+
+    @property
+    def _is_free(self) -> bool:
+        """Whether the next request may be served."""
+        return self.current is None and not self._is_writing_paused
+
+    def _reject(self, status: int, why: str) -> None:
+        if self._reading is not _Reading.REQUESTS:
+            return
+        self._reading = _Reading.DISCARDED
+        self._server.on_rejected(status, why)
+        self._rejection = _encode(status, [], why.encode(), True, False)
+        self._proceed()
+
+    # Closing.
 
     def close_if_overdue(self, now_ms: float) -> None:
         """Close the connection if it is idle or slow."""
-        if self.current is not None:
+        if self.owed_requests or self.unsent_bytes:
             return
         limits = self._server.limits
         waited_ms = now_ms - self.phase_started_ms
@@ -283,32 +371,11 @@
         elif waited_ms > limits.idle_timeout_ms:
             self._transport.close()
 
-    @property
-    def queued_requests(self) -> int:
-        """Number of whole requests behind an unanswered one."""
-        return len(self._queue)
-
-    @property
-    def unsent_bytes(self) -> int:
-        """Bytes of answers that the kernel has not taken yet."""
-        return self._transport.get_write_buffer_size()
-
-    def abort(self, why: Disconnect = Disconnect.SERVER_CLOSED) -> None:
+    def abort(self) -> None:
         """Close at once and discard what is not written."""
-        self._disconnect = why
+        self._disconnect = Disconnect.SERVER_CLOSED
         self._transport.abort()
 
-    def _reject(self, status: int, why: str) -> None:
-        if self._will_close:
-            return
-        self._will_close = True
-        self._disconnect = Disconnect.INVALID_REQUEST
-        self._server.on_rejected(status, why)
-        if self.current is None:
-            body = why.encode()
-            self._transport.write(_encode(status, [], body, True, False))
-        self._transport.close()
-
 
 def _encode(
     status: int,
--- a/src/parsleystile/relay/httpserver.py
+++ b/src/parsleystile/relay/httpserver.py
@@ -74,20 +74,23 @@
             connection.close_if_overdue(now_ms)
 
     @property
-    def open_requests(self) -> int:
-        """Number of connections with an unanswered request."""
-        return sum(c.current is not None for c in self.connections)
-
-    @property
-    def queued_requests(self) -> int:
-        """Number of whole requests that wait behind an unanswered one."""
-        return sum(c.queued_requests for c in self.connections)
+    def owed_requests(self) -> int:
+        """Number of requests that were read and have no answer yet."""
+        return sum(c.owed_requests for c in self.connections)
 
     @property
     def unsent_bytes(self) -> int:
         """Bytes of answers that the kernel has not taken yet."""
         return sum(c.unsent_bytes for c in self.connections)
 
+    def opened(self, connection: _httpconnection.Connection) -> None:
+        """Register an accepted connection."""
+        self.connections.add(connection)
+
+    def closed(self, connection: _httpconnection.Connection) -> None:
+        """Remove a connection that is closed."""
+        self.connections.discard(connection)
+
     def close(self) -> None:
         """Stop listening and abort all connections."""
         for server in self._servers:
--- a/src/parsleystile/relay/logevents.py
+++ b/src/parsleystile/relay/logevents.py
@@ -173,7 +173,6 @@
     is_timed_out: bool
     drained_ms: float
     requests_open: int
-    requests_queued: int
     calls_at_guard: int
     caller_bytes_unsent: int
     link_bytes_unsent: int
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -418,7 +418,7 @@
     def _update_gauges(self) -> None:
         gauge = self.recorder.gauge
         gauge('calls-at-guard', self.guard.in_flight)
-        gauge('requests-open', self._http_server.open_requests)
+        gauge('requests-open', self._http_server.owed_requests)
         gauge('nodes-known', len(self.member_list.node_ids))
         gauge('nodes-unreached', len(self.member_list.unreachable()))
         gauge('lines-dropped', self.recorder.log.dropped)
@@ -445,7 +445,7 @@
     def _end_if_drained(self) -> None:
         passed_ms = self._clock.now_ms() - self._stop_requested_ms
         is_idle = (
-            not self.guard.in_flight and not self._http_server.open_requests
+            not self.guard.in_flight and not self._http_server.owed_requests
         )
         is_timed_out = passed_ms >= self._setup.stop_ms - _SHUTDOWN_MARGIN_MS
         if is_timed_out or (is_idle and passed_ms >= self._setup.lame_duck_ms):
@@ -458,8 +458,7 @@
             logevents.DrainEnded(
                 is_timed_out=is_timed_out,
                 drained_ms=round(passed_ms, 1),
-                requests_open=server.open_requests,
-                requests_queued=server.queued_requests,
+                requests_open=server.owed_requests,
                 calls_at_guard=self.guard.in_flight,
                 caller_bytes_unsent=server.unsent_bytes,
                 link_bytes_unsent=self._links.unsent_bytes,
