Serve a request to upgrade without an upgrade, and none that has a body

A request with Connection: upgrade was passed on and its connection closed at once, so the caller got no answer. One with a body was passed on without the body: the parser takes what follows the head for the new protocol.

A request without a body is now served as if it had not asked, and its connection closes after the answer; one with a body, or CONNECT, is answered 400 and not passed on. Both cases of the test failed before.

--- a/src/parsleystile/relay/_httpconnection.py
+++ b/src/parsleystile/relay/_httpconnection.py
@@ -21,6 +21,7 @@
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _EXPECT_BYTES = len(b'expect')
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+_FRAMING_HEADERS = frozenset({'content-length', 'transfer-encoding'})
 # Reading pauses while this many requests wait behind an unanswered one.
 _MAX_QUEUED_REQUESTS = 16
 
@@ -208,7 +209,9 @@
             self._reject(400, f'malformed request: {type(exc).__name__}')
             return
         except httptools.HttpParserUpgrade:
-            self._reject(400, 'upgrades are not served')
+            # Any request before it was handled on its completion, and the
+            # parser takes no more.
+            self._discard_input()
             return
         limits = self._server.limits
         if (
@@ -281,9 +284,16 @@
         self._request_bytes = 0
         body = self._body
         self._body = []
+        method = self._parser.get_method().decode('latin-1')
+        if self._parser.should_upgrade() and (
+            method == 'CONNECT' or self._has_framing()
+        ):
+            # The parser takes the body for bytes of the new protocol.
+            self._reject(400, 'upgrades are not served')
+            return
         request = Request(
             self,
-            self._parser.get_method().decode('latin-1'),
+            method,
             self._url.decode('latin-1'),
             self._headers,
             body[0] if len(body) == 1 else b''.join(body),
@@ -300,6 +310,10 @@
             self._is_reading_paused = True
             self._transport.pause_reading()
 
+    def _has_framing(self) -> bool:
+        names = self._headers[::2]
+        return any(name.lower() in _FRAMING_HEADERS for name in names)
+
     # Answers.
 
     def answer(
@@ -357,6 +371,12 @@
         self._rejection = _encode(status, [], why.encode(), True, False)
         self._proceed()
 
+    def _discard_input(self) -> None:
+        if self._reading is _Reading.REQUESTS:
+            self._reading = _Reading.DISCARDED
+            if not self.owed_requests:
+                self._transport.close()
+
     # Closing.
 
     def close_if_overdue(self, now_ms: float) -> None:
--- a/tests/test_relay_owed_answers.py
+++ b/tests/test_relay_owed_answers.py
@@ -166,3 +166,20 @@
         server.server.close()
 
     asyncutil.run(body())
+
+
+@pytest.mark.parametrize(
+    ('extra', 'statuses'),
+    [('', [200]), ('Content-Length: 4\r\n', [400])],
+    ids=['no-body', 'body'],
+)
+def test_a_request_to_upgrade_is_answered_once(extra, statuses):
+    async def body():
+        server = _Server(answer_at_once=True)
+        reader, writer = await _connect(server)
+        head = f'GET /1 HTTP/1.1\r\nConnection: upgrade\r\n{extra}'
+        writer.write(f'{head}Upgrade: h2c\r\n\r\nbody'.encode())
+        assert _statuses(await reader.read()) == statuses
+        assert len(server.requests) == statuses.count(200)
+
+    asyncutil.run(body())
