Let the caller close a connection that the server ends

A caller that was still sending, for instance the rest of a body over the limit, got a reset in place of its answer: closing a socket with unread bytes resets it, and a reset discards what the peer hasn't read. The server now ends its side, drops what still arrives and closes when the caller does, or after 2 s. Connections that the caller asked to close are closed at once as before.

The rejected body's caller failed before with a broken pipe. The test of slow connections now reads the 408, which it ignored, and closes its side.

--- a/src/parsleystile/relay/_httpconnection.py
+++ b/src/parsleystile/relay/_httpconnection.py
@@ -24,6 +24,9 @@
 _FRAMING_HEADERS = frozenset({'content-length', 'transfer-encoding'})
 # Reading pauses while this many requests wait behind an unanswered one.
 _MAX_QUEUED_REQUESTS = 16
+# Time for the caller to read the last answer and close. Closing first would
+# reset the connection if more bytes arrived, and could discard the answer.
+_LINGER_MS = 2_000.0
 
 
 class Disconnect(enum.Enum):
@@ -115,6 +118,8 @@
     ENDED = 'ended'
     # A request was rejected.
     DISCARDED = 'discarded'
+    # Everything is sent, and the connection closes once the caller does.
+    LINGERING = 'lingering'
 
 
 class Connection(asyncio.Protocol):
@@ -122,8 +127,8 @@
 
     Attributes:
         current: The request that waits for its answer.
-        phase_started_ms: Start of the wait for the next request or of the
-            request being read.
+        phase_started_ms: Start of the wait for the next request, of the
+            request being read, or of the linger time.
     """
 
     __slots__ = (
@@ -191,6 +196,11 @@
         """Bytes of answers that the kernel has not taken yet."""
         return self._transport.get_write_buffer_size()
 
+    @property
+    def is_lingering(self) -> bool:
+        """Whether everything is sent and the caller has not closed yet."""
+        return self._reading is _Reading.LINGERING
+
     # asyncio.Protocol.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -333,10 +343,12 @@
         )
         self.current = None
         self.phase_started_ms = self._server.clock.now_ms()
-        if closes:
+        if not closes:
+            self._proceed()
+        elif self._reading is _Reading.ENDED:
             self._transport.close()
         else:
-            self._proceed()
+            self._linger()
 
     def _proceed(self) -> None:
         """Serve the queued requests, then reject what followed them."""
@@ -356,7 +368,7 @@
         if self._rejection and not self._queue and self._is_free:
             self._transport.write(self._rejection)
             self._rejection = b''
-            self._transport.close()
+            self._linger()
 
     @property
     def _is_free(self) -> bool:
@@ -375,17 +387,25 @@
         if self._reading is _Reading.REQUESTS:
             self._reading = _Reading.DISCARDED
             if not self.owed_requests:
-                self._transport.close()
+                self._linger()
+
+    def _linger(self) -> None:
+        self._reading = _Reading.LINGERING
+        self.phase_started_ms = self._server.clock.now_ms()
+        self._transport.write_eof()
 
     # Closing.
 
     def close_if_overdue(self, now_ms: float) -> None:
-        """Close the connection if it is idle or slow."""
+        """Close the connection if it is idle, slow or lingers for too long."""
         if self.owed_requests or self.unsent_bytes:
             return
         limits = self._server.limits
         waited_ms = now_ms - self.phase_started_ms
-        if self._request_bytes:
+        if self.is_lingering:
+            if waited_ms > _LINGER_MS:
+                self._transport.close()
+        elif self._request_bytes:
             if waited_ms > limits.header_timeout_ms and not self._body:
                 self._reject(408, 'the request did not arrive in time')
         elif waited_ms > limits.idle_timeout_ms:
--- a/tests/test_relay_http.py
+++ b/tests/test_relay_http.py
@@ -367,7 +367,7 @@
             server = _Server()
             server.server.limits = policy.CallerLimits(1000, 50, 10.0, 10.0)
             host, port = await server.server.listen('127.0.0.1', 0)
-            _, slow = await asyncio.open_connection(host, port)
+            answer, slow = await asyncio.open_connection(host, port)
             slow.write(b'GET / HT')
             await asyncio.open_connection(host, port)
             await asyncutil.wait_until(
@@ -375,8 +375,12 @@
             )
             await asyncio.sleep(0.05)
             server.server.close_overdue()
+            data = await answer.read()
+            slow.close()
             await asyncutil.wait_until(lambda: not server.server.connections)
             server.server.close()
-            return server.rejected
+            return server.rejected, data
 
-        assert asyncutil.run(body()) == [408]
+        rejected, data = asyncutil.run(body())
+        assert rejected == [408]
+        assert data.startswith(b'HTTP/1.1 408 ')
--- a/tests/test_relay_owed_answers.py
+++ b/tests/test_relay_owed_answers.py
@@ -168,6 +168,45 @@
     asyncutil.run(body())
 
 
+def test_a_rejected_body_does_not_reset_the_answer():
+    async def body():
+        server = _Server(policy.CallerLimits(1000, 50, 1000.0, 1000.0))
+        host, port = await server.server.listen('127.0.0.1', 0)
+        loop = asyncio.get_running_loop()
+        sock = socket.socket()
+        sock.setblocking(False)
+        await loop.sock_connect(sock, (host, port))
+        size = 2_000_000
+        head = f'POST / HTTP/1.1\r\nContent-Length: {size}\r\n\r\n'
+        await loop.sock_sendall(sock, head.encode() + b'x' * 4096)
+        await asyncutil.wait_until(lambda: server.rejected)
+        # The caller reads only after it has sent its whole body.
+        await loop.sock_sendall(sock, b'x' * (size - 4096))
+        await asyncio.sleep(0.02)
+        answer = await loop.sock_recv(sock, 65_536)
+        assert _statuses(answer) == [413]
+        sock.close()
+        server.server.close()
+
+    asyncutil.run(body())
+
+
+def test_a_connection_that_the_caller_keeps_open_is_closed():
+    async def body():
+        server = _Server(policy.CallerLimits(1000, 50, 1000.0, 1000.0))
+        reader, writer = await _connect(server)
+        writer.write(b'what is this\r\n\r\n')
+        await asyncutil.wait_until(lambda: server.rejected)
+        await reader.read()
+        (connection,) = server.server.connections
+        connection.phase_started_ms -= 60_000.0
+        server.server.close_overdue()
+        await asyncutil.wait_until(lambda: not server.server.connections)
+        writer.close()
+
+    asyncutil.run(body())
+
+
 @pytest.mark.parametrize(
     ('extra', 'statuses'),
     [('', [200]), ('Content-Length: 4\r\n', [400])],
