Deliver what is written before a node closes its connections

Connections now close once everything is written, at most 100 ms later, and links end their stream and wait for the peer, since a reset would discard what the peer hasn't read.

test_answers_in_a_link_are_delivered_when_its_node_ends failed before: bytes were unsent when close returned. The shutdown of the HTTP server is new.

--- a/src/parsleystile/_linkprotocol.py
+++ b/src/parsleystile/_linkprotocol.py
@@ -79,6 +79,7 @@
         self._decoder = wire.FrameDecoder(settings.max_frame_bytes)
         self._transport: asyncio.Transport | None = None
         self._nonce = secrets.token_bytes(_NONCE_BYTES)
+        self._is_shut_down = False
         self.is_ready = False
         # Does not grow while the peer is silent.
         self.received_chunks = 0
@@ -111,7 +112,7 @@
     def send(self, kind: wire.FrameKind, message: wire.Message) -> bool:
         """Write a frame; return False if the connection cannot accept it."""
         channel = self._transport
-        if channel is None or channel.is_closing():
+        if channel is None or self._is_shut_down or channel.is_closing():
             return False
         if channel.get_write_buffer_size() > _MAX_BUFFERED_BYTES:
             self._metrics.incr('link.overflows')
@@ -132,10 +133,20 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def close_after_flush(self) -> None:
-        """Close the connection once all buffered data is written."""
-        if self._transport is not None:
-            self._transport.close()
+    def shut_down(self) -> None:
+        """End the stream after the buffered data; the peer then closes.
+
+        Closing first would reset the connection if the peer had sent more,
+        and could discard answers that it has not read.
+        """
+        self._is_shut_down = True
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write_eof()
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether the connection was established."""
+        return self._transport is not None
 
     def on_hello(self, hello: ttypes.Hello) -> None:
         raise NotImplementedError
--- a/src/parsleystile/link.py
+++ b/src/parsleystile/link.py
@@ -14,6 +14,9 @@
 
 _CONNECT_TIMEOUT_MS = 1000
 _HANDSHAKE_TIMEOUT_MS = 1000
+_CLOSE_TIMEOUT_MS = 100.0
+_CLOSE_POLL_MS = 2.0
+_MS_PER_S = 1000.0
 
 LinkSettings = _linkprotocol.LinkSettings
 
@@ -170,14 +173,28 @@
         links = [*self._links.values(), *self._accepted]
         return sum(link.unsent_bytes for link in links)
 
-    async def close(self) -> None:
-        """Close every link; outstanding calls end as UNKNOWN."""
+    async def close(self, timeout_ms: float = _CLOSE_TIMEOUT_MS) -> None:
+        """Deliver what is written and close every link.
+
+        Outstanding calls end as UNKNOWN. Links that are still open after the
+        timeout are aborted.
+        """
         if self._server is not None:
             self._server.close()
         for task in list(self._connecting):
             task.cancel()
+        for link in list(self._links.values()):
+            if not link.is_connected:
+                link.fail('the node closes')
         for link in [*self._links.values(), *self._accepted]:
-            link.close_after_flush()
+            link.shut_down()
+        try:
+            async with asyncio.timeout(timeout_ms / _MS_PER_S):
+                while self._links or self._accepted:
+                    await asyncio.sleep(_CLOSE_POLL_MS / _MS_PER_S)
+        except TimeoutError:
+            for link in [*self._links.values(), *self._accepted]:
+                link.abort()
 
 
 def _abort_unless_ready(link: _linkprotocol.Connection) -> None:
--- a/src/parsleystile/relay/_httpconnection.py
+++ b/src/parsleystile/relay/_httpconnection.py
@@ -411,6 +411,12 @@
         elif waited_ms > limits.idle_timeout_ms:
             self._transport.close()
 
+    def close(self) -> None:
+        """Close once all answers are written; cut a request without one."""
+        self._disconnect = Disconnect.SERVER_CLOSED
+        if not self.is_lingering:
+            self._transport.close()
+
     def abort(self) -> None:
         """Close at once and discard what is not written."""
         self._disconnect = Disconnect.SERVER_CLOSED
--- a/src/parsleystile/relay/httpserver.py
+++ b/src/parsleystile/relay/httpserver.py
@@ -13,6 +13,7 @@
 from parsleystile.relay import policy as policies
 
 _BACKLOG = 1024
+_MS_PER_S = 1000.0
 # The kernel closes a connection whose peer leaves data unacknowledged for this
 # time.
 _TCP_USER_TIMEOUT_MS = 5_000
@@ -48,6 +49,7 @@
         self.on_rejected = on_rejected
         self.is_closing = False
         self.connections: set[_httpconnection.Connection] = set()
+        self._all_closed: asyncio.Event | None = None
         self._servers: list[asyncio.Server] = []
 
     async def listen(self, host: str, port: int) -> tuple[str, int]:
@@ -90,6 +92,25 @@
     def closed(self, connection: _httpconnection.Connection) -> None:
         """Remove a connection that is closed."""
         self.connections.discard(connection)
+        if self._all_closed is not None and not self.connections:
+            self._all_closed.set()
+
+    async def shut_down(self, timeout_ms: float) -> None:
+        """Stop listening, deliver what is written and close.
+
+        Connections that are still open after the timeout are aborted.
+        """
+        self._all_closed = asyncio.Event()
+        for server in self._servers:
+            server.close()
+        for connection in list(self.connections):
+            connection.close()
+        if self.connections:
+            try:
+                async with asyncio.timeout(timeout_ms / _MS_PER_S):
+                    await self._all_closed.wait()
+            except TimeoutError:
+                self.close()
 
     def close(self) -> None:
         """Stop listening and abort all connections."""
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -50,6 +50,9 @@
 # Time before the platform kills the process in which the last answers are
 # sent.
 _SHUTDOWN_MARGIN_MS = 500.0
+# Time in which connections are closed at the end of a planned stop, after
+# everything that is owed is written.
+_CLOSE_TIMEOUT_MS = 100.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -466,12 +469,12 @@
         )
 
     async def close(self) -> None:
-        """Close every socket."""
+        """Deliver what is written and close every socket."""
         self._ticker.close()
-        self._http_server.close()
-        await self._links.close()
-        # Lets the event loop flush answers that are already written.
-        await asyncio.sleep(0)
+        await asyncio.gather(
+            self._http_server.shut_down(_CLOSE_TIMEOUT_MS),
+            self._links.close(_CLOSE_TIMEOUT_MS),
+        )
         self.recorder.log.flush()
 
 
--- a/tests/test_platform_stops.py
+++ b/tests/test_platform_stops.py
@@ -89,3 +89,21 @@
         assert all('Retry-After' in answer.headers for answer in refused)
 
     platformfleet.run_with_fleet(body, serving=[1], stop_ms=1200.0)
+
+
+def test_answers_in_a_link_are_delivered_when_its_node_ends():
+    async def body(fleet):
+        first, second = fleet.machines
+        large = b'x' * 20_000_000
+        second.target.custom_answer = lambda request: request.answer(
+            200, ['Parsleystile-Attempt-Id', 'c1'], large
+        )
+        call = asyncio.ensure_future(first.call(wait_ms=5000))
+        links = second.node._links
+        await asyncutil.wait_until(lambda: links.unsent_bytes)
+        await links.close(5000.0)
+        assert not links.unsent_bytes
+        answer = await call
+        assert (answer.status, len(answer.body)) == (200, len(large))
+
+    platformfleet.run_with_fleet(body, serving=[1])
--- a/tests/test_relay_owed_answers.py
+++ b/tests/test_relay_owed_answers.py
@@ -168,6 +168,35 @@
     asyncutil.run(body())
 
 
+def test_an_unsent_answer_is_delivered_by_the_shutdown():
+    async def body():
+        server = _Server()
+        reader, writer = await _connect(server)
+        writer.write(_get('/1'))
+        server.server.is_closing = True
+        await server.answer_next(1, 3 * _LARGE)
+        assert server.server.unsent_bytes
+        shutdown = asyncio.ensure_future(server.server.shut_down(10_000.0))
+        data = await reader.read()
+        await shutdown
+        assert len(data.partition(b'\r\n\r\n')[2]) == 3 * _LARGE
+
+    asyncutil.run(body())
+
+
+def test_a_shutdown_ends_although_a_caller_does_not_read():
+    async def body():
+        server = _Server()
+        _, writer = await _connect(server)
+        writer.write(_get('/1'))
+        await server.answer_next(1, 3 * _LARGE)
+        await server.server.shut_down(50.0)
+        await asyncutil.wait_until(lambda: not server.server.connections)
+        writer.close()
+
+    asyncutil.run(body())
+
+
 def test_a_rejected_body_does_not_reset_the_answer():
     async def body():
         server = _Server(policy.CallerLimits(1000, 50, 1000.0, 1000.0))
