Refuse new requests after a fixed time of a planned stop

Cause: callers leave an unready node only while half of their domain's nodes are ready. When more stop at once they keep sending; the node took everything as long as it ran, was never idle, and ended by time with requests open. Nodes that ended idle lost none.

Now the node refuses new requests after its lame-duck time, 503 as not run with a spread Retry-After, so that it becomes idle whatever callers do. Calls of its own target are served while that target runs calls, since a refusal would fail requests that others wait for. What is open at 7/8 of the time gets a final answer instead of a bare close, and the end waits for its delivery.

--- a/src/parsleystile/relay/_httpconnection.py
+++ b/src/parsleystile/relay/_httpconnection.py
@@ -48,6 +48,7 @@
         arrived_ms: Time at which its last byte was read.
         on_disconnect: Called with the reason if the connection closes before
             the answer.
+        on_shutdown: Called if the server is about to end; answers at once.
     """
 
     __slots__ = (
@@ -57,6 +58,7 @@
         'headers',
         'method',
         'on_disconnect',
+        'on_shutdown',
         'path',
     )
 
@@ -76,6 +78,7 @@
         self.body = body
         self.arrived_ms = arrived_ms
         self.on_disconnect: typing.Callable[[Disconnect], None] | None = None
+        self.on_shutdown: typing.Callable[[], None] | None = None
 
     @property
     def is_local(self) -> bool:
@@ -411,6 +414,15 @@
         elif waited_ms > limits.idle_timeout_ms:
             self._transport.close()
 
+    def answer_open(self) -> None:
+        """Ask the handlers of open requests to answer at once."""
+        while self.current is not None:
+            request = self.current
+            if request.on_shutdown is not None:
+                request.on_shutdown()
+            if self.current is request:
+                return
+
     def close(self) -> None:
         """Close once all answers are written; cut a request without one."""
         self._disconnect = Disconnect.SERVER_CLOSED
--- a/src/parsleystile/relay/dispatch.py
+++ b/src/parsleystile/relay/dispatch.py
@@ -142,12 +142,14 @@
             self._deps.balancer.cancelled(self.node_id)
 
     def _expire(self) -> None:
+        self.give_up(errors.Reason.DEADLINE, 'no answer within the time given')
+
+    def give_up(self, reason: errors.Reason, detail: str) -> None:
+        """Cancel the attempt in flight and end the request."""
         is_sent = self._pending is not None or self.may_have_run
         self.cancel()
         make = errors.unknown if is_sent else errors.not_run
-        self.on_done(
-            make(errors.Reason.DEADLINE, 'no answer within the time given')
-        )
+        self.on_done(make(reason, detail))
 
     def _send(self, now_ms: float) -> None:
         deps = self._deps
--- a/src/parsleystile/relay/guard.py
+++ b/src/parsleystile/relay/guard.py
@@ -169,6 +169,12 @@
                     active, errors.not_run(reason, 'no new work here')
                 )
 
+    def end_all(self, reason: errors.Reason) -> None:
+        """Answer all calls at once; running ones may have run."""
+        for active in list(self._calls.values()):
+            make = errors.not_run if active.pending is None else errors.unknown
+            self._refuse_active(active, make(reason, 'the node ends'))
+
     @property
     def is_refusing(self) -> bool:
         """Whether all new calls are refused."""
--- a/src/parsleystile/relay/httpserver.py
+++ b/src/parsleystile/relay/httpserver.py
@@ -95,6 +95,11 @@
         if self._all_closed is not None and not self.connections:
             self._all_closed.set()
 
+    def answer_open(self) -> None:
+        """Ask the handlers of open requests to answer at once."""
+        for connection in list(self.connections):
+            connection.answer_open()
+
     async def shut_down(self, timeout_ms: float) -> None:
         """Stop listening, deliver what is written and close.
 
--- a/src/parsleystile/relay/ingress.py
+++ b/src/parsleystile/relay/ingress.py
@@ -19,6 +19,9 @@
 from parsleystile import shedding
 
 _LOWEST_IMPORTANCE = 2
+# A stopping node is usually replaced within this time; the range spreads the
+# return of its callers.
+_REPLACEMENT_RANGE_MS = (500, 1_500)
 _MS_PER_S = 1000
 # A starting node usually has its configuration within this time.
 _NO_POLICY_RETRY_AFTER_MS = 500
@@ -46,6 +49,8 @@
     Attributes:
         policy: Returns the policy in force; None before the first one.
         own_service: Returns the service of the local target.
+        is_target_busy: Returns whether the local target runs or awaits
+            calls.
         route_balancer: Chooses among the destinations of a route.
     """
 
@@ -55,6 +60,7 @@
     rate_limiter: ratelimiter.RateLimiter
     shedder: shedding.Shedder
     dispatch_deps: dispatch.Dependencies
+    is_target_busy: typing.Callable[[], bool]
     route_balancer: 'WeightedRoundRobin'
     rng: random.Random
     recorder: telemetry.Recorder
@@ -114,10 +120,15 @@
 
 
 class Ingress:
-    """Authorises, sheds and rate-limits requests, then dispatches them."""
+    """Authorises, sheds and rate-limits requests, then dispatches them.
+
+    Attributes:
+        is_refusing: Whether new requests are refused because the node stops.
+    """
 
     def __init__(self, deps: Dependencies) -> None:
         self._deps = deps
+        self.is_refusing = False
         header_names = deps.header_names
         self._call_id_header = header_names.call_id.lower()
         self._deadline_header = header_names.deadline.lower()
@@ -314,12 +325,24 @@
         request = self._request
         deps = self._ingress._deps
         request.on_disconnect = self._on_disconnect
+        request.on_shutdown = self._on_shutdown
         route = self._route
         timeout_ms = route.timeout_ms
         if self._head.caller_timeout_ms is not None:
             timeout_ms = min(timeout_ms, self._head.caller_timeout_ms)
         deadline_ms = request.arrived_ms + timeout_ms
         is_child = self._organisation is None and request.is_local
+        if self._ingress.is_refusing and not (
+            is_child and deps.is_target_busy()
+        ):
+            self._refuse(
+                errors.not_run(
+                    errors.Reason.LEAVING,
+                    'the node stops',
+                    deps.rng.randint(*_REPLACEMENT_RANGE_MS),
+                )
+            )
+            return
         rank = self._importance(is_child) + deps.rng.random()
         if not is_child:
             refusal = deps.shedder.decide(
@@ -431,6 +454,14 @@
             self._version,
         )
 
+    def _on_shutdown(self) -> None:
+        if self._dispatch is not None and self._dispatch.attempts:
+            self._dispatch.give_up(errors.Reason.LEAVING, 'the node ends')
+        else:
+            self._refuse(
+                errors.not_run(errors.Reason.LEAVING, 'the node ends')
+            )
+
     def _on_disconnect(self, why: httpserver.Disconnect) -> None:
         deps = self._ingress._deps
         attempts = 0
--- a/src/parsleystile/relay/logevents.py
+++ b/src/parsleystile/relay/logevents.py
@@ -168,10 +168,11 @@
 
 
 class DrainEnded(LogEvent, tag_field='event', tag='drain-ended'):
-    """A planned stop ended; the counts say what the node still owed."""
+    """A planned stop ended; the other counts say what was still owed."""
 
     is_timed_out: bool
     drained_ms: float
+    requests_given_up: int
     requests_open: int
     calls_at_guard: int
     caller_bytes_unsent: int
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -15,6 +15,7 @@
 from parsleystile import metrics as metric
 from parsleystile.relay import declaredlimit
 from parsleystile.relay import dispatch
+from parsleystile.relay import drain
 from parsleystile.relay import guard
 from parsleystile.relay import headernames
 from parsleystile.relay import httpclient
@@ -47,9 +48,7 @@
 _MAX_FRAME_BYTES = 65 * 1_048_576
 # Low cold rate for a target whose service is not in the policy.
 _DEFAULT_COLD_PER_S = 5.0
-# Time before the platform kills the process in which the last answers are
-# sent.
-_SHUTDOWN_MARGIN_MS = 500.0
+_DRAIN_CHECK_PERIOD_MS = 125.0
 # Time in which connections are closed at the end of a planned stop, after
 # everything that is owed is written.
 _CLOSE_TIMEOUT_MS = 100.0
@@ -198,6 +197,7 @@
                     on_unreachable=self.state_sync.mark_unreachable,
                     on_admission_level=self._record_admission_level,
                 ),
+                is_target_busy=lambda: self.guard.in_flight > 0,
                 route_balancer=ingress.WeightedRoundRobin(rng),
                 rng=rng,
                 recorder=recorder,
@@ -211,7 +211,8 @@
         )
         self.caller_address = (setup.caller_host, setup.caller_port)
         self._known_services: set[ids.ServiceName] = set()
-        self._stop_requested_ms: float | None = None
+        self._drain = drain.drain(setup.stop_ms, setup.lame_duck_ms)
+        self._given_up = 0
 
     async def start(self) -> None:
         """Open all listeners and start the periodic work."""
@@ -272,9 +273,7 @@
         )
         before = self.member_list.own_row
         self.guard.set_target(target)
-        is_serving = (
-            self._stop_requested_ms is None and not self._is_domain_out()
-        )
+        is_serving = not self._drain.is_stopping and not self._is_domain_out()
         is_same = (
             before.target_id == report.target_id
             and before.service == report.service
@@ -359,7 +358,7 @@
         self._rate_limiter.configure(policy)
         if self._is_domain_out():
             self.guard.refuse_new(errors.Reason.DOMAIN_OUT)
-        elif self._stop_requested_ms is None:
+        elif not self._drain.is_stopping:
             self._reopen()
 
     def _reopen(self) -> None:
@@ -406,14 +405,11 @@
     def is_ready(self) -> bool:
         """Whether callers may send requests here."""
         return (
-            self.state_sync.policy is not None
-            and self._stop_requested_ms is None
+            self.state_sync.policy is not None and not self._drain.is_stopping
         )
 
     def _sweep(self) -> None:
         self._http_server.close_overdue()
-        if self._stop_requested_ms is not None:
-            self._end_if_drained()
 
     def _flush(self) -> None:
         self.recorder.log.flush()
@@ -434,9 +430,9 @@
 
     def stop(self) -> None:
         """Start draining: open requests finish, callers move elsewhere."""
-        if self._stop_requested_ms is not None:
+        if self._drain.is_stopping:
             return
-        self._stop_requested_ms = self._clock.now_ms()
+        self._drain.start(self._clock.now_ms())
         self.recorder.log.write(
             logevents.ProcessChanged(state='draining', detail='asked to stop')
         )
@@ -444,26 +440,41 @@
         self.guard.refuse_new(errors.Reason.LEAVING)
         self.state_sync.leave()
         self._on_members_changed()
-
-    def _end_if_drained(self) -> None:
-        passed_ms = self._clock.now_ms() - self._stop_requested_ms
-        is_idle = (
-            not self.guard.in_flight and not self._http_server.owed_requests
+        self.every(_DRAIN_CHECK_PERIOD_MS, self._advance_drain)
+
+    def _owed(self) -> drain.Owed:
+        return drain.Owed(
+            requests=self._http_server.owed_requests,
+            calls=self.guard.in_flight,
+            unsent_bytes=(
+                self._http_server.unsent_bytes + self._links.unsent_bytes
+            ),
         )
-        is_timed_out = passed_ms >= self._setup.stop_ms - _SHUTDOWN_MARGIN_MS
-        if is_timed_out or (is_idle and passed_ms >= self._setup.lame_duck_ms):
-            self._record_drain_end(is_timed_out, passed_ms)
-            self.on_end()
 
-    def _record_drain_end(self, is_timed_out: bool, passed_ms: float) -> None:
-        server = self._http_server
+    def _advance_drain(self) -> None:
+        for action in self._drain.tick(self._owed(), self._clock.now_ms()):
+            match action:
+                case drain.RefuseNew():
+                    self._ingress.is_refusing = True
+                case drain.AnswerOpen():
+                    self._given_up = self._http_server.owed_requests
+                    self._http_server.answer_open()
+                    self.guard.end_all(errors.Reason.LEAVING)
+                case drain.End():
+                    self._record_drain_end(action)
+                    self.on_end()
+                case _:
+                    typing.assert_never(action)
+
+    def _record_drain_end(self, end: drain.End) -> None:
         self.recorder.log.write(
             logevents.DrainEnded(
-                is_timed_out=is_timed_out,
-                drained_ms=round(passed_ms, 1),
-                requests_open=server.owed_requests,
+                is_timed_out=end.is_timed_out,
+                drained_ms=round(end.drained_ms, 1),
+                requests_given_up=self._given_up,
+                requests_open=self._http_server.owed_requests,
                 calls_at_guard=self.guard.in_flight,
-                caller_bytes_unsent=server.unsent_bytes,
+                caller_bytes_unsent=self._http_server.unsent_bytes,
                 link_bytes_unsent=self._links.unsent_bytes,
             )
         )
