--- a/tests/test_platform_stops.py
+++ b/tests/test_platform_stops.py
@@ -64,6 +64,8 @@
         results = {}
 
         async def send_until_ended(caller):
+            # Staggered, so that some request is open at any time.
+            await asyncio.sleep(0.012 * caller)
             while not ended.is_set():
                 call_id = f'{caller}-{len(results)}'
                 results[call_id] = None
