End a request whose new connection closes before it is used

A target that closes a connection right after accepting it could leave a request without any result: the connection was lost while the task that opened it waited for its turn, and the request was then written to a closed transport that has no further event. The caller waited until its deadline. Nothing was written, so the request ends as not run and goes to another target.

--- a/src/parsleystile/relay/httpclient.py
+++ b/src/parsleystile/relay/httpclient.py
@@ -347,7 +347,16 @@
                 )
             )
             return
-        if exchange.on_answer is None:
+        if not connection.is_usable:
+            # Closed by the origin while this task waited for its turn; no
+            # further event of the connection would end the exchange.
+            exchange.finish(
+                errors.not_run(
+                    errors.Reason.UNREACHABLE,
+                    f'{self.host}:{self.port} closed the new connection',
+                )
+            )
+        elif exchange.on_answer is None:
             self.release(connection)
         else:
             connection.start(exchange)
--- a/tests/test_relay_http.py
+++ b/tests/test_relay_http.py
@@ -211,6 +211,28 @@
         assert refusal.outcome is errors.Outcome.NOT_RUN
         assert refusal.reason is errors.Reason.UNREACHABLE
 
+    def test_a_new_connection_that_closes_before_its_use_means_not_run(self):
+        async def body():
+            target = _Target(lambda n: None)
+            origin = await target.start()
+            loop = origin._loop
+
+            class SlowLoop:
+                create_task = loop.create_task
+
+                async def create_connection(self, *args):
+                    result = await loop.create_connection(*args)
+                    result[0].abort()
+                    await asyncio.sleep(0.01)
+                    return result
+
+            origin._loop = SlowLoop()
+            return await _send(origin, 'c1')
+
+        refusal = asyncutil.run(body())
+        assert refusal.outcome is errors.Outcome.NOT_RUN
+        assert refusal.reason is errors.Reason.UNREACHABLE
+
     def test_idle_connections_are_not_reused_beyond_their_timeout(self):
         keep = 'Keep-Alive: timeout=1\r\n'
         _, target, _ = _run(lambda n: _answer(f'c{n}', extra=keep), 3)
