--- a/tests/asyncutil.py
+++ b/tests/asyncutil.py
@@ -7,14 +7,18 @@
 TIMEOUT_S = 20.0
 
 
-def run(body: typing.Coroutine) -> typing.Any:
+def run(
+    body: typing.Coroutine,
+    loop_factory: typing.Callable[[], asyncio.AbstractEventLoop] | None = None,
+) -> typing.Any:
     """Run a test body on a new event loop, with a timeout."""
 
     async def bounded() -> typing.Any:
         async with asyncio.timeout(TIMEOUT_S):
             return await body
 
-    return asyncio.run(bounded())
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        return runner.run(bounded())
 
 
 class CallbackResult:
--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -6,6 +6,8 @@
 import os
 import random
 
+import uvloop
+
 from adapter import config
 from adapter import process
 from adapter import settings as settings_module
@@ -281,4 +283,6 @@
         finally:
             await fleet.close()
 
-    asyncutil.run(whole())
+    # The loop of the platform's process. asyncio's server, closed just after
+    # it accepts a connection, leaves that connection open (Python 3.11).
+    asyncutil.run(whole(), uvloop.new_event_loop)
