Add a seeded soak of relay nodes as processes

Callers of five styles and targets that make calls use the nodes throughout. Series of faults overlap: stops of several nodes at once or in turn, reloads, configurations, targets that leave, store trouble, kills and pauses. A record of what callers and targets saw is checked for lost, broken off, falsely refused and repeated requests, wrong bodies and processes that end badly.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR):$(CURDIR)/platform
 
-.PHONY: env test lint format unit bench demo soak
+.PHONY: env test lint format unit bench demo soak relay-soak
 
 env: $(VENV)/.locked
 
@@ -35,3 +35,6 @@
 
 soak: env
 	$(PY) -m tests.soak --seed $(SEED)
+
+relay-soak: env
+	$(PY) -m tests.relaysoak --seed $(SEED)
--- a/stubs/platformstore.py
+++ b/stubs/platformstore.py
@@ -20,6 +20,7 @@
         oldest_feed_version: Feeds after an earlier version get status 410.
         refusal_status: Status of every response; 0 to serve requests.
         ignores_requests: Requests get no response at all.
+        loses_answers: Requests take effect but get no response.
         request_paths: Paths of the requests so far.
     """
 
@@ -28,6 +29,7 @@
         self.oldest_feed_version = 0
         self.refusal_status = 0
         self.ignores_requests = False
+        self.loses_answers = False
         self.request_paths: list[str] = []
         self._rows: dict[tuple[str, str], dict[str, typing.Any]] = {}
         self._changed = asyncio.Event()
@@ -169,6 +171,8 @@
         status: int,
         rows: list[dict[str, typing.Any]],
     ) -> None:
+        if self.loses_answers:
+            return
         body = {'rows': rows, 'ver': self.version, 'now': '0ms'}
         request.answer(
             status, _JSON, json.dumps({**body, 'has_more': False}).encode()
--- a/tests/relayprocesses.py
+++ b/tests/relayprocesses.py
@@ -10,6 +10,7 @@
 import random
 import signal
 import sys
+import tempfile
 import urllib.parse
 
 from stubs import platformstore
@@ -19,16 +20,16 @@
 from tests import relayrecord
 
 _ROOT = pathlib.Path(__file__).parent.parent
-_CALLERS_PORT = 7001
-_READINESS_PORT = 7002
-_REPORTS_PORT = 7003
-_LINK_PORT = 7004
-_METRICS_PORT = 7005
+_CALLERS_PORT, _READINESS_PORT, _REPORTS_PORT = 7001, 7002, 7003
+_LINK_PORT, _METRICS_PORT, _TARGET_PORT = 7004, 7005, 7006
+_POLL_S = 0.02
 _HEARTBEAT_S = 0.3
 _SLOTS = 40
+# A target that leaves serves for this long after its node acknowledged it.
+_DRAIN_S = 1.0
 
 
-def _host_prefix() -> str:
+def _host_prefix():
     # Concurrent test runs must not share addresses.
     high, low = divmod(os.getpid() % 62_500, 250)
     return f'127.{high + 1}.{low + 1}'
@@ -37,102 +38,94 @@
 class Machine:
     """A machine with a node's process and a target."""
 
-    def __init__(self, fleet: 'Fleet', index: int) -> None:
+    def __init__(self, fleet, index):
         self.name = f'n{index}'
         self.host = f'{fleet.host_prefix}.{index + 10}'
-        self.domain = 'ab'[index % 2]
-        self.target: platformtarget.PlatformTarget | None = None
-        self.process: asyncio.subprocess.Process | None = None
+        self.process = None
+        self._domain = 'ab'[index % 2]
         self._fleet = fleet
-        self._starts = 0
+        self.target = None
+        self._is_leaving = False
+        self._target_starts = 0
         self._sequence = 0
-        self._asked_ms: float | None = None
-        self._is_killed = False
-        self._works: set[asyncio.Task[None]] = set()
-
-    @property
-    def callers_address(self) -> tuple[str, int]:
-        return self.host, _CALLERS_PORT
-
-    # The target.
-
-    async def start_target(self) -> None:
-        """Start a new target that reports to the node until it leaves."""
-        self._starts += 1
-        target = platformtarget.platform_target(
-            f'i-{self.name}-{self._starts}'
-        )
-        target.custom_answer = self._start_work
-        port = self.target.address[1] if self.target else 0
-        await target.start(self.host, port)
-        self.target = target
-        self._fleet.spawn(self._report_forever(target))
-
-    async def _report_forever(
-        self, target: platformtarget.PlatformTarget
-    ) -> None:
-        while self.target is target:
-            await self.report(target, 'ready')
+        self._working = 0
+        self._is_listening = False
+        self._asked_ms = 0.0
+
+    async def start_target(self):
+        fleet = self._fleet
+        self._target_starts += 1
+        name = f'i-{self.name}-{self._target_starts}'
+        self.target = platformtarget.platform_target(name)
+        self.target.custom_answer = lambda r: fleet.spawn(self._work(r))
+        await self.target.start(self.host, _TARGET_PORT)
+        self._is_leaving = False
+        fleet.spawn(self._report_forever())
+
+    async def replace_target(self):
+        """Let the target leave as announced, then start another one."""
+        if self._is_leaving:
+            return
+        self._is_leaving = True
+        while not await self._report('draining'):
+            await asyncio.sleep(_HEARTBEAT_S)
+        await asyncio.sleep(_DRAIN_S)
+        while self._working:
+            await asyncio.sleep(_POLL_S)
+        self.target.close()
+        await self.start_target()
+
+    async def _report_forever(self):
+        while not self._is_leaving:
+            await self._report('ready')
             await asyncio.sleep(_HEARTBEAT_S)
 
-    async def report(
-        self, target: platformtarget.PlatformTarget, state: str
-    ) -> None:
-        """Report a state to the node, whether or not it is there."""
+    async def _report(self, state):
+        """Report the target's state; return whether it is acknowledged."""
         self._sequence += 1
         data = {
             'service': 'yard',
-            'address': f'{self.host}:{target.address[1]}',
+            'address': f'{self.host}:{_TARGET_PORT}',
             'slots': _SLOTS,
             'state': state,
             'sequence': self._sequence,
-            'born': self._starts,
+            'born': self._target_starts,
         }
-        path = f'/v1/instances/{target.target_id}/heartbeat'
+        path = f'/v1/instances/{self.target.target_id}/heartbeat'
+        address = self.host, _REPORTS_PORT
         try:
             async with asyncio.timeout(1.0):
-                await relaycallers.post(self.host, _REPORTS_PORT, path, data)
-        except (OSError, asyncio.IncompleteReadError, TimeoutError):
-            return
-
-    def _start_work(self, request: object) -> None:
-        task = asyncio.get_running_loop().create_task(self._work(request))
-        self._works.add(task)
-        task.add_done_callback(self._works.discard)
-
-    async def _work(self, request: object) -> None:
-        entries = iter(request.headers)
-        headers = {
-            name.lower(): value
-            for name, value in zip(entries, entries, strict=True)
-        }
+                return await relaycallers.post(address, path, data) == 200
+        except relaycallers.CLOSED:
+            return False
+
+    async def _work(self, request):
+        url = urllib.parse.urlsplit(request.path)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        names = [name.lower() for name in request.headers[::2]]
+        headers = dict(zip(names, request.headers[1::2], strict=True))
         call_id = headers['parsleystile-attempt-id']
-        query = dict(
-            urllib.parse.parse_qsl(urllib.parse.urlsplit(request.path).query)
-        )
-        runs = self._fleet.record.runs
-        runs.setdefault(call_id, []).append(relayrecord.now_ms())
+        self._fleet.record.runs.append(call_id)
+        self._working += 1
         await asyncio.sleep(int(query['work_ms']) / 1e3)
-        request.answer(
-            200,
-            [
-                'Parsleystile-Attempt-Id',
-                call_id,
-                'Parsleystile-Server-Signature',
-                f'signed-by-{self.name}',
-            ],
-            relayrecord.expected_body(call_id, int(query['size'])),
-        )
-
-    # The node.
-
-    async def start_node(self) -> None:
-        """Start the process of the node."""
+        status = 200
+        if query['children'] != '0':
+            child = self._fleet.caller(self, 'child')
+            await child.run_once()
+            status = 200 if child.last_status == 200 else 500
+        self._working -= 1
+        answer_headers = ['Parsleystile-Attempt-Id', call_id]
+        answer_headers += ['Parsleystile-Server-Signature', self.name]
+        body = relayrecord.expected_body(call_id, int(query['size']))
+        request.answer(status, answer_headers, body)
+
+    async def start_node(self):
+        """Start the process; return when it listens."""
         path = self._fleet.directory / f'{self.name}.json'
         path.write_text(json.dumps(self._settings()))
-        output = self._fleet.directory / f'{self.name}.log'
+        output = path.with_suffix('.log')
         with output.open('wb') as file:
-            process = await asyncio.create_subprocess_exec(
+            self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 str(_ROOT / 'platform' / 'main.py'),
                 stdin=asyncio.subprocess.DEVNULL,
@@ -144,18 +137,28 @@
                     'PARSLEYSTILE_NODE_FILE': str(path),
                 },
             )
-        self.process = process
-        self._asked_ms = None
-        self._is_killed = False
-        self._fleet.spawn(self._record_end(process, output))
+        self._asked_ms = 0.0
+        self._fleet.spawn(self._record_end(self.process, output))
+        while not self._is_listening and self.process.returncode is None:
+            await asyncio.sleep(_POLL_S)
+            self._is_listening = await self._can_connect()
+
+    async def _can_connect(self):
+        address = self.host, _READINESS_PORT
+        try:
+            _, writer = await relaycallers.connect(address, self.host)
+        except OSError:
+            return False
+        writer.close()
+        return True
 
-    def _settings(self) -> dict[str, object]:
+    def _settings(self):
         host = self.host
         store_host, store_port = self._fleet.store_address
         return {
             'node_name': self.name,
             'ip_address': host,
-            'zone': self.domain,
+            'zone': self._domain,
             'region': 'r',
             'zones': {'a': 'r', 'b': 'r'},
             'listen_addresses': {
@@ -164,132 +167,139 @@
                 'control': f'{host}:{_REPORTS_PORT}',
             },
             'internal_port_range': [_LINK_PORT, _METRICS_PORT],
-            'app_address': f'{host}:{self.target.address[1]}',
+            'app_address': f'{host}:{_TARGET_PORT}',
             'service': 'yard',
             'platform': {'address': f'{store_host}:{store_port}'},
-            'bounds': {'grace': f'{self._fleet.grace_ms:.0f}ms'},
+            'bounds': {'grace': f'{self._fleet.grace_s}s'},
         }
 
-    async def _record_end(
-        self, process: asyncio.subprocess.Process, output: pathlib.Path
-    ) -> None:
+    async def _record_end(self, process, output):
         code = await process.wait()
+        ended_ms = relayrecord.now_ms()
+        self._is_listening = False
         self._fleet.record.processes.append(
             relayrecord.Process(
-                self.name,
-                relayrecord.now_ms(),
-                code,
-                output.read_text(errors='replace'),
-                self._fleet.grace_ms,
-                self._asked_ms,
-                self._is_killed,
+                self.name, self._asked_ms, ended_ms, code, output.read_text()
             )
         )
 
-    def send_signal(self, number: signal.Signals) -> None:
-        """Send a signal to the node if it runs."""
-        if self.process.returncode is not None:
-            return
-        self.process.send_signal(number)
-        if number == signal.SIGTERM and self._asked_ms is None:
-            self._asked_ms = relayrecord.now_ms()
-        self._is_killed |= number == signal.SIGKILL
+    @property
+    def is_serving(self):
+        """Whether the node listens and was not asked to stop."""
+        return self._is_listening and not self._asked_ms
 
-    async def stop_node(self) -> None:
+    def send_signal(self, number):
+        """Send a signal to the node if it listens."""
+        if self._is_listening and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def stop_node(self):
         """Stop the node as the platform does: SIGTERM, SIGKILL after grace."""
+        process = self.process
         self.send_signal(signal.SIGTERM)
+        self._asked_ms = relayrecord.now_ms()
         try:
-            async with asyncio.timeout(self._fleet.grace_ms / 1e3):
-                await self.process.wait()
+            async with asyncio.timeout(self._fleet.grace_s):
+                await process.wait()
         except TimeoutError:
             self.send_signal(signal.SIGKILL)
-            await self.process.wait()
+            await process.wait()
 
 
 class Fleet:
     """Machines that share one store, and the record of a run."""
 
-    def __init__(
-        self, directory: pathlib.Path, count: int, grace_ms: float, seed: int
-    ) -> None:
+    def __init__(self, directory, count, grace_s, seed):
         self.directory = directory
-        self.grace_ms = grace_ms
+        self.grace_s = grace_s
         self.host_prefix = _host_prefix()
         self.record = relayrecord.Record()
         self.store = platformstore.platform_store()
         self.store_address = ('', 0)
-        self.rng = random.Random(seed)
         self.machines = [Machine(self, i) for i in range(count)]
-        self._callers: dict[relaycallers.Caller, asyncio.Task[None]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._version = 0
+        self._rng = random.Random(seed)
+        self._callers = {}
+        self._tasks = set()
 
-    def spawn(self, work: object) -> None:
+    def spawn(self, work):
         """Run a coroutine until the fleet is closed."""
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def start(self) -> None:
+    async def start(self):
         """Start everything; return when each node serves requests."""
         self.store_address = await self.store.start(f'{self.host_prefix}.1')
-        self.put_document(1)
+        self.put_next_document()
         for machine in self.machines:
             await machine.start_target()
             await machine.start_node()
-        await asyncio.gather(*map(self.wait_serving, self.machines))
-
-    def put_document(self, version: int) -> None:
-        """Write a version of the configuration to the store."""
+        for machine in self.machines:
+            caller = self.caller(machine, 'new')
+            while caller.last_status != 200:
+                await caller.run_once()
+                await asyncio.sleep(_POLL_S)
+
+    def put_next_document(self):
+        """Write a new version of the configuration to the store."""
+        self._version += 1
         services = [
             {'name': 'yard', 'max_connections': 200, 'cold_per_s': 1e4}
         ]
-        data = platformfleet.document(version, services=services)
+        data = platformfleet.document(self._version, services=services)
         data['tenants'][0].update(rate_per_s=1e5, burst=1e5)
         self.store.put('op', 'config', json.dumps(data).encode())
 
-    async def wait_serving(self, machine: Machine) -> None:
-        """Wait until a node serves requests."""
-        record = relayrecord.Record()
-        while not (record.calls and record.calls[-1].status == 200):
-            caller = self._caller(record, machine, 'new')
-            caller.is_done = True
-            await asyncio.sleep(0.05)
-            await caller.run_once()
-
-    def _caller(
-        self, record: relayrecord.Record, machine: Machine, style: str
-    ) -> relaycallers.Caller:
+    def caller(self, machine, style):
+        """Return a caller of a node; a child calls from its machine."""
+        is_child = style == 'child'
         return relaycallers.Caller(
-            record,
+            self.record,
             machine.name,
-            machine.callers_address,
-            f'{self.host_prefix}.2',
-            random.Random(self.rng.random()),
+            (machine.host, _CALLERS_PORT),
+            machine.host if is_child else f'{self.host_prefix}.2',
+            random.Random(self._rng.random()),
             style,
         )
 
-    def start_caller(self, machine: Machine, style: str) -> None:
-        """Start a caller of a node."""
-        caller = self._caller(self.record, machine, style)
+    def start_caller(self, machine, style):
+        caller = self.caller(machine, style)
         task = asyncio.get_running_loop().create_task(caller.run())
         self._callers[caller] = task
 
-    async def finish_callers(self) -> None:
+    async def finish_callers(self):
         """Let all callers finish their current requests."""
         for caller in self._callers:
             caller.is_done = True
         await asyncio.gather(*self._callers.values())
 
-    async def close(self) -> None:
+    async def close(self):
         """End everything that was started."""
+        for task in [*self._tasks, *self._callers.values()]:
+            task.cancel()
         for machine in self.machines:
             if machine.process and machine.process.returncode is None:
                 machine.process.kill()
                 await machine.process.wait()
-        for task in [*self._tasks, *self._callers.values()]:
-            task.cancel()
-        for machine in self.machines:
             if machine.target:
                 machine.target.close()
         self.store.close()
         await asyncio.sleep(0)
+
+
+def run(body, count, grace_s, seed, timeout_s):
+    """Run a body with a running fleet; return what was seen."""
+
+    async def bounded():
+        with tempfile.TemporaryDirectory() as directory:
+            fleet = Fleet(pathlib.Path(directory), count, grace_s, seed)
+            try:
+                async with asyncio.timeout(timeout_s):
+                    await fleet.start()
+                    await body(fleet)
+            finally:
+                await fleet.close()
+            return fleet.record
+
+    return asyncio.run(bounded())
--- a/tests/relayrecord.py
+++ b/tests/relayrecord.py
@@ -1,25 +1,22 @@
-"""What callers, targets and the platform saw of relay nodes, and its checks.
-
-Each check returns a line for each violation of a promise.
-"""
+"""What callers and targets of relay nodes saw, and the checks of it."""
 
+import collections
 import dataclasses
 import itertools
 import time
-import typing
 
-# A request this old at the close of its connection did not just cross it.
+# A younger request may cross the close of its connection.
 _CLOSE_RACE_MS = 200.0
-# An unplanned fault excuses a node for this long after its end.
+# A fault excuses a node for this long after its end.
 _SETTLE_MS = 1_000.0
+_NEVER_RAN = frozenset({408, 421, 429, 503})
 
 
-def now_ms() -> float:
-    """Return the time of the record."""
+def now_ms():
     return time.monotonic() * 1e3
 
 
-def expected_body(call_id: str, size: int) -> bytes:
+def expected_body(call_id, size):
     """Return the body of a target's answer to a request."""
     part = call_id.encode() + b';'
     return (part * (size // len(part) + 1))[:size]
@@ -30,12 +27,12 @@
     """A request as its caller saw it.
 
     Attributes:
-        node: Node that the caller sent it to.
         style: How the caller uses connections.
-        sent_ms: When its last byte was sent; None if it never was.
-        ended_ms: When its answer was complete or its connection closed.
-        status: Status of the complete answer; 0 if there was none.
-        is_signed: Whether a target gave the answer.
+        sent_ms: When its last byte was sent; 0 if it never was.
+        ended_ms: When its answer was complete or its connection closed; 0
+            before that.
+        status: Status of the complete answer; 0 without one.
+        is_signed: Whether the answer is a target's.
         is_whole: Whether the body is the target's for this request.
     """
 
@@ -44,8 +41,8 @@
     style: str
     is_idempotent: bool
     size: int = 0
-    sent_ms: float | None = None
-    ended_ms: float | None = None
+    sent_ms: float = 0.0
+    ended_ms: float = 0.0
     status: int = 0
     is_signed: bool = False
     is_whole: bool = False
@@ -53,20 +50,18 @@
 
 @dataclasses.dataclass(slots=True)
 class Process:
-    """A node's process from SIGTERM, or an unexpected end, to its end."""
+    """A process that ended; ``asked_ms`` is the time of SIGTERM or 0."""
 
     node: str
+    asked_ms: float
     ended_ms: float
     code: int
     output: str
-    grace_ms: float
-    asked_ms: float | None = None
-    is_killed: bool = False
 
 
 @dataclasses.dataclass(slots=True)
 class Disruption:
-    """An unplanned fault of a node; of all nodes if ``node`` is empty."""
+    """An unplanned fault of a node, or of all if ``node`` is empty."""
 
     node: str
     start_ms: float
@@ -74,29 +69,27 @@
 
 
 class Record:
-    """Events of a run; ``runs`` has the times of execution by request."""
-
-    def __init__(self) -> None:
-        self.calls: list[Call] = []
-        self.runs: dict[str, list[float]] = {}
-        self.processes: list[Process] = []
-        self.disruptions: list[Disruption] = []
-        self._ids = itertools.count(1)
-
-    def new_call(
-        self, node: str, style: str, is_idempotent: bool, size: int = 0
-    ) -> Call:
-        """Record a new request."""
-        call = Call(
-            f'{style}-{next(self._ids)}', node, style, is_idempotent, size
-        )
-        self.calls.append(call)
-        return call
-
-    def is_disrupted(
-        self, node: str | None, start_ms: float, end_ms: float
-    ) -> bool:
-        """Return whether a fault excuses a node; any node if it is None."""
+    """Events of a run; ``runs`` holds the ids of executed requests."""
+
+    def __init__(self):
+        self.calls = []
+        self.runs = []
+        self.processes = []
+        self.disruptions = []
+        self._numbers = itertools.count(1)
+
+    def new_call(self, node, style, is_idempotent, size=0):
+        call_id = f'{style}-{next(self._numbers)}'
+        self.calls.append(Call(call_id, node, style, is_idempotent, size))
+        return self.calls[-1]
+
+    def disrupt(self, node):
+        """Record a fault from now on."""
+        self.disruptions.append(Disruption(node, now_ms()))
+        return self.disruptions[-1]
+
+    def _is_disrupted(self, node, start_ms, end_ms):
+        """Return whether a fault excuses a node; any node for None."""
         return any(
             (node is None or d.node in (node, ''))
             and d.start_ms <= end_ms
@@ -104,49 +97,65 @@
             for d in self.disruptions
         )
 
-
-def _ended(record: Record) -> typing.Iterator[Call]:
-    return (
-        c
-        for c in record.calls
-        if c.sent_ms is not None and c.ended_ms is not None
-    )
-
-
-def find_lost(record: Record) -> list[str]:
-    """Whole requests end with an answer, whatever is planned.
-
-    Only a request that did not run may cross the close of its connection.
-    """
-    lines = []
-    for call in _ended(record):
-        has_run = call.call_id in record.runs
+    def _since_stop(self, call):
+        for process in self.processes:
+            asked_ms, ended_ms = process.asked_ms, process.ended_ms
+            if process.node == call.node and (
+                asked_ms
+                and call.sent_ms <= ended_ms
+                and asked_ms <= call.ended_ms
+            ):
+                return (
+                    f'; sent at {call.sent_ms - asked_ms:.0f}, closed at'
+                    f' {call.ended_ms - asked_ms:.0f}, process ended at'
+                    f' {ended_ms - asked_ms:.0f} ms after SIGTERM'
+                )
+        return ''
+
+    def violations(self):
+        """Return a line for each broken promise."""
+        runs = collections.Counter(self.runs)
+        lines = [
+            f'{call.call_id} to {call.node}: {why}{self._since_stop(call)}'
+            for call in self.calls
+            for why in self._call_faults(call, runs[call.call_id])
+        ]
+        lines += [
+            f'{process.node}: {why}'
+            for process in self.processes
+            for why in self._process_faults(process)
+        ]
+        return lines
+
+    def _call_faults(self, call, runs):
+        status = call.status
+        if status in _NEVER_RAN and runs:
+            yield f'refused with {status}, has run'
+        if runs > 1 and not call.is_idempotent:
+            yield f'ran {runs} times'
+        is_sound = call.is_signed and call.is_whole and runs
+        if 200 <= status < 300 and not is_sound:
+            yield 'success without the body of a target'
+        if not call.sent_ms or not call.ended_ms:
+            return
         waited_ms = call.ended_ms - call.sent_ms
-        if call.status or (waited_ms < _CLOSE_RACE_MS and not has_run):
-            continue
-        if record.is_disrupted(call.node, call.sent_ms, call.ended_ms):
-            continue
-        lines.append(
-            f'no answer: {call.call_id} to {call.node}, closed'
-            f' {waited_ms:.0f} ms after it was sent,'
-            f' {"has run" if has_run else "has not run"}'
-            f'{_since_stop(record, call)}'
-        )
-    return lines
-
-
-def _since_stop(record: Record, call: Call) -> str:
-    for process in record.processes:
-        asked_ms = process.asked_ms
-        if (
-            process.node == call.node
-            and asked_ms is not None
-            and asked_ms <= call.ended_ms <= process.ended_ms + _SETTLE_MS
-        ):
-            return (
-                f'; sent {call.sent_ms - asked_ms:.0f} ms and closed'
-                f' {call.ended_ms - asked_ms:.0f} ms after SIGTERM,'
-                f' the process ended {process.ended_ms - asked_ms:.0f} ms'
-                ' after it'
-            )
-    return ''
+        span = call.sent_ms, call.ended_ms
+        is_late = runs or waited_ms >= _CLOSE_RACE_MS
+        if not status and is_late and not self._is_disrupted(call.node, *span):
+            ran = 'has run' if runs else 'has not run'
+            yield f'no answer after {waited_ms:.0f} ms, {ran}'
+        is_own = status >= 500 and not call.is_signed
+        is_own = is_own and status not in _NEVER_RAN
+        if is_own and runs and not self._is_disrupted(None, *span):
+            yield f'broken off with {status} after {waited_ms:.0f} ms'
+
+    def _process_faults(self, process):
+        strange = [ln for ln in process.output.splitlines() if ln[:1] != '{']
+        if strange:
+            yield f'wrote {strange[0]!r} and {strange[-1]!r}'
+        start_ms = process.asked_ms or process.ended_ms
+        if self._is_disrupted(process.node, start_ms, process.ended_ms):
+            return
+        if process.code or not process.asked_ms:
+            took_ms = process.ended_ms - start_ms
+            yield f'ended {took_ms:.0f} ms after SIGTERM with {process.code}'
--- a/tests/test_relay_record.py
+++ b/tests/test_relay_record.py
@@ -4,46 +4,84 @@
 
 from tests import relayrecord
 
+_ANSWERED = {'status': 200, 'is_signed': True, 'is_whole': True}
 
-def _record(sent_ms=100.0, ended_ms=150.0, runs=(), **fields):
+
+def _record(runs=0, **fields):
     record = relayrecord.Record()
     call = record.new_call('n0', 'kept', is_idempotent=False)
-    call.sent_ms = sent_ms
-    call.ended_ms = ended_ms
+    call.sent_ms = 100.0
+    call.ended_ms = 150.0
     for name, value in fields.items():
         setattr(call, name, value)
-    if runs:
-        record.runs[call.call_id] = list(runs)
+    record.runs += [call.call_id] * runs
     return record
 
 
 @pytest.mark.parametrize(
-    ('fields', 'is_lost'),
+    ('runs', 'fields'),
+    [
+        (0, {}),
+        (0, {'ended_ms': 350.0, 'status': 503}),
+        (1, {'sent_ms': 0.0}),
+        (1, {'ended_ms': 0.0}),
+        (1, _ANSWERED),
+        (2, {**_ANSWERED, 'is_idempotent': True}),
+        (1, {'status': 502, 'is_signed': True}),
+        (0, {'status': 502}),
+    ],
+)
+def test_a_kept_promise_is_no_violation(runs, fields):
+    assert _record(runs, **fields).violations() == []
+
+
+@pytest.mark.parametrize(
+    ('runs', 'fields', 'why'),
     [
-        ({'runs': [120.0]}, True),
-        ({'ended_ms': 350.0}, True),
-        ({}, False),
-        ({'runs': [120.0], 'status': 502}, False),
-        ({'runs': [120.0], 'sent_ms': None}, False),
-        ({'runs': [120.0], 'ended_ms': None}, False),
+        (1, {}, 'no answer after 50 ms, has run'),
+        (0, {'ended_ms': 350.0}, 'no answer after 250 ms, has not run'),
+        (1, {'status': 502}, 'broken off with 502'),
+        (1, {'status': 504}, 'broken off with 504'),
+        (1, {'status': 503}, 'refused with 503, has run'),
+        (1, {'status': 429, 'is_signed': True}, 'refused with 429, has run'),
+        (2, _ANSWERED, 'ran 2 times'),
+        (0, _ANSWERED, 'success without'),
+        (1, {**_ANSWERED, 'is_whole': False}, 'success without'),
+        (1, {**_ANSWERED, 'is_signed': False}, 'success without'),
     ],
-    ids=['run', 'late', 'crossed', 'answered', 'not-sent', 'unfinished'],
 )
-def test_a_request_without_an_answer_is_lost(fields, is_lost):
-    lines = relayrecord.find_lost(_record(**fields))
-    assert len(lines) == is_lost
+def test_a_broken_promise_is_a_violation(runs, fields, why):
+    (line,) = _record(runs, **fields).violations()
+    assert line.startswith(f'kept-1 to n0: {why}')
 
 
 @pytest.mark.parametrize(
-    ('node', 'is_lost'), [('n0', False), ('', False), ('n1', True)]
+    ('node', 'sent_ms', 'count'),
+    [('n0', 100.0, 0), ('', 100.0, 0), ('n1', 100.0, 1), ('n0', 5e3, 1)],
 )
-def test_only_a_fault_of_its_own_node_excuses_a_lost_request(node, is_lost):
-    record = _record(runs=[120.0])
+def test_only_a_recent_fault_of_its_own_node_excuses_a_lost_request(
+    node, sent_ms, count
+):
+    record = _record(runs=1, sent_ms=sent_ms, ended_ms=sent_ms + 50.0)
     record.disruptions.append(relayrecord.Disruption(node, 90.0, 130.0))
-    assert len(relayrecord.find_lost(record)) == is_lost
+    assert len(record.violations()) == count
 
 
-def test_a_fault_excuses_nothing_long_after_its_end():
-    record = _record(runs=[5_120.0], sent_ms=5_100.0, ended_ms=5_150.0)
-    record.disruptions.append(relayrecord.Disruption('n0', 90.0, 130.0))
-    assert len(relayrecord.find_lost(record)) == 1
+@pytest.mark.parametrize(
+    ('asked_ms', 'code', 'output', 'count'),
+    [
+        (100.0, 0, '{}\n{}\n', 0),
+        (100.0, -9, '', 1),
+        (0.0, 0, '', 1),
+        (100.0, 0, '{}\nTraceback (most recent call last):\n', 1),
+    ],
+    ids=['clean', 'killed', 'unasked', 'exception'],
+)
+def test_a_process_ends_after_sigterm_without_an_error(
+    asked_ms, code, output, count
+):
+    record = relayrecord.Record()
+    record.processes.append(
+        relayrecord.Process('n0', asked_ms, 200.0, code, output)
+    )
+    assert len(record.violations()) == count
