Reproduce an exception when the last nodes of a fleet stop

A node that leaves is taken off the list of nodes. When all have left, the rate limiter divides by the length of an empty list: in Node.stop of the last one, which ends there, and in the nodes that stop before it while they read the announcement, which drops the link between the two ("Fatal error on transport"). A node on its own raises it at every stop.

The test fails on this code.

--- a/tests/test_platform_stops.py
+++ b/tests/test_platform_stops.py
@@ -51,3 +51,20 @@
         await call
 
     platformfleet.run_with_fleet(body, serving=[1], stop_ms=600.0)
+
+
+def test_the_last_nodes_of_a_fleet_stop_without_an_error():
+    async def body(fleet):
+        reported = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: reported.append(context))
+        first, second = fleet.machines
+        first.node.stop()
+        await asyncutil.wait_until(
+            lambda: len(second.node.member_list.node_ids) == 1
+        )
+        second.node.stop()
+        await asyncutil.wait_until(lambda: not first.node.member_list.node_ids)
+        assert reported == []
+
+    platformfleet.run_with_fleet(body)
