--- /dev/null
+++ b/src/parsleystile/relay/_httpconnection.py
@@ -0,0 +1,454 @@
+"""One connection of a caller to the HTTP server.
+
+Requests are answered in the order in which they were read. A request that
+was read is owed an answer: it is answered before the connection closes,
+unless the caller leaves first.
+"""
+
+import asyncio
+import collections
+import enum
+import http
+import typing
+
+import httptools
+
+from parsleystile import clock as clocks
+from parsleystile.relay import policy as policies
+
+_REASONS = {status.value: status.phrase for status in http.HTTPStatus}
+# Statuses that have no body by definition (RFC 9110, 6.4.1).
+_STATUSES_WITHOUT_BODY = frozenset({204, 304})
+_EXPECT_BYTES = len(b'expect')
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+_FRAMING_HEADERS = frozenset({'content-length', 'transfer-encoding'})
+# Reading pauses while this many requests wait behind an unanswered one.
+_MAX_QUEUED_REQUESTS = 16
+# Time for the caller to read the last answer and close. Closing first would
+# reset the connection if more bytes arrived, and could discard the answer.
+_LINGER_MS = 2_000.0
+
+
+class Disconnect(enum.Enum):
+    """Why a connection closed before the answer to a request."""
+
+    CALLER_LEFT = 'caller-left'
+    NOT_ACKNOWLEDGED = 'not-acknowledged'
+    SERVER_CLOSED = 'server-closed'
+
+
+class Request:
+    """A whole request; it is answered once or abandoned by its caller.
+
+    Attributes:
+        method: HTTP method.
+        path: Path with query, as sent.
+        headers: Names and values in turn, as sent.
+        body: Whole body.
+        arrived_ms: Time at which its last byte was read.
+        on_disconnect: Called with the reason if the connection closes before
+            the answer.
+        on_shutdown: Called if the server is about to end; answers at once.
+    """
+
+    __slots__ = (
+        '_connection',
+        'arrived_ms',
+        'body',
+        'headers',
+        'method',
+        'on_disconnect',
+        'on_shutdown',
+        'path',
+    )
+
+    def __init__(
+        self,
+        connection: 'Connection',
+        method: str,
+        path: str,
+        headers: list[str],
+        body: bytes,
+        arrived_ms: float,
+    ) -> None:
+        self._connection = connection
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.body = body
+        self.arrived_ms = arrived_ms
+        self.on_disconnect: typing.Callable[[Disconnect], None] | None = None
+        self.on_shutdown: typing.Callable[[], None] | None = None
+
+    @property
+    def is_local(self) -> bool:
+        """Whether it came from a local host."""
+        return self._connection.is_local
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the caller is still waiting for the answer."""
+        return self._connection.current is self
+
+    def answer(self, status: int, headers: list[str], body: bytes) -> None:
+        """Send the answer; does nothing if the caller has disconnected."""
+        if self.is_open:
+            self._connection.answer(self, status, headers, body)
+
+
+class Server(typing.Protocol):
+    """What a connection needs of its server; see ``HttpServer``."""
+
+    clock: clocks.Clock
+    limits: policies.CallerLimits
+    local_hosts: frozenset[str]
+    is_closing: bool
+    on_request: typing.Callable[[Request], None]
+    on_rejected: typing.Callable[[int, str], None]
+
+    def opened(self, connection: 'Connection') -> None:
+        """Register an accepted connection."""
+
+    def closed(self, connection: 'Connection') -> None:
+        """Remove a connection that is closed."""
+
+
+class _Reading(enum.Enum):
+    """What happens to the bytes that a caller sends."""
+
+    REQUESTS = 'requests'
+    # The caller asked to close after the last request read.
+    ENDED = 'ended'
+    # A request was rejected.
+    DISCARDED = 'discarded'
+    # Everything is sent, and the connection closes once the caller does.
+    LINGERING = 'lingering'
+
+
+class Connection(asyncio.Protocol):
+    """One connection of a caller.
+
+    Attributes:
+        current: The request that waits for its answer.
+        phase_started_ms: Start of the wait for the next request, of the
+            request being read, or of the linger time.
+    """
+
+    __slots__ = (
+        '_body',
+        '_body_bytes',
+        '_disconnect',
+        '_expects_continue',
+        '_headers',
+        '_is_local',
+        '_is_proceeding',
+        '_is_reading_paused',
+        '_is_writing_paused',
+        '_parser',
+        '_queue',
+        '_reading',
+        '_rejection',
+        '_request_bytes',
+        '_server',
+        '_transport',
+        '_url',
+        'current',
+        'phase_started_ms',
+    )
+
+    def __init__(self, server: Server) -> None:
+        self._server = server
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._url = b''
+        self._headers: list[str] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        # The caller waits for 100 Continue before it sends the body.
+        self._expects_continue = False
+        self._request_bytes = 0
+        self._queue: collections.deque[Request] = collections.deque()
+        # Sent after the answers to all requests read before it.
+        self._rejection = b''
+        self._reading = _Reading.REQUESTS
+        self._is_reading_paused = False
+        self._is_writing_paused = False
+        self._is_proceeding = False
+        self._disconnect = Disconnect.CALLER_LEFT
+        self.current: Request | None = None
+        self._is_local: bool | None = None
+        self.phase_started_ms = server.clock.now_ms()
+
+    @property
+    def is_local(self) -> bool:
+        """Whether the caller is a local host."""
+        # Computed on demand: it costs a system call and few requests need it.
+        if self._is_local is None:
+            peer = self._transport.get_extra_info('peername')
+            hosts = self._server.local_hosts
+            self._is_local = peer is not None and peer[0] in hosts
+        return self._is_local
+
+    @property
+    def owed_requests(self) -> int:
+        """Number of requests that were read and have no answer yet."""
+        return len(self._queue) + (self.current is not None)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that the kernel has not taken yet."""
+        return self._transport.get_write_buffer_size()
+
+    @property
+    def is_lingering(self) -> bool:
+        """Whether everything is sent and the caller has not closed yet."""
+        return self._reading is _Reading.LINGERING
+
+    # asyncio.Protocol.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = typing.cast(asyncio.Transport, transport)
+        self._server.opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self._reading is not _Reading.REQUESTS:
+            return
+        if self.current is None and not self._request_bytes:
+            self.phase_started_ms = self._server.clock.now_ms()
+        self._request_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as exc:
+            self._reject(400, f'malformed request: {type(exc).__name__}')
+            return
+        except httptools.HttpParserUpgrade:
+            # Any request before it was handled on its completion, and the
+            # parser takes no more.
+            self._discard_input()
+            return
+        limits = self._server.limits
+        if (
+            not self._body
+            and not self.owed_requests
+            and self._request_bytes > limits.header_bytes + len(data)
+        ):
+            self._reject(431, f'over {limits.header_bytes} header bytes')
+
+    def eof_received(self) -> bool:
+        # A caller that closes and one that only ends its side look the same,
+        # and work for a caller that left has to stop.
+        return False
+
+    def pause_writing(self) -> None:
+        self._is_writing_paused = True
+
+    def resume_writing(self) -> None:
+        self._is_writing_paused = False
+        self._proceed()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._server.closed(self)
+        self._queue.clear()
+        if isinstance(exc, TimeoutError):
+            self._disconnect = Disconnect.NOT_ACKNOWLEDGED
+        request, self.current = self.current, None
+        if request is not None and request.on_disconnect is not None:
+            request.on_disconnect(self._disconnect)
+
+    # Callbacks of httptools.
+
+    def on_message_begin(self) -> None:
+        self._url = b''
+        self._headers = []
+        self._body = []
+        self._body_bytes = 0
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if len(name) == _EXPECT_BYTES and name.lower() == b'expect':
+            self._expects_continue = True
+        headers = self._headers
+        headers.append(name.decode('latin-1'))
+        headers.append(value.decode('latin-1'))
+
+    def on_headers_complete(self) -> None:
+        if self._request_bytes > self._server.limits.header_bytes:
+            size = sum(map(len, self._headers)) + len(self._url)
+            if size > self._server.limits.header_bytes:
+                self._reject(431, 'header too large')
+                return
+        if self._expects_continue:
+            self._expects_continue = False
+            self._transport.write(_CONTINUE)
+
+    def on_body(self, chunk: bytes) -> None:
+        self._body.append(chunk)
+        self._body_bytes += len(chunk)
+        limit = self._server.limits.body_bytes
+        if self._body_bytes > limit:
+            self._body.clear()
+            self._reject(413, f'over {limit} body bytes')
+
+    def on_message_complete(self) -> None:
+        if self._reading is not _Reading.REQUESTS:
+            return
+        self._request_bytes = 0
+        body = self._body
+        self._body = []
+        method = self._parser.get_method().decode('latin-1')
+        if self._parser.should_upgrade() and (
+            method == 'CONNECT' or self._has_framing()
+        ):
+            # The parser takes the body for bytes of the new protocol.
+            self._reject(400, 'upgrades are not served')
+            return
+        request = Request(
+            self,
+            method,
+            self._url.decode('latin-1'),
+            self._headers,
+            body[0] if len(body) == 1 else b''.join(body),
+            self._server.clock.now_ms(),
+        )
+        if not self._parser.should_keep_alive():
+            self._reading = _Reading.ENDED
+        if not self.owed_requests and self._is_free:
+            self.current = request
+            self._server.on_request(request)
+            return
+        self._queue.append(request)
+        if len(self._queue) >= _MAX_QUEUED_REQUESTS:
+            self._is_reading_paused = True
+            self._transport.pause_reading()
+
+    def _has_framing(self) -> bool:
+        names = self._headers[::2]
+        return any(name.lower() in _FRAMING_HEADERS for name in names)
+
+    # Answers.
+
+    def answer(
+        self, request: Request, status: int, headers: list[str], body: bytes
+    ) -> None:
+        """Write the answer to the current request, then serve the next."""
+        closes = (
+            not self._queue
+            and not self._rejection
+            and (
+                self._reading is not _Reading.REQUESTS
+                or self._server.is_closing
+            )
+        )
+        self._transport.write(
+            _encode(status, headers, body, closes, request.method == 'HEAD')
+        )
+        self.current = None
+        self.phase_started_ms = self._server.clock.now_ms()
+        if not closes:
+            self._proceed()
+        elif self._reading is _Reading.ENDED:
+            self._transport.close()
+        else:
+            self._linger()
+
+    def _proceed(self) -> None:
+        """Serve the queued requests, then reject what followed them."""
+        if self._is_proceeding:
+            # Called from the loop below by a request answered at once.
+            return
+        self._is_proceeding = True
+        try:
+            while self._queue and self._is_free:
+                self.current = self._queue.popleft()
+                if self._is_reading_paused:
+                    self._is_reading_paused = False
+                    self._transport.resume_reading()
+                self._server.on_request(self.current)
+        finally:
+            self._is_proceeding = False
+        if self._rejection and not self._queue and self._is_free:
+            self._transport.write(self._rejection)
+            self._rejection = b''
+            self._linger()
+
+    @property
+    def _is_free(self) -> bool:
+        """Whether the next request may be served."""
+        return self.current is None and not self._is_writing_paused
+
+    def _reject(self, status: int, why: str) -> None:
+        if self._reading is not _Reading.REQUESTS:
+            return
+        self._reading = _Reading.DISCARDED
+        self._server.on_rejected(status, why)
+        self._rejection = _encode(status, [], why.encode(), True, False)
+        self._proceed()
+
+    def _discard_input(self) -> None:
+        if self._reading is _Reading.REQUESTS:
+            self._reading = _Reading.DISCARDED
+            if not self.owed_requests:
+                self._linger()
+
+    def _linger(self) -> None:
+        self._reading = _Reading.LINGERING
+        self.phase_started_ms = self._server.clock.now_ms()
+        self._transport.write_eof()
+
+    # Closing.
+
+    def close_if_overdue(self, now_ms: float) -> None:
+        """Close the connection if it is idle, slow or lingers for too long."""
+        if self.owed_requests or self.unsent_bytes:
+            return
+        limits = self._server.limits
+        waited_ms = now_ms - self.phase_started_ms
+        if self.is_lingering:
+            if waited_ms > _LINGER_MS:
+                self._transport.close()
+        elif self._request_bytes:
+            if waited_ms > limits.header_timeout_ms and not self._body:
+                self._reject(408, 'the request did not arrive in time')
+        elif waited_ms > limits.idle_timeout_ms:
+            self._transport.close()
+
+    def answer_open(self) -> None:
+        """Ask the handlers of open requests to answer at once."""
+        while self.current is not None:
+            request = self.current
+            if request.on_shutdown is not None:
+                request.on_shutdown()
+            if self.current is request:
+                return
+
+    def close(self) -> None:
+        """Close once all answers are written; cut a request without one."""
+        self._disconnect = Disconnect.SERVER_CLOSED
+        if not self.is_lingering:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close at once and discard what is not written."""
+        self._disconnect = Disconnect.SERVER_CLOSED
+        self._transport.abort()
+
+
+def _encode(
+    status: int,
+    headers: list[str],
+    body: bytes,
+    closes: bool,
+    is_head: bool,
+) -> bytes:
+    lines = [f'HTTP/1.1 {status} {_REASONS.get(status, "Unknown")}']
+    for i in range(0, len(headers), 2):
+        lines.append(f'{headers[i]}: {headers[i + 1]}')
+    has_body = not is_head and status not in _STATUSES_WITHOUT_BODY
+    if has_body:
+        lines.append(f'Content-Length: {len(body)}')
+    if closes:
+        lines.append('Connection: close')
+    head = '\r\n'.join(lines).encode('latin-1', 'replace') + b'\r\n\r\n'
+    return head + body if has_body else head
--- a/tests/test_platform_stops.py
+++ b/tests/test_platform_stops.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from parsleystile import errors
 from parsleystile.relay import logevents
 from tests import asyncutil
 from tests import platformfleet
@@ -46,13 +47,121 @@
         await asyncutil.wait_until(lambda: ended)
         (event,) = _of_kind(written, logevents.DrainEnded)
         assert event.is_timed_out
-        assert event.requests_open == 1
+        assert event.requests_given_up == 1
+        assert event.requests_open == 0
         await first.node.close()
         await call
 
     platformfleet.run_with_fleet(body, serving=[1], stop_ms=600.0)
 
 
+def test_requests_sent_long_after_a_stop_request_are_refused_not_cut():
+    async def body(fleet):
+        first, second = fleet.machines
+        ended = asyncio.Event()
+        first.node.on_end = ended.set
+        second.target.work_ms = 60.0
+        results = {}
+
+        async def send_until_ended(caller):
+            # Staggered, so that some request is open at any time.
+            await asyncio.sleep(0.012 * caller)
+            while not ended.is_set():
+                call_id = f'{caller}-{len(results)}'
+                results[call_id] = None
+                results[call_id] = await first.call(call_id=call_id)
+
+        async def end():
+            await ended.wait()
+            await first.node.close()
+
+        callers = [send_until_ended(i) for i in range(5)]
+        sending = asyncio.gather(end(), *callers)
+        await asyncutil.wait_until(lambda: len(results) > 20)
+        first.node.stop()
+        await sending
+        answers = {
+            call_id: result
+            for call_id, result in results.items()
+            if not isinstance(result, errors.Refusal)
+        }
+        served = [i for i, answer in answers.items() if answer.status == 200]
+        assert sorted(fleet.executed_ids()) == sorted(served)
+        refused = [a for a in answers.values() if a.status == 503]
+        assert refused
+        assert all('Retry-After' in answer.headers for answer in refused)
+
+    platformfleet.run_with_fleet(body, serving=[1], stop_ms=1200.0)
+
+
+def test_a_request_open_at_the_end_of_a_stop_gets_a_final_answer():
+    async def body(fleet):
+        first, second = fleet.machines
+        second.target.work_ms = 5000.0
+        call = asyncio.ensure_future(first.call(wait_ms=5000))
+        await asyncutil.wait_until(fleet.executed_ids)
+        ended = []
+        first.node.on_end = lambda: ended.append(True)
+        first.node.stop()
+        answer = await call
+        assert (answer.status, answer.body) == (502, b'leaving\n')
+        await asyncutil.wait_until(lambda: ended)
+
+    platformfleet.run_with_fleet(body, serving=[1], stop_ms=600.0)
+
+
+def test_a_stopping_node_serves_calls_of_its_busy_target():
+    async def body(fleet):
+        first, second = fleet.machines
+        first.target.work_ms = 900.0
+        parent = asyncio.ensure_future(second.call())
+        await asyncutil.wait_until(fleet.executed_ids)
+        first.node.stop()
+        ingress = first.node._ingress
+        await asyncutil.wait_until(lambda: ingress.is_refusing)
+        second.report()
+        child = await first.call('/lookup/x', call_id='c1.1', key='')
+        assert child.status == 200
+        assert (await first.call(call_id='c2')).status == 503
+        assert (await parent).status == 200
+
+    platformfleet.run_with_fleet(body, serving=[0], stop_ms=1200.0)
+
+
+def test_a_call_at_the_guard_of_an_ended_node_is_unknown_to_its_caller():
+    async def body(fleet):
+        first, second = fleet.machines
+        second.target.work_ms = 5000.0
+        call = asyncio.ensure_future(first.call('/reserve/x', wait_ms=5000))
+        await asyncutil.wait_until(fleet.executed_ids)
+        ended = []
+        second.node.on_end = lambda: ended.append(True)
+        second.node.stop()
+        answer = await call
+        assert (answer.status, answer.body) == (502, b'leaving\n')
+        await asyncutil.wait_until(lambda: ended)
+
+    platformfleet.run_with_fleet(body, serving=[1], stop_ms=600.0)
+
+
+def test_answers_in_a_link_are_delivered_when_its_node_ends():
+    async def body(fleet):
+        first, second = fleet.machines
+        large = b'x' * 20_000_000
+        second.target.custom_answer = lambda request: request.answer(
+            200, ['Parsleystile-Attempt-Id', 'c1'], large
+        )
+        call = asyncio.ensure_future(first.call(wait_ms=5000))
+        links = second.node._links
+        await asyncutil.wait_until(lambda: links.unsent_bytes)
+        await links.close(5000.0)
+        assert not links.unsent_bytes
+        answer = await call
+        assert (answer.status, len(answer.body)) == (200, len(large))
+
+    platformfleet.run_with_fleet(body, serving=[1])
+
+
 def test_the_last_nodes_of_a_fleet_stop_without_an_error():
     async def body(fleet):
         reported = []
