Let the last nodes of a fleet stop

When all nodes of a list had left, the rate limiter divided by the length of the empty list. In Node.stop of the last node the exception kept the drain from starting, so the process ended only by SIGKILL, with its requests cut; in the others it dropped the link on which the announcement came.

The last nodes now keep the shares that they had, which sum up to the rate at most; a new organisation gets none.

--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -436,11 +436,12 @@
         self.recorder.log.write(
             logevents.ProcessChanged(state='draining', detail='asked to stop')
         )
+        # First, so that the node ends whatever the announcement meets.
+        self.every(_DRAIN_CHECK_PERIOD_MS, self._advance_drain)
         self._http_server.is_closing = True
         self.guard.refuse_new(errors.Reason.LEAVING)
         self.state_sync.leave()
         self._on_members_changed()
-        self.every(_DRAIN_CHECK_PERIOD_MS, self._advance_drain)
 
     def _owed(self) -> drain.Owed:
         return drain.Owed(
--- a/src/parsleystile/relay/tokenbuckets.py
+++ b/src/parsleystile/relay/tokenbuckets.py
@@ -102,11 +102,14 @@
             if limits.rate_per_s <= 0.0:
                 self._buckets.pop(organisation, None)
                 continue
+            if not nodes and organisation in self._buckets:
+                # The last nodes are leaving; each keeps the share that it had.
+                continue
             holders = select_holders(limits, nodes)
             self._holders[organisation] = holders
             share = 1.0 / len(holders) if own_node_id in holders else 0.0
             rate_per_ms = share * limits.rate_per_s / 1e3
-            fair_rate_per_ms = limits.rate_per_s / 1e3 / len(nodes)
+            fair_rate_per_ms = limits.rate_per_s / 1e3 / max(1, len(nodes))
             capacity = share * max(limits.burst, 1.0)
             bucket = self._buckets.get(organisation)
             if bucket is None:
--- a/tests/test_relay_tokenbuckets.py
+++ b/tests/test_relay_tokenbuckets.py
@@ -151,3 +151,23 @@
     while quiet.try_take(ORG, 10_000.0):
         pass
     assert busy > quiet.retry_after_ms(ORG, 10_000.0)
+
+
+def test_a_fleet_whose_last_nodes_leave_keeps_its_shares():
+    limits = _organisations(100.0, 60)
+    leaving = ids.NodeId('n00')
+    last = ids.NodeId('n01')
+    fleet = _fleet(2, 100.0, 60)
+    fleet[leaving].configure(limits, [last], leaving, 1_000.0)
+    fleet[last].configure(limits, [last], last, 1_000.0)
+    for node in (leaving, last):
+        fleet[node].configure(limits, [], node, 2_000.0)
+    assert not fleet[leaving].try_take(ORG, 9_000.0)
+    assert fleet[last].try_take(ORG, 9_000.0)
+    assert fleet[last].tokens(ORG) == 59.0
+
+
+def test_a_new_organisation_gets_no_tokens_while_all_nodes_leave():
+    buckets = tokenbuckets.token_buckets(random.Random(1))
+    buckets.configure(_organisations(100.0, 60), [], ids.NodeId('n00'), 0.0)
+    assert not buckets.try_take(ORG, 1_000.0)
