Keep the deadlines of a slot when one of its callbacks fails

A callback that raised lost all deadlines of the same 4 ms: calls then had no timeout and, if their answer was lost as well, no end. Only the deadlines of later slots survived. The new test failed before.

--- a/src/parsleystile/deadlines.py
+++ b/src/parsleystile/deadlines.py
@@ -82,18 +82,24 @@
         return deadline
 
     def expire(self, now_ms: float) -> None:
-        """Call the callbacks of all deadlines that are due."""
+        """Call the callbacks of all deadlines that are due.
+
+        If a callback raises, the deadlines after it stay due.
+        """
         current = int(now_ms / _SLOT_MS)
         if self._next_slot is None or self._next_slot > current:
             return
         self._expired_slot = current
         heap = self._slot_heap
         while heap and heap[0] <= current:
+            entries = self._slots.get(heap[0])
             # A callback may cancel others in its slot, or empty a later slot.
-            for deadline in self._slots.pop(heapq.heappop(heap), ()):
-                if deadline.callback is not None:
-                    callback, deadline.callback = deadline.callback, None
-                    callback()
+            while entries:
+                deadline = next(iter(entries))
+                del entries[deadline]
+                callback, deadline.callback = deadline.callback, None
+                callback()
+            self._slots.pop(heapq.heappop(heap), None)
         while heap and heap[0] not in self._slots:
             heapq.heappop(heap)
         self._next_slot = heap[0] if heap else None
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -183,3 +183,19 @@
         wheel.expire(50.0)
     wheel.expire(50.0)
     assert seen == ['kept']
+
+
+def test_a_failing_callback_does_not_lose_others_of_its_slot():
+    wheel = deadlines.DeadlineWheel()
+    seen = []
+
+    def fail():
+        raise ValueError('a fault')
+
+    wheel.add(10.0, fail)
+    wheel.add(10.0, lambda: seen.append('second'))
+    with pytest.raises(ValueError, match='a fault'):
+        wheel.expire(20.0)
+    assert wheel.next_due_ms <= 20.0
+    wheel.expire(20.0)
+    assert seen == ['second']
