Reproduce a refusal of a request that had run

A target had run it and answered 500, since a call that it made was refused. Dispatch._handle_answer does not note that the first attempt ran, so the caller gets the last refusal as it is: a promise that the request did not run. An expiry or the end of the node in between has the same effect, and the organisation gets its token back.

The test fails on this code.

--- a/tests/test_platform_stops.py
+++ b/tests/test_platform_stops.py
@@ -177,3 +177,21 @@
         assert reported == []
 
     platformfleet.run_with_fleet(body)
+
+
+def test_a_request_that_failed_at_a_target_is_not_refused_as_not_run():
+    async def body(fleet):
+        first, *others = fleet.machines
+
+        def fail(request):
+            for machine in others:
+                machine.node.guard.refuse_new(errors.Reason.LEAVING)
+            request.answer(500, ['Parsleystile-Attempt-Id', 'c1'], b'')
+
+        for machine in others:
+            machine.target.custom_answer = fail
+        answer = await first.call()
+        assert fleet.executed_ids() == ['c1']
+        assert answer.status in (500, 502)
+
+    platformfleet.run_with_fleet(body, count=3, serving=[1, 2])
