Answer with the target's failure when a retry brings no answer

A caller was told 503, not run, of a request that had run: the target answered 500, the retry of the idempotent request was refused by the other nodes, and the refusal was the answer. The first answer now stands if the retries bring none, also at the deadline, since it is what the target said.

--- a/src/parsleystile/relay/dispatch.py
+++ b/src/parsleystile/relay/dispatch.py
@@ -74,6 +74,8 @@
         attempts: Attempts made so far.
         targets_reached: Attempts that may have reached a target.
         may_have_run: Whether an attempt ended with an unknown outcome.
+        failed_answer: A target's server error after which the request is
+            retried; sent if the retries bring no answer.
         node_id: Node of the last attempt.
     """
 
@@ -86,6 +88,7 @@
         '_timer',
         'call',
         'deadline_ms',
+        'failed_answer',
         'is_child',
         'may_have_run',
         'node_id',
@@ -114,6 +117,7 @@
         self.attempts = 0
         self.targets_reached = 0
         self.may_have_run = False
+        self.failed_answer: ttypes.Answer | None = None
         self.node_id = ids.NodeId('')
         self._excluded: frozenset[ids.NodeId] = frozenset()
         self._pending: transport.PendingCall | None = None
@@ -149,7 +153,7 @@
         is_sent = self._pending is not None or self.may_have_run
         self.cancel()
         make = errors.unknown if is_sent else errors.not_run
-        self.on_done(make(reason, detail))
+        self.on_done(self.failed_answer or make(reason, detail))
 
     def _send(self, now_ms: float) -> None:
         deps = self._deps
@@ -224,6 +228,7 @@
             refusal = errors.unknown(
                 errors.Reason.TARGET_FAILED, f'status {answer.status}'
             )
+            self.failed_answer = answer
             if self._retry(refusal, now_ms):
                 return
         self._finish(answer)
@@ -297,6 +302,11 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        if isinstance(reply, errors.Refusal) and self.may_have_run:
-            reply = dataclasses.replace(reply, outcome=errors.Outcome.UNKNOWN)
+        if isinstance(reply, errors.Refusal):
+            if self.failed_answer is not None:
+                reply = self.failed_answer
+            elif self.may_have_run:
+                reply = dataclasses.replace(
+                    reply, outcome=errors.Outcome.UNKNOWN
+                )
         self.on_done(reply)
--- a/tests/test_relay_dispatch.py
+++ b/tests/test_relay_dispatch.py
@@ -180,3 +180,17 @@
     reply, links = _send([_answer(500, _SHEDDING), _answer(200)])
     assert reply.status == 500
     assert len(links.sent) == 1
+
+
+@pytest.mark.parametrize(
+    'second',
+    [
+        _refused(errors.Reason.QUEUE_FULL),
+        errors.unknown(errors.Reason.LINK_LOST),
+    ],
+    ids=['refused', 'lost'],
+)
+def test_a_targets_failure_is_the_answer_if_the_retry_brings_none(second):
+    reply, links = _send([_answer(500), second, second, second])
+    assert len(links.sent) > 1
+    assert reply.status == 500
