Let the target of a stopping node serve while its service has no other

Callers lost work when all targets of a service stood beside stopping nodes: their guards refused calls from SIGTERM on although the targets ran and the nodes served callers for 3 s more. Calls of targets failed (no target), and the requests above them with 500.

A stopping node is now leaving first: its target gets calls only if the service has no other, its queue is served, and it keeps its part of the rates. When the node refuses new requests it is gone, as before at once.

The two new tests failed before.

--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -273,7 +273,7 @@
         )
         before = self.member_list.own_row
         self.guard.set_target(target)
-        is_serving = not self._drain.is_stopping and not self._is_domain_out()
+        is_serving = not self.guard.is_refusing
         is_same = (
             before.target_id == report.target_id
             and before.service == report.service
@@ -439,8 +439,7 @@
         # First, so that the node ends whatever the announcement meets.
         self.every(_DRAIN_CHECK_PERIOD_MS, self._advance_drain)
         self._http_server.is_closing = True
-        self.guard.refuse_new(errors.Reason.LEAVING)
-        self.state_sync.leave()
+        self.state_sync.announce_leave()
         self._on_members_changed()
 
     def _owed(self) -> drain.Owed:
@@ -456,7 +455,7 @@
         for action in self._drain.tick(self._owed(), self._clock.now_ms()):
             match action:
                 case drain.RefuseNew():
-                    self._ingress.is_refusing = True
+                    self._refuse_new()
                 case drain.AnswerOpen():
                     self._given_up = self._http_server.owed_requests
                     self._http_server.answer_open()
@@ -467,6 +466,12 @@
                 case _:
                     typing.assert_never(action)
 
+    def _refuse_new(self) -> None:
+        self._ingress.is_refusing = True
+        self.guard.refuse_new(errors.Reason.LEAVING)
+        self.state_sync.leave()
+        self._on_members_changed()
+
     def _record_drain_end(self, end: drain.End) -> None:
         self.recorder.log.write(
             logevents.DrainEnded(
--- a/tests/test_platform_stops.py
+++ b/tests/test_platform_stops.py
@@ -195,3 +195,33 @@
         assert answer.status in (500, 502)
 
     platformfleet.run_with_fleet(body, count=3, serving=[1, 2])
+
+
+def test_the_only_target_of_a_service_serves_while_its_node_can():
+    async def body(fleet):
+        first, second = fleet.machines
+        second.node.stop()
+        await asyncutil.wait_until(
+            lambda: first.node.member_list.row('n1').is_leaving
+        )
+        assert (await first.call()).status == 200
+        await asyncutil.wait_until(
+            lambda: first.node.member_list.row('n1').is_gone
+        )
+        assert (await first.call(call_id='c2')).status == 503
+
+    platformfleet.run_with_fleet(body, serving=[1], stop_ms=1200.0)
+
+
+def test_the_target_of_a_stopping_node_gets_no_calls_while_others_serve():
+    async def body(fleet):
+        first, second = fleet.machines
+        second.node.stop()
+        await asyncutil.wait_until(
+            lambda: first.node.member_list.row('n1').is_leaving
+        )
+        answers = [await first.call(call_id=f'c{i}') for i in range(10)]
+        assert {a.status for a in answers} == {200}
+        assert second.target.executed_headers == []
+
+    platformfleet.run_with_fleet(body, stop_ms=1200.0)
