--- a/src/parsleystile/relay/httpserver.py
+++ b/src/parsleystile/relay/httpserver.py
@@ -13,6 +13,8 @@
 from parsleystile.relay import policy as policies
 
 _BACKLOG = 1024
+# Time for the first request on a connection that was just accepted.
+_SETTLE_MS = 25.0
 _MS_PER_S = 1000.0
 # The kernel closes a connection whose peer leaves data unacknowledged for this
 # time.
@@ -105,9 +107,10 @@
 
         Connections that are still open after the timeout are aborted.
         """
-        self._all_closed = asyncio.Event()
         for server in self._servers:
             server.close()
+        await asyncio.sleep(_SETTLE_MS / _MS_PER_S)
+        self._all_closed = asyncio.Event()
         for connection in list(self.connections):
             connection.close()
         if self.connections:
--- a/tests/test_relay_owed_answers.py
+++ b/tests/test_relay_owed_answers.py
@@ -184,6 +184,22 @@
     asyncutil.run(body())
 
 
+def test_a_request_on_a_connection_just_accepted_is_answered():
+    async def body():
+        server = _Server(answer_at_once=True)
+        reader, writer = await _connect(server)
+        await asyncutil.wait_until(lambda: server.server.connections)
+        server.server.is_closing = True
+        shutdown = asyncio.ensure_future(server.server.shut_down(1000.0))
+        await asyncio.sleep(0)
+        writer.write(_get('/1'))
+        assert _statuses(await reader.read()) == [200]
+        writer.close()
+        await shutdown
+
+    asyncutil.run(body())
+
+
 def test_a_shutdown_ends_although_a_caller_does_not_read():
     async def body():
         server = _Server()
