--- a/src/parsleystile/relay/_httpconnection.py
+++ b/src/parsleystile/relay/_httpconnection.py
@@ -8,17 +8,14 @@
 import asyncio
 import collections
 import enum
-import http
 import typing
 
 import httptools
 
 from parsleystile import clock as clocks
+from parsleystile.relay import httprequest
 from parsleystile.relay import policy as policies
 
-_REASONS = {status.value: status.phrase for status in http.HTTPStatus}
-# Statuses that have no body by definition (RFC 9110, 6.4.1).
-_STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _EXPECT_BYTES = len(b'expect')
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 _FRAMING_HEADERS = frozenset({'content-length', 'transfer-encoding'})
@@ -29,73 +26,6 @@
 _LINGER_MS = 2_000.0
 
 
-class Disconnect(enum.Enum):
-    """Why a connection closed before the answer to a request."""
-
-    CALLER_LEFT = 'caller-left'
-    NOT_ACKNOWLEDGED = 'not-acknowledged'
-    SERVER_CLOSED = 'server-closed'
-
-
-class Request:
-    """A whole request; it is answered once or abandoned by its caller.
-
-    Attributes:
-        method: HTTP method.
-        path: Path with query, as sent.
-        headers: Names and values in turn, as sent.
-        body: Whole body.
-        arrived_ms: Time at which its last byte was read.
-        on_disconnect: Called with the reason if the connection closes before
-            the answer.
-        on_shutdown: Called if the server is about to end; answers at once.
-    """
-
-    __slots__ = (
-        '_connection',
-        'arrived_ms',
-        'body',
-        'headers',
-        'method',
-        'on_disconnect',
-        'on_shutdown',
-        'path',
-    )
-
-    def __init__(
-        self,
-        connection: 'Connection',
-        method: str,
-        path: str,
-        headers: list[str],
-        body: bytes,
-        arrived_ms: float,
-    ) -> None:
-        self._connection = connection
-        self.method = method
-        self.path = path
-        self.headers = headers
-        self.body = body
-        self.arrived_ms = arrived_ms
-        self.on_disconnect: typing.Callable[[Disconnect], None] | None = None
-        self.on_shutdown: typing.Callable[[], None] | None = None
-
-    @property
-    def is_local(self) -> bool:
-        """Whether it came from a local host."""
-        return self._connection.is_local
-
-    @property
-    def is_open(self) -> bool:
-        """Whether the caller is still waiting for the answer."""
-        return self._connection.current is self
-
-    def answer(self, status: int, headers: list[str], body: bytes) -> None:
-        """Send the answer; does nothing if the caller has disconnected."""
-        if self.is_open:
-            self._connection.answer(self, status, headers, body)
-
-
 class Server(typing.Protocol):
     """What a connection needs of its server; see ``HttpServer``."""
 
@@ -103,7 +33,7 @@
     limits: policies.CallerLimits
     local_hosts: frozenset[str]
     is_closing: bool
-    on_request: typing.Callable[[Request], None]
+    on_request: typing.Callable[[httprequest.Request], None]
     on_rejected: typing.Callable[[int, str], None]
 
     def opened(self, connection: 'Connection') -> None:
@@ -167,15 +97,17 @@
         # The caller waits for 100 Continue before it sends the body.
         self._expects_continue = False
         self._request_bytes = 0
-        self._queue: collections.deque[Request] = collections.deque()
+        self._queue: collections.deque[httprequest.Request] = (
+            collections.deque()
+        )
         # Sent after the answers to all requests read before it.
         self._rejection = b''
         self._reading = _Reading.REQUESTS
         self._is_reading_paused = False
         self._is_writing_paused = False
         self._is_proceeding = False
-        self._disconnect = Disconnect.CALLER_LEFT
-        self.current: Request | None = None
+        self._disconnect = httprequest.Disconnect.CALLER_LEFT
+        self.current: httprequest.Request | None = None
         self._is_local: bool | None = None
         self.phase_started_ms = server.clock.now_ms()
 
@@ -250,7 +182,7 @@
         self._server.closed(self)
         self._queue.clear()
         if isinstance(exc, TimeoutError):
-            self._disconnect = Disconnect.NOT_ACKNOWLEDGED
+            self._disconnect = httprequest.Disconnect.NOT_ACKNOWLEDGED
         request, self.current = self.current, None
         if request is not None and request.on_disconnect is not None:
             request.on_disconnect(self._disconnect)
@@ -304,7 +236,7 @@
             # The parser takes the body for bytes of the new protocol.
             self._reject(400, 'upgrades are not served')
             return
-        request = Request(
+        request = httprequest.Request(
             self,
             method,
             self._url.decode('latin-1'),
@@ -330,7 +262,11 @@
     # Answers.
 
     def answer(
-        self, request: Request, status: int, headers: list[str], body: bytes
+        self,
+        request: httprequest.Request,
+        status: int,
+        headers: list[str],
+        body: bytes,
     ) -> None:
         """Write the answer to the current request, then serve the next."""
         closes = (
@@ -342,7 +278,9 @@
             )
         )
         self._transport.write(
-            _encode(status, headers, body, closes, request.method == 'HEAD')
+            httprequest.encode_answer(
+                status, headers, body, closes, request.method == 'HEAD'
+            )
         )
         self.current = None
         self.phase_started_ms = self._server.clock.now_ms()
@@ -383,7 +321,9 @@
             return
         self._reading = _Reading.DISCARDED
         self._server.on_rejected(status, why)
-        self._rejection = _encode(status, [], why.encode(), True, False)
+        self._rejection = httprequest.encode_answer(
+            status, [], why.encode(), True, False
+        )
         self._proceed()
 
     def _discard_input(self) -> None:
@@ -425,30 +365,11 @@
 
     def close(self) -> None:
         """Close once all answers are written; cut a request without one."""
-        self._disconnect = Disconnect.SERVER_CLOSED
+        self._disconnect = httprequest.Disconnect.SERVER_CLOSED
         if not self.is_lingering:
             self._transport.close()
 
     def abort(self) -> None:
         """Close at once and discard what is not written."""
-        self._disconnect = Disconnect.SERVER_CLOSED
+        self._disconnect = httprequest.Disconnect.SERVER_CLOSED
         self._transport.abort()
-
-
-def _encode(
-    status: int,
-    headers: list[str],
-    body: bytes,
-    closes: bool,
-    is_head: bool,
-) -> bytes:
-    lines = [f'HTTP/1.1 {status} {_REASONS.get(status, "Unknown")}']
-    for i in range(0, len(headers), 2):
-        lines.append(f'{headers[i]}: {headers[i + 1]}')
-    has_body = not is_head and status not in _STATUSES_WITHOUT_BODY
-    if has_body:
-        lines.append(f'Content-Length: {len(body)}')
-    if closes:
-        lines.append('Connection: close')
-    head = '\r\n'.join(lines).encode('latin-1', 'replace') + b'\r\n\r\n'
-    return head + body if has_body else head
--- a/src/parsleystile/relay/httpserver.py
+++ b/src/parsleystile/relay/httpserver.py
@@ -10,6 +10,7 @@
 
 from parsleystile import clock as clocks
 from parsleystile.relay import _httpconnection
+from parsleystile.relay import httprequest
 from parsleystile.relay import policy as policies
 
 _BACKLOG = 1024
@@ -20,8 +21,8 @@
 # time.
 _TCP_USER_TIMEOUT_MS = 5_000
 
-Disconnect = _httpconnection.Disconnect
-Request = _httpconnection.Request
+Disconnect = httprequest.Disconnect
+Request = httprequest.Request
 
 
 class HttpServer:
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -15,7 +15,6 @@
 from parsleystile import metrics as metric
 from parsleystile.relay import declaredlimit
 from parsleystile.relay import dispatch
-from parsleystile.relay import drain
 from parsleystile.relay import guard
 from parsleystile.relay import headernames
 from parsleystile.relay import httpclient
@@ -23,6 +22,7 @@
 from parsleystile.relay import ingress
 from parsleystile.relay import logevents
 from parsleystile.relay import memberlist
+from parsleystile.relay import plannedstop
 from parsleystile.relay import ratelimiter
 from parsleystile.relay import retrybudget
 from parsleystile.relay import statesync
@@ -48,7 +48,6 @@
 _MAX_FRAME_BYTES = 65 * 1_048_576
 # Low cold rate for a target whose service is not in the policy.
 _DEFAULT_COLD_PER_S = 5.0
-_DRAIN_CHECK_PERIOD_MS = 125.0
 # Time in which connections are closed at the end of a planned stop, after
 # everything that is owed is written.
 _CLOSE_TIMEOUT_MS = 100.0
@@ -211,8 +210,21 @@
         )
         self.caller_address = (setup.caller_host, setup.caller_port)
         self._known_services: set[ids.ServiceName] = set()
-        self._drain = drain.drain(setup.stop_ms, setup.lame_duck_ms)
-        self._given_up = 0
+        self._planned_stop = plannedstop.planned_stop(
+            plannedstop.Dependencies(
+                http_server=self._http_server,
+                ingress=self._ingress,
+                guard=self.guard,
+                links=self._links,
+                state_sync=self.state_sync,
+                clock=clock,
+                recorder=recorder,
+                on_members_changed=self._on_members_changed,
+                on_end=lambda: self.on_end(),
+            ),
+            setup.stop_ms,
+            setup.lame_duck_ms,
+        )
 
     async def start(self) -> None:
         """Open all listeners and start the periodic work."""
@@ -358,7 +370,7 @@
         self._rate_limiter.configure(policy)
         if self._is_domain_out():
             self.guard.refuse_new(errors.Reason.DOMAIN_OUT)
-        elif not self._drain.is_stopping:
+        elif not self._planned_stop.has_started:
             self._reopen()
 
     def _reopen(self) -> None:
@@ -405,7 +417,8 @@
     def is_ready(self) -> bool:
         """Whether callers may send requests here."""
         return (
-            self.state_sync.policy is not None and not self._drain.is_stopping
+            self.state_sync.policy is not None
+            and not self._planned_stop.has_started
         )
 
     def _sweep(self) -> None:
@@ -430,60 +443,11 @@
 
     def stop(self) -> None:
         """Start draining: open requests finish, callers move elsewhere."""
-        if self._drain.is_stopping:
+        if self._planned_stop.has_started:
             return
-        self._drain.start(self._clock.now_ms())
-        self.recorder.log.write(
-            logevents.ProcessChanged(state='draining', detail='asked to stop')
-        )
         # First, so that the node ends whatever the announcement meets.
-        self.every(_DRAIN_CHECK_PERIOD_MS, self._advance_drain)
-        self._http_server.is_closing = True
-        self.state_sync.announce_leave()
-        self._on_members_changed()
-
-    def _owed(self) -> drain.Owed:
-        return drain.Owed(
-            requests=self._http_server.owed_requests,
-            calls=self.guard.in_flight,
-            unsent_bytes=(
-                self._http_server.unsent_bytes + self._links.unsent_bytes
-            ),
-        )
-
-    def _advance_drain(self) -> None:
-        for action in self._drain.tick(self._owed(), self._clock.now_ms()):
-            match action:
-                case drain.RefuseNew():
-                    self._refuse_new()
-                case drain.AnswerOpen():
-                    self._given_up = self._http_server.owed_requests
-                    self._http_server.answer_open()
-                    self.guard.end_all(errors.Reason.LEAVING)
-                case drain.End():
-                    self._record_drain_end(action)
-                    self.on_end()
-                case _:
-                    typing.assert_never(action)
-
-    def _refuse_new(self) -> None:
-        self._ingress.is_refusing = True
-        self.guard.refuse_new(errors.Reason.LEAVING)
-        self.state_sync.leave()
-        self._on_members_changed()
-
-    def _record_drain_end(self, end: drain.End) -> None:
-        self.recorder.log.write(
-            logevents.DrainEnded(
-                is_timed_out=end.is_timed_out,
-                drained_ms=round(end.drained_ms, 1),
-                requests_given_up=self._given_up,
-                requests_open=self._http_server.owed_requests,
-                calls_at_guard=self.guard.in_flight,
-                caller_bytes_unsent=self._http_server.unsent_bytes,
-                link_bytes_unsent=self._links.unsent_bytes,
-            )
-        )
+        self.every(plannedstop.CHECK_PERIOD_MS, self._planned_stop.advance)
+        self._planned_stop.start()
 
     async def close(self) -> None:
         """Deliver what is written and close every socket."""
--- a/tests/test_platform_stops.py
+++ b/tests/test_platform_stops.py
@@ -18,13 +18,27 @@
     return [event for event in written if isinstance(event, kind)]
 
 
+async def _send_long_call(fleet, path='/stock/x'):
+    """Send a call that runs at n1 longer than any stop; return its task."""
+    first, second = fleet.machines
+    second.target.work_ms = 5000.0
+    call = asyncio.ensure_future(first.call(path, wait_ms=5000))
+    await asyncutil.wait_until(fleet.executed_ids)
+    return call
+
+
+async def _stop_until_ended(machine):
+    ended = asyncio.Event()
+    machine.node.on_end = ended.set
+    machine.node.stop()
+    await ended.wait()
+
+
 def test_a_request_cut_by_its_node_is_not_logged_as_abandoned():
     async def body(fleet):
-        first, second = fleet.machines
-        second.target.work_ms = 5000.0
+        first = fleet.machines[0]
         written = _record_log(first)
-        call = asyncio.ensure_future(first.call(wait_ms=5000))
-        await asyncutil.wait_until(fleet.executed_ids)
+        call = await _send_long_call(fleet)
         first.node._http_server.close()
         await asyncutil.wait_until(
             lambda: _of_kind(written, logevents.CallCut)
@@ -39,15 +53,10 @@
 
 def test_the_end_of_a_planned_stop_is_logged_with_what_is_owed():
     async def body(fleet):
-        first, second = fleet.machines
-        second.target.work_ms = 5000.0
+        first = fleet.machines[0]
         written = _record_log(first)
-        call = asyncio.ensure_future(first.call(wait_ms=5000))
-        await asyncutil.wait_until(fleet.executed_ids)
-        ended = []
-        first.node.on_end = lambda: ended.append(True)
-        first.node.stop()
-        await asyncutil.wait_until(lambda: ended)
+        call = await _send_long_call(fleet)
+        await _stop_until_ended(first)
         (event,) = _of_kind(written, logevents.DrainEnded)
         assert event.is_timed_out
         assert event.requests_given_up == 1
@@ -99,16 +108,10 @@
 
 def test_a_request_open_at_the_end_of_a_stop_gets_a_final_answer():
     async def body(fleet):
-        first, second = fleet.machines
-        second.target.work_ms = 5000.0
-        call = asyncio.ensure_future(first.call(wait_ms=5000))
-        await asyncutil.wait_until(fleet.executed_ids)
-        ended = []
-        first.node.on_end = lambda: ended.append(True)
-        first.node.stop()
+        call = await _send_long_call(fleet)
+        await _stop_until_ended(fleet.machines[0])
         answer = await call
         assert (answer.status, answer.body) == (502, b'leaving\n')
-        await asyncutil.wait_until(lambda: ended)
 
     platformfleet.run_with_fleet(body, serving=[1], stop_ms=600.0)
 
@@ -133,16 +136,10 @@
 
 def test_a_call_at_the_guard_of_an_ended_node_is_unknown_to_its_caller():
     async def body(fleet):
-        first, second = fleet.machines
-        second.target.work_ms = 5000.0
-        call = asyncio.ensure_future(first.call('/reserve/x', wait_ms=5000))
-        await asyncutil.wait_until(fleet.executed_ids)
-        ended = []
-        second.node.on_end = lambda: ended.append(True)
-        second.node.stop()
+        call = await _send_long_call(fleet, '/reserve/x')
+        await _stop_until_ended(fleet.machines[1])
         answer = await call
         assert (answer.status, answer.body) == (502, b'leaving\n')
-        await asyncutil.wait_until(lambda: ended)
 
     platformfleet.run_with_fleet(body, serving=[1], stop_ms=600.0)
 
