Count a closed new connection as a failure of the target's connection

UNREACHABLE takes the target off until its next report. A target resets connections above its limit and goes on serving, so such a reset must not take it off; the request is as before not run and goes elsewhere (review).

--- a/src/parsleystile/relay/httpclient.py
+++ b/src/parsleystile/relay/httpclient.py
@@ -352,7 +352,7 @@
             # further event of the connection would end the exchange.
             exchange.finish(
                 errors.not_run(
-                    errors.Reason.UNREACHABLE,
+                    errors.Reason.TARGET_FAILED,
                     f'{self.host}:{self.port} closed the new connection',
                 )
             )
