--- a/src/parsleystile/relay/drain.py
+++ b/src/parsleystile/relay/drain.py
@@ -12,8 +12,8 @@
 
 # Parts of the time until the process is killed.
 _MAX_LAME_DUCK_RATIO = 0.5
-_FINAL_ANSWERS_RATIO = 0.875
-_END_RATIO = 0.95
+_FINAL_ANSWERS_RATIO = 0.85
+_END_RATIO = 0.92
 
 
 class Phase(enum.Enum):
@@ -22,6 +22,7 @@
     SERVING = 'serving'
     LAME_DUCK = 'lame-duck'
     COMPLETING = 'completing'
+    TIMED_OUT = 'timed-out'
     DELIVERING = 'delivering'
     ENDED = 'ended'
 
@@ -111,8 +112,14 @@
             case Phase.COMPLETING:
                 if not owed:
                     return [self._end(False, elapsed_ms)]
-                if elapsed_ms < self._answer_after_ms:
-                    return []
+                if elapsed_ms >= self._answer_after_ms:
+                    self.phase = Phase.TIMED_OUT
+                return []
+            case Phase.TIMED_OUT:
+                # A process that was suspended first reads the answers that
+                # arrived meanwhile.
+                if not owed:
+                    return [self._end(False, elapsed_ms)]
                 self.phase = Phase.DELIVERING
                 return [AnswerOpen()]
             case Phase.DELIVERING:
--- a/src/parsleystile/relay/plannedstop.py
+++ b/src/parsleystile/relay/plannedstop.py
@@ -14,7 +14,7 @@
 from parsleystile.relay import statesync
 from parsleystile.relay import telemetry
 
-CHECK_PERIOD_MS = 125.0
+CHECK_PERIOD_MS = 50.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
