--- a/src/parsleystile/relay/_httpconnection.py
+++ b/src/parsleystile/relay/_httpconnection.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import enum
+import socket
 import typing
 
 import httptools
@@ -24,6 +25,10 @@
 # Time for the caller to read the last answer and close. Closing first would
 # reset the connection if more bytes arrived, and could discard the answer.
 _LINGER_MS = 2_000.0
+_MS_PER_S = 1000.0
+_INTERNAL_ERROR = 500
+# TCP states CLOSE and CLOSE_WAIT of the kernel.
+_STATES_AFTER_CLOSE = frozenset({7, 8})
 
 
 class Server(typing.Protocol):
@@ -60,8 +65,8 @@
 
     Attributes:
         current: The request that waits for its answer.
-        phase_started_ms: Start of the wait for the next request, of the
-            request being read, or of the linger time.
+        phase_started_ms: Start of the wait for the next request or of the
+            request being read.
     """
 
     __slots__ = (
@@ -74,6 +79,7 @@
         '_is_proceeding',
         '_is_reading_paused',
         '_is_writing_paused',
+        '_linger_timer',
         '_parser',
         '_queue',
         '_reading',
@@ -106,6 +112,7 @@
         self._is_reading_paused = False
         self._is_writing_paused = False
         self._is_proceeding = False
+        self._linger_timer: asyncio.TimerHandle | None = None
         self._disconnect = httprequest.Disconnect.CALLER_LEFT
         self.current: httprequest.Request | None = None
         self._is_local: bool | None = None
@@ -181,6 +188,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._server.closed(self)
         self._queue.clear()
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
         if isinstance(exc, TimeoutError):
             self._disconnect = httprequest.Disconnect.NOT_ACKNOWLEDGED
         request, self.current = self.current, None
@@ -247,8 +256,7 @@
         if not self._parser.should_keep_alive():
             self._reading = _Reading.ENDED
         if not self.owed_requests and self._is_free:
-            self.current = request
-            self._server.on_request(request)
+            self._serve(request)
             return
         self._queue.append(request)
         if len(self._queue) >= _MAX_QUEUED_REQUESTS:
@@ -299,13 +307,16 @@
         self._is_proceeding = True
         try:
             while self._queue and self._is_free:
-                self.current = self._queue.popleft()
-                if self._is_reading_paused:
-                    self._is_reading_paused = False
-                    self._transport.resume_reading()
-                self._server.on_request(self.current)
+                self._serve(self._queue.popleft())
         finally:
             self._is_proceeding = False
+        if (
+            self._is_reading_paused
+            and len(self._queue) < _MAX_QUEUED_REQUESTS
+            and not self._transport.is_closing()
+        ):
+            self._is_reading_paused = False
+            self._transport.resume_reading()
         if self._rejection and not self._queue and self._is_free:
             self._transport.write(self._rejection)
             self._rejection = b''
@@ -314,7 +325,26 @@
     @property
     def _is_free(self) -> bool:
         """Whether the next request may be served."""
-        return self.current is None and not self._is_writing_paused
+        return (
+            self.current is None
+            and not self._is_writing_paused
+            and not self._transport.is_closing()
+        )
+
+    def _serve(self, request: httprequest.Request) -> None:
+        self.current = request
+        try:
+            self._server.on_request(request)
+        except Exception as exc:
+            self._report_failure('request', exc)
+            # What the handler did before it failed is unknown.
+            self._reading = _Reading.DISCARDED
+            request.answer(_INTERNAL_ERROR, [], b'')
+
+    def _report_failure(self, what: str, exc: Exception) -> None:
+        asyncio.get_running_loop().call_exception_handler(
+            {'message': f'handler of a {what} failed', 'exception': exc}
+        )
 
     def _reject(self, status: int, why: str) -> None:
         if self._reading is not _Reading.REQUESTS:
@@ -334,39 +364,53 @@
 
     def _linger(self) -> None:
         self._reading = _Reading.LINGERING
-        self.phase_started_ms = self._server.clock.now_ms()
         self._transport.write_eof()
+        self._linger_timer = asyncio.get_running_loop().call_later(
+            _LINGER_MS / _MS_PER_S, self._transport.abort
+        )
 
     # Closing.
 
     def close_if_overdue(self, now_ms: float) -> None:
-        """Close the connection if it is idle, slow or lingers for too long."""
-        if self.owed_requests or self.unsent_bytes:
+        """Close the connection if it is idle or slow, or the caller left."""
+        if self._is_reading_paused and self._has_caller_closed():
+            self._transport.abort()
+        if self.owed_requests or self.unsent_bytes or self.is_lingering:
             return
         limits = self._server.limits
         waited_ms = now_ms - self.phase_started_ms
-        if self.is_lingering:
-            if waited_ms > _LINGER_MS:
-                self._transport.close()
-        elif self._request_bytes:
+        if self._request_bytes:
             if waited_ms > limits.header_timeout_ms and not self._body:
                 self._reject(408, 'the request did not arrive in time')
         elif waited_ms > limits.idle_timeout_ms:
             self._transport.close()
 
+    def _has_caller_closed(self) -> bool:
+        # While reading is paused, only the state of the socket tells.
+        sock = self._transport.get_extra_info('socket')
+        try:
+            info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        except OSError:
+            # The kernel has closed it.
+            return True
+        return info[0] in _STATES_AFTER_CLOSE
+
     def answer_open(self) -> None:
         """Ask the handlers of open requests to answer at once."""
         while self.current is not None:
             request = self.current
             if request.on_shutdown is not None:
-                request.on_shutdown()
+                try:
+                    request.on_shutdown()
+                except Exception as exc:
+                    self._report_failure('shutdown', exc)
             if self.current is request:
                 return
 
     def close(self) -> None:
-        """Close once all answers are written; cut a request without one."""
+        """Close once all requests are answered and the answers written."""
         self._disconnect = httprequest.Disconnect.SERVER_CLOSED
-        if not self.is_lingering:
+        if not self.owed_requests and not self.is_lingering:
             self._transport.close()
 
     def abort(self) -> None:
--- a/src/parsleystile/relay/httpserver.py
+++ b/src/parsleystile/relay/httpserver.py
@@ -108,6 +108,7 @@
 
         Connections that are still open after the timeout are aborted.
         """
+        self.is_closing = True
         for server in self._servers:
             server.close()
         await asyncio.sleep(_SETTLE_MS / _MS_PER_S)
--- /dev/null
+++ b/tests/test_relay_callers.py
@@ -0,0 +1,148 @@
+"""Connections of callers that read ahead, leave or meet failing handlers."""
+
+import asyncio
+import contextlib
+
+import pytest
+import uvloop
+
+from parsleystile import clock as clocks
+from parsleystile.relay import httpserver
+from tests import asyncutil
+
+_LOOPS = [asyncio.SelectorEventLoop, uvloop.new_event_loop]
+
+
+class _Server:
+    def __init__(self, on_request=None):
+        self.requests = []
+        self.cut = []
+        self._on_request = on_request
+        self.server = httpserver.http_server(
+            clocks.system_clock(), frozenset(), self._handle
+        )
+
+    def _handle(self, request):
+        self.requests.append(request)
+        request.on_disconnect = lambda why: self.cut.append(request.path)
+        if self._on_request is not None:
+            self._on_request(request)
+
+    async def connect(self):
+        address = await self.server.listen('127.0.0.1', 0)
+        return await asyncio.open_connection(*address)
+
+
+def _get(path):
+    return f'GET {path} HTTP/1.1\r\n\r\n'.encode()
+
+
+@pytest.mark.parametrize('loop', _LOOPS)
+def test_answers_to_a_pipelining_caller_do_not_unbound_its_queue(loop):
+    async def body():
+        server = _Server()
+        reader, writer = await server.connect()
+        reading = asyncio.ensure_future(reader.read(-1))
+        writer.write(_get('/x') * 200_000)
+        await asyncutil.wait_until(lambda: server.requests)
+        await asyncio.sleep(0.05)
+        before = server.server.owed_requests
+        for number in range(20):
+            await asyncutil.wait_until(
+                lambda number=number: len(server.requests) > number
+            )
+            server.requests[number].answer(200, [], b'ok')
+            await asyncio.sleep(0.01)
+        after = server.server.owed_requests
+        reading.cancel()
+        server.server.close()
+        assert after <= before
+
+    asyncutil.run(body(), loop)
+
+
+@pytest.mark.parametrize('loop', _LOOPS)
+def test_a_caller_that_leaves_while_reading_is_paused_is_noticed(loop):
+    async def body():
+        server = _Server()
+        _, writer = await server.connect()
+        writer.write(_get('/x') * 40)
+        await asyncutil.wait_until(lambda: server.requests)
+        await asyncio.sleep(0.05)
+        writer.transport.abort()
+        await asyncio.sleep(0.05)
+        server.server.close_overdue()
+        await asyncutil.wait_until(lambda: server.cut)
+        assert server.cut == ['/x']
+        server.server.close()
+
+    asyncutil.run(body(), loop)
+
+
+@pytest.mark.parametrize('loop', _LOOPS)
+def test_a_failing_handler_does_not_hold_its_caller(loop):
+    async def body():
+        def fail(request):
+            raise KeyError(request.path)
+
+        server = _Server(fail)
+        reader, writer = await server.connect()
+        writer.write(_get('/x'))
+        try:
+            async with asyncio.timeout(0.5):
+                await reader.read()
+        finally:
+            server.server.close()
+
+    asyncutil.run(body(), loop)
+
+
+@pytest.mark.parametrize('loop', _LOOPS)
+def test_a_handler_that_fails_at_shutdown_does_not_stop_the_others(loop):
+    async def body():
+        server = _Server()
+        answered = []
+
+        def fail():
+            raise KeyError
+
+        address = await server.server.listen('127.0.0.1', 0)
+        callers = [await asyncio.open_connection(*address) for _ in range(8)]
+        for i, (_, writer) in enumerate(callers):
+            writer.write(_get(f'/{i}'))
+        await asyncutil.wait_until(lambda: len(server.requests) == 8)
+        for request in server.requests:
+            request.on_shutdown = lambda r=request: (
+                answered.append(r.path),
+                r.answer(503, [], b''),
+            )
+        server.requests[3].on_shutdown = fail
+        with contextlib.suppress(KeyError):
+            server.server.answer_open()
+        server.server.close()
+        assert len(answered) == 7
+
+    asyncutil.run(body(), loop)
+
+
+@pytest.mark.parametrize('loop', _LOOPS)
+def test_a_request_behind_a_large_answer_is_answered_by_the_shutdown(loop):
+    async def body():
+        server = _Server()
+        reader, writer = await server.connect()
+        writer.write(_get('/1') + _get('/2'))
+        await asyncutil.wait_until(lambda: server.requests)
+        server.requests[0].answer(200, [], b'x' * 20_000_000)
+        await asyncio.sleep(0.05)
+        assert len(server.requests) == 1
+        shutdown = asyncio.ensure_future(server.server.shut_down(2_000.0))
+        reading = asyncio.ensure_future(reader.read())
+        await asyncutil.wait_until(lambda: len(server.requests) == 2)
+        server.requests[1].answer(503, [], b'')
+        data = await reading
+        writer.close()
+        await shutdown
+        assert b'HTTP/1.1 503 ' in data
+        assert server.cut == []
+
+    asyncutil.run(body(), loop)
--- a/tests/test_relay_owed_answers.py
+++ b/tests/test_relay_owed_answers.py
@@ -7,6 +7,7 @@
 import pytest
 
 from parsleystile import clock as clocks
+from parsleystile.relay import _httpconnection
 from parsleystile.relay import httpserver
 from parsleystile.relay import policy
 from tests import asyncutil
@@ -178,6 +179,7 @@
         assert server.server.unsent_bytes
         shutdown = asyncio.ensure_future(server.server.shut_down(10_000.0))
         data = await reader.read()
+        writer.close()
         await shutdown
         assert len(data.partition(b'\r\n\r\n')[2]) == 3 * _LARGE
 
@@ -236,16 +238,15 @@
     asyncutil.run(body())
 
 
-def test_a_connection_that_the_caller_keeps_open_is_closed():
+def test_a_connection_that_the_caller_keeps_open_is_closed(monkeypatch):
+    monkeypatch.setattr(_httpconnection, '_LINGER_MS', 20.0)
+
     async def body():
         server = _Server(policy.CallerLimits(1000, 50, 1000.0, 1000.0))
         reader, writer = await _connect(server)
         writer.write(b'what is this\r\n\r\n')
         await asyncutil.wait_until(lambda: server.rejected)
         await reader.read()
-        (connection,) = server.server.connections
-        connection.phase_started_ms -= 60_000.0
-        server.server.close_overdue()
         await asyncutil.wait_until(lambda: not server.server.connections)
         writer.close()
 
