Serve the accept queue when a node's server shuts down

The queue is accepted right before the socket closes. The test failed before on both event loops (reset by peer).

--- a/src/parsleystile/relay/httpserver.py
+++ b/src/parsleystile/relay/httpserver.py
@@ -54,24 +54,28 @@
         self.connections: set[_httpconnection.Connection] = set()
         self._all_closed: asyncio.Event | None = None
         self._servers: list[asyncio.Server] = []
+        self._sockets: list[socket.socket] = []
 
     async def listen(self, host: str, port: int) -> tuple[str, int]:
         """Accept connections and return the bound host and port."""
         loop = asyncio.get_running_loop()
-        server = await loop.create_server(
-            lambda: _httpconnection.Connection(self),
-            host,
-            port,
-            backlog=_BACKLOG,
-        )
-        self._servers.append(server)
+        sock = socket.create_server((host, port), backlog=_BACKLOG)
+        sock.setblocking(False)
         # Accepted connections inherit the option.
-        server.sockets[0].setsockopt(
+        sock.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS
         )
-        name = server.sockets[0].getsockname()
+        name = sock.getsockname()
+        server = await loop.create_server(
+            self._connection, sock=sock, backlog=_BACKLOG
+        )
+        self._servers.append(server)
+        self._sockets.append(sock)
         return name[0], name[1]
 
+    def _connection(self) -> _httpconnection.Connection:
+        return _httpconnection.Connection(self)
+
     def close_overdue(self) -> None:
         """Close connections beyond the idle or header timeout."""
         now_ms = self.clock.now_ms()
@@ -109,8 +113,14 @@
         Connections that are still open after the timeout are aborted.
         """
         self.is_closing = True
+        # Closing a listening socket resets the connections in its queue,
+        # whose callers may have sent a request already.
+        accepted = [c for sock in self._sockets for c in _accept_queued(sock)]
         for server in self._servers:
             server.close()
+        loop = asyncio.get_running_loop()
+        for sock in accepted:
+            await loop.connect_accepted_socket(self._connection, sock)
         await asyncio.sleep(_SETTLE_MS / _MS_PER_S)
         self._all_closed = asyncio.Event()
         for connection in list(self.connections):
@@ -130,6 +140,21 @@
             connection.abort()
 
 
+def _accept_queued(listening: socket.socket) -> list[socket.socket]:
+    """Accept the connections that the event loop has not accepted yet."""
+    accepted = []
+    while True:
+        try:
+            connection, _ = listening.accept()
+        except ConnectionAbortedError:
+            continue
+        except OSError:
+            # The queue is empty, or the socket is closed.
+            return accepted
+        connection.setblocking(False)
+        accepted.append(connection)
+
+
 def http_server(
     clock: clocks.Clock,
     local_hosts: frozenset[str],
--- a/tests/test_relay_callers.py
+++ b/tests/test_relay_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 import uvloop
@@ -146,3 +147,34 @@
         assert server.cut == []
 
     asyncutil.run(body(), loop)
+
+
+@pytest.mark.parametrize('loop', _LOOPS)
+def test_connections_in_the_accept_queue_are_served_by_the_shutdown(loop):
+    async def body():
+        server = _Server(lambda request: request.answer(503, [], b''))
+        address = await server.server.listen('127.0.0.1', 0)
+        await asyncio.sleep(0.01)
+        # The loop does not accept while these callers connect and send.
+        callers = [socket.create_connection(address) for _ in range(20)]
+        for sock in callers:
+            sock.sendall(_get('/x'))
+        await server.server.shut_down(1_000.0)
+        for sock in callers:
+            sock.settimeout(1.0)
+            assert sock.recv(100).startswith(b'HTTP/1.1 503 ')
+            sock.close()
+
+    asyncutil.run(body(), loop)
+
+
+@pytest.mark.parametrize('loop', _LOOPS)
+def test_no_connection_is_accepted_after_the_shutdown(loop):
+    async def body():
+        server = _Server()
+        address = await server.server.listen('127.0.0.1', 0)
+        await server.server.shut_down(1_000.0)
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection(*address)
+
+    asyncutil.run(body(), loop)
