Bound the head and the trailers of a caller's request wherever it stands

The limit on header bytes now holds for all bytes that are neither body nor usual chunk framing, and trailers are dropped. The cases of trailers failed before; the others guard what held.

--- a/src/parsleystile/relay/_httpconnection.py
+++ b/src/parsleystile/relay/_httpconnection.py
@@ -25,6 +25,8 @@
 # Time for the caller to read the last answer and close. Closing first would
 # reset the connection if more bytes arrived, and could discard the answer.
 _LINGER_MS = 2_000.0
+# Chunk framing beyond this for each byte of the body counts as header bytes.
+_FRAMING_PER_BODY_BYTE = 16
 _MS_PER_S = 1000.0
 _INTERNAL_ERROR = 500
 # TCP states CLOSE and CLOSE_WAIT of the kernel.
@@ -75,6 +77,7 @@
         '_disconnect',
         '_expects_continue',
         '_headers',
+        '_is_head_complete',
         '_is_local',
         '_is_proceeding',
         '_is_reading_paused',
@@ -100,6 +103,7 @@
         self._headers: list[str] = []
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._is_head_complete = False
         # The caller waits for 100 Continue before it sends the body.
         self._expects_continue = False
         self._request_bytes = 0
@@ -165,13 +169,12 @@
             # parser takes no more.
             self._discard_input()
             return
-        limits = self._server.limits
-        if (
-            not self._body
-            and not self.owed_requests
-            and self._request_bytes > limits.header_bytes + len(data)
-        ):
-            self._reject(431, f'over {limits.header_bytes} header bytes')
+        # Bytes of a request read before may be among the last ones.
+        framing_bytes = self._request_bytes - len(data) - self._body_bytes
+        allowed_bytes = _FRAMING_PER_BODY_BYTE * self._body_bytes
+        limit = self._server.limits.header_bytes
+        if framing_bytes > limit + allowed_bytes:
+            self._reject(431, f'over {limit} header bytes')
 
     def eof_received(self) -> bool:
         # A caller that closes and one that only ends its side look the same,
@@ -203,11 +206,15 @@
         self._headers = []
         self._body = []
         self._body_bytes = 0
+        self._is_head_complete = False
 
     def on_url(self, url: bytes) -> None:
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self._is_head_complete:
+            # A trailer, which must not pass for a header.
+            return
         if len(name) == _EXPECT_BYTES and name.lower() == b'expect':
             self._expects_continue = True
         headers = self._headers
@@ -215,6 +222,7 @@
         headers.append(value.decode('latin-1'))
 
     def on_headers_complete(self) -> None:
+        self._is_head_complete = True
         if self._request_bytes > self._server.limits.header_bytes:
             size = sum(map(len, self._headers)) + len(self._url)
             if size > self._server.limits.header_bytes:
@@ -236,6 +244,7 @@
         if self._reading is not _Reading.REQUESTS:
             return
         self._request_bytes = 0
+        self._body_bytes = 0
         body = self._body
         self._body = []
         method = self._parser.get_method().decode('latin-1')
--- a/tests/test_relay_callers.py
+++ b/tests/test_relay_callers.py
@@ -178,3 +178,54 @@
             await asyncio.open_connection(*address)
 
     asyncutil.run(body(), loop)
+
+
+_HEAD = b'POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+_ENDLESS = {
+    'header': (b'GET /x HTTP/1.1\r\nA: ', b'x' * 4096),
+    'headers': (b'GET /x HTTP/1.1\r\n', b'A: b\r\n' * 700),
+    'header behind a request': (_get('/1') + b'GET /x HTTP/1.1\r\nA: ', b'x'),
+    'chunk extension': (_HEAD + b'1;', b'x' * 4096),
+    'trailer': (_HEAD + b'1\r\nx\r\n0\r\nA: ', b'x' * 4096),
+    'trailers': (_HEAD + b'1\r\nx\r\n0\r\n', b'A: b\r\n' * 700),
+}
+
+
+@pytest.mark.parametrize('name', _ENDLESS)
+def test_a_request_without_end_is_rejected(name):
+    start, part = _ENDLESS[name]
+
+    async def body():
+        rejected = []
+        server = _Server(lambda request: request.answer(200, [], b''))
+        server.server.on_rejected = lambda status, why: rejected.append(status)
+        reader, writer = await server.connect()
+        writer.write(start)
+        sent_bytes = 0
+        while not rejected:
+            assert sent_bytes < 4_000_000
+            # Several reads of the server, each with a part of the request.
+            writer.write(part * (8192 // len(part)))
+            sent_bytes += 8192
+            await asyncio.sleep(0.001)
+        assert rejected == [431]
+        data = await reader.read()
+        assert data.endswith(b'header bytes')
+        writer.close()
+
+    asyncutil.run(body())
+
+
+def test_a_trailer_does_not_pass_for_a_header():
+    async def body():
+        server = _Server(lambda request: request.answer(200, [], b''))
+        reader, writer = await server.connect()
+        writer.write(_HEAD + b'1\r\nx\r\n0\r\nAuthorization: Bearer k\r\n\r\n')
+        await asyncutil.wait_until(lambda: server.requests)
+        (request,) = server.requests
+        assert request.headers == ['Transfer-Encoding', 'chunked']
+        assert request.body == b'x'
+        writer.close()
+        server.server.close()
+
+    asyncutil.run(body())
