Reject answers with bytes without end outside of a body

A target that sent a status line, header, interim answers, chunk framing or trailers without end kept its caller waiting until the deadline, and the node stored the headers all the while. Only the body had a limit.

What is not body is now counted for each request and limited to 64 KiB and 256 headers; each byte of a body allows for 16 bytes of framing, so that bodies in small chunks still pass. The caller gets TARGET_FAILED with an unknown outcome, and the connection is aborted. A limit that is exceeded inside a callback now stops the parser.

--- a/src/parsleystile/relay/httpclient.py
+++ b/src/parsleystile/relay/httpclient.py
@@ -35,6 +35,13 @@
 # for less than this, or on a new one.
 _FRESH_IDLE_MS = 2_500.0
 _MAX_BODY_BYTES = 64 * 1_048_576
+# Limit on the head of an answer, on the interim answers before it, and on
+# chunk framing and trailers.
+_MAX_HEAD_BYTES = 65_536
+_MAX_HEADERS = 256
+# Chunk framing beyond this for each byte of the body counts towards the limit;
+# a chunk of one byte takes five bytes of framing, or more with extensions.
+_FRAMING_PER_BODY_BYTE = 16
 
 OnAnswer = targetanswer.OnTargetAnswer
 
@@ -57,6 +64,10 @@
     is_head: bool = False
 
 
+class _RejectedAnswerError(Exception):
+    """The answer exceeds a limit; raised to stop the parser."""
+
+
 class _Exchange(transports.PendingCall):
     """A request that waits for its answer."""
 
@@ -94,7 +105,10 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[str] = []
         self._body: list[bytes] = []
+        # Bytes of bodies received in this exchange.
         self._body_bytes = 0
+        # Other bytes received in it, less those that the bodies allow.
+        self._framing_bytes = 0
         self._echo: str | None = None
         self._has_length = False
         self._idle_text = ''
@@ -114,6 +128,8 @@
         exchange.connection = self
         self._has_final_head = False
         self._is_delimited = False
+        self._body_bytes = 0
+        self._framing_bytes = 0
         self.transport.write(exchange.outbound.data)
 
     @property
@@ -134,14 +150,31 @@
             self._origin.count_unsolicited()
             self.abort()
             return
+        body_bytes = self._body_bytes
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             self._must_close = True
             if self._answer is None:
-                self._fail('the answer is not in the protocol')
+                self._fail(_parser_problem(exc))
         if self._answer is not None:
             self._deliver()
+        elif self.exchange is not None:
+            self._check_framing(self._body_bytes - body_bytes)
+
+    def _check_framing(self, body_bytes: int) -> None:
+        """Fail an unfinished answer if too little of it is body."""
+        framing_bytes = self._framing_bytes
+        framing_bytes -= (1 + _FRAMING_PER_BODY_BYTE) * body_bytes
+        self._framing_bytes = framing_bytes if framing_bytes > 0 else 0
+        if len(self._headers) > 2 * _MAX_HEADERS:
+            self._fail(f'the answer exceeds {_MAX_HEADERS} headers')
+        elif framing_bytes > _MAX_HEAD_BYTES:
+            self._fail(
+                f'the answer exceeds {_MAX_HEAD_BYTES} bytes outside of its'
+                ' body'
+            )
 
     def eof_received(self) -> bool:
         if self.exchange is not None and self._has_final_head:
@@ -165,7 +198,6 @@
     def on_message_begin(self) -> None:
         self._headers = []
         self._body = []
-        self._body_bytes = 0
         self._echo = None
         self._has_length = False
 
@@ -187,6 +219,7 @@
         status = self._parser.get_status_code()
         if status < _FIRST_FINAL_STATUS:
             return
+        self._check_head()
         self._has_final_head = True
         self._is_delimited = (
             self._has_length or status in _STATUSES_WITHOUT_BODY
@@ -197,11 +230,28 @@
             self._must_close = True
             self.on_message_complete()
 
+    def _check_head(self) -> None:
+        headers = self._headers
+        if len(headers) > 2 * _MAX_HEADERS:
+            raise _RejectedAnswerError(
+                f'the answer exceeds {_MAX_HEADERS} headers'
+            )
+        # The bytes that were received may include part of the body.
+        if (
+            self._framing_bytes > _MAX_HEAD_BYTES
+            and sum(map(len, headers)) > _MAX_HEAD_BYTES
+        ):
+            raise _RejectedAnswerError(
+                f'the head of the answer exceeds {_MAX_HEAD_BYTES} bytes'
+            )
+
     def on_body(self, chunk: bytes) -> None:
         self._body.append(chunk)
         self._body_bytes += len(chunk)
         if self._body_bytes > _MAX_BODY_BYTES:
-            self._fail(f'the answer exceeds {_MAX_BODY_BYTES} bytes')
+            raise _RejectedAnswerError(
+                f'the answer exceeds {_MAX_BODY_BYTES} bytes'
+            )
 
     def on_message_complete(self) -> None:
         if not self._has_final_head:
@@ -262,6 +312,12 @@
             self.transport.abort()
 
 
+def _parser_problem(exc: Exception) -> str:
+    if isinstance(exc.__context__, _RejectedAnswerError):
+        return str(exc.__context__)
+    return 'the answer is not in the protocol'
+
+
 def _bad_answer(why: str) -> errors.Refusal:
     return errors.unknown(errors.Reason.TARGET_FAILED, why)
 
--- /dev/null
+++ b/tests/test_relay_endless_answers.py
@@ -0,0 +1,170 @@
+"""Answers of a target that never end, as the relay's client receives them."""
+
+import asyncio
+
+import pytest
+
+from parsleystile import clock as clocks
+from parsleystile import errors
+from parsleystile.relay import httpclient
+from tests import asyncutil
+
+_ECHO = 'X-Call-Id'
+_BLOCK_BYTES = 65_536
+# Far more than any limit on what is not a body.
+_ENDLESS_BYTES = 8 * 1_048_576
+# Longest time until the caller has its error, on a busy machine.
+_PROMPT_S = 5.0
+
+_HEAD = f'HTTP/1.1 200 OK\r\n{_ECHO}: c1\r\n'.encode()
+_CHUNKED = _HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+
+
+class _EndlessTarget:
+    """Sends a start once and then one unit until the client closes.
+
+    Attributes:
+        closed: Number of connections that the client closed.
+        sent_bytes: Bytes sent on all connections.
+        max_bytes: Bytes on each connection after which it falls silent.
+    """
+
+    def __init__(self, start, unit, max_bytes=_ENDLESS_BYTES):
+        self._start = start
+        self._block = unit * max(1, _BLOCK_BYTES // len(unit))
+        self.max_bytes = max_bytes
+        self.closed = 0
+        self.sent_bytes = 0
+
+    async def listen(self):
+        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        return server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader, writer):
+        try:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(self._start)
+            sent_bytes = 0
+            while sent_bytes < self.max_bytes:
+                writer.write(self._block)
+                await writer.drain()
+                sent_bytes += len(self._block)
+                self.sent_bytes += len(self._block)
+            await reader.read()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        self.closed += 1
+
+
+def _send(origin, call_id='c1', **fields):
+    box = asyncutil.CallbackResult()
+    data = f'GET / HTTP/1.1\r\nHost: h\r\n{_ECHO}: {call_id}\r\n\r\n'
+    origin.send(
+        httpclient.OutboundRequest(data.encode(), call_id, **fields), box.put
+    )
+    return box
+
+
+def _result_of(start, unit, **fields):
+    """Return the result of one request and the number of bytes sent."""
+
+    async def body():
+        target = _EndlessTarget(start, unit, **fields)
+        origin = httpclient.origin_client(
+            '127.0.0.1', await target.listen(), clocks.system_clock(), _ECHO
+        )
+        async with asyncio.timeout(_PROMPT_S):
+            result = await _send(origin).get()
+            await asyncutil.wait_until(lambda: target.closed == 1)
+        origin.close()
+        return result, target.sent_bytes
+
+    return asyncutil.run(body())
+
+
+def _assert_rejected(result, limit):
+    assert isinstance(result, errors.Refusal)
+    assert result.outcome is errors.Outcome.UNKNOWN
+    assert result.reason is errors.Reason.TARGET_FAILED
+    assert result.status == 502
+    assert limit in result.detail
+
+
+@pytest.mark.parametrize(
+    ('start', 'unit', 'limit'),
+    [
+        (b'', b'\r\n', '65536 bytes'),
+        (b'HTTP/1.1 200 ', b'x', '65536 bytes'),
+        (_HEAD + b'A', b'a', '65536 bytes'),
+        (_HEAD + b'A: ', b'a', '65536 bytes'),
+        (_HEAD, b'A: ' + b'a' * 1000 + b'\r\n', '65536 bytes'),
+        (_HEAD, b'A: b\r\n', '256 headers'),
+        (b'', b'HTTP/1.1 100 Continue\r\n\r\n', '65536 bytes'),
+        (b'', b'HTTP/1.1 103 E\r\nLink: </a>\r\n\r\n', '65536 bytes'),
+        (_CHUNKED, b'0', '65536 bytes'),
+        (_CHUNKED + b'1;a=', b'b', '65536 bytes'),
+        (_CHUNKED, b'1;a=' + b'b' * 9000 + b'\r\nx\r\n', '65536 bytes'),
+        (_CHUNKED + b'0\r\n', b'A: ' + b'a' * 1000 + b'\r\n', '65536 bytes'),
+        (_CHUNKED + b'1\r\nx\r\n0\r\nA: ', b'a', '65536 bytes'),
+    ],
+    ids=[
+        'blank-lines',
+        'status-line',
+        'header-name',
+        'header-value',
+        'long-headers',
+        'headers',
+        'interim-answers',
+        'interim-answers-with-headers',
+        'chunk-size',
+        'chunk-extension',
+        'chunk-extensions',
+        'trailers',
+        'trailer',
+    ],
+)
+def test_endless_bytes_outside_of_a_body_are_rejected(start, unit, limit):
+    result, sent_bytes = _result_of(start, unit)
+    _assert_rejected(result, limit)
+    assert sent_bytes < _ENDLESS_BYTES
+
+
+def _whole_answer_of(data):
+    async def body():
+        async def serve(reader, writer):
+            await reader.readuntil(b'\r\n\r\n')
+            for i in range(0, len(data), _BLOCK_BYTES):
+                writer.write(data[i : i + _BLOCK_BYTES])
+                await writer.drain()
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        origin = httpclient.origin_client(
+            '127.0.0.1',
+            server.sockets[0].getsockname()[1],
+            clocks.system_clock(),
+            _ECHO,
+        )
+        result = await _send(origin).get()
+        origin.close()
+        return result
+
+    return asyncutil.run(body())
+
+
+def test_a_body_in_one_byte_chunks_passes():
+    chunks = b'00000001;a=b\r\nx\r\n' * 200_000
+    result = _whole_answer_of(_CHUNKED + chunks + b'0\r\n\r\n')
+    assert result.body == b'x' * 200_000
+
+
+def test_a_large_head_passes():
+    headers = b''.join(b'A%d: %s\r\n' % (i, b'a' * 250) for i in range(240))
+    result = _whole_answer_of(_HEAD + headers + b'Content-Length: 0\r\n\r\n')
+    assert len(result.headers) == 2 * 242
+
+
+def test_a_large_head_before_a_large_body_passes():
+    headers = b'A: %s\r\n' % (b'a' * 60_000)
+    length = b'Content-Length: 3000000\r\n\r\n'
+    result = _whole_answer_of(_HEAD + headers + length + b'x' * 3_000_000)
+    assert len(result.body) == 3_000_000
