Drop the trailers of chunked answers

A trailer was returned to the caller as if it were a header of the answer, and the guard read it as one: Parsleystile-Not-Executed after a body would have declared a request as not run. test_trailers_do_not_count_as_headers failed before with the trailer among the headers.

Headers after the final head are collected apart and dropped (RFC 9110, 6.5.1).

--- a/src/parsleystile/relay/httpclient.py
+++ b/src/parsleystile/relay/httpclient.py
@@ -103,7 +103,9 @@
     def __init__(self, origin: 'OriginClient') -> None:
         self._origin = origin
         self._parser = httptools.HttpResponseParser(self)
+        # Of the head or, after a chunked body, of the trailer.
         self._headers: list[str] = []
+        self._final_headers: list[str] = []
         self._body: list[bytes] = []
         # Bytes of bodies received in this exchange.
         self._body_bytes = 0
@@ -221,6 +223,8 @@
             return
         self._check_head()
         self._has_final_head = True
+        # Headers that follow the body are trailers, which are dropped.
+        self._final_headers, self._headers = self._headers, []
         self._is_delimited = (
             self._has_length or status in _STATUSES_WITHOUT_BODY
         )
@@ -274,7 +278,7 @@
             self._must_close = True
         self._answer = targetanswer.TargetAnswer(
             self._parser.get_status_code(),
-            self._headers,
+            self._final_headers,
             b''.join(self._body),
         )
 
--- a/tests/test_relay_endless_answers.py
+++ b/tests/test_relay_endless_answers.py
@@ -168,3 +168,10 @@
     length = b'Content-Length: 3000000\r\n\r\n'
     result = _whole_answer_of(_HEAD + headers + length + b'x' * 3_000_000)
     assert len(result.body) == 3_000_000
+
+
+def test_trailers_do_not_count_as_headers():
+    trailer = b'Parsleystile-Not-Executed: 1\r\n\r\n'
+    result = _whole_answer_of(_CHUNKED + b'2\r\nhi\r\n0\r\n' + trailer)
+    assert result.body == b'hi'
+    assert result.headers == [_ECHO, 'c1', 'Transfer-Encoding', 'chunked']
