Reject an answer that names no request at its head

Such an answer was rejected only at its end. A body without end therefore kept the caller waiting until 64 MiB were stored or the deadline passed. test_an_answer_that_names_no_request_is_rejected_at_its_head got no result within 5 s before.

The echo header is known when the head is complete, and trailers are no headers, so the check moves there.

--- a/src/parsleystile/relay/httpclient.py
+++ b/src/parsleystile/relay/httpclient.py
@@ -65,7 +65,7 @@
 
 
 class _RejectedAnswerError(Exception):
-    """The answer exceeds a limit; raised to stop the parser."""
+    """The answer is not acceptable; raised to stop the parser."""
 
 
 class _Exchange(transports.PendingCall):
@@ -222,6 +222,8 @@
         if status < _FIRST_FINAL_STATUS:
             return
         self._check_head()
+        if self._echo is None and self.exchange.outbound.echo:
+            raise _RejectedAnswerError('the answer names no request')
         self._has_final_head = True
         # Headers that follow the body are trailers, which are dropped.
         self._final_headers, self._headers = self._headers, []
@@ -271,9 +273,6 @@
             self._origin.count_unsolicited()
             self._must_close = True
             return
-        if echo is None and self.exchange.outbound.echo:
-            self._fail('the answer names no request')
-            return
         if not self._parser.should_keep_alive():
             self._must_close = True
         self._answer = targetanswer.TargetAnswer(
--- a/tests/test_relay_endless_answers.py
+++ b/tests/test_relay_endless_answers.py
@@ -175,3 +175,10 @@
     result = _whole_answer_of(_CHUNKED + b'2\r\nhi\r\n0\r\n' + trailer)
     assert result.body == b'hi'
     assert result.headers == [_ECHO, 'c1', 'Transfer-Encoding', 'chunked']
+
+
+def test_an_answer_that_names_no_request_is_rejected_at_its_head():
+    head = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+    result, sent_bytes = _result_of(head, b'8\r\nxxxxxxxx\r\n')
+    _assert_rejected(result, 'names no request')
+    assert sent_bytes < _ENDLESS_BYTES
