Limit the late answers that are skipped before an answer

An answer to an earlier request is skipped, since the right one may follow. Their number had no limit, so a target that sent them without end kept the caller waiting until the deadline; their bodies were stored only to be dropped. Before, test_endless_late_answers_are_rejected got no result within 5 s, and skipping one late answer of 32 MiB allocated 33.8 MB where test_a_late_answer_is_skipped_without_storing_its_body allows 8 MiB.

At most four are skipped for a request and their bodies are not stored.

--- a/src/parsleystile/relay/httpclient.py
+++ b/src/parsleystile/relay/httpclient.py
@@ -39,6 +39,8 @@
 # chunk framing and trailers.
 _MAX_HEAD_BYTES = 65_536
 _MAX_HEADERS = 256
+# Late answers to earlier requests that are skipped before an answer.
+_MAX_LATE_ANSWERS = 4
 # Chunk framing beyond this for each byte of the body counts towards the limit;
 # a chunk of one byte takes five bytes of framing, or more with extensions.
 _FRAMING_PER_BODY_BYTE = 16
@@ -112,6 +114,9 @@
         # Other bytes received in it, less those that the bodies allow.
         self._framing_bytes = 0
         self._echo: str | None = None
+        # Whether the current answer is a late one to an earlier request.
+        self._is_late = False
+        self._late_answers = 0
         self._has_length = False
         self._idle_text = ''
         self._has_final_head = False
@@ -132,6 +137,7 @@
         self._is_delimited = False
         self._body_bytes = 0
         self._framing_bytes = 0
+        self._late_answers = 0
         self.transport.write(exchange.outbound.data)
 
     @property
@@ -222,8 +228,7 @@
         if status < _FIRST_FINAL_STATUS:
             return
         self._check_head()
-        if self._echo is None and self.exchange.outbound.echo:
-            raise _RejectedAnswerError('the answer names no request')
+        self._check_echo()
         self._has_final_head = True
         # Headers that follow the body are trailers, which are dropped.
         self._final_headers, self._headers = self._headers, []
@@ -251,13 +256,29 @@
                 f'the head of the answer exceeds {_MAX_HEAD_BYTES} bytes'
             )
 
+    def _check_echo(self) -> None:
+        self._is_late = False
+        expected = self.exchange.outbound.echo
+        if self._echo == expected:
+            return
+        if self._echo is not None:
+            self._is_late = True
+            self._late_answers += 1
+            if self._late_answers > _MAX_LATE_ANSWERS:
+                raise _RejectedAnswerError(
+                    f'over {_MAX_LATE_ANSWERS} answers to other requests'
+                )
+        elif expected:
+            raise _RejectedAnswerError('the answer names no request')
+
     def on_body(self, chunk: bytes) -> None:
-        self._body.append(chunk)
         self._body_bytes += len(chunk)
         if self._body_bytes > _MAX_BODY_BYTES:
             raise _RejectedAnswerError(
                 f'the answer exceeds {_MAX_BODY_BYTES} bytes'
             )
+        if not self._is_late:
+            self._body.append(chunk)
 
     def on_message_complete(self) -> None:
         if not self._has_final_head:
@@ -267,9 +288,8 @@
             # An extra answer; nothing after it can be trusted.
             self._must_close = True
             return
-        echo = self._echo
-        if echo != self.exchange.outbound.echo and echo is not None:
-            # A late answer to an earlier request; the right one may follow.
+        if self._is_late:
+            # The right answer may follow.
             self._origin.count_unsolicited()
             self._must_close = True
             return
--- a/tests/test_relay_endless_answers.py
+++ b/tests/test_relay_endless_answers.py
@@ -1,6 +1,7 @@
 """Answers of a target that never end, as the relay's client receives them."""
 
 import asyncio
+import tracemalloc
 
 import pytest
 
@@ -151,6 +152,15 @@
     return asyncutil.run(body())
 
 
+def _traced(act):
+    """Return the result of a function and the peak of allocated bytes."""
+    tracemalloc.start()
+    try:
+        return act(), tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+
+
 def test_a_body_in_one_byte_chunks_passes():
     chunks = b'00000001;a=b\r\nx\r\n' * 200_000
     result = _whole_answer_of(_CHUNKED + chunks + b'0\r\n\r\n')
@@ -182,3 +192,18 @@
     result, sent_bytes = _result_of(head, b'8\r\nxxxxxxxx\r\n')
     _assert_rejected(result, 'names no request')
     assert sent_bytes < _ENDLESS_BYTES
+
+
+def test_endless_late_answers_are_rejected():
+    late = _HEAD.replace(b'c1', b'c0') + b'Content-Length: 99\r\n\r\n'
+    result, sent_bytes = _result_of(b'', late + b'x' * 99)
+    _assert_rejected(result, '4 answers')
+    assert sent_bytes < _ENDLESS_BYTES
+
+
+def test_a_late_answer_is_skipped_without_storing_its_body():
+    late = _HEAD.replace(b'c1', b'c0') + b'Content-Length: 33554432\r\n\r\n'
+    data = late + b'x' * 33_554_432 + _HEAD + b'Content-Length: 2\r\n\r\nhi'
+    result, peak_bytes = _traced(lambda: _whole_answer_of(data))
+    assert result.body == b'hi'
+    assert peak_bytes < 8 * 1_048_576
