Reject a declared length beyond the limit at the head

An answer that declared more than 64 MiB was received up to the limit before it was rejected; one whose body came slowly or not at all kept its caller waiting until the deadline. Both cases of test_a_declared_length_beyond_the_limit_is_rejected_at_the_head got no result within 5 s before.

The length is compared with the limit when the head is complete. Answers to HEAD may declare any length.

--- a/src/parsleystile/relay/httpclient.py
+++ b/src/parsleystile/relay/httpclient.py
@@ -19,7 +19,6 @@
 
 _FIRST_FINAL_STATUS = 200
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
-_FRAMING = frozenset({b'content-length', b'transfer-encoding'})
 # TCP keepalive, which detects a peer that is gone.
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1
@@ -117,7 +116,9 @@
         # Whether the current answer is a late one to an earlier request.
         self._is_late = False
         self._late_answers = 0
-        self._has_length = False
+        self._is_chunked = False
+        # Length of the body in the head; None without one.
+        self._declared_bytes: int | None = None
         self._idle_text = ''
         self._has_final_head = False
         self._is_delimited = False
@@ -207,7 +208,8 @@
         self._headers = []
         self._body = []
         self._echo = None
-        self._has_length = False
+        self._is_chunked = False
+        self._declared_bytes = None
 
     def on_header(self, name: bytes, value: bytes) -> None:
         text = value.decode('latin-1')
@@ -215,8 +217,11 @@
         headers.append(name.decode('latin-1'))
         headers.append(text)
         key = name.lower()
-        if key in _FRAMING:
-            self._has_length = True
+        if key == b'content-length':
+            # The parser has checked the digits.
+            self._declared_bytes = int(value)
+        elif key == b'transfer-encoding':
+            self._is_chunked = True
         elif key == self._origin.echo_header:
             if self._echo is None:
                 self._echo = text
@@ -233,13 +238,24 @@
         # Headers that follow the body are trailers, which are dropped.
         self._final_headers, self._headers = self._headers, []
         self._is_delimited = (
-            self._has_length or status in _STATUSES_WITHOUT_BODY
+            self._is_chunked
+            or self._declared_bytes is not None
+            or status in _STATUSES_WITHOUT_BODY
         )
         if self.exchange.outbound.is_head:
             # The parser can't be told of HEAD and would wait for the body.
             self._is_delimited = True
             self._must_close = True
             self.on_message_complete()
+        elif (
+            self._declared_bytes is not None
+            and self._declared_bytes > _MAX_BODY_BYTES
+            and status not in _STATUSES_WITHOUT_BODY
+        ):
+            raise _RejectedAnswerError(
+                f'the answer declares {self._declared_bytes} bytes,'
+                f' over {_MAX_BODY_BYTES} bytes'
+            )
 
     def _check_head(self) -> None:
         headers = self._headers
--- a/tests/test_relay_endless_answers.py
+++ b/tests/test_relay_endless_answers.py
@@ -207,3 +207,22 @@
     result, peak_bytes = _traced(lambda: _whole_answer_of(data))
     assert result.body == b'hi'
     assert peak_bytes < 8 * 1_048_576
+
+
+@pytest.mark.parametrize('length', [67_108_865, 10**15])
+def test_a_declared_length_beyond_the_limit_is_rejected_at_the_head(length):
+    head = _HEAD + b'Content-Length: %d\r\n\r\n' % length
+    result, _ = _result_of(head, b'x', max_bytes=0)
+    _assert_rejected(result, '67108864 bytes')
+
+
+def test_a_declared_length_does_not_limit_an_answer_to_head():
+    async def body():
+        head = _HEAD + b'Content-Length: 67108865\r\n\r\n'
+        target = _EndlessTarget(head, b'x', max_bytes=0)
+        origin = httpclient.origin_client(
+            '127.0.0.1', await target.listen(), clocks.system_clock(), _ECHO
+        )
+        return await _send(origin, is_head=True).get()
+
+    assert asyncutil.run(body()).status == 200
