Merge the small chunks of a body while it is received

Chunks below 4 KiB are now merged by the 256. Growing one buffer instead was tried and dropped: it left the heap fragmented.

The tests read the traced memory before the event loop is torn down, whose error report formats the result.

--- a/src/parsleystile/relay/httpclient.py
+++ b/src/parsleystile/relay/httpclient.py
@@ -38,6 +38,9 @@
 # chunk framing and trailers.
 _MAX_HEAD_BYTES = 65_536
 _MAX_HEADERS = 256
+# Small chunks of a body are merged, since each takes memory beyond its size.
+_SMALL_CHUNK_BYTES = 4_096
+_MAX_SMALL_CHUNKS = 256
 # Late answers to earlier requests that are skipped before an answer.
 _MAX_LATE_ANSWERS = 4
 # Chunk framing beyond this for each byte of the body counts towards the limit;
@@ -107,7 +110,9 @@
         # Of the head or, after a chunked body, of the trailer.
         self._headers: list[str] = []
         self._final_headers: list[str] = []
-        self._body: list[bytes] = []
+        # The body: the chunks and then the small chunks, yet to be merged.
+        self._chunks: list[bytes] = []
+        self._small_chunks: list[bytes] = []
         # Bytes of bodies received in this exchange.
         self._body_bytes = 0
         # Other bytes received in it, less those that the bodies allow.
@@ -206,7 +211,7 @@
 
     def on_message_begin(self) -> None:
         self._headers = []
-        self._body = []
+        self._clear_body()
         self._echo = None
         self._is_chunked = False
         self._declared_bytes = None
@@ -293,8 +298,27 @@
             raise _RejectedAnswerError(
                 f'the answer exceeds {_MAX_BODY_BYTES} bytes'
             )
-        if not self._is_late:
-            self._body.append(chunk)
+        if self._is_late:
+            return
+        if len(chunk) < _SMALL_CHUNK_BYTES:
+            self._small_chunks.append(chunk)
+            if len(self._small_chunks) >= _MAX_SMALL_CHUNKS:
+                self._merge_small_chunks()
+        else:
+            if self._small_chunks:
+                self._merge_small_chunks()
+            self._chunks.append(chunk)
+
+    def _merge_small_chunks(self) -> None:
+        self._chunks.append(b''.join(self._small_chunks))
+        self._small_chunks.clear()
+
+    def _take_body(self) -> bytes:
+        return b''.join(self._chunks + self._small_chunks)
+
+    def _clear_body(self) -> None:
+        self._chunks = []
+        self._small_chunks = []
 
     def on_message_complete(self) -> None:
         if not self._has_final_head:
@@ -314,7 +338,7 @@
         self._answer = targetanswer.TargetAnswer(
             self._parser.get_status_code(),
             self._final_headers,
-            b''.join(self._body),
+            self._take_body(),
         )
 
     def _update_idle_limit(self, value: str) -> None:
--- a/tests/test_relay_endless_answers.py
+++ b/tests/test_relay_endless_answers.py
@@ -130,7 +130,9 @@
     assert sent_bytes < _ENDLESS_BYTES
 
 
-def _whole_answer_of(data):
+def _receive(data):
+    """Return the result of a request and the peak of traced memory."""
+
     async def body():
         async def serve(reader, writer):
             await reader.readuntil(b'\r\n\r\n')
@@ -147,16 +149,20 @@
         )
         result = await _send(origin).get()
         origin.close()
-        return result
+        return result, tracemalloc.get_traced_memory()[1]
 
     return asyncutil.run(body())
 
 
+def _whole_answer_of(data):
+    return _receive(data)[0]
+
+
 def _traced(act):
-    """Return the result of a function and the peak of allocated bytes."""
+    """Call a function with the memory of the process traced."""
     tracemalloc.start()
     try:
-        return act(), tracemalloc.get_traced_memory()[1]
+        return act()
     finally:
         tracemalloc.stop()
 
@@ -204,7 +210,7 @@
 def test_a_late_answer_is_skipped_without_storing_its_body():
     late = _HEAD.replace(b'c1', b'c0') + b'Content-Length: 33554432\r\n\r\n'
     data = late + b'x' * 33_554_432 + _HEAD + b'Content-Length: 2\r\n\r\nhi'
-    result, peak_bytes = _traced(lambda: _whole_answer_of(data))
+    result, peak_bytes = _traced(lambda: _receive(data))
     assert result.body == b'hi'
     assert peak_bytes < 8 * 1_048_576
 
@@ -226,3 +232,11 @@
         return await _send(origin, is_head=True).get()
 
     assert asyncutil.run(body()).status == 200
+
+
+def test_small_chunks_take_no_more_memory_than_their_body():
+    # Each chunk would be an object of 48 bytes.
+    data = _CHUNKED + b'2\r\nxy\r\n' * 1_000_000 + b'0\r\n\r\n'
+    result, peak_bytes = _traced(lambda: _receive(data))
+    assert result.body == b'xy' * 1_000_000
+    assert peak_bytes < 8 * 1_048_576
