Release the body of an answer when it is delivered or rejected

An idle connection kept the pieces of its last answer, and a rejected answer stayed in memory until the garbage collector ran, as the parser and the connection refer to each other. With hundreds of connections this alone may exceed a node's memory. Before, an idle connection kept 16.9 MB of an answer of 16 MiB, and a rejected one 67 MB (traced, with the collector disabled); the tests allow 4 and 8 MiB and failed.

--- a/src/parsleystile/relay/httpclient.py
+++ b/src/parsleystile/relay/httpclient.py
@@ -314,7 +314,9 @@
         self._small_chunks.clear()
 
     def _take_body(self) -> bytes:
-        return b''.join(self._chunks + self._small_chunks)
+        body = b''.join(self._chunks + self._small_chunks)
+        self._clear_body()
+        return body
 
     def _clear_body(self) -> None:
         self._chunks = []
@@ -371,6 +373,9 @@
 
     def abort(self) -> None:
         self._is_closed = True
+        # The parser refers back to the connection, so this object may stay
+        # until the garbage collector runs.
+        self._clear_body()
         if self.transport is not None:
             self.transport.abort()
 
--- a/tests/test_relay_endless_answers.py
+++ b/tests/test_relay_endless_answers.py
@@ -1,6 +1,7 @@
 """Answers of a target that never end, as the relay's client receives them."""
 
 import asyncio
+import gc
 import tracemalloc
 
 import pytest
@@ -240,3 +241,45 @@
     result, peak_bytes = _traced(lambda: _receive(data))
     assert result.body == b'xy' * 1_000_000
     assert peak_bytes < 8 * 1_048_576
+
+
+def test_an_idle_connection_does_not_keep_the_last_body():
+    async def body():
+        length = b'Content-Length: 16777216\r\n\r\n'
+        target = _EndlessTarget(_HEAD + length, b'x', max_bytes=16_777_216)
+        origin = httpclient.origin_client(
+            '127.0.0.1', await target.listen(), clocks.system_clock(), _ECHO
+        )
+        result = await _send(origin).get()
+        assert len(result.body) == 16_777_216
+        del result
+        await asyncio.sleep(0)
+        kept_bytes = tracemalloc.get_traced_memory()[0]
+        assert target.closed == 0
+        origin.close()
+        return kept_bytes
+
+    kept_bytes = _traced(lambda: asyncutil.run(body()))
+    assert kept_bytes < 4 * 1_048_576
+
+
+def test_a_rejected_answer_does_not_keep_its_body():
+    async def body():
+        target = _EndlessTarget(
+            _CHUNKED, b'8000\r\n' + b'x' * 32768 + b'\r\n', 200_000_000
+        )
+        origin = httpclient.origin_client(
+            '127.0.0.1', await target.listen(), clocks.system_clock(), _ECHO
+        )
+        gc.collect()
+        gc.disable()
+        try:
+            result = await _send(origin).get()
+            await asyncutil.wait_until(lambda: target.closed == 1)
+            _assert_rejected(result, '67108864 bytes')
+            return tracemalloc.get_traced_memory()[0]
+        finally:
+            gc.enable()
+
+    kept_bytes = _traced(lambda: asyncutil.run(body()))
+    assert kept_bytes < 8 * 1_048_576
