Bound the memory of all unfinished answers together

The limit of 64 MiB held for each answer alone, so a few answers without end took more than a node has: 200 requests to a target that answered without end grew the process to the 1 GiB that the test allows it, and most callers got an error for want of memory.

All unfinished answers of an origin now share 72 MiB. When these are used up, the largest answer without a declared length is given up, or else the largest one. The caller gets TARGET_FAILED with an unknown outcome.

--- a/src/parsleystile/relay/httpclient.py
+++ b/src/parsleystile/relay/httpclient.py
@@ -34,6 +34,10 @@
 # for less than this, or on a new one.
 _FRESH_IDLE_MS = 2_500.0
 _MAX_BODY_BYTES = 64 * 1_048_576
+# Limit on all unfinished answers of an origin together.
+_MAX_HELD_BYTES = 72 * 1_048_576
+# Each answer is counted towards that limit in steps of this size.
+_HELD_STEP_BYTES = 32_768
 # Limit on the head of an answer, on the interim answers before it, and on
 # chunk framing and trailers.
 _MAX_HEAD_BYTES = 65_536
@@ -121,6 +125,7 @@
         # Whether the current answer is a late one to an earlier request.
         self._is_late = False
         self._late_answers = 0
+        self._late_bytes = 0
         self._is_chunked = False
         # Length of the body in the head; None without one.
         self._declared_bytes: int | None = None
@@ -133,6 +138,8 @@
         self._must_close = False
         self.transport: asyncio.Transport | None = None
         self.exchange: _Exchange | None = None
+        # Size of the unfinished answer, as the origin counts it.
+        self.held_bytes = 0
         self.idle_since_ms = 0.0
         self.idle_limit_ms = _DEFAULT_IDLE_LIMIT_MS
 
@@ -144,6 +151,7 @@
         self._body_bytes = 0
         self._framing_bytes = 0
         self._late_answers = 0
+        self._late_bytes = 0
         self.transport.write(exchange.outbound.data)
 
     @property
@@ -176,6 +184,11 @@
             self._deliver()
         elif self.exchange is not None:
             self._check_framing(self._body_bytes - body_bytes)
+            size = self._framing_bytes
+            if not self._is_late:
+                size += self._body_bytes - self._late_bytes
+            if size - self.held_bytes > _HELD_STEP_BYTES and self.exchange:
+                self._origin.hold(self, size)
 
     def _check_framing(self, body_bytes: int) -> None:
         """Fail an unfinished answer if too little of it is body."""
@@ -332,6 +345,7 @@
             return
         if self._is_late:
             # The right answer may follow.
+            self._late_bytes = self._body_bytes
             self._origin.count_unsolicited()
             self._must_close = True
             return
@@ -357,6 +371,8 @@
         # answer is not taken for the answer to the next request.
         exchange, self.exchange = self.exchange, None
         answer, self._answer = self._answer, None
+        if self.held_bytes:
+            self._origin.hold(self, 0)
         if self._must_close or not self.is_usable:
             self._is_closed = True
             self.transport.close()
@@ -371,11 +387,25 @@
         if exchange is not None:
             exchange.finish(_bad_answer(why))
 
+    def evict(self) -> None:
+        """Fail the exchange in favour of others."""
+        self._fail(f'unfinished answers exceed {_MAX_HELD_BYTES} bytes')
+
+    @property
+    def eviction_rank(self) -> tuple[bool, int]:
+        """The connection with the greatest rank is evicted first.
+
+        An answer without a declared length may have no end.
+        """
+        return self._declared_bytes is None, self.held_bytes
+
     def abort(self) -> None:
         self._is_closed = True
         # The parser refers back to the connection, so this object may stay
         # until the garbage collector runs.
         self._clear_body()
+        if self.held_bytes:
+            self._origin.hold(self, 0)
         if self.transport is not None:
             self.transport.abort()
 
@@ -386,6 +416,10 @@
     return 'the answer is not in the protocol'
 
 
+def _eviction_rank(connection: _Connection) -> tuple[bool, int]:
+    return connection.eviction_rank
+
+
 def _bad_answer(why: str) -> errors.Refusal:
     return errors.unknown(errors.Reason.TARGET_FAILED, why)
 
@@ -424,6 +458,9 @@
         # A stack: reusing the most recent connection lets the others expire.
         self._idle: list[_Connection] = []
         self._connecting: set[asyncio.Task[None]] = set()
+        # Connections with an unfinished answer.
+        self._holding: set[_Connection] = set()
+        self._held_bytes = 0
 
     def send(
         self, outbound: OutboundRequest, on_answer: OnAnswer
@@ -476,6 +513,21 @@
         else:
             connection.start(exchange)
 
+    def hold(self, connection: _Connection, size: int) -> None:
+        """Count the size of an unfinished answer.
+
+        If all together exceed the limit, the largest one is given up: this
+        frees the most memory at the expense of one caller.
+        """
+        self._held_bytes += size - connection.held_bytes
+        connection.held_bytes = size
+        if size:
+            self._holding.add(connection)
+        else:
+            self._holding.discard(connection)
+        while self._held_bytes > _MAX_HELD_BYTES:
+            max(self._holding, key=_eviction_rank).evict()
+
     def release(self, connection: _Connection) -> None:
         """Return a connection to the pool."""
         connection.idle_since_ms = self._clock.now_ms()
