Close a connection on the first byte after an answer

Only a complete extra answer closed the connection. The start of one, received together with an answer, stayed in the parser of the idle connection, and the rest was taken for the answer to the next request where no echo is expected, as from the store. The second request of test_the_start_of_an_extra_answer_closes_the_connection got the forged body before.

The parser is now stopped when another message begins behind an answer.

--- a/src/parsleystile/relay/httpclient.py
+++ b/src/parsleystile/relay/httpclient.py
@@ -223,6 +223,9 @@
     # Callbacks of httptools.
 
     def on_message_begin(self) -> None:
+        if self._answer is not None:
+            # Nothing after it can be trusted.
+            raise _RejectedAnswerError('bytes follow the answer')
         self._headers = []
         self._clear_body()
         self._echo = None
@@ -339,10 +342,6 @@
         if not self._has_final_head:
             return
         self._has_final_head = False
-        if self._answer is not None:
-            # An extra answer; nothing after it can be trusted.
-            self._must_close = True
-            return
         if self._is_late:
             # The right answer may follow.
             self._late_bytes = self._body_bytes
--- a/tests/test_relay_endless_answers.py
+++ b/tests/test_relay_endless_answers.py
@@ -283,3 +283,33 @@
 
     kept_bytes = _traced(lambda: asyncutil.run(body()))
     assert kept_bytes < 8 * 1_048_576
+
+
+def test_the_start_of_an_extra_answer_closes_the_connection():
+    async def body():
+        forged = b'HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n'
+        parts = [
+            b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi' + forged[:20],
+            forged[20:] + b'forged',
+        ]
+        connections = []
+
+        async def serve(reader, writer):
+            connections.append(writer)
+            for part in parts if len(connections) == 1 else parts[:1]:
+                await reader.readuntil(b'\r\n\r\n')
+                writer.write(part)
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        origin = httpclient.origin_client(
+            '127.0.0.1',
+            server.sockets[0].getsockname()[1],
+            clocks.system_clock(),
+        )
+        results = [await _send(origin, '').get() for _ in range(2)]
+        origin.close()
+        return results, len(connections)
+
+    results, connections = asyncutil.run(body())
+    assert [result.body for result in results] == [b'hi', b'hi']
+    assert connections == 2
