--- a/src/parsleystile/relay/httpclient.py
+++ b/src/parsleystile/relay/httpclient.py
@@ -33,10 +33,7 @@
 # A request that must not run twice is sent only on a connection that was idle
 # for less than this, or on a new one.
 _FRESH_IDLE_MS = 2_500.0
-_MAX_BODY_BYTES = 64 * 1_048_576
-# Limit on all unfinished answers of an origin together.
-_MAX_HELD_BYTES = 72 * 1_048_576
-# Each answer is counted towards that limit in steps of this size.
+# Each answer is counted towards the limit on all in steps of this size.
 _HELD_STEP_BYTES = 32_768
 # Limit on the head of an answer, on the interim answers before it, and on
 # chunk framing and trailers.
@@ -54,6 +51,18 @@
 OnAnswer = targetanswer.OnTargetAnswer
 
 
+class AnswerLimits(msgspec.Struct, frozen=True):
+    """Limits on the answers of an origin.
+
+    Attributes:
+        body_bytes: Longest body of an answer.
+        held_bytes: Limit on all unfinished answers together.
+    """
+
+    body_bytes: int = 64 * 1_048_576
+    held_bytes: int = 72 * 1_048_576
+
+
 class OutboundRequest(msgspec.Struct, frozen=True):
     """A request to the origin.
 
@@ -110,6 +119,7 @@
 
     def __init__(self, origin: 'OriginClient') -> None:
         self._origin = origin
+        self._limits = origin.limits
         self._parser = httptools.HttpResponseParser(self)
         # Of the head or, after a chunked body, of the trailer.
         self._headers: list[str] = []
@@ -270,12 +280,12 @@
             self.on_message_complete()
         elif (
             self._declared_bytes is not None
-            and self._declared_bytes > _MAX_BODY_BYTES
+            and self._declared_bytes > self._limits.body_bytes
             and status not in _STATUSES_WITHOUT_BODY
         ):
             raise _RejectedAnswerError(
                 f'the answer declares {self._declared_bytes} bytes,'
-                f' over {_MAX_BODY_BYTES} bytes'
+                f' over {self._limits.body_bytes} bytes'
             )
 
     def _check_head(self) -> None:
@@ -310,9 +320,9 @@
 
     def on_body(self, chunk: bytes) -> None:
         self._body_bytes += len(chunk)
-        if self._body_bytes > _MAX_BODY_BYTES:
+        if self._body_bytes > self._limits.body_bytes:
             raise _RejectedAnswerError(
-                f'the answer exceeds {_MAX_BODY_BYTES} bytes'
+                f'the answer exceeds {self._limits.body_bytes} bytes'
             )
         if self._is_late:
             return
@@ -388,7 +398,9 @@
 
     def evict(self) -> None:
         """Fail the exchange in favour of others."""
-        self._fail(f'unfinished answers exceed {_MAX_HELD_BYTES} bytes')
+        self._fail(
+            f'unfinished answers exceed {self._limits.held_bytes} bytes'
+        )
 
     @property
     def eviction_rank(self) -> tuple[bool, int]:
@@ -440,14 +452,21 @@
     """Sends requests to one origin; each ends in exactly one result.
 
     Attributes:
+        limits: Limits on answers.
         echo_header: Lower-case name of the header in which an answer echoes
             the id of its request.
         unsolicited_answers: Number of answers without a request.
     """
 
     def __init__(
-        self, host: str, port: int, clock: clocks.Clock, echo_header: str = ''
+        self,
+        host: str,
+        port: int,
+        clock: clocks.Clock,
+        echo_header: str,
+        limits: AnswerLimits,
     ) -> None:
+        self.limits = limits
         self.host = host
         self.port = port
         self.echo_header = echo_header.lower().encode()
@@ -524,7 +543,7 @@
             self._holding.add(connection)
         else:
             self._holding.discard(connection)
-        while self._held_bytes > _MAX_HELD_BYTES:
+        while self._held_bytes > self.limits.held_bytes:
             max(self._holding, key=_eviction_rank).evict()
 
     def release(self, connection: _Connection) -> None:
@@ -551,7 +570,13 @@
 
 
 def origin_client(
-    host: str, port: int, clock: clocks.Clock, echo_header: str = ''
+    host: str,
+    port: int,
+    clock: clocks.Clock,
+    echo_header: str = '',
+    limits: AnswerLimits | None = None,
 ) -> OriginClient:
     """Create a client without open connections."""
-    return OriginClient(host, port, clock, echo_header)
+    return OriginClient(
+        host, port, clock, echo_header, limits or AnswerLimits()
+    )
