--- a/tests/test_platform_store_answers.py
+++ b/tests/test_platform_store_answers.py
@@ -9,6 +9,7 @@
 
 from adapter import store as stores
 from parsleystile import clock as clocks
+from parsleystile.relay import memberlist
 from parsleystile.relay import telemetry
 from parsleystile import transport
 from tests import asyncutil
@@ -122,3 +123,25 @@
     whys = [line['why'] for line in lines if line['event'] == 'store-reach']
     assert any(limit in why for why in whys)
     assert all(sent < 32 * 1_048_576 for sent in store.sent_bytes)
+
+
+def test_an_invalid_answer_to_a_write_does_not_end_the_writes():
+    invalid = _HEAD + b'Content-Length: 3\r\n\r\n???'
+    store = _Store(b'rows-tx', invalid, faults=1)
+
+    async def body(client):
+        client.publish(
+            memberlist.Row(
+                node_id='n0',
+                domain='a',
+                region='r',
+                host='127.0.0.1',
+                port=1,
+                incarnation=1,
+            )
+        )
+        await asyncutil.wait_until(
+            lambda: store.sent_bytes and client.is_row_written
+        )
+
+    _run(store, body)
