Report an oversized answer of the target as the target's failure

An answer beyond a limit was refused as TOO_LARGE: the caller got 413, which says that its request was too large, the burn counters booked it as the caller's fault, and an idempotent request was not sent to another target.

--- a/src/parsleystile/targetclient.py
+++ b/src/parsleystile/targetclient.py
@@ -327,7 +327,8 @@
         headers = _parse_headers(transfer.header_lines)
         if len(headers) > 2 * _MAX_RESPONSE_HEADERS:
             return errors.unknown(
-                errors.Reason.TOO_LARGE, f'{len(headers) // 2} headers'
+                errors.Reason.TARGET_FAILED,
+                f'the answer exceeds {_MAX_RESPONSE_HEADERS} headers',
             )
         return targetanswer.TargetAnswer(
             status, headers, b''.join(transfer.body)
@@ -338,7 +339,8 @@
         )
     if transfer.is_too_large:
         return errors.unknown(
-            errors.Reason.TOO_LARGE, 'answer of the target is too large'
+            errors.Reason.TARGET_FAILED,
+            f'the answer exceeds {transfer.client.max_body_bytes} bytes',
         )
     if code == pycurl.E_OPERATION_TIMEDOUT:
         return errors.unknown(errors.Reason.DEADLINE, 'target took too long')
