--- a/src/parsleystile/targetclient.py
+++ b/src/parsleystile/targetclient.py
@@ -310,6 +310,9 @@
     handle.setopt(
         pycurl.TIMEOUT_MS, max(_MIN_TIMEOUT_MS, int(request.timeout_ms))
     )
+    # Limits the declared length too, which says nothing in an answer to HEAD.
+    max_bytes = 0 if transfer.is_head else transfer.client.max_body_bytes
+    handle.setopt(pycurl.MAXFILESIZE, max_bytes)
     handle.setopt(pycurl.HEADERFUNCTION, transfer.on_header)
     handle.setopt(pycurl.WRITEFUNCTION, transfer.on_body)
     handle.setopt(pycurl.PREREQFUNCTION, transfer.on_before_send)
@@ -337,7 +340,7 @@
         return errors.not_run(
             errors.Reason.UNREACHABLE, f'target not reached: curl {code}'
         )
-    if transfer.is_too_large:
+    if transfer.is_too_large or code == pycurl.E_FILESIZE_EXCEEDED:
         return errors.unknown(
             errors.Reason.TARGET_FAILED,
             f'the answer exceeds {transfer.client.max_body_bytes} bytes',
--- a/tests/test_relay_endless_answers.py
+++ b/tests/test_relay_endless_answers.py
@@ -10,11 +10,9 @@
 from parsleystile import errors
 from parsleystile.relay import httpclient
 from tests import asyncutil
+from tests import endlesstarget
 
 _ECHO = 'X-Call-Id'
-_BLOCK_BYTES = 65_536
-# Far more than any limit on what is not a body.
-_ENDLESS_BYTES = 8 * 1_048_576
 # Longest time until the caller has its error, on a busy machine.
 _PROMPT_S = 5.0
 
@@ -22,42 +20,6 @@
 _CHUNKED = _HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
 
 
-class _EndlessTarget:
-    """Sends a start once and then one unit until the client closes.
-
-    Attributes:
-        closed: Number of connections that the client closed.
-        sent_bytes: Bytes sent on all connections.
-        max_bytes: Bytes on each connection after which it falls silent.
-    """
-
-    def __init__(self, start, unit, max_bytes=_ENDLESS_BYTES):
-        self._start = start
-        self._block = unit * max(1, _BLOCK_BYTES // len(unit))
-        self.max_bytes = max_bytes
-        self.closed = 0
-        self.sent_bytes = 0
-
-    async def listen(self):
-        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
-        return server.sockets[0].getsockname()[1]
-
-    async def _serve(self, reader, writer):
-        try:
-            await reader.readuntil(b'\r\n\r\n')
-            writer.write(self._start)
-            sent_bytes = 0
-            while sent_bytes < self.max_bytes:
-                writer.write(self._block)
-                await writer.drain()
-                sent_bytes += len(self._block)
-                self.sent_bytes += len(self._block)
-            await reader.read()
-        except (ConnectionError, asyncio.IncompleteReadError):
-            pass
-        self.closed += 1
-
-
 def _send(origin, call_id='c1', **fields):
     box = asyncutil.CallbackResult()
     data = f'GET / HTTP/1.1\r\nHost: h\r\n{_ECHO}: {call_id}\r\n\r\n'
@@ -71,7 +33,7 @@
     """Return the result of one request and the number of bytes sent."""
 
     async def body():
-        target = _EndlessTarget(start, unit, **fields)
+        target = endlesstarget.EndlessTarget(start, unit, **fields)
         origin = httpclient.origin_client(
             '127.0.0.1', await target.listen(), clocks.system_clock(), _ECHO
         )
@@ -128,7 +90,7 @@
 def test_endless_bytes_outside_of_a_body_are_rejected(start, unit, limit):
     result, sent_bytes = _result_of(start, unit)
     _assert_rejected(result, limit)
-    assert sent_bytes < _ENDLESS_BYTES
+    assert sent_bytes < endlesstarget.ENDLESS_BYTES
 
 
 def _receive(data):
@@ -137,8 +99,8 @@
     async def body():
         async def serve(reader, writer):
             await reader.readuntil(b'\r\n\r\n')
-            for i in range(0, len(data), _BLOCK_BYTES):
-                writer.write(data[i : i + _BLOCK_BYTES])
+            for i in range(0, len(data), endlesstarget.BLOCK_BYTES):
+                writer.write(data[i : i + endlesstarget.BLOCK_BYTES])
                 await writer.drain()
 
         server = await asyncio.start_server(serve, '127.0.0.1', 0)
@@ -198,14 +160,14 @@
     head = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
     result, sent_bytes = _result_of(head, b'8\r\nxxxxxxxx\r\n')
     _assert_rejected(result, 'names no request')
-    assert sent_bytes < _ENDLESS_BYTES
+    assert sent_bytes < endlesstarget.ENDLESS_BYTES
 
 
 def test_endless_late_answers_are_rejected():
     late = _HEAD.replace(b'c1', b'c0') + b'Content-Length: 99\r\n\r\n'
     result, sent_bytes = _result_of(b'', late + b'x' * 99)
     _assert_rejected(result, '4 answers')
-    assert sent_bytes < _ENDLESS_BYTES
+    assert sent_bytes < endlesstarget.ENDLESS_BYTES
 
 
 def test_a_late_answer_is_skipped_without_storing_its_body():
@@ -226,7 +188,7 @@
 def test_a_declared_length_does_not_limit_an_answer_to_head():
     async def body():
         head = _HEAD + b'Content-Length: 67108865\r\n\r\n'
-        target = _EndlessTarget(head, b'x', max_bytes=0)
+        target = endlesstarget.EndlessTarget(head, b'x', max_bytes=0)
         origin = httpclient.origin_client(
             '127.0.0.1', await target.listen(), clocks.system_clock(), _ECHO
         )
@@ -246,7 +208,9 @@
 def test_an_idle_connection_does_not_keep_the_last_body():
     async def body():
         length = b'Content-Length: 16777216\r\n\r\n'
-        target = _EndlessTarget(_HEAD + length, b'x', max_bytes=16_777_216)
+        target = endlesstarget.EndlessTarget(
+            _HEAD + length, b'x', max_bytes=16_777_216
+        )
         origin = httpclient.origin_client(
             '127.0.0.1', await target.listen(), clocks.system_clock(), _ECHO
         )
@@ -265,7 +229,7 @@
 
 def test_a_rejected_answer_does_not_keep_its_body():
     async def body():
-        target = _EndlessTarget(
+        target = endlesstarget.EndlessTarget(
             _CHUNKED, b'8000\r\n' + b'x' * 32768 + b'\r\n', 200_000_000
         )
         origin = httpclient.origin_client(
