Move the parser of answers and their memory to modules of their own

The callbacks of the HTTP parser and the limits of an answer are in answerparser.py, the chunks of a body and the bound on all unfinished answers in answermemory.py, which the target client can use too.

--- a/src/parsleystile/relay/httpclient.py
+++ b/src/parsleystile/relay/httpclient.py
@@ -9,60 +9,31 @@
 import socket
 import typing
 
-import httptools
 import msgspec
 
+from parsleystile import answermemory
 from parsleystile import clock as clocks
 from parsleystile import errors
+from parsleystile.relay import answerparser
 from parsleystile import targetanswer
 from parsleystile import transport as transports
 
-_FIRST_FINAL_STATUS = 200
-_STATUSES_WITHOUT_BODY = frozenset({204, 304})
 # TCP keepalive, which detects a peer that is gone.
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
 _TCP_USER_TIMEOUT_MS = 2_500
 _CONNECT_TIMEOUT_MS = 1_000.0
-# A connection is not reused in the last part of the idle timeout that the
-# origin announced, since the origin may be closing it.
-_IDLE_MARGIN_MS = 1_000.0
-# Idle limit for an origin that announces no timeout.
-_DEFAULT_IDLE_LIMIT_MS = 8_000.0
 # A request that must not run twice is sent only on a connection that was idle
 # for less than this, or on a new one.
 _FRESH_IDLE_MS = 2_500.0
 # Each answer is counted towards the limit on all in steps of this size.
 _HELD_STEP_BYTES = 32_768
-# Limit on the head of an answer, on the interim answers before it, and on
-# chunk framing and trailers.
-_MAX_HEAD_BYTES = 65_536
-_MAX_HEADERS = 256
-# Small chunks of a body are merged, since each takes memory beyond its size.
-_SMALL_CHUNK_BYTES = 4_096
-_MAX_SMALL_CHUNKS = 256
-# Late answers to earlier requests that are skipped before an answer.
-_MAX_LATE_ANSWERS = 4
-# Chunk framing beyond this for each byte of the body counts towards the limit;
-# a chunk of one byte takes five bytes of framing, or more with extensions.
-_FRAMING_PER_BODY_BYTE = 16
 
+AnswerLimits = answerparser.AnswerLimits
 OnAnswer = targetanswer.OnTargetAnswer
 
 
-class AnswerLimits(msgspec.Struct, frozen=True):
-    """Limits on the answers of an origin.
-
-    Attributes:
-        body_bytes: Longest body of an answer.
-        held_bytes: Limit on all unfinished answers together.
-    """
-
-    body_bytes: int = 64 * 1_048_576
-    held_bytes: int = 72 * 1_048_576
-
-
 class OutboundRequest(msgspec.Struct, frozen=True):
     """A request to the origin.
 
@@ -81,10 +52,6 @@
     is_head: bool = False
 
 
-class _RejectedAnswerError(Exception):
-    """The answer is not acceptable; raised to stop the parser."""
-
-
 class _Exchange(transports.PendingCall):
     """A request that waits for its answer."""
 
@@ -114,55 +81,30 @@
             self.connection.abort()
 
 
-class _Connection(asyncio.Protocol):
+class _Connection(asyncio.Protocol, answermemory.UnfinishedAnswer):
     """One connection to the origin."""
 
     def __init__(self, origin: 'OriginClient') -> None:
         self._origin = origin
-        self._limits = origin.limits
-        self._parser = httptools.HttpResponseParser(self)
-        # Of the head or, after a chunked body, of the trailer.
-        self._headers: list[str] = []
-        self._final_headers: list[str] = []
-        # The body: the chunks and then the small chunks, yet to be merged.
-        self._chunks: list[bytes] = []
-        self._small_chunks: list[bytes] = []
-        # Bytes of bodies received in this exchange.
-        self._body_bytes = 0
-        # Other bytes received in it, less those that the bodies allow.
-        self._framing_bytes = 0
-        self._echo: str | None = None
-        # Whether the current answer is a late one to an earlier request.
-        self._is_late = False
-        self._late_answers = 0
-        self._late_bytes = 0
-        self._is_chunked = False
-        # Length of the body in the head; None without one.
-        self._declared_bytes: int | None = None
-        self._idle_text = ''
-        self._has_final_head = False
-        self._is_delimited = False
+        self._parser = answerparser.AnswerParser(
+            origin.echo_header, origin.limits, origin.count_unsolicited
+        )
         self._is_closed = False
-        self._answer: targetanswer.TargetAnswer | None = None
-        # The connection is closed once the current answer is delivered.
-        self._must_close = False
         self.transport: asyncio.Transport | None = None
         self.exchange: _Exchange | None = None
-        # Size of the unfinished answer, as the origin counts it.
         self.held_bytes = 0
         self.idle_since_ms = 0.0
-        self.idle_limit_ms = _DEFAULT_IDLE_LIMIT_MS
 
     def start(self, exchange: _Exchange) -> None:
         self.exchange = exchange
         exchange.connection = self
-        self._has_final_head = False
-        self._is_delimited = False
-        self._body_bytes = 0
-        self._framing_bytes = 0
-        self._late_answers = 0
-        self._late_bytes = 0
-        self.transport.write(exchange.outbound.data)
+        outbound = exchange.outbound
+        self._parser.expect(outbound.echo, outbound.is_head)
+        self.transport.write(outbound.data)
+
+    @property
+    def idle_limit_ms(self) -> float:
+        return self._parser.idle_limit_ms
 
     @property
     def is_usable(self) -> bool:
@@ -182,46 +124,26 @@
             self._origin.count_unsolicited()
             self.abort()
             return
-        body_bytes = self._body_bytes
-        self._framing_bytes += len(data)
+        parser = self._parser
         try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
-            self._must_close = True
-            if self._answer is None:
-                self._fail(_parser_problem(exc))
-        if self._answer is not None:
+            parser.feed(data)
+        except answerparser.AnswerError as exc:
+            self._fail(str(exc))
+            return
+        if parser.answer is not None:
             self._deliver()
-        elif self.exchange is not None:
-            self._check_framing(self._body_bytes - body_bytes)
-            size = self._framing_bytes
-            if not self._is_late:
-                size += self._body_bytes - self._late_bytes
-            if size - self.held_bytes > _HELD_STEP_BYTES and self.exchange:
-                self._origin.hold(self, size)
-
-    def _check_framing(self, body_bytes: int) -> None:
-        """Fail an unfinished answer if too little of it is body."""
-        framing_bytes = self._framing_bytes
-        framing_bytes -= (1 + _FRAMING_PER_BODY_BYTE) * body_bytes
-        self._framing_bytes = framing_bytes if framing_bytes > 0 else 0
-        if len(self._headers) > 2 * _MAX_HEADERS:
-            self._fail(f'the answer exceeds {_MAX_HEADERS} headers')
-        elif framing_bytes > _MAX_HEAD_BYTES:
-            self._fail(
-                f'the answer exceeds {_MAX_HEAD_BYTES} bytes outside of its'
-                ' body'
-            )
+        elif parser.size - self.held_bytes > _HELD_STEP_BYTES:
+            self._origin.memory.count(self, parser.size)
 
     def eof_received(self) -> bool:
-        if self.exchange is not None and self._has_final_head:
-            if not self._is_delimited:
-                self._must_close = True
-                self.on_message_complete()
-                if self._answer is not None:
-                    self._deliver()
+        if self.exchange is not None:
+            try:
+                self._parser.end()
+            except answerparser.AnswerError as exc:
+                self._fail(str(exc))
             else:
-                self._fail('the answer ended early')
+                if self._parser.answer is not None:
+                    self._deliver()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -230,159 +152,15 @@
         if self.exchange is not None:
             self._fail(f'connection lost: {exc or "closed"}')
 
-    # Callbacks of httptools.
-
-    def on_message_begin(self) -> None:
-        if self._answer is not None:
-            # Nothing after it can be trusted.
-            raise _RejectedAnswerError('bytes follow the answer')
-        self._headers = []
-        self._clear_body()
-        self._echo = None
-        self._is_chunked = False
-        self._declared_bytes = None
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        text = value.decode('latin-1')
-        headers = self._headers
-        headers.append(name.decode('latin-1'))
-        headers.append(text)
-        key = name.lower()
-        if key == b'content-length':
-            # The parser has checked the digits.
-            self._declared_bytes = int(value)
-        elif key == b'transfer-encoding':
-            self._is_chunked = True
-        elif key == self._origin.echo_header:
-            if self._echo is None:
-                self._echo = text
-        elif key == b'keep-alive':
-            self._update_idle_limit(text)
-
-    def on_headers_complete(self) -> None:
-        status = self._parser.get_status_code()
-        if status < _FIRST_FINAL_STATUS:
-            return
-        self._check_head()
-        self._check_echo()
-        self._has_final_head = True
-        # Headers that follow the body are trailers, which are dropped.
-        self._final_headers, self._headers = self._headers, []
-        self._is_delimited = (
-            self._is_chunked
-            or self._declared_bytes is not None
-            or status in _STATUSES_WITHOUT_BODY
-        )
-        if self.exchange.outbound.is_head:
-            # The parser can't be told of HEAD and would wait for the body.
-            self._is_delimited = True
-            self._must_close = True
-            self.on_message_complete()
-        elif (
-            self._declared_bytes is not None
-            and self._declared_bytes > self._limits.body_bytes
-            and status not in _STATUSES_WITHOUT_BODY
-        ):
-            raise _RejectedAnswerError(
-                f'the answer declares {self._declared_bytes} bytes,'
-                f' over {self._limits.body_bytes} bytes'
-            )
-
-    def _check_head(self) -> None:
-        headers = self._headers
-        if len(headers) > 2 * _MAX_HEADERS:
-            raise _RejectedAnswerError(
-                f'the answer exceeds {_MAX_HEADERS} headers'
-            )
-        # The bytes that were received may include part of the body.
-        if (
-            self._framing_bytes > _MAX_HEAD_BYTES
-            and sum(map(len, headers)) > _MAX_HEAD_BYTES
-        ):
-            raise _RejectedAnswerError(
-                f'the head of the answer exceeds {_MAX_HEAD_BYTES} bytes'
-            )
-
-    def _check_echo(self) -> None:
-        self._is_late = False
-        expected = self.exchange.outbound.echo
-        if self._echo == expected:
-            return
-        if self._echo is not None:
-            self._is_late = True
-            self._late_answers += 1
-            if self._late_answers > _MAX_LATE_ANSWERS:
-                raise _RejectedAnswerError(
-                    f'over {_MAX_LATE_ANSWERS} answers to other requests'
-                )
-        elif expected:
-            raise _RejectedAnswerError('the answer names no request')
-
-    def on_body(self, chunk: bytes) -> None:
-        self._body_bytes += len(chunk)
-        if self._body_bytes > self._limits.body_bytes:
-            raise _RejectedAnswerError(
-                f'the answer exceeds {self._limits.body_bytes} bytes'
-            )
-        if self._is_late:
-            return
-        if len(chunk) < _SMALL_CHUNK_BYTES:
-            self._small_chunks.append(chunk)
-            if len(self._small_chunks) >= _MAX_SMALL_CHUNKS:
-                self._merge_small_chunks()
-        else:
-            if self._small_chunks:
-                self._merge_small_chunks()
-            self._chunks.append(chunk)
-
-    def _merge_small_chunks(self) -> None:
-        self._chunks.append(b''.join(self._small_chunks))
-        self._small_chunks.clear()
-
-    def _take_body(self) -> bytes:
-        body = b''.join(self._chunks + self._small_chunks)
-        self._clear_body()
-        return body
-
-    def _clear_body(self) -> None:
-        self._chunks = []
-        self._small_chunks = []
-
-    def on_message_complete(self) -> None:
-        if not self._has_final_head:
-            return
-        self._has_final_head = False
-        if self._is_late:
-            # The right answer may follow.
-            self._late_bytes = self._body_bytes
-            self._origin.count_unsolicited()
-            self._must_close = True
-            return
-        if not self._parser.should_keep_alive():
-            self._must_close = True
-        self._answer = targetanswer.TargetAnswer(
-            self._parser.get_status_code(),
-            self._final_headers,
-            self._take_body(),
-        )
-
-    def _update_idle_limit(self, value: str) -> None:
-        if value == self._idle_text:
-            return
-        self._idle_text = value
-        _, _, rest = value.partition('timeout=')
-        digits = rest.partition(',')[0].strip()
-        if digits.isascii() and digits.isdigit():
-            self.idle_limit_ms = max(0.0, int(digits) * 1e3 - _IDLE_MARGIN_MS)
-
     def _deliver(self) -> None:
         # Called only after all received bytes are parsed, so that an extra
         # answer is not taken for the answer to the next request.
         exchange, self.exchange = self.exchange, None
-        answer, self._answer = self._answer, None
+        parser = self._parser
+        answer, parser.answer = parser.answer, None
         if self.held_bytes:
-            self._origin.hold(self, 0)
-        if self._must_close or not self.is_usable:
+            self._origin.memory.count(self, 0)
+        if parser.must_close or not self.is_usable:
             self._is_closed = True
             self.transport.close()
         else:
@@ -391,46 +169,26 @@
 
     def _fail(self, why: str) -> None:
         exchange, self.exchange = self.exchange, None
-        self._answer = None
         self.abort()
         if exchange is not None:
             exchange.finish(_bad_answer(why))
 
-    def evict(self) -> None:
-        """Fail the exchange in favour of others."""
-        self._fail(
-            f'unfinished answers exceed {self._limits.held_bytes} bytes'
-        )
-
     @property
-    def eviction_rank(self) -> tuple[bool, int]:
-        """The connection with the greatest rank is evicted first.
+    def has_declared_length(self) -> bool:
+        return self._parser.has_declared_length
 
-        An answer without a declared length may have no end.
-        """
-        return self._declared_bytes is None, self.held_bytes
+    def evict(self, why: str) -> None:
+        self._fail(why)
 
     def abort(self) -> None:
         self._is_closed = True
-        # The parser refers back to the connection, so this object may stay
-        # until the garbage collector runs.
-        self._clear_body()
+        self._parser.clear()
         if self.held_bytes:
-            self._origin.hold(self, 0)
+            self._origin.memory.count(self, 0)
         if self.transport is not None:
             self.transport.abort()
 
 
-def _parser_problem(exc: Exception) -> str:
-    if isinstance(exc.__context__, _RejectedAnswerError):
-        return str(exc.__context__)
-    return 'the answer is not in the protocol'
-
-
-def _eviction_rank(connection: _Connection) -> tuple[bool, int]:
-    return connection.eviction_rank
-
-
 def _bad_answer(why: str) -> errors.Refusal:
     return errors.unknown(errors.Reason.TARGET_FAILED, why)
 
@@ -453,6 +211,7 @@
 
     Attributes:
         limits: Limits on answers.
+        memory: Memory of all unfinished answers.
         echo_header: Lower-case name of the header in which an answer echoes
             the id of its request.
         unsolicited_answers: Number of answers without a request.
@@ -476,9 +235,7 @@
         # A stack: reusing the most recent connection lets the others expire.
         self._idle: list[_Connection] = []
         self._connecting: set[asyncio.Task[None]] = set()
-        # Connections with an unfinished answer.
-        self._holding: set[_Connection] = set()
-        self._held_bytes = 0
+        self.memory = answermemory.answer_memory(limits.held_bytes)
 
     def send(
         self, outbound: OutboundRequest, on_answer: OnAnswer
@@ -531,21 +288,6 @@
         else:
             connection.start(exchange)
 
-    def hold(self, connection: _Connection, size: int) -> None:
-        """Count the size of an unfinished answer.
-
-        If all together exceed the limit, the largest one is given up: this
-        frees the most memory at the expense of one caller.
-        """
-        self._held_bytes += size - connection.held_bytes
-        connection.held_bytes = size
-        if size:
-            self._holding.add(connection)
-        else:
-            self._holding.discard(connection)
-        while self._held_bytes > self.limits.held_bytes:
-            max(self._holding, key=_eviction_rank).evict()
-
     def release(self, connection: _Connection) -> None:
         """Return a connection to the pool."""
         connection.idle_since_ms = self._clock.now_ms()
