--- a/src/parsleystile/relay/__init__.py
+++ b/src/parsleystile/relay/__init__.py
@@ -1,8 +1,9 @@
 """Forwarding of calls between nodes that each front one target.
 
 This is the data path for platforms whose targets declare their number of
-slots and whose store lists the members. The decisions (``declaredlimit``,
-``memberlist``, ``retrybudget``, ``targetreports``, ``tokenbuckets``) do no
-I/O; ``dispatch``, ``guard``, ``httpclient``, ``httpserver``, ``ingress``,
-``ratelimiter`` and ``statesync`` connect them to sockets and timers.
+slots and whose store lists the members. The decisions (``answerparser``,
+``declaredlimit``, ``memberlist``, ``retrybudget``, ``targetreports``,
+``tokenbuckets``) do no I/O; ``dispatch``, ``guard``, ``httpclient``,
+``httpserver``, ``ingress``, ``ratelimiter`` and ``statesync`` connect them to
+sockets and timers.
 """
