Release the last answer of an idle handle

A reused handle keeps its callbacks, which refer to the last transfer with the pieces of its answer: up to 256 idle handles held the last answer of each. After ten answers of 960 KiB, 11 MB stayed allocated (traced), where test_an_idle_handle_does_not_keep_the_last_body allows 2 MB; it failed before.

--- a/src/parsleystile/targetclient.py
+++ b/src/parsleystile/targetclient.py
@@ -263,6 +263,9 @@
             return
         self._multi.remove_handle(handle)
         result = _transfer_result(transfer, handle, code)
+        # A reused handle keeps its callbacks and with them the transfer.
+        transfer.body.clear()
+        transfer.header_lines.clear()
         is_reusable = code == pycurl.E_OK and not transfer.is_head
         if is_reusable and len(self._idle_handles) < _MAX_IDLE_HANDLES:
             self._idle_handles.append(handle)
--- a/tests/test_targetclient_endless.py
+++ b/tests/test_targetclient_endless.py
@@ -1,6 +1,8 @@
 """Answers of a target that never end, as the target client receives them."""
 
 import asyncio
+import gc
+import tracemalloc
 
 import pytest
 
@@ -94,3 +96,24 @@
         return result
 
     assert asyncutil.run(body()).status == 200
+
+
+def test_an_idle_handle_does_not_keep_the_last_body():
+    async def body():
+        head = _HEAD + b'Content-Length: 983040\r\n\r\n'
+        target = endlesstarget.EndlessTarget(head, b'x', max_bytes=983_040)
+        client = targetclient.target_client(_MAX_BODY_BYTES)
+        port = await target.listen()
+        for box in [_send(client, port) for _ in range(10)]:
+            assert len((await box.get()).body) == 983_040
+        del box
+        gc.collect()
+        kept_bytes = tracemalloc.get_traced_memory()[0]
+        client.close()
+        return kept_bytes
+
+    tracemalloc.start()
+    try:
+        assert asyncutil.run(body()) < 2_000_000
+    finally:
+        tracemalloc.stop()
