Bound the memory of unfinished answers in the target client too

Only each answer alone was limited, and its chunks were kept as separate objects. With a limit of 8 MiB, 200 answers without end in chunks of 512 bytes grew the process by 680 MB, 200 that kept sending behind their declared 8 MB by 936 MB, and 20 whole answers of 1 MiB beside 180 without end came at a growth of 255 MB. These cases of test_answermemory.py failed before; the tests allow 160 MiB.

The client uses the bound of the relay's client, 72 MiB for all unfinished answers together. The growth is 81 to 94 MB now, and whole answers pass beside those without end. An evicted transfer is ended in the next turn of the loop, since libcurl does not allow it in its callbacks.

--- a/src/parsleystile/relay/httpclient.py
+++ b/src/parsleystile/relay/httpclient.py
@@ -171,7 +171,7 @@
         exchange, self.exchange = self.exchange, None
         self.abort()
         if exchange is not None:
-            exchange.finish(_bad_answer(why))
+            exchange.finish(targetanswer.bad_answer(why))
 
     @property
     def has_declared_length(self) -> bool:
@@ -189,10 +189,6 @@
             self.transport.abort()
 
 
-def _bad_answer(why: str) -> errors.Refusal:
-    return errors.unknown(errors.Reason.TARGET_FAILED, why)
-
-
 def _set_liveness_options(sock: socket.socket) -> None:
     """Let the kernel detect a peer that is gone."""
     for level, option, value in (
--- a/src/parsleystile/targetanswer.py
+++ b/src/parsleystile/targetanswer.py
@@ -16,3 +16,19 @@
 
 
 OnTargetAnswer = typing.Callable[[TargetAnswer | errors.Refusal], None]
+
+
+def bad_answer(why: str) -> errors.Refusal:
+    """Create the refusal of a call that got no valid answer."""
+    return errors.unknown(errors.Reason.TARGET_FAILED, why)
+
+
+def parse_headers(lines: list[bytes]) -> list[str]:
+    """Return the names and values after the status line, alternating."""
+    headers = []
+    for line in lines[1:]:
+        name, colon, value = line.partition(b':')
+        if colon:
+            headers.append(name.decode('latin-1').strip())
+            headers.append(value.decode('latin-1').strip())
+    return headers
--- a/src/parsleystile/targetclient.py
+++ b/src/parsleystile/targetclient.py
@@ -14,6 +14,7 @@
 
 import pycurl
 
+from parsleystile import answermemory
 from parsleystile import errors
 from parsleystile import targetanswer
 from parsleystile import transport
@@ -21,6 +22,10 @@
 _MAX_IDLE_HANDLES = 256
 _MAX_CONNECTIONS = 256
 _MAX_RESPONSE_HEADERS = 256
+# Limit on all unfinished answers together, unless one alone may be larger.
+_MAX_HELD_BYTES = 72 * 1_048_576
+# Each answer is counted towards that limit in steps of this size.
+_HELD_STEP_BYTES = 32_768
 _CONNECT_TIMEOUT_MS = 500
 _MS_PER_S = 1000.0
 # libcurl takes a timeout of 0 to mean no timeout.
@@ -29,6 +34,7 @@
 # first in the list and so has precedence.
 _SUPPRESSED_HEADERS = ('Expect:', 'Content-Type:', 'Accept:', 'User-Agent:')
 _STATUS_LINE = b'HTTP/'
+_LENGTH_HEADER = b'content-length:'
 _FIRST_FINAL_STATUS = 200
 
 
@@ -62,7 +68,7 @@
         """
 
 
-class _Transfer(transport.PendingCall):
+class _Transfer(transport.PendingCall, answermemory.UnfinishedAnswer):
     """One request in progress on one handle."""
 
     __slots__ = (
@@ -70,7 +76,9 @@
         'body_bytes',
         'client',
         'handle',
+        'eviction',
         'header_lines',
+        'held_bytes',
         'is_head',
         'is_too_large',
         'on_answer',
@@ -91,8 +99,11 @@
         self.handle = handle
         self.on_answer: targetanswer.OnTargetAnswer | None = on_answer
         self.header_lines: list[bytes] = []
-        self.body: list[bytes] = []
+        self.body = answermemory.AnswerBody()
         self.body_bytes = 0
+        self.held_bytes = 0
+        # Why it was given up in favour of others.
+        self.eviction = ''
         self.send_count = 0
         self.is_too_large = False
 
@@ -107,9 +118,30 @@
         if self.body_bytes > self.client.max_body_bytes:
             self.is_too_large = True
             return 0
+        if self.eviction:
+            return 0
         self.body.append(chunk)
+        if self.body_bytes - self.held_bytes > _HELD_STEP_BYTES:
+            self.client.memory.count(self, self.body_bytes)
         return len(chunk)
 
+    @property
+    def has_declared_length(self) -> bool:
+        lines = self.header_lines
+        return any(li.lower().startswith(_LENGTH_HEADER) for li in lines)
+
+    def evict(self, why: str) -> None:
+        self.eviction = why
+        self.release()
+        self.client.finish_evicted(self)
+
+    def release(self) -> None:
+        """Release the memory of the answer."""
+        self.body.clear()
+        self.header_lines.clear()
+        if self.held_bytes:
+            self.client.memory.count(self, 0)
+
     def on_before_send(self, *_addresses: object) -> int:
         # libcurl resends a request on its own when a reused connection closes
         # before the answer. The target may already have executed it.
@@ -133,6 +165,9 @@
         self, loop: asyncio.AbstractEventLoop, max_body_bytes: int
     ) -> None:
         self.max_body_bytes = max_body_bytes
+        self.memory = answermemory.answer_memory(
+            max(max_body_bytes, _MAX_HELD_BYTES)
+        )
         self._loop = loop
         self._idle_handles: collections.deque[pycurl.Curl] = (
             collections.deque()
@@ -150,7 +185,7 @@
     def send(
         self, request: TargetRequest, on_answer: targetanswer.OnTargetAnswer
     ) -> transport.PendingCall:
-        """Start a request; see ``TargetCaller.send``."""
+        """See ``TargetCaller.send``."""
         handle = (
             self._idle_handles.pop() if self._idle_handles else _new_handle()
         )
@@ -176,12 +211,25 @@
     def cancel(self, transfer: _Transfer) -> None:
         """Cancel a request by closing its connection; it gets no answer."""
         transfer.on_answer = None
+        transfer.release()
         if self._transfers.pop(transfer.handle, None) is not None:
             # Removing an unfinished transfer closes its connection, by which
             # the target sees the cancellation.
             self._multi.remove_handle(transfer.handle)
             transfer.handle.close()
 
+    def finish_evicted(self, transfer: _Transfer) -> None:
+        """End a transfer that was given up."""
+
+        # Later, as libcurl does not allow it in its own callbacks.
+        def finish() -> None:
+            on_answer = transfer.on_answer
+            if on_answer is not None:
+                self.cancel(transfer)
+                on_answer(targetanswer.bad_answer(transfer.eviction))
+
+        self._loop.call_soon(finish)
+
     def close(self) -> None:
         """Close all connections; requests in progress get no answer."""
         for transfer in list(self._transfers.values()):
@@ -264,8 +312,7 @@
         self._multi.remove_handle(handle)
         result = _transfer_result(transfer, handle, code)
         # A reused handle keeps its callbacks and with them the transfer.
-        transfer.body.clear()
-        transfer.header_lines.clear()
+        transfer.release()
         is_reusable = code == pycurl.E_OK and not transfer.is_head
         if is_reusable and len(self._idle_handles) < _MAX_IDLE_HANDLES:
             self._idle_handles.append(handle)
@@ -324,45 +371,29 @@
 def _transfer_result(
     transfer: _Transfer, handle: pycurl.Curl, code: int
 ) -> targetanswer.TargetAnswer | errors.Refusal:
+    if transfer.eviction:
+        return targetanswer.bad_answer(transfer.eviction)
     if code == pycurl.E_OK:
         status = handle.getinfo(pycurl.RESPONSE_CODE)
         if status < _FIRST_FINAL_STATUS:
-            return errors.unknown(
-                errors.Reason.TARGET_FAILED, f'target ended at {status}'
-            )
-        headers = _parse_headers(transfer.header_lines)
+            return targetanswer.bad_answer(f'target ended at {status}')
+        headers = targetanswer.parse_headers(transfer.header_lines)
         if len(headers) > 2 * _MAX_RESPONSE_HEADERS:
-            return errors.unknown(
-                errors.Reason.TARGET_FAILED,
-                f'the answer exceeds {_MAX_RESPONSE_HEADERS} headers',
+            return targetanswer.bad_answer(
+                f'the answer exceeds {_MAX_RESPONSE_HEADERS} headers'
             )
-        return targetanswer.TargetAnswer(
-            status, headers, b''.join(transfer.body)
-        )
+        return targetanswer.TargetAnswer(status, headers, transfer.body.take())
     if transfer.send_count == 0:
         return errors.not_run(
             errors.Reason.UNREACHABLE, f'target not reached: curl {code}'
         )
     if transfer.is_too_large or code == pycurl.E_FILESIZE_EXCEEDED:
-        return errors.unknown(
-            errors.Reason.TARGET_FAILED,
-            f'the answer exceeds {transfer.client.max_body_bytes} bytes',
+        return targetanswer.bad_answer(
+            f'the answer exceeds {transfer.client.max_body_bytes} bytes'
         )
     if code == pycurl.E_OPERATION_TIMEDOUT:
         return errors.unknown(errors.Reason.DEADLINE, 'target took too long')
-    return errors.unknown(
-        errors.Reason.TARGET_FAILED, f'answer cut off: curl {code}'
-    )
-
-
-def _parse_headers(lines: list[bytes]) -> list[str]:
-    headers = []
-    for line in lines[1:]:
-        name, colon, value = line.partition(b':')
-        if colon:
-            headers.append(name.decode('latin-1').strip())
-            headers.append(value.decode('latin-1').strip())
-    return headers
+    return targetanswer.bad_answer(f'answer cut off: curl {code}')
 
 
 def target_client(max_body_bytes: int) -> TargetClient:
--- a/tests/test_relay_answer_memory.py
+++ b/tests/test_answermemory.py
@@ -1,4 +1,4 @@
-"""Memory of the relay's client with many answers in progress at once."""
+"""Memory of the clients of a target with many answers in progress at once."""
 
 import asyncio
 import json
@@ -49,12 +49,12 @@
             pass
 
 
-def _measure(target, requests, whole=0):
+def _measure(target, requests, whole=0, client='relay'):
     async def body():
         port = await target.listen()
         process = await asyncio.create_subprocess_exec(
             *(sys.executable, '-m', 'tests.answermemory'),
-            *map(str, (port, requests, whole)),
+            *map(str, (client, port, requests, whole)),
             stdout=subprocess.PIPE,
         )
         output, _ = await process.communicate()
@@ -110,3 +110,29 @@
     measured = _measure(target, 1, whole=1)
     assert measured['results'] == {f'200 {64 * _MIB}': 1}
     assert measured['growth_bytes'] < _MAX_GROWTH_BYTES
+
+
+@pytest.mark.parametrize(
+    ('start', 'unit'),
+    [
+        (_HEAD + b'\r\n', b'x'),
+        (_CHUNKED, b'200\r\n' + b'x' * 512 + b'\r\n'),
+        (_HEAD + b'Content-Length: 8000000\r\n\r\n', b'x'),
+    ],
+    ids=['no-length', 'small-chunks', 'longer-than-declared'],
+)
+def test_endless_answers_to_the_target_client_are_bounded(start, unit):
+    measured = _measure(_Target(start, unit), 200, client='target')
+    assert measured['growth_bytes'] < _MAX_GROWTH_BYTES
+    assert sum(measured['results'].values()) == 200
+    for result in measured['results']:
+        assert result.startswith(('502 UNKNOWN ', '200 8000000'))
+
+
+def test_whole_answers_to_the_target_client_pass_beside_endless_ones():
+    target = _Target(_HEAD + b'\r\n', b'x', whole_bytes=_MIB)
+    measured = _measure(target, 200, whole=20, client='target')
+    assert measured['growth_bytes'] < _MAX_GROWTH_BYTES
+    assert measured['results'].pop('200 1048576') == 20
+    for result in measured['results']:
+        assert result.startswith('502 UNKNOWN ')
