Ignore a cancellation that comes after the answer

Both clients of a target kept the connection in the handle of a finished request, so a cancellation after the answer ended the request that used the connection or curl handle next: with an error in the relay, with no answer at all in the target client. The store's client can do so when its timeout and an answer come in the same turn of the loop. Both tests named test_a_late_cancel_does_not_affect_the_next_request failed before.

--- a/src/parsleystile/relay/httpclient.py
+++ b/src/parsleystile/relay/httpclient.py
@@ -71,6 +71,8 @@
     def finish(
         self, result: targetanswer.TargetAnswer | errors.Refusal
     ) -> None:
+        # The connection may be used for another request from now on.
+        self.connection = None
         on_answer, self.on_answer = self.on_answer, None
         if on_answer is not None:
             on_answer(result)
--- a/src/parsleystile/targetclient.py
+++ b/src/parsleystile/targetclient.py
@@ -212,7 +212,9 @@
         """Cancel a request by closing its connection; it gets no answer."""
         transfer.on_answer = None
         transfer.release()
-        if self._transfers.pop(transfer.handle, None) is not None:
+        # The handle may already be in use for another request.
+        if self._transfers.get(transfer.handle) is transfer:
+            del self._transfers[transfer.handle]
             # Removing an unfinished transfer closes its connection, by which
             # the target sees the cancellation.
             self._multi.remove_handle(transfer.handle)
--- a/tests/test_relay_http.py
+++ b/tests/test_relay_http.py
@@ -233,6 +233,30 @@
 
         assert asyncutil.run(body()) == 0
 
+    def test_a_late_cancel_does_not_affect_the_next_request(self):
+        async def body():
+            target = _Target(lambda n: [0.05 * n - 0.05, _answer(f'c{n}')])
+            origin = await target.start()
+            request = httpclient.OutboundRequest(
+                b'GET / HTTP/1.1\r\n\r\n', 'c1'
+            )
+            box = asyncutil.CallbackResult()
+            pending = origin.send(request, box.put)
+            await box.get()
+            second = asyncutil.CallbackResult()
+            request = httpclient.OutboundRequest(
+                b'GET / HTTP/1.1\r\n\r\n', 'c2'
+            )
+            origin.send(request, second.put)
+            pending.cancel()
+            result = await second.get()
+            origin.close()
+            return result, target.connections
+
+        result, connections = asyncutil.run(body())
+        assert result.status == 200
+        assert connections == 1
+
     @pytest.mark.parametrize('seed', range(40))
     def test_fuzzed_answers_end_in_one_result(self, seed):
         rng = random.Random(seed)
--- a/tests/test_targetclient.py
+++ b/tests/test_targetclient.py
@@ -207,3 +207,19 @@
 
     head = _OK.split(b'hi')[0]
     _with_target(lambda n: head if n in (1, 5) else _OK, body)
+
+
+def test_a_late_cancel_does_not_affect_the_next_request():
+    async def body(target, client, port):
+        box = asyncutil.CallbackResult()
+        first = client.send(_request(port), box.put)
+        await box.get()
+        second = asyncutil.CallbackResult()
+        client.send(_request(port), second.put)
+        await asyncutil.wait_until(lambda: len(target.requests) == 2)
+        first.cancel()
+        assert client.in_flight == 1
+        third = await _send(client, _request(port))
+        assert third.status == 200
+
+    _with_target(lambda n: b'' if n == 2 else _OK, body)
