Limit the answers of the table service

The table client accepted answers of up to 100 MiB, with 16 requests at once: one answer without end took more than a third of a node's memory, and three more than all of it. A declared length of any size was waited for.

An answer is limited to 8 MiB, all 16 together to 128 MiB. A longer one is TableResultUnknownError, or TableUnavailableError for a read, as any other answer that is cut off.

--- a/src/parsleystile/tableclient.py
+++ b/src/parsleystile/tableclient.py
@@ -26,6 +26,8 @@
 READ_ATTEMPTS = 3
 WRITE_ATTEMPTS = 2
 INITIAL_BACKOFF_MS = 20.0
+# Longest answer; with MAX_IN_FLIGHT it bounds the memory of all answers.
+MAX_ANSWER_BYTES = 8 * 1_048_576
 
 _HTTP_OK = 200
 _HTTP_CONFLICT = 409
@@ -84,7 +86,9 @@
         self._slots = asyncio.Semaphore(limits.in_flight)
         self._waiting = 0
         self._http = curl_httpclient.CurlAsyncHTTPClient(
-            force_instance=True, max_clients=limits.in_flight
+            force_instance=True,
+            max_clients=limits.in_flight,
+            max_body_size=MAX_ANSWER_BYTES,
         )
 
     @property
@@ -270,7 +274,9 @@
         self.count = 0
 
     def attach(self, handle: pycurl.Curl) -> None:
-        """Count the requests that ``handle`` sends."""
+        """Count the requests that a handle sends, and limit its answers."""
+        # Rejects a declared length at the head.
+        handle.setopt(pycurl.MAXFILESIZE, MAX_ANSWER_BYTES)
         handle.setopt(pycurl.PREREQFUNCTION, self._before_send)
 
     def _before_send(self, *_addresses: object) -> int:
