Test bytes behind an answer and trickles without end

Bytes without end behind an answer, at once or on the idle connection, close the connection; a trickle ends at the deadline, and a cancelled one at once.

--- a/tests/endlesstarget.py
+++ b/tests/endlesstarget.py
@@ -14,12 +14,15 @@
         closed: Number of connections that the client closed.
         sent_bytes: Bytes sent on all connections.
         max_bytes: Bytes on each connection after which it falls silent.
+        block: Bytes that are sent at once.
+        pause_s: Time between blocks.
     """
 
-    def __init__(self, start, unit, max_bytes=ENDLESS_BYTES):
+    def __init__(self, start, unit, max_bytes=ENDLESS_BYTES, pause_s=0.0):
         self._start = start
-        self._block = unit * max(1, BLOCK_BYTES // len(unit))
+        self.block = unit * max(1, BLOCK_BYTES // len(unit))
         self.max_bytes = max_bytes
+        self.pause_s = pause_s
         self.closed = 0
         self.sent_bytes = 0
 
@@ -34,10 +37,11 @@
             writer.write(self._start)
             sent_bytes = 0
             while sent_bytes < self.max_bytes:
-                writer.write(self._block)
+                await asyncio.sleep(self.pause_s)
+                writer.write(self.block)
                 await writer.drain()
-                sent_bytes += len(self._block)
-                self.sent_bytes += len(self._block)
+                sent_bytes += len(self.block)
+                self.sent_bytes += len(self.block)
             await reader.read()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
--- a/tests/test_platform_endless_answers.py
+++ b/tests/test_platform_endless_answers.py
@@ -89,3 +89,18 @@
         assert len(third.target.executed_headers) == 6
 
     platformfleet.run_with_fleet(body, count=3, serving=[])
+
+
+@pytest.mark.parametrize('start', [b'HTTP/1.1 200 ', _HEAD + b'\r\n'])
+def test_a_trickle_ends_at_the_deadline(tmp_path, start):
+    async def body(fleet):
+        first, second = fleet.machines
+        target = await _make_endless(second, start, b'x', tmp_path / 'log')
+        target.block = b'x'
+        target.pause_s = 0.02
+        await fleet.wait_serving(1)
+        answer = await first.call(wait_ms=500)
+        assert answer.status == 504
+        await asyncutil.wait_until(lambda: target.closed == 1)
+
+    platformfleet.run_with_fleet(body, serving=[])
--- a/tests/test_relay_endless_answers.py
+++ b/tests/test_relay_endless_answers.py
@@ -277,3 +277,32 @@
     results, connections = asyncutil.run(body())
     assert [result.body for result in results] == [b'hi', b'hi']
     assert connections == 2
+
+
+@pytest.mark.parametrize('unit', [b'x', b'\r\n', _HEAD + b'\r\n'])
+@pytest.mark.parametrize('pause_s', [0.0, 0.05])
+def test_endless_bytes_after_an_answer_close_the_connection(unit, pause_s):
+    whole = _HEAD + b'Content-Length: 2\r\n\r\nhi'
+    result, sent_bytes = _result_of(whole, unit, pause_s=pause_s)
+    assert result.body == b'hi'
+    assert sent_bytes < endlesstarget.ENDLESS_BYTES
+
+
+@pytest.mark.parametrize('start', [b'HTTP/1.1 200 ', _HEAD + b'\r\n'])
+def test_a_cancelled_trickle_is_closed(start):
+    async def body():
+        target = endlesstarget.EndlessTarget(start, b'x', pause_s=0.01)
+        target.block = b'x'
+        origin = httpclient.origin_client(
+            '127.0.0.1', await target.listen(), clocks.system_clock(), _ECHO
+        )
+        box = asyncutil.CallbackResult()
+        request = httpclient.OutboundRequest(b'GET / HTTP/1.1\r\n\r\n', 'c1')
+        pending = origin.send(request, box.put)
+        await asyncutil.wait_until(lambda: target.sent_bytes > 10)
+        pending.cancel()
+        await asyncutil.wait_until(lambda: target.closed == 1)
+        origin.close()
+        return box.count
+
+    assert asyncutil.run(body()) == 0
