--- a/src/parsleystile/targetclient.py
+++ b/src/parsleystile/targetclient.py
@@ -76,11 +76,10 @@
         'body_bytes',
         'client',
         'handle',
-        'eviction',
+        'failure',
         'header_lines',
         'held_bytes',
         'is_head',
-        'is_too_large',
         'on_answer',
         'send_count',
     )
@@ -102,10 +101,9 @@
         self.body = answermemory.AnswerBody()
         self.body_bytes = 0
         self.held_bytes = 0
-        # Why it was given up in favour of others.
-        self.eviction = ''
+        # Why the answer was rejected.
+        self.failure = ''
         self.send_count = 0
-        self.is_too_large = False
 
     def on_header(self, line: bytes) -> None:
         if line.startswith(_STATUS_LINE):
@@ -116,9 +114,8 @@
     def on_body(self, chunk: bytes) -> int:
         self.body_bytes += len(chunk)
         if self.body_bytes > self.client.max_body_bytes:
-            self.is_too_large = True
-            return 0
-        if self.eviction:
+            self.failure = self.client.size_problem
+        if self.failure:
             return 0
         self.body.append(chunk)
         if self.body_bytes - self.held_bytes > _HELD_STEP_BYTES:
@@ -131,7 +128,7 @@
         return any(li.lower().startswith(_LENGTH_HEADER) for li in lines)
 
     def evict(self, why: str) -> None:
-        self.eviction = why
+        self.failure = why
         self.release()
         self.client.finish_evicted(self)
 
@@ -165,6 +162,7 @@
         self, loop: asyncio.AbstractEventLoop, max_body_bytes: int
     ) -> None:
         self.max_body_bytes = max_body_bytes
+        self.size_problem = f'the answer exceeds {max_body_bytes} bytes'
         self.memory = answermemory.answer_memory(
             max(max_body_bytes, _MAX_HELD_BYTES)
         )
@@ -228,7 +226,7 @@
             on_answer = transfer.on_answer
             if on_answer is not None:
                 self.cancel(transfer)
-                on_answer(targetanswer.bad_answer(transfer.eviction))
+                on_answer(targetanswer.bad_answer(transfer.failure))
 
         self._loop.call_soon(finish)
 
@@ -373,8 +371,8 @@
 def _transfer_result(
     transfer: _Transfer, handle: pycurl.Curl, code: int
 ) -> targetanswer.TargetAnswer | errors.Refusal:
-    if transfer.eviction:
-        return targetanswer.bad_answer(transfer.eviction)
+    if transfer.failure:
+        return targetanswer.bad_answer(transfer.failure)
     if code == pycurl.E_OK:
         status = handle.getinfo(pycurl.RESPONSE_CODE)
         if status < _FIRST_FINAL_STATUS:
@@ -389,10 +387,8 @@
         return errors.not_run(
             errors.Reason.UNREACHABLE, f'target not reached: curl {code}'
         )
-    if transfer.is_too_large or code == pycurl.E_FILESIZE_EXCEEDED:
-        return targetanswer.bad_answer(
-            f'the answer exceeds {transfer.client.max_body_bytes} bytes'
-        )
+    if code == pycurl.E_FILESIZE_EXCEEDED:
+        return targetanswer.bad_answer(transfer.client.size_problem)
     if code == pycurl.E_OPERATION_TIMEDOUT:
         return errors.unknown(errors.Reason.DEADLINE, 'target took too long')
     return targetanswer.bad_answer(f'answer cut off: curl {code}')
