--- a/src/parsleystile/answermemory.py
+++ b/src/parsleystile/answermemory.py
@@ -34,14 +34,15 @@
 
     def take(self) -> bytes:
         """Return the whole body and release the chunks."""
-        body = b''.join(self._chunks + self._small_chunks)
+        self._chunks += self._small_chunks
+        body = b''.join(self._chunks)
         self.clear()
         return body
 
     def clear(self) -> None:
         """Release the chunks."""
-        self._chunks = []
-        self._small_chunks = []
+        self._chunks.clear()
+        self._small_chunks.clear()
 
 
 class UnfinishedAnswer(abc.ABC):
--- a/src/parsleystile/relay/answerparser.py
+++ b/src/parsleystile/relay/answerparser.py
@@ -28,6 +28,7 @@
 # Chunk framing beyond this for each byte of the body counts towards the limit;
 # a chunk of one byte takes five bytes of framing, or more with extensions.
 _FRAMING_PER_BODY_BYTE = 16
+_ALLOWANCE = 1 + _FRAMING_PER_BODY_BYTE
 
 
 class AnswerLimits(msgspec.Struct, frozen=True):
@@ -118,10 +119,19 @@
             if self.answer is None:
                 raise _answer_error(exc) from None
         if self.answer is None:
-            self._check_framing(self._body_bytes - body_bytes)
-            self.size = self._framing_bytes
+            # Few calls, as this runs for each read of a long body.
+            framing_bytes = self._framing_bytes
+            framing_bytes -= _ALLOWANCE * (self._body_bytes - body_bytes)
+            if framing_bytes < 0:
+                framing_bytes = 0
+            self._framing_bytes = self.size = framing_bytes
             if not self._is_late:
                 self.size += self._body_bytes - self._late_bytes
+            if (
+                framing_bytes > _MAX_HEAD_BYTES
+                or len(self._headers) > 2 * _MAX_HEADERS
+            ):
+                self._reject_framing()
 
     def end(self) -> None:
         """Handle the end of the connection.
@@ -149,18 +159,12 @@
         """Whether the head of the answer declares a length."""
         return self._declared_bytes is not None
 
-    def _check_framing(self, body_bytes: int) -> None:
-        """Reject an unfinished answer if too little of it is body."""
-        framing_bytes = self._framing_bytes
-        framing_bytes -= (1 + _FRAMING_PER_BODY_BYTE) * body_bytes
-        self._framing_bytes = framing_bytes if framing_bytes > 0 else 0
+    def _reject_framing(self) -> None:
         if len(self._headers) > 2 * _MAX_HEADERS:
             raise AnswerError(f'the answer exceeds {_MAX_HEADERS} headers')
-        if framing_bytes > _MAX_HEAD_BYTES:
-            raise AnswerError(
-                f'the answer exceeds {_MAX_HEAD_BYTES} bytes outside of its'
-                ' body'
-            )
+        raise AnswerError(
+            f'the answer exceeds {_MAX_HEAD_BYTES} bytes outside of its body'
+        )
 
     # Callbacks of httptools.
 
@@ -170,7 +174,6 @@
             # Nothing after it can be trusted.
             raise AnswerError('bytes follow the answer')
         self._headers = []
-        self._body.clear()
         self._echo = None
         self._is_chunked = False
         self._declared_bytes = None
@@ -198,8 +201,14 @@
         status = self._parser.get_status_code()
         if status < _FIRST_FINAL_STATUS:
             return
-        self._check_head()
-        self._check_echo()
+        if (
+            len(self._headers) > 2 * _MAX_HEADERS
+            or self._framing_bytes > _MAX_HEAD_BYTES
+        ):
+            self._check_head()
+        self._is_late = False
+        if self._echo != self._expected_echo:
+            self._check_echo()
         self._has_final_head = True
         # Headers that follow the body are trailers, which are dropped.
         self._final_headers, self._headers = self._headers, []
@@ -228,19 +237,12 @@
         if len(headers) > 2 * _MAX_HEADERS:
             raise AnswerError(f'the answer exceeds {_MAX_HEADERS} headers')
         # The bytes that were received may include part of the body.
-        if (
-            self._framing_bytes > _MAX_HEAD_BYTES
-            and sum(map(len, headers)) > _MAX_HEAD_BYTES
-        ):
+        if sum(map(len, headers)) > _MAX_HEAD_BYTES:
             raise AnswerError(
                 f'the head of the answer exceeds {_MAX_HEAD_BYTES} bytes'
             )
 
     def _check_echo(self) -> None:
-        self._is_late = False
-        expected = self._expected_echo
-        if self._echo == expected:
-            return
         if self._echo is not None:
             self._is_late = True
             self._late_answers += 1
@@ -248,7 +250,7 @@
                 raise AnswerError(
                     f'over {_MAX_LATE_ANSWERS} answers to other requests'
                 )
-        elif expected:
+        elif self._expected_echo:
             raise AnswerError('the answer names no request')
 
     def on_body(self, chunk: bytes) -> None:
