--- a/src/parsleystile/relay/httpclient.py
+++ b/src/parsleystile/relay/httpclient.py
@@ -9,33 +9,28 @@
 import socket
 import typing
 
-import httptools
 import msgspec
 
+from parsleystile import answermemory
 from parsleystile import clock as clocks
 from parsleystile import errors
+from parsleystile.relay import answerparser
 from parsleystile import targetanswer
 from parsleystile import transport as transports
 
-_FIRST_FINAL_STATUS = 200
-_STATUSES_WITHOUT_BODY = frozenset({204, 304})
-_FRAMING = frozenset({b'content-length', b'transfer-encoding'})
 # TCP keepalive, which detects a peer that is gone.
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
 _TCP_USER_TIMEOUT_MS = 2_500
 _CONNECT_TIMEOUT_MS = 1_000.0
-# A connection is not reused in the last part of the idle timeout that the
-# origin announced, since the origin may be closing it.
-_IDLE_MARGIN_MS = 1_000.0
-# Idle limit for an origin that announces no timeout.
-_DEFAULT_IDLE_LIMIT_MS = 8_000.0
 # A request that must not run twice is sent only on a connection that was idle
 # for less than this, or on a new one.
 _FRESH_IDLE_MS = 2_500.0
-_MAX_BODY_BYTES = 64 * 1_048_576
+# Each answer is counted towards the limit on all in steps of this size.
+_HELD_STEP_BYTES = 32_768
 
+AnswerLimits = answerparser.AnswerLimits
 OnAnswer = targetanswer.OnTargetAnswer
 
 
@@ -76,6 +71,8 @@
     def finish(
         self, result: targetanswer.TargetAnswer | errors.Refusal
     ) -> None:
+        # The connection may be used for another request from now on.
+        self.connection = None
         on_answer, self.on_answer = self.on_answer, None
         if on_answer is not None:
             on_answer(result)
@@ -86,35 +83,30 @@
             self.connection.abort()
 
 
-class _Connection(asyncio.Protocol):
+class _Connection(asyncio.Protocol, answermemory.UnfinishedAnswer):
     """One connection to the origin."""
 
     def __init__(self, origin: 'OriginClient') -> None:
         self._origin = origin
-        self._parser = httptools.HttpResponseParser(self)
-        self._headers: list[str] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
-        self._echo: str | None = None
-        self._has_length = False
-        self._idle_text = ''
-        self._has_final_head = False
-        self._is_delimited = False
+        self._parser = answerparser.AnswerParser(
+            origin.echo_header, origin.limits, origin.count_unsolicited
+        )
         self._is_closed = False
-        self._answer: targetanswer.TargetAnswer | None = None
-        # The connection is closed once the current answer is delivered.
-        self._must_close = False
         self.transport: asyncio.Transport | None = None
         self.exchange: _Exchange | None = None
+        self.held_bytes = 0
         self.idle_since_ms = 0.0
-        self.idle_limit_ms = _DEFAULT_IDLE_LIMIT_MS
 
     def start(self, exchange: _Exchange) -> None:
         self.exchange = exchange
         exchange.connection = self
-        self._has_final_head = False
-        self._is_delimited = False
-        self.transport.write(exchange.outbound.data)
+        outbound = exchange.outbound
+        self._parser.expect(outbound.echo, outbound.is_head)
+        self.transport.write(outbound.data)
+
+    @property
+    def idle_limit_ms(self) -> float:
+        return self._parser.idle_limit_ms
 
     @property
     def is_usable(self) -> bool:
@@ -134,24 +126,26 @@
             self._origin.count_unsolicited()
             self.abort()
             return
+        parser = self._parser
         try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._must_close = True
-            if self._answer is None:
-                self._fail('the answer is not in the protocol')
-        if self._answer is not None:
+            parser.feed(data)
+        except answerparser.AnswerError as exc:
+            self._fail(str(exc))
+            return
+        if parser.answer is not None:
             self._deliver()
+        elif parser.size - self.held_bytes > _HELD_STEP_BYTES:
+            self._origin.memory.count(self, parser.size)
 
     def eof_received(self) -> bool:
-        if self.exchange is not None and self._has_final_head:
-            if not self._is_delimited:
-                self._must_close = True
-                self.on_message_complete()
-                if self._answer is not None:
-                    self._deliver()
+        if self.exchange is not None:
+            try:
+                self._parser.end()
+            except answerparser.AnswerError as exc:
+                self._fail(str(exc))
             else:
-                self._fail('the answer ended early')
+                if self._parser.answer is not None:
+                    self._deliver()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -160,89 +154,15 @@
         if self.exchange is not None:
             self._fail(f'connection lost: {exc or "closed"}')
 
-    # Callbacks of httptools.
-
-    def on_message_begin(self) -> None:
-        self._headers = []
-        self._body = []
-        self._body_bytes = 0
-        self._echo = None
-        self._has_length = False
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        text = value.decode('latin-1')
-        headers = self._headers
-        headers.append(name.decode('latin-1'))
-        headers.append(text)
-        key = name.lower()
-        if key in _FRAMING:
-            self._has_length = True
-        elif key == self._origin.echo_header:
-            if self._echo is None:
-                self._echo = text
-        elif key == b'keep-alive':
-            self._update_idle_limit(text)
-
-    def on_headers_complete(self) -> None:
-        status = self._parser.get_status_code()
-        if status < _FIRST_FINAL_STATUS:
-            return
-        self._has_final_head = True
-        self._is_delimited = (
-            self._has_length or status in _STATUSES_WITHOUT_BODY
-        )
-        if self.exchange.outbound.is_head:
-            # The parser can't be told of HEAD and would wait for the body.
-            self._is_delimited = True
-            self._must_close = True
-            self.on_message_complete()
-
-    def on_body(self, chunk: bytes) -> None:
-        self._body.append(chunk)
-        self._body_bytes += len(chunk)
-        if self._body_bytes > _MAX_BODY_BYTES:
-            self._fail(f'the answer exceeds {_MAX_BODY_BYTES} bytes')
-
-    def on_message_complete(self) -> None:
-        if not self._has_final_head:
-            return
-        self._has_final_head = False
-        if self._answer is not None:
-            # An extra answer; nothing after it can be trusted.
-            self._must_close = True
-            return
-        echo = self._echo
-        if echo != self.exchange.outbound.echo and echo is not None:
-            # A late answer to an earlier request; the right one may follow.
-            self._origin.count_unsolicited()
-            self._must_close = True
-            return
-        if echo is None and self.exchange.outbound.echo:
-            self._fail('the answer names no request')
-            return
-        if not self._parser.should_keep_alive():
-            self._must_close = True
-        self._answer = targetanswer.TargetAnswer(
-            self._parser.get_status_code(),
-            self._headers,
-            b''.join(self._body),
-        )
-
-    def _update_idle_limit(self, value: str) -> None:
-        if value == self._idle_text:
-            return
-        self._idle_text = value
-        _, _, rest = value.partition('timeout=')
-        digits = rest.partition(',')[0].strip()
-        if digits.isascii() and digits.isdigit():
-            self.idle_limit_ms = max(0.0, int(digits) * 1e3 - _IDLE_MARGIN_MS)
-
     def _deliver(self) -> None:
         # Called only after all received bytes are parsed, so that an extra
         # answer is not taken for the answer to the next request.
         exchange, self.exchange = self.exchange, None
-        answer, self._answer = self._answer, None
-        if self._must_close or not self.is_usable:
+        parser = self._parser
+        answer, parser.answer = parser.answer, None
+        if self.held_bytes:
+            self._origin.memory.count(self, 0)
+        if parser.must_close or not self.is_usable:
             self._is_closed = True
             self.transport.close()
         else:
@@ -251,21 +171,26 @@
 
     def _fail(self, why: str) -> None:
         exchange, self.exchange = self.exchange, None
-        self._answer = None
         self.abort()
         if exchange is not None:
-            exchange.finish(_bad_answer(why))
+            exchange.finish(targetanswer.bad_answer(why))
+
+    @property
+    def has_declared_length(self) -> bool:
+        return self._parser.has_declared_length
+
+    def evict(self, why: str) -> None:
+        self._fail(why)
 
     def abort(self) -> None:
         self._is_closed = True
+        self._parser.clear()
+        if self.held_bytes:
+            self._origin.memory.count(self, 0)
         if self.transport is not None:
             self.transport.abort()
 
 
-def _bad_answer(why: str) -> errors.Refusal:
-    return errors.unknown(errors.Reason.TARGET_FAILED, why)
-
-
 def _set_liveness_options(sock: socket.socket) -> None:
     """Let the kernel detect a peer that is gone."""
     for level, option, value in (
@@ -283,14 +208,22 @@
     """Sends requests to one origin; each ends in exactly one result.
 
     Attributes:
+        limits: Limits on answers.
+        memory: Memory of all unfinished answers.
         echo_header: Lower-case name of the header in which an answer echoes
             the id of its request.
         unsolicited_answers: Number of answers without a request.
     """
 
     def __init__(
-        self, host: str, port: int, clock: clocks.Clock, echo_header: str = ''
+        self,
+        host: str,
+        port: int,
+        clock: clocks.Clock,
+        echo_header: str,
+        limits: AnswerLimits,
     ) -> None:
+        self.limits = limits
         self.host = host
         self.port = port
         self.echo_header = echo_header.lower().encode()
@@ -300,6 +233,7 @@
         # A stack: reusing the most recent connection lets the others expire.
         self._idle: list[_Connection] = []
         self._connecting: set[asyncio.Task[None]] = set()
+        self.memory = answermemory.answer_memory(limits.held_bytes)
 
     def send(
         self, outbound: OutboundRequest, on_answer: OnAnswer
@@ -385,7 +319,13 @@
 
 
 def origin_client(
-    host: str, port: int, clock: clocks.Clock, echo_header: str = ''
+    host: str,
+    port: int,
+    clock: clocks.Clock,
+    echo_header: str = '',
+    limits: AnswerLimits | None = None,
 ) -> OriginClient:
     """Create a client without open connections."""
-    return OriginClient(host, port, clock, echo_header)
+    return OriginClient(
+        host, port, clock, echo_header, limits or AnswerLimits()
+    )
--- a/src/parsleystile/targetclient.py
+++ b/src/parsleystile/targetclient.py
@@ -14,6 +14,7 @@
 
 import pycurl
 
+from parsleystile import answermemory
 from parsleystile import errors
 from parsleystile import targetanswer
 from parsleystile import transport
@@ -21,6 +22,10 @@
 _MAX_IDLE_HANDLES = 256
 _MAX_CONNECTIONS = 256
 _MAX_RESPONSE_HEADERS = 256
+# Limit on all unfinished answers together, unless one alone may be larger.
+_MAX_HELD_BYTES = 72 * 1_048_576
+# Each answer is counted towards that limit in steps of this size.
+_HELD_STEP_BYTES = 32_768
 _CONNECT_TIMEOUT_MS = 500
 _MS_PER_S = 1000.0
 # libcurl takes a timeout of 0 to mean no timeout.
@@ -29,6 +34,7 @@
 # first in the list and so has precedence.
 _SUPPRESSED_HEADERS = ('Expect:', 'Content-Type:', 'Accept:', 'User-Agent:')
 _STATUS_LINE = b'HTTP/'
+_LENGTH_HEADER = b'content-length:'
 _FIRST_FINAL_STATUS = 200
 
 
@@ -62,7 +68,7 @@
         """
 
 
-class _Transfer(transport.PendingCall):
+class _Transfer(transport.PendingCall, answermemory.UnfinishedAnswer):
     """One request in progress on one handle."""
 
     __slots__ = (
@@ -70,9 +76,10 @@
         'body_bytes',
         'client',
         'handle',
+        'failure',
         'header_lines',
+        'held_bytes',
         'is_head',
-        'is_too_large',
         'on_answer',
         'send_count',
     )
@@ -91,10 +98,12 @@
         self.handle = handle
         self.on_answer: targetanswer.OnTargetAnswer | None = on_answer
         self.header_lines: list[bytes] = []
-        self.body: list[bytes] = []
+        self.body = answermemory.AnswerBody()
         self.body_bytes = 0
+        self.held_bytes = 0
+        # Why the answer was rejected.
+        self.failure = ''
         self.send_count = 0
-        self.is_too_large = False
 
     def on_header(self, line: bytes) -> None:
         if line.startswith(_STATUS_LINE):
@@ -105,11 +114,31 @@
     def on_body(self, chunk: bytes) -> int:
         self.body_bytes += len(chunk)
         if self.body_bytes > self.client.max_body_bytes:
-            self.is_too_large = True
+            self.failure = self.client.size_problem
+        if self.failure:
             return 0
         self.body.append(chunk)
+        if self.body_bytes - self.held_bytes > _HELD_STEP_BYTES:
+            self.client.memory.count(self, self.body_bytes)
         return len(chunk)
 
+    @property
+    def has_declared_length(self) -> bool:
+        lines = self.header_lines
+        return any(li.lower().startswith(_LENGTH_HEADER) for li in lines)
+
+    def evict(self, why: str) -> None:
+        self.failure = why
+        self.release()
+        self.client.finish_evicted(self)
+
+    def release(self) -> None:
+        """Release the memory of the answer."""
+        self.body.clear()
+        self.header_lines.clear()
+        if self.held_bytes:
+            self.client.memory.count(self, 0)
+
     def on_before_send(self, *_addresses: object) -> int:
         # libcurl resends a request on its own when a reused connection closes
         # before the answer. The target may already have executed it.
@@ -133,6 +162,10 @@
         self, loop: asyncio.AbstractEventLoop, max_body_bytes: int
     ) -> None:
         self.max_body_bytes = max_body_bytes
+        self.size_problem = f'the answer exceeds {max_body_bytes} bytes'
+        self.memory = answermemory.answer_memory(
+            max(max_body_bytes, _MAX_HELD_BYTES)
+        )
         self._loop = loop
         self._idle_handles: collections.deque[pycurl.Curl] = (
             collections.deque()
@@ -150,7 +183,7 @@
     def send(
         self, request: TargetRequest, on_answer: targetanswer.OnTargetAnswer
     ) -> transport.PendingCall:
-        """Start a request; see ``TargetCaller.send``."""
+        """See ``TargetCaller.send``."""
         handle = (
             self._idle_handles.pop() if self._idle_handles else _new_handle()
         )
@@ -176,12 +209,27 @@
     def cancel(self, transfer: _Transfer) -> None:
         """Cancel a request by closing its connection; it gets no answer."""
         transfer.on_answer = None
-        if self._transfers.pop(transfer.handle, None) is not None:
+        transfer.release()
+        # The handle may already be in use for another request.
+        if self._transfers.get(transfer.handle) is transfer:
+            del self._transfers[transfer.handle]
             # Removing an unfinished transfer closes its connection, by which
             # the target sees the cancellation.
             self._multi.remove_handle(transfer.handle)
             transfer.handle.close()
 
+    def finish_evicted(self, transfer: _Transfer) -> None:
+        """End a transfer that was given up."""
+
+        # Later, as libcurl does not allow it in its own callbacks.
+        def finish() -> None:
+            on_answer = transfer.on_answer
+            if on_answer is not None:
+                self.cancel(transfer)
+                on_answer(targetanswer.bad_answer(transfer.failure))
+
+        self._loop.call_soon(finish)
+
     def close(self) -> None:
         """Close all connections; requests in progress get no answer."""
         for transfer in list(self._transfers.values()):
@@ -263,6 +311,8 @@
             return
         self._multi.remove_handle(handle)
         result = _transfer_result(transfer, handle, code)
+        # A reused handle keeps its callbacks and with them the transfer.
+        transfer.release()
         is_reusable = code == pycurl.E_OK and not transfer.is_head
         if is_reusable and len(self._idle_handles) < _MAX_IDLE_HANDLES:
             self._idle_handles.append(handle)
@@ -310,6 +360,9 @@
     handle.setopt(
         pycurl.TIMEOUT_MS, max(_MIN_TIMEOUT_MS, int(request.timeout_ms))
     )
+    # Limits the declared length too, which says nothing in an answer to HEAD.
+    max_bytes = 0 if transfer.is_head else transfer.client.max_body_bytes
+    handle.setopt(pycurl.MAXFILESIZE, max_bytes)
     handle.setopt(pycurl.HEADERFUNCTION, transfer.on_header)
     handle.setopt(pycurl.WRITEFUNCTION, transfer.on_body)
     handle.setopt(pycurl.PREREQFUNCTION, transfer.on_before_send)
@@ -318,43 +371,27 @@
 def _transfer_result(
     transfer: _Transfer, handle: pycurl.Curl, code: int
 ) -> targetanswer.TargetAnswer | errors.Refusal:
+    if transfer.failure:
+        return targetanswer.bad_answer(transfer.failure)
     if code == pycurl.E_OK:
         status = handle.getinfo(pycurl.RESPONSE_CODE)
         if status < _FIRST_FINAL_STATUS:
-            return errors.unknown(
-                errors.Reason.TARGET_FAILED, f'target ended at {status}'
-            )
-        headers = _parse_headers(transfer.header_lines)
+            return targetanswer.bad_answer(f'target ended at {status}')
+        headers = targetanswer.parse_headers(transfer.header_lines)
         if len(headers) > 2 * _MAX_RESPONSE_HEADERS:
-            return errors.unknown(
-                errors.Reason.TOO_LARGE, f'{len(headers) // 2} headers'
+            return targetanswer.bad_answer(
+                f'the answer exceeds {_MAX_RESPONSE_HEADERS} headers'
             )
-        return targetanswer.TargetAnswer(
-            status, headers, b''.join(transfer.body)
-        )
+        return targetanswer.TargetAnswer(status, headers, transfer.body.take())
     if transfer.send_count == 0:
         return errors.not_run(
             errors.Reason.UNREACHABLE, f'target not reached: curl {code}'
         )
-    if transfer.is_too_large:
-        return errors.unknown(
-            errors.Reason.TOO_LARGE, 'answer of the target is too large'
-        )
+    if code == pycurl.E_FILESIZE_EXCEEDED:
+        return targetanswer.bad_answer(transfer.client.size_problem)
     if code == pycurl.E_OPERATION_TIMEDOUT:
         return errors.unknown(errors.Reason.DEADLINE, 'target took too long')
-    return errors.unknown(
-        errors.Reason.TARGET_FAILED, f'answer cut off: curl {code}'
-    )
-
-
-def _parse_headers(lines: list[bytes]) -> list[str]:
-    headers = []
-    for line in lines[1:]:
-        name, colon, value = line.partition(b':')
-        if colon:
-            headers.append(name.decode('latin-1').strip())
-            headers.append(value.decode('latin-1').strip())
-    return headers
+    return targetanswer.bad_answer(f'answer cut off: curl {code}')
 
 
 def target_client(max_body_bytes: int) -> TargetClient:
