Forget closed connections in the listener

A node closed every new connection of callers without an answer once it had accepted 4096 since its start. tornado reports the close of a connection to HTTPServer, which does not pass it to its delegate, so the set that the limit is checked against only grew. With a limit of two, the third of five connections, one after another, was closed; the test failed so before. A subclass of HTTPServer passes the event on.

--- a/src/parsleystile/httplistener.py
+++ b/src/parsleystile/httplistener.py
@@ -192,6 +192,19 @@
     return refusal.status, headers, body
 
 
+class _Server(httpserver.HTTPServer):
+    """Server that also passes the close of a connection to its listener."""
+
+    def initialize(self, listener: 'HttpListener', **options: object) -> None:
+        super().initialize(listener, **options)
+        self._listener = listener
+
+    def on_close(self, server_conn: object) -> None:
+        # HTTPServer keeps this event from its delegate.
+        super().on_close(server_conn)
+        self._listener.on_close(server_conn)
+
+
 class HttpListener(httputil.HTTPServerConnectionDelegate):
     """Listens for HTTP and passes each complete request to a handler.
 
@@ -214,7 +227,7 @@
         self._limits = limits
         self._connections: set[object] = set()
         self._open_exchanges: set[exchanges.Exchange] = set()
-        self._server = httpserver.HTTPServer(
+        self._server = _Server(
             self,
             no_keep_alive=False,
             max_header_size=limits.header_bytes,
@@ -265,7 +278,7 @@
                 request.close_connection()
 
     def on_close(self, server_conn: object) -> None:
-        """Handle the close of a connection; called by tornado."""
+        """Handle the close of a connection."""
         self._connections.discard(server_conn)
 
     def on_request(self, exchange: exchanges.Exchange) -> None:
--- a/tests/test_httplistener.py
+++ b/tests/test_httplistener.py
@@ -12,6 +12,7 @@
 from tests import asyncutil
 
 _GET = b'GET /x HTTP/1.1\r\nHost: a\r\n\r\n'
+_GET_AND_CLOSE = _GET.replace(b'Host', b'Connection: close\r\nHost')
 
 
 class _Listener:
@@ -172,6 +173,21 @@
     asyncutil.run(body())
 
 
+def test_closed_connections_do_not_count_toward_the_limit():
+    async def body():
+        async with _open(connections=2) as listener:
+            for count in range(1, 6):
+                reader, writer = await listener.connect()
+                writer.write(_GET_AND_CLOSE)
+                exchange = await listener.arrived(count)
+                exchange.finish(exchanges.Answer(200, [], b'ok'))
+                assert (await _read_answer(reader))[1] == b'ok'
+                assert await reader.read() == b''
+                writer.close()
+
+    asyncutil.run(body())
+
+
 def test_calls_beyond_the_limit_are_refused_as_not_run():
     async def body():
         async with _open(calls_in_flight=1) as listener:
