Answer a refused HEAD request

A HEAD request that was refused got no answer: its connection was closed. The problem document was written as a body, and tornado closes a connection on which more is written than a HEAD answer may hold. The body is left out now, and Content-Length still says how long it would be. The test failed before: the connection ended with no byte.

--- a/src/parsleystile/httplistener.py
+++ b/src/parsleystile/httplistener.py
@@ -132,6 +132,8 @@
                 status, headers, body = _answer_parts(
                     reply, self._start.method
                 )
+        if self._start.method == 'HEAD':
+            body = b''
         if self._listener.is_closing:
             headers['Connection'] = 'close'
         try:
--- a/tests/test_httplistener.py
+++ b/tests/test_httplistener.py
@@ -222,3 +222,20 @@
             writer.close()
 
     asyncutil.run(body())
+
+
+def test_a_refused_head_request_gets_an_answer_without_a_body():
+    async def body():
+        async with _open() as listener:
+            reader, writer = await listener.connect()
+            writer.write(_GET.replace(b'GET', b'HEAD') + _GET)
+            refusal = errors.not_run(errors.Reason.SHED, 'full', 1500)
+            (await listener.arrived(1)).finish(refusal)
+            head = await reader.readuntil(b'\r\n\r\n')
+            assert head.startswith(b'HTTP/1.1 503')
+            assert b'X-Parsleystile-Outcome: not-run' in head
+            (await listener.arrived(2)).finish(exchanges.Answer(204, [], b''))
+            assert (await _read_answer(reader))[0].startswith('HTTP/1.1 204')
+            writer.close()
+
+    asyncutil.run(body())
