Serve the accept queue when a listener stops

A caller that connected while a node stopped lost its request: the connection was reset after the request had been sent. stop_listening closed the listening socket, and the kernel resets what is still in its accept queue. A loop that is late leaves connections there. The test fills the queue while the loop cannot accept and failed before.

The queue is now accepted before the socket is closed.

--- a/src/parsleystile/httplistener.py
+++ b/src/parsleystile/httplistener.py
@@ -2,6 +2,7 @@
 
 import enum
 import json
+import socket
 import typing
 
 from tornado import httpserver
@@ -229,6 +230,7 @@
         self._limits = limits
         self._connections: set[object] = set()
         self._open_exchanges: set[exchanges.Exchange] = set()
+        self._sockets: list[socket.socket] = []
         self._server = _Server(
             self,
             no_keep_alive=False,
@@ -242,9 +244,9 @@
 
     def listen(self, host: str, port: int) -> int:
         """Start to accept connections; return the bound port."""
-        sockets = netutil.bind_sockets(port, host)
-        self._server.add_sockets(sockets)
-        return int(sockets[0].getsockname()[1])
+        self._sockets = netutil.bind_sockets(port, host)
+        self._server.add_sockets(self._sockets)
+        return int(self._sockets[0].getsockname()[1])
 
     def start_request(
         self, server_conn: object, request_conn: httputil.HTTPConnection
@@ -308,8 +310,24 @@
 
     def stop_listening(self) -> None:
         """Accept no more connections; open ones close after an answer."""
-        self.is_closing = True
-        self._server.stop()
+        if not self.is_closing:
+            self.is_closing = True
+            self._accept_queued()
+            self._server.stop()
+
+    def _accept_queued(self) -> None:
+        # Closing a listening socket resets the connections in its queue,
+        # whose callers may have sent a request already.
+        for sock in self._sockets:
+            while True:
+                try:
+                    connection, address = sock.accept()
+                except ConnectionAbortedError:
+                    continue
+                except OSError:
+                    break
+                stream = iostream.IOStream(connection)
+                self._server.handle_stream(stream, address)
 
     async def close(self) -> None:
         """Close every connection."""
--- a/tests/test_httplistener.py
+++ b/tests/test_httplistener.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
@@ -239,3 +240,21 @@
             writer.close()
 
     asyncutil.run(body())
+
+
+def test_a_connection_in_the_accept_queue_is_served_when_the_listener_stops():
+    async def body():
+        async with _open() as listener:
+            # Blocking calls, so that the loop cannot accept in between.
+            caller = socket.create_connection(('127.0.0.1', listener.port))
+            caller.sendall(_GET)
+            listener.http.stop_listening()
+            reader, writer = await asyncio.open_connection(sock=caller)
+            exchange = await listener.arrived(1)
+            exchange.finish(exchanges.Answer(200, [], b'ok'))
+            assert (await _read_answer(reader))[1] == b'ok'
+            writer.close()
+            with pytest.raises(ConnectionRefusedError):
+                await listener.connect()
+
+    asyncutil.run(body())
