Count what a stop owes to callers by their connections

A request that a caller was still sending when its node stopped was cut: a stop waited only for requests that were read and not yet answered. A request with a part of its head or body received, and an answer that the kernel or the peer has not taken, counted as nothing, and the process ended after 0.5 s.

The listener now keeps the request of each connection and says on how many connections a request or an answer is under way; the stop ends when there are none. callerstream looks at the buffers of tornado and of the kernel, which costs system calls, so the count in the health and status answers stays as it was.

--- a/src/parsleystile/daemon.py
+++ b/src/parsleystile/daemon.py
@@ -202,6 +202,7 @@
                 announce_leave=self._control_plane.leave,
                 refuse_new=self._refuse_new,
                 calls_in_flight=self._calls_in_flight,
+                owed=self._owed,
                 hand_back=self._hand_back,
                 end=self._stopped.set,
             ),
@@ -259,6 +260,13 @@
     def _calls_in_flight(self) -> int:
         return self.node.calls_in_flight + self._caller_listener.open_count
 
+    def _owed(self) -> int:
+        return (
+            self.node.calls_in_flight
+            + self._caller_listener.owed_count
+            + self._target_listener.owed_count
+        )
+
     def _hand_back(self, on_done: typing.Callable[[], None]) -> None:
         task = asyncio.get_running_loop().create_task(self.node.hand_back())
         task.add_done_callback(lambda ended: on_done())
--- a/src/parsleystile/drain.py
+++ b/src/parsleystile/drain.py
@@ -53,7 +53,8 @@
     """Time has passed.
 
     Attributes:
-        in_flight: Calls in flight at this node, of every kind.
+        in_flight: Calls in flight at this node, of every kind, and
+            connections with a request or an answer under way.
     """
 
     in_flight: int
--- a/src/parsleystile/httplistener.py
+++ b/src/parsleystile/httplistener.py
@@ -10,6 +10,7 @@
 from tornado import iostream
 from tornado import netutil
 
+from parsleystile import callerstream
 from parsleystile import clock as clocks
 from parsleystile import errors
 from parsleystile import exchange as exchanges
@@ -37,6 +38,7 @@
     WAITING = 'waiting'
     READING = 'reading'
     RUNNING = 'running'
+    ANSWERED = 'answered'
 
 
 class _Request(httputil.HTTPMessageDelegate):
@@ -52,13 +54,18 @@
         '_progress',
         '_since_ms',
         '_start',
+        'stream',
     )
 
     def __init__(
-        self, listener: 'HttpListener', connection: httputil.HTTPConnection
+        self,
+        listener: 'HttpListener',
+        connection: httputil.HTTPConnection,
+        stream: callerstream.CallerStream,
     ) -> None:
         self._listener = listener
         self._connection = connection
+        self.stream = stream
         self._progress = _Progress.WAITING
         self._since_ms = listener.clock.now_ms()
         self._body: list[bytes] = []
@@ -79,6 +86,18 @@
     def is_reading_body(self) -> bool:
         return self._progress is _Progress.READING
 
+    @property
+    def is_owed(self) -> bool:
+        """Whether the caller waits for an answer or for a part of one."""
+        match self._progress:
+            case _Progress.READING | _Progress.RUNNING:
+                return True
+            case _Progress.WAITING | _Progress.ANSWERED:
+                stream = self.stream
+                return stream.is_sending or stream.unread_bytes > 0
+            case _:
+                typing.assert_never(self._progress)
+
     def is_overdue(self, now_ms: float) -> bool:
         limit_ms = _BODY_TIMEOUT_MS
         if self._progress is _Progress.WAITING:
@@ -126,6 +145,7 @@
     ) -> None:
         self._listener.on_exchange_end(exchange)
         self._exchange = None
+        self._progress = _Progress.ANSWERED
         match reply:
             case errors.Refusal():
                 status, headers, body = _problem(reply, exchange)
@@ -228,7 +248,8 @@
         self._on_exchange = on_exchange
         self.is_closing = False
         self._limits = limits
-        self._connections: set[object] = set()
+        # The request of each connection that is read, run or answered.
+        self._connections: dict[object, _Request] = {}
         self._open_exchanges: set[exchanges.Exchange] = set()
         self._sockets: list[socket.socket] = []
         self._server = _Server(
@@ -252,8 +273,14 @@
         self, server_conn: object, request_conn: httputil.HTTPConnection
     ) -> httputil.HTTPMessageDelegate:
         """Create the delegate of one request; called by tornado."""
-        request = _Request(self, request_conn)
-        self._connections.add(server_conn)
+        before = self._connections.get(server_conn)
+        stream = (
+            callerstream.caller_stream(request_conn.stream)
+            if before is None
+            else before.stream
+        )
+        request = _Request(self, request_conn, stream)
+        self._connections[server_conn] = request
         if len(self._connections) > self._limits.connections:
             self.metrics.incr('http.connections_refused')
             request.close_connection()
@@ -283,7 +310,7 @@
 
     def on_close(self, server_conn: object) -> None:
         """Handle the close of a connection."""
-        self._connections.discard(server_conn)
+        self._connections.pop(server_conn, None)
 
     def on_request(self, exchange: exchanges.Exchange) -> None:
         """Pass a complete request to the handler, within the limit."""
@@ -308,6 +335,14 @@
         """Number of requests without an answer."""
         return len(self._open_exchanges)
 
+    @property
+    def owed_count(self) -> int:
+        """Number of connections with a request or an answer under way.
+
+        Looks at every socket; ``open_count`` is cheaper.
+        """
+        return sum(request.is_owed for request in self._connections.values())
+
     def stop_listening(self) -> None:
         """Accept no more connections; open ones close after an answer."""
         if not self.is_closing:
--- a/src/parsleystile/plannedstop.py
+++ b/src/parsleystile/plannedstop.py
@@ -19,6 +19,8 @@
         announce_leave: Announces the leave; calls back once confirmed.
         refuse_new: Refuses new calls and connections of callers.
         calls_in_flight: Returns the number of calls in flight.
+        owed: Returns the number of calls in flight, and of connections with
+            a request or an answer under way.
         hand_back: Hands back grants and leases; calls back when done.
         end: Ends the process.
     """
@@ -26,6 +28,7 @@
     announce_leave: typing.Callable[[_Done], None]
     refuse_new: typing.Callable[[], None]
     calls_in_flight: typing.Callable[[], int]
+    owed: typing.Callable[[], int]
     hand_back: typing.Callable[[_Done], None]
     end: typing.Callable[[], None]
 
@@ -50,7 +53,7 @@
     def tick(self) -> None:
         """Advance the stop; must be called several times a second."""
         if self._drain.is_leaving:
-            self._handle(drain.Tick(self._steps.calls_in_flight()))
+            self._handle(drain.Tick(self._steps.owed()))
 
     def _handle(self, event: drain.Event) -> None:
         for action in self._drain.handle(event, self._clock.now_ms()):
--- a/tests/test_httplistener.py
+++ b/tests/test_httplistener.py
@@ -13,6 +13,7 @@
 from tests import asyncutil
 
 _GET = b'GET /x HTTP/1.1\r\nHost: a\r\n\r\n'
+_POST = b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody'
 _GET_AND_CLOSE = _GET.replace(b'Host', b'Connection: close\r\nHost')
 
 
@@ -258,3 +259,52 @@
                 await listener.connect()
 
     asyncutil.run(body())
+
+
+@pytest.mark.parametrize('sent_bytes', [10, len(_POST) - 1])
+def test_a_request_that_is_being_sent_is_owed_an_answer(sent_bytes):
+    async def body():
+        async with _open() as listener:
+            reader, writer = await listener.connect()
+            writer.write(_POST[:sent_bytes])
+            await asyncutil.wait_until(lambda: listener.http.owed_count == 1)
+            listener.http.stop_listening()
+            writer.write(_POST[sent_bytes:])
+            exchange = await listener.arrived(1)
+            assert listener.http.owed_count == 1
+            exchange.finish(exchanges.Answer(200, [], b'ok'))
+            assert (await _read_answer(reader))[1] == b'ok'
+            await asyncutil.wait_until(lambda: listener.http.owed_count == 0)
+            writer.close()
+
+    asyncutil.run(body())
+
+
+def test_an_answer_that_the_caller_has_not_taken_is_owed():
+    async def body():
+        async with _open() as listener:
+            reader, writer = await listener.connect()
+            writer.write(_GET)
+            exchange = await listener.arrived(1)
+            exchange.finish(exchanges.Answer(200, [], b'x' * 16_000_000))
+            await asyncio.sleep(0)
+            assert listener.http.open_count == 0
+            assert listener.http.owed_count == 1
+            assert len((await _read_answer(reader))[1]) == 16_000_000
+            await asyncutil.wait_until(lambda: listener.http.owed_count == 0)
+            writer.close()
+
+    asyncutil.run(body())
+
+
+def test_an_idle_connection_is_owed_nothing():
+    async def body():
+        async with _open() as listener:
+            _, writer = await listener.connect()
+            writer.write(_GET)
+            exchange = await listener.arrived(1)
+            exchange.finish(exchanges.Answer(204, [], b''))
+            await asyncutil.wait_until(lambda: listener.http.owed_count == 0)
+            writer.close()
+
+    asyncutil.run(body())
