Close a connection only after its last pipelined answer

A caller that had pipelined three requests when its node stopped got one answer. While a node stops, each answer said Connection: close, and a caller drops what it has sent behind such an answer. An answer says so now only if nothing more was received on its connection.

--- a/src/parsleystile/httplistener.py
+++ b/src/parsleystile/httplistener.py
@@ -155,7 +155,8 @@
                 )
         if self._start.method == 'HEAD':
             body = b''
-        if self._listener.is_closing:
+        # A caller drops what it has pipelined behind such an answer.
+        if self._listener.is_closing and not self.stream.unread_bytes:
             headers['Connection'] = 'close'
         try:
             self._connection.write_headers(
--- a/tests/test_httplistener.py
+++ b/tests/test_httplistener.py
@@ -308,3 +308,22 @@
             writer.close()
 
     asyncutil.run(body())
+
+
+def test_only_the_last_pipelined_answer_closes_the_connection():
+    async def body():
+        async with _open() as listener:
+            reader, writer = await listener.connect()
+            writer.write(_GET * 3)
+            await listener.arrived(1)
+            listener.http.stop_listening()
+            closes = []
+            for count in (1, 2, 3):
+                exchange = await listener.arrived(count)
+                exchange.finish(exchanges.Answer(200, [], b'ok'))
+                head, _ = await _read_answer(reader)
+                closes.append('Connection: close' in head)
+            assert closes == [False, False, True]
+            writer.close()
+
+    asyncutil.run(body())
--- a/tests/test_system_planned_stop.py
+++ b/tests/test_system_planned_stop.py
@@ -112,6 +112,7 @@
         'running': _pipeline(port, 1),
         'head sent slowly': _send_slowly(port, _GET, rng.uniform(0.9, 1.4)),
         'body sent slowly': _send_slowly(port, _POST, rng.uniform(0.9, 1.4)),
+        'pipelined': _pipeline(port, 3),
         'answer read slowly': _read_slowly(port, rng.uniform(1.0, 2.0)),
     }
 
