End open connections with an answer when a node stops

When its time was up, a node closed the connections of callers whose requests it was running or still reading, and connections that callers had just used again, with no answer. A close with unread bytes also reset the connection, so that an answer under way was lost.

Closing a listener now ends each connection with an answer: a running request is cancelled and gets 503 with the outcome unknown, or not-run if it was not sent; what is being read, or comes on an idle connection just then, gets 503, not run, with Retry-After. Then only the sending direction is closed, and what arrives is read until the callers have taken their answers, one second at most.

--- a/src/parsleystile/callerstream.py
+++ b/src/parsleystile/callerstream.py
@@ -16,13 +16,15 @@
     """Stream of one connection, seen from the end of the process.
 
     Attributes:
-        is_ended: Whether the last answer on the connection was written.
+        is_close_announced: Whether an answer said that it is the last.
+        is_ended: Whether the last answer was written.
     """
 
-    __slots__ = ('_stream', 'is_ended')
+    __slots__ = ('_stream', 'is_close_announced', 'is_ended')
 
     def __init__(self, stream: iostream.IOStream) -> None:
         self._stream = stream
+        self.is_close_announced = False
         self.is_ended = False
 
     @property
--- a/src/parsleystile/httplistener.py
+++ b/src/parsleystile/httplistener.py
@@ -1,5 +1,7 @@
 """HTTP listener of a node, on tornado; turns requests into exchanges."""
 
+import asyncio
+import contextlib
 import enum
 import json
 import socket
@@ -26,6 +28,10 @@
 _PROBLEM_URI = 'urn:parsleystile:refusal:'
 _MS_PER_S = 1000
 _OVERLOAD_RETRY_AFTER_MS = 1000
+_LEAVING_RETRY_AFTER_MS = 1000
+# Time for callers to take their last answers before the process ends.
+_LINGER_TIMEOUT_S = 1.0
+_LINGER_POLL_S = 0.01
 _BODY_TIMEOUT_MS = 10_000.0
 _IDLE_TIMEOUT_MS = 300_000.0
 # A status without a body by definition (RFC 9110, 6.4.1).
@@ -89,12 +95,16 @@
     @property
     def is_owed(self) -> bool:
         """Whether the caller waits for an answer or for a part of one."""
+        stream = self.stream
         match self._progress:
             case _Progress.READING | _Progress.RUNNING:
                 return True
-            case _Progress.WAITING | _Progress.ANSWERED:
-                stream = self.stream
+            case _Progress.WAITING:
                 return stream.is_sending or stream.unread_bytes > 0
+            case _Progress.ANSWERED:
+                return stream.is_sending or (
+                    stream.unread_bytes > 0 and not stream.is_ended
+                )
             case _:
                 typing.assert_never(self._progress)
 
@@ -107,12 +117,24 @@
     def close_connection(self) -> None:
         self._connection.close()
 
+    def end_connection(self) -> None:
+        """Answer for the last time, unless an answer was the last."""
+        stream = self.stream
+        if stream.is_close_announced and not stream.unread_bytes:
+            stream.end()
+        else:
+            stream.end(_LAST_ANSWER)
+
     def data_received(self, chunk: bytes) -> None:
-        self._body.append(chunk)
+        if not self.stream.is_ended:
+            self._body.append(chunk)
 
     def finish(self) -> None:
         listener = self._listener
         listener.on_read_end(self)
+        if self.stream.is_ended:
+            self._progress = _Progress.ANSWERED
+            return
         headers: list[str] = []
         for name, value in self._headers.get_all():
             headers.append(name)
@@ -156,8 +178,11 @@
         if self._start.method == 'HEAD':
             body = b''
         # A caller drops what it has pipelined behind such an answer.
-        if self._listener.is_closing and not self.stream.unread_bytes:
+        if self._listener.is_ending or (
+            self._listener.is_closing and not self.stream.unread_bytes
+        ):
             headers['Connection'] = 'close'
+            self.stream.is_close_announced = True
         try:
             self._connection.write_headers(
                 httputil.ResponseStartLine('HTTP/1.1', status, ''),
@@ -167,6 +192,8 @@
             self._connection.finish()
         except (iostream.StreamClosedError, httputil.HTTPOutputError):
             self._listener.metrics.incr('http.answers_unsent')
+        if self._listener.is_ending:
+            self.stream.end()
 
 
 def _answer_parts(
@@ -188,7 +215,7 @@
 
 
 def _problem(
-    refusal: errors.Refusal, exchange: exchanges.Exchange
+    refusal: errors.Refusal, exchange: exchanges.Exchange | None = None
 ) -> tuple[int, httputil.HTTPHeaders, bytes]:
     outcome = _OUTCOME_NAMES[refusal.outcome]
     name = refusal.reason.name.lower().replace('_', '-')
@@ -202,7 +229,7 @@
     headers = httputil.HTTPHeaders()
     headers['Content-Type'] = _PROBLEM_TYPE
     headers[exchanges.OUTCOME_HEADER] = outcome
-    if exchange.context is not None:
+    if exchange is not None and exchange.context is not None:
         # The argument of `parsleystile explain`.
         document['root_id'] = exchange.context.root_id
     if refusal.retry_after_ms > 0:
@@ -216,6 +243,37 @@
     return refusal.status, headers, body
 
 
+def _last_answer() -> bytes:
+    """Encode the answer for connections that are open at the end."""
+    refusal = errors.not_run(
+        errors.Reason.LEAVING, 'this node is stopping', _LEAVING_RETRY_AFTER_MS
+    )
+    status, headers, body = _problem(refusal)
+    headers['Connection'] = 'close'
+    lines = [f'HTTP/1.1 {status} ']
+    lines += [f'{name}: {value}' for name, value in headers.get_all()]
+    return '\r\n'.join([*lines, '', '']).encode() + body
+
+
+_LAST_ANSWER = _last_answer()
+
+
+def _cut(exchange: exchanges.Exchange) -> None:
+    """End an exchange that has no answer at the end of the process."""
+    if exchange.cancel_send is None:
+        refusal = errors.not_run(
+            errors.Reason.LEAVING,
+            'this node stopped before it sent the call',
+            _LEAVING_RETRY_AFTER_MS,
+        )
+    else:
+        exchange.cancel_send()
+        refusal = errors.unknown(
+            errors.Reason.LEAVING, 'this node stopped before the answer'
+        )
+    exchange.finish(refusal)
+
+
 class _Server(httpserver.HTTPServer):
     """Server that also passes the close of a connection to its listener."""
 
@@ -235,6 +293,7 @@
     Attributes:
         clock: Source of the arrival time of each request.
         is_closing: Whether answers ask the caller to close the connection.
+        is_ending: Whether each answer is the last on its connection.
     """
 
     def __init__(
@@ -248,6 +307,7 @@
         self.metrics = metrics
         self._on_exchange = on_exchange
         self.is_closing = False
+        self.is_ending = False
         self._limits = limits
         # The request of each connection that is read, run or answered.
         self._connections: dict[object, _Request] = {}
@@ -282,6 +342,8 @@
         )
         request = _Request(self, request_conn, stream)
         self._connections[server_conn] = request
+        if self.is_ending:
+            request.end_connection()
         if len(self._connections) > self._limits.connections:
             self.metrics.incr('http.connections_refused')
             request.close_connection()
@@ -366,7 +428,22 @@
                 self._server.handle_stream(stream, address)
 
     async def close(self) -> None:
-        """Close every connection."""
+        """End what is open with an answer, then close every connection.
+
+        Waits up to a second until callers have taken their answers.
+        """
+        self.is_ending = True
+        self.stop_listening()
+        for exchange in list(self._open_exchanges):
+            _cut(exchange)
+        for request in self._connections.values():
+            request.end_connection()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_LINGER_TIMEOUT_S):
+                while self.owed_count:
+                    await asyncio.sleep(_LINGER_POLL_S)
+        for request in self._connections.values():
+            request.stream.discard_received()
         await self._server.close_all_connections()
 
 
--- a/tests/test_httplistener.py
+++ b/tests/test_httplistener.py
@@ -327,3 +327,64 @@
             writer.close()
 
     asyncutil.run(body())
+
+
+def test_a_running_request_gets_an_answer_when_the_listener_closes():
+    async def body():
+        async with _open() as listener:
+            reader, writer = await listener.connect()
+            writer.write(_GET)
+            exchange = await listener.arrived(1)
+            cancels = []
+            exchange.cancel_send = lambda: cancels.append(exchange)
+            await listener.http.close()
+            head, _ = await _read_answer(reader)
+            assert head.startswith('HTTP/1.1 503')
+            assert 'X-Parsleystile-Outcome: unknown' in head
+            assert cancels == [exchange]
+            assert await reader.read() == b''
+            writer.close()
+
+    asyncutil.run(body())
+
+
+@pytest.mark.parametrize('sent', [b'', _GET[:10], _POST[:-1]])
+def test_an_open_connection_gets_a_refusal_when_the_listener_closes(sent):
+    async def body():
+        async with _open() as listener:
+            reader, writer = await listener.connect()
+            writer.write(_GET)
+            exchange = await listener.arrived(1)
+            exchange.finish(exchanges.Answer(204, [], b''))
+            await _read_answer(reader)
+            writer.write(sent)
+            count = 1 if sent else 0
+            await asyncutil.wait_until(
+                lambda: listener.http.owed_count == count
+            )
+            await listener.http.close()
+            head, _ = await _read_answer(reader)
+            assert head.startswith('HTTP/1.1 503')
+            assert 'X-Parsleystile-Outcome: not-run' in head
+            assert 'Retry-After: 1' in head
+            assert await reader.read() == b''
+            assert len(listener.received) == 1
+            writer.close()
+
+    asyncutil.run(body())
+
+
+def test_a_close_with_unread_bytes_does_not_reset_the_last_answer():
+    async def body():
+        async with _open() as listener:
+            reader, writer = await listener.connect()
+            writer.write(_GET)
+            exchange = await listener.arrived(1)
+            # Pipelined requests stay unread while the first one runs.
+            writer.write(_GET * 20_000)
+            exchange.cancel_send = lambda: None
+            await listener.http.close()
+            assert (await _read_answer(reader))[0].startswith('HTTP/1.1 503')
+            writer.close()
+
+    asyncutil.run(body())
