Refuse callers while a stopping node hands back

A request that came on an open connection after a stopping node had found itself idle ran while grants and leases were handed back, up to a second, and was cut when that ended: nothing looked for requests again. A table that hangs makes the hand back long.

Ingress refuses callers from the moment at which the hand back begins; the event loop runs nothing between the last look and that. The refusals of a node that leaves carry Retry-After.

--- a/src/parsleystile/daemon.py
+++ b/src/parsleystile/daemon.py
@@ -268,6 +268,7 @@
         )
 
     def _hand_back(self, on_done: typing.Callable[[], None]) -> None:
+        self.node.ingress.is_draining = True
         task = asyncio.get_running_loop().create_task(self.node.hand_back())
         task.add_done_callback(lambda ended: on_done())
         self._hand_back_task = task
--- a/src/parsleystile/drain.py
+++ b/src/parsleystile/drain.py
@@ -75,7 +75,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HandBack:
-    """Hand back grants and leases."""
+    """Refuse requests of callers, and hand back grants and leases."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/parsleystile/guard.py
+++ b/src/parsleystile/guard.py
@@ -174,7 +174,11 @@
 
     def _validate(self, call: ttypes.Call) -> errors.Refusal | None:
         if self._refuse_reason is not None:
-            return errors.not_run(self._refuse_reason, 'no new work here')
+            return errors.not_run(
+                self._refuse_reason,
+                'no new work here',
+                errors.LEAVING_RETRY_AFTER_MS,
+            )
         if not self._base_url or call.callee_service != self._service:
             return errors.not_run(
                 errors.Reason.NO_TARGET,
--- a/src/parsleystile/httplistener.py
+++ b/src/parsleystile/httplistener.py
@@ -28,7 +28,6 @@
 _PROBLEM_URI = 'urn:parsleystile:refusal:'
 _MS_PER_S = 1000
 _OVERLOAD_RETRY_AFTER_MS = 1000
-_LEAVING_RETRY_AFTER_MS = 1000
 # Time for callers to take their last answers before the process ends.
 _LINGER_TIMEOUT_S = 1.0
 _LINGER_POLL_S = 0.01
@@ -246,7 +245,9 @@
 def _last_answer() -> bytes:
     """Encode the answer for connections that are open at the end."""
     refusal = errors.not_run(
-        errors.Reason.LEAVING, 'this node is stopping', _LEAVING_RETRY_AFTER_MS
+        errors.Reason.LEAVING,
+        'this node is stopping',
+        errors.LEAVING_RETRY_AFTER_MS,
     )
     status, headers, body = _problem(refusal)
     headers['Connection'] = 'close'
@@ -264,7 +265,7 @@
         refusal = errors.not_run(
             errors.Reason.LEAVING,
             'this node stopped before it sent the call',
-            _LEAVING_RETRY_AFTER_MS,
+            errors.LEAVING_RETRY_AFTER_MS,
         )
     else:
         exchange.cancel_send()
--- a/src/parsleystile/ingress.py
+++ b/src/parsleystile/ingress.py
@@ -55,7 +55,11 @@
         exchange.observe = self._on_done
         if self.is_draining:
             exchange.finish(
-                errors.not_run(errors.Reason.LEAVING, 'this node is stopping')
+                errors.not_run(
+                    errors.Reason.LEAVING,
+                    'this node is stopping',
+                    errors.LEAVING_RETRY_AFTER_MS,
+                )
             )
             return
         refusal = filters.run(self._filters, exchange)
