--- a/src/parsleystile/httplistener.py
+++ b/src/parsleystile/httplistener.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import enum
-import json
 import socket
 import typing
 
@@ -16,25 +15,16 @@
 from parsleystile import clock as clocks
 from parsleystile import errors
 from parsleystile import exchange as exchanges
+from parsleystile import httpanswers
 from parsleystile import metrics as metric
 from parsleystile import settings
 
-_OUTCOME_NAMES = {
-    errors.Outcome.ANSWERED: 'answered',
-    errors.Outcome.NOT_RUN: 'not-run',
-    errors.Outcome.UNKNOWN: 'unknown',
-}
-_PROBLEM_TYPE = 'application/problem+json'
-_PROBLEM_URI = 'urn:parsleystile:refusal:'
-_MS_PER_S = 1000
 _OVERLOAD_RETRY_AFTER_MS = 1000
 # Time for callers to take their last answers before the process ends.
 _LINGER_TIMEOUT_S = 1.0
 _LINGER_POLL_S = 0.01
 _BODY_TIMEOUT_MS = 10_000.0
 _IDLE_TIMEOUT_MS = 300_000.0
-# A status without a body by definition (RFC 9110, 6.4.1).
-_BODILESS_STATUSES = frozenset({204, 304})
 
 OnExchange = typing.Callable[[exchanges.Exchange], None]
 
@@ -122,7 +112,7 @@
         if stream.is_close_announced and not stream.unread_bytes:
             stream.end()
         else:
-            stream.end(_LAST_ANSWER)
+            stream.end(httpanswers.LAST_ANSWER)
 
     def data_received(self, chunk: bytes) -> None:
         if not self.stream.is_ended:
@@ -169,11 +159,10 @@
         self._progress = _Progress.ANSWERED
         match reply:
             case errors.Refusal():
-                status, headers, body = _problem(reply, exchange)
+                parts = httpanswers.refusal_parts(reply, exchange.context)
             case exchanges.Answer():
-                status, headers, body = _answer_parts(
-                    reply, self._start.method
-                )
+                parts = httpanswers.answer_parts(reply, self._start.method)
+        status, headers, body = parts
         if self._start.method == 'HEAD':
             body = b''
         # A caller drops what it has pipelined behind such an answer.
@@ -195,70 +184,6 @@
             self.stream.end()
 
 
-def _answer_parts(
-    answer: exchanges.Answer, method: str
-) -> tuple[int, httputil.HTTPHeaders, bytes]:
-    headers = httputil.HTTPHeaders()
-    pairs = answer.headers
-    for i in range(0, len(pairs), 2):
-        # Setting a header takes a tenth of the time of adding one.
-        if pairs[i] in headers:
-            headers.add(pairs[i], pairs[i + 1])
-        else:
-            headers[pairs[i]] = pairs[i + 1]
-    body = answer.body
-    if answer.status not in _BODILESS_STATUSES and method != 'HEAD':
-        headers['Content-Length'] = str(len(body))
-    headers[exchanges.OUTCOME_HEADER] = 'answered'
-    return answer.status, headers, body
-
-
-def _problem(
-    refusal: errors.Refusal, exchange: exchanges.Exchange | None = None
-) -> tuple[int, httputil.HTTPHeaders, bytes]:
-    outcome = _OUTCOME_NAMES[refusal.outcome]
-    name = refusal.reason.name.lower().replace('_', '-')
-    document: dict[str, object] = {
-        'type': _PROBLEM_URI + name,
-        'title': name.replace('-', ' '),
-        'status': refusal.status,
-        'detail': refusal.detail,
-        'outcome': outcome,
-    }
-    headers = httputil.HTTPHeaders()
-    headers['Content-Type'] = _PROBLEM_TYPE
-    headers[exchanges.OUTCOME_HEADER] = outcome
-    if exchange is not None and exchange.context is not None:
-        # The argument of `parsleystile explain`.
-        document['root_id'] = exchange.context.root_id
-    if refusal.retry_after_ms > 0:
-        # Retry-After is in whole seconds; the document keeps the exact
-        # value, jitter included.
-        document['retry_after_ms'] = refusal.retry_after_ms
-        retry_after_s = -(-refusal.retry_after_ms // _MS_PER_S)
-        headers['Retry-After'] = str(retry_after_s)
-    body = json.dumps(document).encode()
-    headers['Content-Length'] = str(len(body))
-    return refusal.status, headers, body
-
-
-def _last_answer() -> bytes:
-    """Encode the answer for connections that are open at the end."""
-    refusal = errors.not_run(
-        errors.Reason.LEAVING,
-        'this node is stopping',
-        errors.LEAVING_RETRY_AFTER_MS,
-    )
-    status, headers, body = _problem(refusal)
-    headers['Connection'] = 'close'
-    lines = [f'HTTP/1.1 {status} ']
-    lines += [f'{name}: {value}' for name, value in headers.get_all()]
-    return '\r\n'.join([*lines, '', '']).encode() + body
-
-
-_LAST_ANSWER = _last_answer()
-
-
 def _cut(exchange: exchanges.Exchange) -> None:
     """End an exchange that has no answer at the end of the process."""
     if exchange.cancel_send is None:
