Refuse callers before the time of a stop is up

Callers that ignore Connection: close and never pause keep a node from being quiet. It went on serving them until its 30 s were up, and cut what ran then.

From 25 s on callers are refused, not run, so that what runs can end.

--- a/src/parsleystile/daemon.py
+++ b/src/parsleystile/daemon.py
@@ -203,6 +203,7 @@
                 refuse_new=self._refuse_new,
                 calls_in_flight=self._calls_in_flight,
                 owed=self._owed,
+                refuse_callers=self._refuse_callers,
                 hand_back=self._hand_back,
                 end=self._stopped.set,
             ),
@@ -257,6 +258,9 @@
         self.node.refuse_new()
         self._caller_listener.stop_listening()
 
+    def _refuse_callers(self) -> None:
+        self.node.ingress.is_draining = True
+
     def _calls_in_flight(self) -> int:
         return self.node.calls_in_flight + self._caller_listener.open_count
 
@@ -268,7 +272,6 @@
         )
 
     def _hand_back(self, on_done: typing.Callable[[], None]) -> None:
-        self.node.ingress.is_draining = True
         task = asyncio.get_running_loop().create_task(self.node.hand_back())
         task.add_done_callback(lambda ended: on_done())
         self._hand_back_task = task
--- a/src/parsleystile/drain.py
+++ b/src/parsleystile/drain.py
@@ -14,6 +14,9 @@
 QUIET_PERIOD_MS = 500.0
 # A call may take its whole deadline, and so may its child calls.
 DRAIN_TIMEOUT_MS = 30_000.0
+# Callers that go on sending are refused from then on, so that the calls in
+# flight can end in time.
+REFUSE_CALLERS_AFTER_MS = 25_000.0
 HAND_BACK_TIMEOUT_MS = 1_000.0
 
 
@@ -73,6 +76,11 @@
     """Refuse new calls and accept no new connections of callers."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefuseCallers:
+    """Refuse requests of callers on open connections."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HandBack:
     """Refuse requests of callers, and hand back grants and leases."""
@@ -91,7 +99,7 @@
     drained_ms: float
 
 
-Action = AnnounceLeave | RefuseNew | HandBack | Exit
+Action = AnnounceLeave | RefuseNew | RefuseCallers | HandBack | Exit
 
 
 class Drain:
@@ -100,6 +108,7 @@
     def __init__(self) -> None:
         self.phase = Phase.SERVING
         self._is_final = False
+        self._refuses_callers = False
         self._started_ms = 0.0
         self._last_busy_ms = 0.0
         self._handing_back_ms = 0.0
@@ -148,11 +157,18 @@
         is_quiet = now_ms - self._last_busy_ms >= QUIET_PERIOD_MS
         is_late = now_ms - self._started_ms >= DRAIN_TIMEOUT_MS
         if not is_quiet and not is_late:
-            return []
+            return self._refuse_callers(now_ms)
         self.phase = Phase.HANDING_BACK
         self._handing_back_ms = now_ms
         return [HandBack()]
 
+    def _refuse_callers(self, now_ms: float) -> list[Action]:
+        is_due = now_ms - self._started_ms >= REFUSE_CALLERS_AFTER_MS
+        if self._refuses_callers or not is_due:
+            return []
+        self._refuses_callers = True
+        return [RefuseCallers()]
+
     def _exit(self, now_ms: float) -> list[Action]:
         if self.phase is not Phase.HANDING_BACK:
             return []
--- a/src/parsleystile/plannedstop.py
+++ b/src/parsleystile/plannedstop.py
@@ -21,6 +21,7 @@
         calls_in_flight: Returns the number of calls in flight.
         owed: Returns the number of calls in flight, and of connections with
             a request or an answer under way.
+        refuse_callers: Refuses requests on open connections.
         hand_back: Hands back grants and leases; calls back when done.
         end: Ends the process.
     """
@@ -29,6 +30,7 @@
     refuse_new: typing.Callable[[], None]
     calls_in_flight: typing.Callable[[], int]
     owed: typing.Callable[[], int]
+    refuse_callers: typing.Callable[[], None]
     hand_back: typing.Callable[[_Done], None]
     end: typing.Callable[[], None]
 
@@ -71,7 +73,10 @@
                 )
             case drain.RefuseNew():
                 self._steps.refuse_new()
+            case drain.RefuseCallers():
+                self._steps.refuse_callers()
             case drain.HandBack():
+                self._steps.refuse_callers()
                 self._steps.hand_back(lambda: self._handle(drain.HandedBack()))
             case drain.Exit(calls_cut=calls_cut, drained_ms=drained_ms):
                 logs.log_event(
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -42,6 +42,16 @@
     assert machine.handle(drain.Tick(2), late_ms) == [drain.Exit(2, late_ms)]
 
 
+def test_callers_that_go_on_are_refused_before_the_drain_timeout():
+    machine = _stopping()
+    refuse_ms = drain.REFUSE_CALLERS_AFTER_MS
+    assert refuse_ms < drain.DRAIN_TIMEOUT_MS
+    assert machine.handle(drain.Tick(2), refuse_ms - 100) == []
+    assert machine.handle(drain.Tick(2), refuse_ms) == [drain.RefuseCallers()]
+    assert machine.handle(drain.Tick(1), refuse_ms + 100) == []
+    assert machine.handle(drain.Tick(0), refuse_ms + 600) == [drain.HandBack()]
+
+
 def test_a_drained_process_runs_until_a_stop_is_requested():
     machine = drain.drain()
     machine.handle(drain.StopRequested(is_final=False), 0.0)
