--- a/src/parsleystile/httplistener.py
+++ b/src/parsleystile/httplistener.py
@@ -1,7 +1,9 @@
 """HTTP listener of a node, on tornado; turns requests into exchanges."""
 
+import asyncio
+import contextlib
 import enum
-import json
+import socket
 import typing
 
 from tornado import httpserver
@@ -9,25 +11,20 @@
 from tornado import iostream
 from tornado import netutil
 
+from parsleystile import callerstream
 from parsleystile import clock as clocks
 from parsleystile import errors
 from parsleystile import exchange as exchanges
+from parsleystile import httpanswers
 from parsleystile import metrics as metric
 from parsleystile import settings
 
-_OUTCOME_NAMES = {
-    errors.Outcome.ANSWERED: 'answered',
-    errors.Outcome.NOT_RUN: 'not-run',
-    errors.Outcome.UNKNOWN: 'unknown',
-}
-_PROBLEM_TYPE = 'application/problem+json'
-_PROBLEM_URI = 'urn:parsleystile:refusal:'
-_MS_PER_S = 1000
 _OVERLOAD_RETRY_AFTER_MS = 1000
+# Time for callers to take their last answers before the process ends.
+_LINGER_TIMEOUT_S = 1.0
+_LINGER_POLL_S = 0.01
 _BODY_TIMEOUT_MS = 10_000.0
 _IDLE_TIMEOUT_MS = 300_000.0
-# A status without a body by definition (RFC 9110, 6.4.1).
-_BODILESS_STATUSES = frozenset({204, 304})
 
 OnExchange = typing.Callable[[exchanges.Exchange], None]
 
@@ -36,6 +33,7 @@
     WAITING = 'waiting'
     READING = 'reading'
     RUNNING = 'running'
+    ANSWERED = 'answered'
 
 
 class _Request(httputil.HTTPMessageDelegate):
@@ -51,13 +49,18 @@
         '_progress',
         '_since_ms',
         '_start',
+        'stream',
     )
 
     def __init__(
-        self, listener: 'HttpListener', connection: httputil.HTTPConnection
+        self,
+        listener: 'HttpListener',
+        connection: httputil.HTTPConnection,
+        stream: callerstream.CallerStream,
     ) -> None:
         self._listener = listener
         self._connection = connection
+        self.stream = stream
         self._progress = _Progress.WAITING
         self._since_ms = listener.clock.now_ms()
         self._body: list[bytes] = []
@@ -78,6 +81,22 @@
     def is_reading_body(self) -> bool:
         return self._progress is _Progress.READING
 
+    @property
+    def is_owed(self) -> bool:
+        """Whether the caller waits for an answer or for a part of one."""
+        stream = self.stream
+        match self._progress:
+            case _Progress.READING | _Progress.RUNNING:
+                return True
+            case _Progress.WAITING:
+                return stream.is_sending or stream.unread_bytes > 0
+            case _Progress.ANSWERED:
+                return stream.is_sending or (
+                    stream.unread_bytes > 0 and not stream.is_ended
+                )
+            case _:
+                typing.assert_never(self._progress)
+
     def is_overdue(self, now_ms: float) -> bool:
         limit_ms = _BODY_TIMEOUT_MS
         if self._progress is _Progress.WAITING:
@@ -87,12 +106,24 @@
     def close_connection(self) -> None:
         self._connection.close()
 
+    def end_connection(self) -> None:
+        """Answer for the last time, unless an answer was the last."""
+        stream = self.stream
+        if stream.is_close_announced and not stream.unread_bytes:
+            stream.end()
+        else:
+            stream.end(httpanswers.LAST_ANSWER)
+
     def data_received(self, chunk: bytes) -> None:
-        self._body.append(chunk)
+        if not self.stream.is_ended:
+            self._body.append(chunk)
 
     def finish(self) -> None:
         listener = self._listener
         listener.on_read_end(self)
+        if self.stream.is_ended:
+            self._progress = _Progress.ANSWERED
+            return
         headers: list[str] = []
         for name, value in self._headers.get_all():
             headers.append(name)
@@ -125,15 +156,21 @@
     ) -> None:
         self._listener.on_exchange_end(exchange)
         self._exchange = None
+        self._progress = _Progress.ANSWERED
         match reply:
             case errors.Refusal():
-                status, headers, body = _problem(reply, exchange)
+                parts = httpanswers.refusal_parts(reply, exchange.context)
             case exchanges.Answer():
-                status, headers, body = _answer_parts(
-                    reply, self._start.method
-                )
-        if self._listener.is_closing:
+                parts = httpanswers.answer_parts(reply, self._start.method)
+        status, headers, body = parts
+        if self._start.method == 'HEAD':
+            body = b''
+        # A caller drops what it has pipelined behind such an answer.
+        if self._listener.is_ending or (
+            self._listener.is_closing and not self.stream.unread_bytes
+        ):
             headers['Connection'] = 'close'
+            self.stream.is_close_announced = True
         try:
             self._connection.write_headers(
                 httputil.ResponseStartLine('HTTP/1.1', status, ''),
@@ -143,53 +180,37 @@
             self._connection.finish()
         except (iostream.StreamClosedError, httputil.HTTPOutputError):
             self._listener.metrics.incr('http.answers_unsent')
+        if self._listener.is_ending:
+            self.stream.end()
 
 
-def _answer_parts(
-    answer: exchanges.Answer, method: str
-) -> tuple[int, httputil.HTTPHeaders, bytes]:
-    headers = httputil.HTTPHeaders()
-    pairs = answer.headers
-    for i in range(0, len(pairs), 2):
-        # Setting a header takes a tenth of the time of adding one.
-        if pairs[i] in headers:
-            headers.add(pairs[i], pairs[i + 1])
-        else:
-            headers[pairs[i]] = pairs[i + 1]
-    body = answer.body
-    if answer.status not in _BODILESS_STATUSES and method != 'HEAD':
-        headers['Content-Length'] = str(len(body))
-    headers[exchanges.OUTCOME_HEADER] = 'answered'
-    return answer.status, headers, body
-
-
-def _problem(
-    refusal: errors.Refusal, exchange: exchanges.Exchange
-) -> tuple[int, httputil.HTTPHeaders, bytes]:
-    outcome = _OUTCOME_NAMES[refusal.outcome]
-    name = refusal.reason.name.lower().replace('_', '-')
-    document: dict[str, object] = {
-        'type': _PROBLEM_URI + name,
-        'title': name.replace('-', ' '),
-        'status': refusal.status,
-        'detail': refusal.detail,
-        'outcome': outcome,
-    }
-    headers = httputil.HTTPHeaders()
-    headers['Content-Type'] = _PROBLEM_TYPE
-    headers[exchanges.OUTCOME_HEADER] = outcome
-    if exchange.context is not None:
-        # The argument of `parsleystile explain`.
-        document['root_id'] = exchange.context.root_id
-    if refusal.retry_after_ms > 0:
-        # Retry-After is in whole seconds; the document keeps the exact
-        # value, jitter included.
-        document['retry_after_ms'] = refusal.retry_after_ms
-        retry_after_s = -(-refusal.retry_after_ms // _MS_PER_S)
-        headers['Retry-After'] = str(retry_after_s)
-    body = json.dumps(document).encode()
-    headers['Content-Length'] = str(len(body))
-    return refusal.status, headers, body
+def _cut(exchange: exchanges.Exchange) -> None:
+    """End an exchange that has no answer at the end of the process."""
+    if exchange.cancel_send is None:
+        refusal = errors.not_run(
+            errors.Reason.LEAVING,
+            'this node stopped before it sent the call',
+            errors.LEAVING_RETRY_AFTER_MS,
+        )
+    else:
+        exchange.cancel_send()
+        refusal = errors.unknown(
+            errors.Reason.LEAVING, 'this node stopped before the answer'
+        )
+    exchange.finish(refusal)
+
+
+class _Server(httpserver.HTTPServer):
+    """Server that also passes the close of a connection to its listener."""
+
+    def initialize(self, listener: 'HttpListener', **options: object) -> None:
+        super().initialize(listener, **options)
+        self._listener = listener
+
+    def on_close(self, server_conn: object) -> None:
+        # HTTPServer keeps this event from its delegate.
+        super().on_close(server_conn)
+        self._listener.on_close(server_conn)
 
 
 class HttpListener(httputil.HTTPServerConnectionDelegate):
@@ -198,6 +219,7 @@
     Attributes:
         clock: Source of the arrival time of each request.
         is_closing: Whether answers ask the caller to close the connection.
+        is_ending: Whether each answer is the last on its connection.
     """
 
     def __init__(
@@ -211,10 +233,13 @@
         self.metrics = metrics
         self._on_exchange = on_exchange
         self.is_closing = False
+        self.is_ending = False
         self._limits = limits
-        self._connections: set[object] = set()
+        # The request of each connection that is read, run or answered.
+        self._connections: dict[object, _Request] = {}
         self._open_exchanges: set[exchanges.Exchange] = set()
-        self._server = httpserver.HTTPServer(
+        self._sockets: list[socket.socket] = []
+        self._server = _Server(
             self,
             no_keep_alive=False,
             max_header_size=limits.header_bytes,
@@ -227,16 +252,24 @@
 
     def listen(self, host: str, port: int) -> int:
         """Start to accept connections; return the bound port."""
-        sockets = netutil.bind_sockets(port, host)
-        self._server.add_sockets(sockets)
-        return int(sockets[0].getsockname()[1])
+        self._sockets = netutil.bind_sockets(port, host)
+        self._server.add_sockets(self._sockets)
+        return int(self._sockets[0].getsockname()[1])
 
     def start_request(
         self, server_conn: object, request_conn: httputil.HTTPConnection
     ) -> httputil.HTTPMessageDelegate:
         """Create the delegate of one request; called by tornado."""
-        request = _Request(self, request_conn)
-        self._connections.add(server_conn)
+        before = self._connections.get(server_conn)
+        stream = (
+            callerstream.caller_stream(request_conn.stream)
+            if before is None
+            else before.stream
+        )
+        request = _Request(self, request_conn, stream)
+        self._connections[server_conn] = request
+        if self.is_ending:
+            request.end_connection()
         if len(self._connections) > self._limits.connections:
             self.metrics.incr('http.connections_refused')
             request.close_connection()
@@ -265,8 +298,8 @@
                 request.close_connection()
 
     def on_close(self, server_conn: object) -> None:
-        """Handle the close of a connection; called by tornado."""
-        self._connections.discard(server_conn)
+        """Handle the close of a connection."""
+        self._connections.pop(server_conn, None)
 
     def on_request(self, exchange: exchanges.Exchange) -> None:
         """Pass a complete request to the handler, within the limit."""
@@ -291,13 +324,52 @@
         """Number of requests without an answer."""
         return len(self._open_exchanges)
 
+    @property
+    def owed_count(self) -> int:
+        """Number of connections with a request or an answer under way.
+
+        Looks at every socket; ``open_count`` is cheaper.
+        """
+        return sum(request.is_owed for request in self._connections.values())
+
     def stop_listening(self) -> None:
         """Accept no more connections; open ones close after an answer."""
-        self.is_closing = True
-        self._server.stop()
+        if not self.is_closing:
+            self.is_closing = True
+            self._accept_queued()
+            self._server.stop()
+
+    def _accept_queued(self) -> None:
+        # Closing a listening socket resets the connections in its queue,
+        # whose callers may have sent a request already.
+        for sock in self._sockets:
+            while True:
+                try:
+                    connection, address = sock.accept()
+                except ConnectionAbortedError:
+                    continue
+                except OSError:
+                    break
+                stream = iostream.IOStream(connection)
+                self._server.handle_stream(stream, address)
 
     async def close(self) -> None:
-        """Close every connection."""
+        """End what is open with an answer, then close every connection.
+
+        Waits up to a second until callers have taken their answers.
+        """
+        self.is_ending = True
+        self.stop_listening()
+        for exchange in list(self._open_exchanges):
+            _cut(exchange)
+        for request in self._connections.values():
+            request.end_connection()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_LINGER_TIMEOUT_S):
+                while self.owed_count:
+                    await asyncio.sleep(_LINGER_POLL_S)
+        for request in self._connections.values():
+            request.stream.discard_received()
         await self._server.close_all_connections()
 
 
--- a/tests/test_httplistener.py
+++ b/tests/test_httplistener.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
@@ -12,6 +13,8 @@
 from tests import asyncutil
 
 _GET = b'GET /x HTTP/1.1\r\nHost: a\r\n\r\n'
+_POST = b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody'
+_GET_AND_CLOSE = _GET.replace(b'Host', b'Connection: close\r\nHost')
 
 
 class _Listener:
@@ -172,6 +175,21 @@
     asyncutil.run(body())
 
 
+def test_closed_connections_do_not_count_toward_the_limit():
+    async def body():
+        async with _open(connections=2) as listener:
+            for count in range(1, 6):
+                reader, writer = await listener.connect()
+                writer.write(_GET_AND_CLOSE)
+                exchange = await listener.arrived(count)
+                exchange.finish(exchanges.Answer(200, [], b'ok'))
+                assert (await _read_answer(reader))[1] == b'ok'
+                assert await reader.read() == b''
+                writer.close()
+
+    asyncutil.run(body())
+
+
 def test_calls_beyond_the_limit_are_refused_as_not_run():
     async def body():
         async with _open(calls_in_flight=1) as listener:
@@ -206,3 +224,167 @@
             writer.close()
 
     asyncutil.run(body())
+
+
+def test_a_refused_head_request_gets_an_answer_without_a_body():
+    async def body():
+        async with _open() as listener:
+            reader, writer = await listener.connect()
+            writer.write(_GET.replace(b'GET', b'HEAD') + _GET)
+            refusal = errors.not_run(errors.Reason.SHED, 'full', 1500)
+            (await listener.arrived(1)).finish(refusal)
+            head = await reader.readuntil(b'\r\n\r\n')
+            assert head.startswith(b'HTTP/1.1 503')
+            assert b'X-Parsleystile-Outcome: not-run' in head
+            (await listener.arrived(2)).finish(exchanges.Answer(204, [], b''))
+            assert (await _read_answer(reader))[0].startswith('HTTP/1.1 204')
+            writer.close()
+
+    asyncutil.run(body())
+
+
+def test_a_connection_in_the_accept_queue_is_served_when_the_listener_stops():
+    async def body():
+        async with _open() as listener:
+            # Blocking calls, so that the loop cannot accept in between.
+            caller = socket.create_connection(('127.0.0.1', listener.port))
+            caller.sendall(_GET)
+            listener.http.stop_listening()
+            reader, writer = await asyncio.open_connection(sock=caller)
+            exchange = await listener.arrived(1)
+            exchange.finish(exchanges.Answer(200, [], b'ok'))
+            assert (await _read_answer(reader))[1] == b'ok'
+            writer.close()
+            with pytest.raises(ConnectionRefusedError):
+                await listener.connect()
+
+    asyncutil.run(body())
+
+
+@pytest.mark.parametrize('sent_bytes', [10, len(_POST) - 1])
+def test_a_request_that_is_being_sent_is_owed_an_answer(sent_bytes):
+    async def body():
+        async with _open() as listener:
+            reader, writer = await listener.connect()
+            writer.write(_POST[:sent_bytes])
+            await asyncutil.wait_until(lambda: listener.http.owed_count == 1)
+            listener.http.stop_listening()
+            writer.write(_POST[sent_bytes:])
+            exchange = await listener.arrived(1)
+            assert listener.http.owed_count == 1
+            exchange.finish(exchanges.Answer(200, [], b'ok'))
+            assert (await _read_answer(reader))[1] == b'ok'
+            await asyncutil.wait_until(lambda: listener.http.owed_count == 0)
+            writer.close()
+
+    asyncutil.run(body())
+
+
+def test_an_answer_that_the_caller_has_not_taken_is_owed():
+    async def body():
+        async with _open() as listener:
+            reader, writer = await listener.connect()
+            writer.write(_GET)
+            exchange = await listener.arrived(1)
+            exchange.finish(exchanges.Answer(200, [], b'x' * 16_000_000))
+            await asyncio.sleep(0)
+            assert listener.http.open_count == 0
+            assert listener.http.owed_count == 1
+            assert len((await _read_answer(reader))[1]) == 16_000_000
+            await asyncutil.wait_until(lambda: listener.http.owed_count == 0)
+            writer.close()
+
+    asyncutil.run(body())
+
+
+def test_an_idle_connection_is_owed_nothing():
+    async def body():
+        async with _open() as listener:
+            _, writer = await listener.connect()
+            writer.write(_GET)
+            exchange = await listener.arrived(1)
+            exchange.finish(exchanges.Answer(204, [], b''))
+            await asyncutil.wait_until(lambda: listener.http.owed_count == 0)
+            writer.close()
+
+    asyncutil.run(body())
+
+
+def test_only_the_last_pipelined_answer_closes_the_connection():
+    async def body():
+        async with _open() as listener:
+            reader, writer = await listener.connect()
+            writer.write(_GET * 3)
+            await listener.arrived(1)
+            listener.http.stop_listening()
+            closes = []
+            for count in (1, 2, 3):
+                exchange = await listener.arrived(count)
+                exchange.finish(exchanges.Answer(200, [], b'ok'))
+                head, _ = await _read_answer(reader)
+                closes.append('Connection: close' in head)
+            assert closes == [False, False, True]
+            writer.close()
+
+    asyncutil.run(body())
+
+
+def test_a_running_request_gets_an_answer_when_the_listener_closes():
+    async def body():
+        async with _open() as listener:
+            reader, writer = await listener.connect()
+            writer.write(_GET)
+            exchange = await listener.arrived(1)
+            cancels = []
+            exchange.cancel_send = lambda: cancels.append(exchange)
+            await listener.http.close()
+            head, _ = await _read_answer(reader)
+            assert head.startswith('HTTP/1.1 503')
+            assert 'X-Parsleystile-Outcome: unknown' in head
+            assert cancels == [exchange]
+            assert await reader.read() == b''
+            writer.close()
+
+    asyncutil.run(body())
+
+
+@pytest.mark.parametrize('sent', [b'', _GET[:10], _POST[:-1]])
+def test_an_open_connection_gets_a_refusal_when_the_listener_closes(sent):
+    async def body():
+        async with _open() as listener:
+            reader, writer = await listener.connect()
+            writer.write(_GET)
+            exchange = await listener.arrived(1)
+            exchange.finish(exchanges.Answer(204, [], b''))
+            await _read_answer(reader)
+            writer.write(sent)
+            count = 1 if sent else 0
+            await asyncutil.wait_until(
+                lambda: listener.http.owed_count == count
+            )
+            await listener.http.close()
+            head, _ = await _read_answer(reader)
+            assert head.startswith('HTTP/1.1 503')
+            assert 'X-Parsleystile-Outcome: not-run' in head
+            assert 'Retry-After: 1' in head
+            assert await reader.read() == b''
+            assert len(listener.received) == 1
+            writer.close()
+
+    asyncutil.run(body())
+
+
+def test_a_close_with_unread_bytes_does_not_reset_the_last_answer():
+    async def body():
+        async with _open() as listener:
+            reader, writer = await listener.connect()
+            writer.write(_GET)
+            exchange = await listener.arrived(1)
+            # Pipelined requests stay unread while the first one runs.
+            writer.write(_GET * 20_000)
+            exchange.cancel_send = lambda: None
+            await listener.http.close()
+            assert (await _read_answer(reader))[0].startswith('HTTP/1.1 503')
+            writer.close()
+
+    asyncutil.run(body())
