End idle connections of the other path without an answer

The last answer also went to connections with no request under way. A client with an idle connection takes it for the answer to its next request (shown with libcurl), perhaps long after the node is back. Idle connections now end as any HTTP server ends them; a request being sent is still refused. The case without a request in the test of the listener becomes a test of its own, which allows no byte. The stop also waits for what links have not sent.

--- a/src/parsleystile/daemon.py
+++ b/src/parsleystile/daemon.py
@@ -269,6 +269,7 @@
             self.node.calls_in_flight
             + self._caller_listener.owed_count
             + self._target_listener.owed_count
+            + (self._links.unsent_bytes > 0)
         )
 
     def _hand_back(self, on_done: typing.Callable[[], None]) -> None:
--- a/src/parsleystile/httplistener.py
+++ b/src/parsleystile/httplistener.py
@@ -107,9 +107,11 @@
         self._connection.close()
 
     def end_connection(self) -> None:
-        """Answer for the last time, unless an answer was the last."""
+        """End the sending direction, after a last answer if one is due."""
         stream = self.stream
-        if stream.is_close_announced and not stream.unread_bytes:
+        is_idle = self._progress in (_Progress.WAITING, _Progress.ANSWERED)
+        if is_idle and not stream.unread_bytes:
+            # A client would take an answer for that to its next request.
             stream.end()
         else:
             stream.end(httpanswers.LAST_ANSWER)
--- a/tests/test_httplistener.py
+++ b/tests/test_httplistener.py
@@ -348,8 +348,8 @@
     asyncutil.run(body())
 
 
-@pytest.mark.parametrize('sent', [b'', _GET[:10], _POST[:-1]])
-def test_an_open_connection_gets_a_refusal_when_the_listener_closes(sent):
+@pytest.mark.parametrize('sent', [_GET[:10], _POST[:-1]])
+def test_a_request_being_sent_is_refused_when_the_listener_closes(sent):
     async def body():
         async with _open() as listener:
             reader, writer = await listener.connect()
@@ -358,10 +358,7 @@
             exchange.finish(exchanges.Answer(204, [], b''))
             await _read_answer(reader)
             writer.write(sent)
-            count = 1 if sent else 0
-            await asyncutil.wait_until(
-                lambda: listener.http.owed_count == count
-            )
+            await asyncutil.wait_until(lambda: listener.http.owed_count == 1)
             await listener.http.close()
             head, _ = await _read_answer(reader)
             assert head.startswith('HTTP/1.1 503')
@@ -374,6 +371,22 @@
     asyncutil.run(body())
 
 
+def test_an_idle_connection_ends_without_an_answer_when_the_listener_closes():
+    async def body():
+        async with _open() as listener:
+            reader, writer = await listener.connect()
+            writer.write(_GET)
+            exchange = await listener.arrived(1)
+            exchange.finish(exchanges.Answer(204, [], b''))
+            await _read_answer(reader)
+            await asyncutil.wait_until(lambda: not listener.http.owed_count)
+            await listener.http.close()
+            assert await reader.read() == b''
+            writer.close()
+
+    asyncutil.run(body())
+
+
 def test_a_close_with_unread_bytes_does_not_reset_the_last_answer():
     async def body():
         async with _open() as listener:
