Keep a stopping node a full member until it refuses

While some nodes of a service were leaving, the others took all its calls and refused them as too late beside idle targets; as long as a node serves callers its target may as well serve calls. The leave is announced when the node refuses, and the process ends 250 ms later at the soonest: a call that crossed the leave would otherwise end as unknown on a closed link, 502 if it may not run twice.

test_a_planned_stop_finishes_open_requests asked that the late request runs at the other target, which is no promise now; it must run exactly once.

--- a/src/parsleystile/relay/drain.py
+++ b/src/parsleystile/relay/drain.py
@@ -1,9 +1,9 @@
 """Decisions of a planned stop of a node, without I/O.
 
-A stopping node serves on while callers move elsewhere, then refuses new
-requests and completes the open ones. Some callers never move, so the time to
-refuse is fixed. What is still open shortly before the platform kills the
-process gets a final answer, and there is time left to deliver it.
+A stopping node serves on, its target included, while callers move elsewhere;
+then it refuses new work and completes what is open. Some callers never move,
+so the time to refuse is fixed. What is still open shortly before the platform
+kills the process gets a final answer, and there is time left to deliver it.
 """
 
 import dataclasses
@@ -14,6 +14,10 @@
 _MAX_LAME_DUCK_RATIO = 0.5
 _FINAL_ANSWERS_RATIO = 0.85
 _END_RATIO = 0.92
+# Time for other nodes to hear that this one takes no more calls. Those that
+# they send until then are refused as not run; on a closed link they would end
+# as unknown.
+_LEAVE_NOTICE_MS = 250.0
 
 
 class Phase(enum.Enum):
@@ -47,7 +51,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RefuseNew:
-    """Refuse new requests of callers."""
+    """Refuse new requests of callers and calls of other nodes."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,6 +114,8 @@
                 self.phase = Phase.COMPLETING
                 return [RefuseNew(), *self.tick(owed, now_ms)]
             case Phase.COMPLETING:
+                if elapsed_ms < self._refuse_after_ms + _LEAVE_NOTICE_MS:
+                    return []
                 if not owed:
                     return [self._end(False, elapsed_ms)]
                 if elapsed_ms >= self._answer_after_ms:
--- a/src/parsleystile/relay/memberlist.py
+++ b/src/parsleystile/relay/memberlist.py
@@ -24,8 +24,6 @@
         departed_id: Incarnation of the target that left last; a late report
             must not bring it back.
         departed_born_ms: Start time that this incarnation reported.
-        is_leaving: Whether the node is about to shut down; its target gets
-            calls only if no other target of the service does.
         is_gone: Whether the node has shut down for good.
         incarnation: Grows with each start of the process.
         sequence: Grows with each change within an incarnation.
@@ -42,7 +40,6 @@
     is_serving: bool = False
     departed_id: ids.TargetId = ids.TargetId('')
     departed_born_ms: int = 0
-    is_leaving: bool = False
     is_gone: bool = False
     incarnation: int = 0
     sequence: int = 0
@@ -192,21 +189,15 @@
     def members_by_service(
         self,
     ) -> dict[ids.ServiceName, list[members.Member]]:
-        """Return the members of each service that may get calls.
-
-        They serve and are reachable. Those of leaving nodes are left out
-        unless the service has no others.
-        """
+        """Return the serving, reachable members of each service."""
         by_service: dict[ids.ServiceName, list[members.Member]] = {}
-        leaving: dict[ids.ServiceName, list[members.Member]] = {}
         for row in self._rows.values():
             if not row.is_serving or row.is_gone:
                 continue
             if row.node_id in self._unreachable:
                 continue
-            group = leaving if row.is_leaving else by_service
-            group.setdefault(row.service, []).append(_member(row))
-        return leaving | by_service
+            by_service.setdefault(row.service, []).append(_member(row))
+        return by_service
 
 
 def _member(row: Row) -> members.Member:
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -445,7 +445,6 @@
         """Start draining: open requests finish, callers move elsewhere."""
         if self._planned_stop.has_started:
             return
-        # First, so that the node ends whatever the announcement meets.
         self.every(plannedstop.CHECK_PERIOD_MS, self._planned_stop.advance)
         self._planned_stop.start()
 
--- a/src/parsleystile/relay/plannedstop.py
+++ b/src/parsleystile/relay/plannedstop.py
@@ -60,8 +60,6 @@
             logevents.ProcessChanged(state='draining', detail='asked to stop')
         )
         deps.http_server.is_closing = True
-        deps.state_sync.announce_leave()
-        deps.on_members_changed()
 
     def advance(self) -> None:
         """Take the steps that are due."""
--- a/src/parsleystile/relay/statesync.py
+++ b/src/parsleystile/relay/statesync.py
@@ -212,11 +212,6 @@
             self.store.publish(row)
         self._push(row)
 
-    def announce_leave(self) -> None:
-        """Announce that this node is about to shut down."""
-        self._member_list.update_own_row(is_leaving=True)
-        self.publish()
-
     def leave(self) -> None:
         """Announce that this node takes no more calls."""
         row = self._member_list.update_own_row(is_serving=False, is_gone=True)
@@ -426,8 +421,6 @@
 def _state_name(row: memberlist.Row) -> str:
     if row.is_gone:
         return 'gone'
-    if row.is_leaving:
-        return 'leaving'
     return 'serving' if row.is_serving else 'no-target'
 
 
