--- a/tests/relaycallers.py
+++ b/tests/relaycallers.py
@@ -14,6 +14,8 @@
 _DEADLINE_MS = 5000
 _RECONNECT_S = 0.03
 _CHILD_SHARE = 0.3
+_LONG_SHARE = 0.05
+_LONG_WORK_MS = 700
 _PIPELINED = 4
 # More than the kernel takes from a node at once.
 _LARGE_BYTES = 3_500_000
@@ -161,9 +163,12 @@
         is_child = self.style == 'child'
         line = 'GET /stock/' if call.is_idempotent else 'POST /reserve/'
         key = '' if is_child else f'Bearer {platformfleet.KEY}'
+        work_ms = self.rng.randint(20, 150)
+        if self.rng.random() < _LONG_SHARE:
+            work_ms = _LONG_WORK_MS
         children = int(not is_child and self.rng.random() < _CHILD_SHARE)
         return (
-            f'{line}x?work_ms={self.rng.randint(20, 150)}&size={call.size}'
+            f'{line}x?work_ms={work_ms}&size={call.size}'
             f'&children={children} HTTP/1.1\r\n'
             f'Host: {platformfleet.HOST}\r\n'
             f'Parsleystile-Attempt-Id: {call.call_id}\r\n'
--- a/tests/relayprocesses.py
+++ b/tests/relayprocesses.py
@@ -13,6 +13,8 @@
 import tempfile
 import urllib.parse
 
+import uvloop
+
 from stubs import platformstore
 from stubs import platformtarget
 from tests import platformfleet
@@ -302,4 +304,5 @@
                 await fleet.close()
             return fleet.record
 
-    return asyncio.run(bounded())
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(bounded())
