--- a/tests/relayprocesses.py
+++ b/tests/relayprocesses.py
@@ -251,6 +251,8 @@
         ]
         data = platformfleet.document(self._version, services=services)
         data['tenants'][0].update(rate_per_s=1e5, burst=1e5)
+        for route in data['virtual_hosts'][0]['paths']:
+            route['timeout'] = '6s'
         self.store.put('op', 'config', json.dumps(data).encode())
 
     def caller(self, machine, style):
--- a/tests/test_relay_record.py
+++ b/tests/test_relay_record.py
@@ -67,6 +67,20 @@
     assert len(record.violations()) == count
 
 
+@pytest.mark.parametrize(('paused_ms', 'count'), [(1_500.0, 0), (-500.0, 1)])
+def test_a_pause_during_a_stop_excuses_the_node_until_its_end(
+    paused_ms, count
+):
+    record = _record(runs=1, sent_ms=3_500.0, ended_ms=3_900.0)
+    record.processes.append(
+        relayrecord.Process('n0', 1_000.0, 3_900.0, 0, '{}')
+    )
+    record.disruptions.append(
+        relayrecord.Disruption('n0', paused_ms, paused_ms + 100.0)
+    )
+    assert len(record.violations()) == count
+
+
 @pytest.mark.parametrize(
     ('asked_ms', 'code', 'output', 'count'),
     [
