--- a/tests/relayprocesses.py
+++ b/tests/relayprocesses.py
@@ -13,6 +13,8 @@
 import tempfile
 import urllib.parse
 
+import uvloop
+
 from stubs import platformstore
 from stubs import platformtarget
 from tests import platformfleet
@@ -249,6 +251,8 @@
         ]
         data = platformfleet.document(self._version, services=services)
         data['tenants'][0].update(rate_per_s=1e5, burst=1e5)
+        for route in data['virtual_hosts'][0]['paths']:
+            route['timeout'] = '6s'
         self.store.put('op', 'config', json.dumps(data).encode())
 
     def caller(self, machine, style):
@@ -302,4 +306,5 @@
                 await fleet.close()
             return fleet.record
 
-    return asyncio.run(bounded())
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(bounded())
