--- a/tests/test_platform_stops.py
+++ b/tests/test_platform_stops.py
@@ -110,6 +110,18 @@
     platformfleet.run_with_fleet(body, serving=[1], stop_ms=600.0)
 
 
+def test_the_last_node_of_a_fleet_ends_its_planned_stop():
+    async def body(fleet):
+        (machine,) = fleet.machines
+        ended = []
+        machine.node.on_end = lambda: ended.append(True)
+        # As for a signal handler, an error in it must not stop the test.
+        asyncio.get_running_loop().call_soon(machine.node.stop)
+        await asyncutil.wait_until(lambda: ended)
+
+    platformfleet.run_with_fleet(body, count=1, stop_ms=600.0)
+
+
 def test_a_stopping_node_serves_calls_of_its_busy_target():
     async def body(fleet):
         first, second = fleet.machines
--- a/tests/test_relay_tokenbuckets.py
+++ b/tests/test_relay_tokenbuckets.py
@@ -140,6 +140,15 @@
     assert all(buckets.try_take(ORG, 0.0) for _ in range(1000))
 
 
+def test_the_last_node_of_a_fleet_can_leave_it():
+    buckets = tokenbuckets.token_buckets(random.Random(1))
+    node = ids.NodeId('n')
+    organisations = _organisations(10.0, 10.0)
+    buckets.configure(organisations, [node], node, 0.0)
+    buckets.configure(organisations, [], node, 0.0)
+    assert buckets.is_limited(ORG)
+
+
 def test_retry_after_grows_with_the_excess_demand():
     fleet = _fleet(4, 40.0, 40.0)
     node = next(iter(fleet))
