--- a/tests/test_platform_stops.py
+++ b/tests/test_platform_stops.py
@@ -172,3 +172,38 @@
         assert (answer.status, len(answer.body)) == (200, len(large))
 
     platformfleet.run_with_fleet(body, serving=[1])
+
+
+def test_the_last_nodes_of_a_fleet_stop_without_an_error():
+    async def body(fleet):
+        reported = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: reported.append(context))
+        first, second = fleet.machines
+        first.node.stop()
+        await asyncutil.wait_until(
+            lambda: len(second.node.member_list.node_ids) == 1
+        )
+        second.node.stop()
+        await asyncutil.wait_until(lambda: not first.node.member_list.node_ids)
+        assert reported == []
+
+    platformfleet.run_with_fleet(body)
+
+
+def test_a_request_that_failed_at_a_target_is_not_refused_as_not_run():
+    async def body(fleet):
+        first, *others = fleet.machines
+
+        def fail(request):
+            for machine in others:
+                machine.node.guard.refuse_new(errors.Reason.LEAVING)
+            request.answer(500, ['Parsleystile-Attempt-Id', 'c1'], b'')
+
+        for machine in others:
+            machine.target.custom_answer = fail
+        answer = await first.call()
+        assert fleet.executed_ids() == ['c1']
+        assert answer.status in (500, 502)
+
+    platformfleet.run_with_fleet(body, count=3, serving=[1, 2])
