--- a/src/parsleystile/relay/_httpconnection.py
+++ b/src/parsleystile/relay/_httpconnection.py
@@ -8,17 +8,15 @@
 import asyncio
 import collections
 import enum
-import http
+import socket
 import typing
 
 import httptools
 
 from parsleystile import clock as clocks
+from parsleystile.relay import httprequest
 from parsleystile.relay import policy as policies
 
-_REASONS = {status.value: status.phrase for status in http.HTTPStatus}
-# Statuses that have no body by definition (RFC 9110, 6.4.1).
-_STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _EXPECT_BYTES = len(b'expect')
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 _FRAMING_HEADERS = frozenset({'content-length', 'transfer-encoding'})
@@ -27,73 +25,10 @@
 # Time for the caller to read the last answer and close. Closing first would
 # reset the connection if more bytes arrived, and could discard the answer.
 _LINGER_MS = 2_000.0
-
-
-class Disconnect(enum.Enum):
-    """Why a connection closed before the answer to a request."""
-
-    CALLER_LEFT = 'caller-left'
-    NOT_ACKNOWLEDGED = 'not-acknowledged'
-    SERVER_CLOSED = 'server-closed'
-
-
-class Request:
-    """A whole request; it is answered once or abandoned by its caller.
-
-    Attributes:
-        method: HTTP method.
-        path: Path with query, as sent.
-        headers: Names and values in turn, as sent.
-        body: Whole body.
-        arrived_ms: Time at which its last byte was read.
-        on_disconnect: Called with the reason if the connection closes before
-            the answer.
-        on_shutdown: Called if the server is about to end; answers at once.
-    """
-
-    __slots__ = (
-        '_connection',
-        'arrived_ms',
-        'body',
-        'headers',
-        'method',
-        'on_disconnect',
-        'on_shutdown',
-        'path',
-    )
-
-    def __init__(
-        self,
-        connection: 'Connection',
-        method: str,
-        path: str,
-        headers: list[str],
-        body: bytes,
-        arrived_ms: float,
-    ) -> None:
-        self._connection = connection
-        self.method = method
-        self.path = path
-        self.headers = headers
-        self.body = body
-        self.arrived_ms = arrived_ms
-        self.on_disconnect: typing.Callable[[Disconnect], None] | None = None
-        self.on_shutdown: typing.Callable[[], None] | None = None
-
-    @property
-    def is_local(self) -> bool:
-        """Whether it came from a local host."""
-        return self._connection.is_local
-
-    @property
-    def is_open(self) -> bool:
-        """Whether the caller is still waiting for the answer."""
-        return self._connection.current is self
-
-    def answer(self, status: int, headers: list[str], body: bytes) -> None:
-        """Send the answer; does nothing if the caller has disconnected."""
-        if self.is_open:
-            self._connection.answer(self, status, headers, body)
+_MS_PER_S = 1000.0
+_INTERNAL_ERROR = 500
+# TCP states CLOSE and CLOSE_WAIT of the kernel.
+_STATES_AFTER_CLOSE = frozenset({7, 8})
 
 
 class Server(typing.Protocol):
@@ -103,7 +38,7 @@
     limits: policies.CallerLimits
     local_hosts: frozenset[str]
     is_closing: bool
-    on_request: typing.Callable[[Request], None]
+    on_request: typing.Callable[[httprequest.Request], None]
     on_rejected: typing.Callable[[int, str], None]
 
     def opened(self, connection: 'Connection') -> None:
@@ -130,8 +65,8 @@
 
     Attributes:
         current: The request that waits for its answer.
-        phase_started_ms: Start of the wait for the next request, of the
-            request being read, or of the linger time.
+        phase_started_ms: Start of the wait for the next request or of the
+            request being read.
     """
 
     __slots__ = (
@@ -144,6 +79,7 @@
         '_is_proceeding',
         '_is_reading_paused',
         '_is_writing_paused',
+        '_linger_timer',
         '_parser',
         '_queue',
         '_reading',
@@ -167,15 +103,18 @@
         # The caller waits for 100 Continue before it sends the body.
         self._expects_continue = False
         self._request_bytes = 0
-        self._queue: collections.deque[Request] = collections.deque()
+        self._queue: collections.deque[httprequest.Request] = (
+            collections.deque()
+        )
         # Sent after the answers to all requests read before it.
         self._rejection = b''
         self._reading = _Reading.REQUESTS
         self._is_reading_paused = False
         self._is_writing_paused = False
         self._is_proceeding = False
-        self._disconnect = Disconnect.CALLER_LEFT
-        self.current: Request | None = None
+        self._linger_timer: asyncio.TimerHandle | None = None
+        self._disconnect = httprequest.Disconnect.CALLER_LEFT
+        self.current: httprequest.Request | None = None
         self._is_local: bool | None = None
         self.phase_started_ms = server.clock.now_ms()
 
@@ -249,8 +188,10 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._server.closed(self)
         self._queue.clear()
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
         if isinstance(exc, TimeoutError):
-            self._disconnect = Disconnect.NOT_ACKNOWLEDGED
+            self._disconnect = httprequest.Disconnect.NOT_ACKNOWLEDGED
         request, self.current = self.current, None
         if request is not None and request.on_disconnect is not None:
             request.on_disconnect(self._disconnect)
@@ -304,7 +245,7 @@
             # The parser takes the body for bytes of the new protocol.
             self._reject(400, 'upgrades are not served')
             return
-        request = Request(
+        request = httprequest.Request(
             self,
             method,
             self._url.decode('latin-1'),
@@ -315,8 +256,7 @@
         if not self._parser.should_keep_alive():
             self._reading = _Reading.ENDED
         if not self.owed_requests and self._is_free:
-            self.current = request
-            self._server.on_request(request)
+            self._serve(request)
             return
         self._queue.append(request)
         if len(self._queue) >= _MAX_QUEUED_REQUESTS:
@@ -330,7 +270,11 @@
     # Answers.
 
     def answer(
-        self, request: Request, status: int, headers: list[str], body: bytes
+        self,
+        request: httprequest.Request,
+        status: int,
+        headers: list[str],
+        body: bytes,
     ) -> None:
         """Write the answer to the current request, then serve the next."""
         closes = (
@@ -342,7 +286,9 @@
             )
         )
         self._transport.write(
-            _encode(status, headers, body, closes, request.method == 'HEAD')
+            httprequest.encode_answer(
+                status, headers, body, closes, request.method == 'HEAD'
+            )
         )
         self.current = None
         self.phase_started_ms = self._server.clock.now_ms()
@@ -361,13 +307,16 @@
         self._is_proceeding = True
         try:
             while self._queue and self._is_free:
-                self.current = self._queue.popleft()
-                if self._is_reading_paused:
-                    self._is_reading_paused = False
-                    self._transport.resume_reading()
-                self._server.on_request(self.current)
+                self._serve(self._queue.popleft())
         finally:
             self._is_proceeding = False
+        if (
+            self._is_reading_paused
+            and len(self._queue) < _MAX_QUEUED_REQUESTS
+            and not self._transport.is_closing()
+        ):
+            self._is_reading_paused = False
+            self._transport.resume_reading()
         if self._rejection and not self._queue and self._is_free:
             self._transport.write(self._rejection)
             self._rejection = b''
@@ -376,14 +325,35 @@
     @property
     def _is_free(self) -> bool:
         """Whether the next request may be served."""
-        return self.current is None and not self._is_writing_paused
+        return (
+            self.current is None
+            and not self._is_writing_paused
+            and not self._transport.is_closing()
+        )
+
+    def _serve(self, request: httprequest.Request) -> None:
+        self.current = request
+        try:
+            self._server.on_request(request)
+        except Exception as exc:
+            self._report_failure('request', exc)
+            # What the handler did before it failed is unknown.
+            self._reading = _Reading.DISCARDED
+            request.answer(_INTERNAL_ERROR, [], b'')
+
+    def _report_failure(self, what: str, exc: Exception) -> None:
+        asyncio.get_running_loop().call_exception_handler(
+            {'message': f'handler of a {what} failed', 'exception': exc}
+        )
 
     def _reject(self, status: int, why: str) -> None:
         if self._reading is not _Reading.REQUESTS:
             return
         self._reading = _Reading.DISCARDED
         self._server.on_rejected(status, why)
-        self._rejection = _encode(status, [], why.encode(), True, False)
+        self._rejection = httprequest.encode_answer(
+            status, [], why.encode(), True, False
+        )
         self._proceed()
 
     def _discard_input(self) -> None:
@@ -394,61 +364,56 @@
 
     def _linger(self) -> None:
         self._reading = _Reading.LINGERING
-        self.phase_started_ms = self._server.clock.now_ms()
         self._transport.write_eof()
+        self._linger_timer = asyncio.get_running_loop().call_later(
+            _LINGER_MS / _MS_PER_S, self._transport.abort
+        )
 
     # Closing.
 
     def close_if_overdue(self, now_ms: float) -> None:
-        """Close the connection if it is idle, slow or lingers for too long."""
-        if self.owed_requests or self.unsent_bytes:
+        """Close the connection if it is idle or slow, or the caller left."""
+        if self._is_reading_paused and self._has_caller_closed():
+            self._transport.abort()
+        if self.owed_requests or self.unsent_bytes or self.is_lingering:
             return
         limits = self._server.limits
         waited_ms = now_ms - self.phase_started_ms
-        if self.is_lingering:
-            if waited_ms > _LINGER_MS:
-                self._transport.close()
-        elif self._request_bytes:
+        if self._request_bytes:
             if waited_ms > limits.header_timeout_ms and not self._body:
                 self._reject(408, 'the request did not arrive in time')
         elif waited_ms > limits.idle_timeout_ms:
             self._transport.close()
 
+    def _has_caller_closed(self) -> bool:
+        # While reading is paused, only the state of the socket tells.
+        sock = self._transport.get_extra_info('socket')
+        try:
+            info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        except OSError:
+            # The kernel has closed it.
+            return True
+        return info[0] in _STATES_AFTER_CLOSE
+
     def answer_open(self) -> None:
         """Ask the handlers of open requests to answer at once."""
         while self.current is not None:
             request = self.current
             if request.on_shutdown is not None:
-                request.on_shutdown()
+                try:
+                    request.on_shutdown()
+                except Exception as exc:
+                    self._report_failure('shutdown', exc)
             if self.current is request:
                 return
 
     def close(self) -> None:
-        """Close once all answers are written; cut a request without one."""
-        self._disconnect = Disconnect.SERVER_CLOSED
-        if not self.is_lingering:
+        """Close once all requests are answered and the answers written."""
+        self._disconnect = httprequest.Disconnect.SERVER_CLOSED
+        if not self.owed_requests and not self.is_lingering:
             self._transport.close()
 
     def abort(self) -> None:
         """Close at once and discard what is not written."""
-        self._disconnect = Disconnect.SERVER_CLOSED
+        self._disconnect = httprequest.Disconnect.SERVER_CLOSED
         self._transport.abort()
-
-
-def _encode(
-    status: int,
-    headers: list[str],
-    body: bytes,
-    closes: bool,
-    is_head: bool,
-) -> bytes:
-    lines = [f'HTTP/1.1 {status} {_REASONS.get(status, "Unknown")}']
-    for i in range(0, len(headers), 2):
-        lines.append(f'{headers[i]}: {headers[i + 1]}')
-    has_body = not is_head and status not in _STATUSES_WITHOUT_BODY
-    if has_body:
-        lines.append(f'Content-Length: {len(body)}')
-    if closes:
-        lines.append('Connection: close')
-    head = '\r\n'.join(lines).encode('latin-1', 'replace') + b'\r\n\r\n'
-    return head + body if has_body else head
