Say when to come back if a service has no target

A refusal for want of a target had no Retry-After on the other path. The test of the guard failed before.

--- a/src/parsleystile/dispatcher.py
+++ b/src/parsleystile/dispatcher.py
@@ -135,7 +135,9 @@
         if member is None:
             self._finish(
                 errors.not_run(
-                    errors.Reason.NO_TARGET, f'no target of {service}'
+                    errors.Reason.NO_TARGET,
+                    f'no target of {service}',
+                    errors.UNAVAILABLE_RETRY_AFTER_MS,
                 )
             )
             return
--- a/src/parsleystile/errors.py
+++ b/src/parsleystile/errors.py
@@ -76,8 +76,8 @@
     Reason.INTERNAL: 500,
 }
 _DEFAULT_STATUS = 503
-# Until a load balancer has noticed that a node is leaving.
-LEAVING_RETRY_AFTER_MS = 1000
+# Until another node or target takes over from one that is leaving.
+UNAVAILABLE_RETRY_AFTER_MS = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/parsleystile/guard.py
+++ b/src/parsleystile/guard.py
@@ -177,12 +177,13 @@
             return errors.not_run(
                 self._refuse_reason,
                 'no new work here',
-                errors.LEAVING_RETRY_AFTER_MS,
+                errors.UNAVAILABLE_RETRY_AFTER_MS,
             )
         if not self._base_url or call.callee_service != self._service:
             return errors.not_run(
                 errors.Reason.NO_TARGET,
                 f'no target of {call.callee_service} here',
+                errors.UNAVAILABLE_RETRY_AFTER_MS,
             )
         if call.depth > context.MAX_DEPTH:
             return errors.not_run(
--- a/src/parsleystile/httpanswers.py
+++ b/src/parsleystile/httpanswers.py
@@ -73,7 +73,7 @@
     refusal = errors.not_run(
         errors.Reason.LEAVING,
         'this node is stopping',
-        errors.LEAVING_RETRY_AFTER_MS,
+        errors.UNAVAILABLE_RETRY_AFTER_MS,
     )
     status, headers, body = refusal_parts(refusal)
     headers['Connection'] = 'close'
--- a/src/parsleystile/httplistener.py
+++ b/src/parsleystile/httplistener.py
@@ -192,7 +192,7 @@
         refusal = errors.not_run(
             errors.Reason.LEAVING,
             'this node stopped before it sent the call',
-            errors.LEAVING_RETRY_AFTER_MS,
+            errors.UNAVAILABLE_RETRY_AFTER_MS,
         )
     else:
         exchange.cancel_send()
--- a/src/parsleystile/ingress.py
+++ b/src/parsleystile/ingress.py
@@ -58,7 +58,7 @@
                 errors.not_run(
                     errors.Reason.LEAVING,
                     'this node is stopping',
-                    errors.LEAVING_RETRY_AFTER_MS,
+                    errors.UNAVAILABLE_RETRY_AFTER_MS,
                 )
             )
             return
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -101,6 +101,16 @@
     assert len(client.sent) == 1
 
 
+def test_a_guard_without_a_target_says_when_to_come_back():
+    target_guard, client = _guard()
+    target_guard.target_down()
+    [answer] = _submit(target_guard)
+    assert answer.outcome == errors.Outcome.NOT_RUN
+    assert answer.reason == errors.Reason.NO_TARGET
+    assert answer.retry_after_ms > 0
+    assert client.sent == []
+
+
 def test_closing_keeps_calls_in_flight():
     target_guard, client = _guard()
     assert _submit(target_guard) == []
