Don't take an unknown state of a socket for a caller that left

A platform without TCP_INFO would have cut callers that read ahead; the lost connection is reported by the event loop anyway.

--- a/src/parsleystile/relay/_httpconnection.py
+++ b/src/parsleystile/relay/_httpconnection.py
@@ -373,6 +373,8 @@
 
     def _linger(self) -> None:
         self._reading = _Reading.LINGERING
+        if self._transport.is_closing():
+            return
         self._transport.write_eof()
         self._linger_timer = asyncio.get_running_loop().call_later(
             _LINGER_MS / _MS_PER_S, self._transport.abort
@@ -400,8 +402,8 @@
         try:
             info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
         except OSError:
-            # The kernel has closed it.
-            return True
+            # Not known; a lost connection is reported by the event loop.
+            return False
         return info[0] in _STATES_AFTER_CLOSE
 
     def answer_open(self) -> None:
