--- a/tests/relaycallers.py
+++ b/tests/relaycallers.py
@@ -164,12 +164,9 @@
         line = 'GET /stock/' if call.is_idempotent else 'POST /reserve/'
         key = '' if is_child else f'Bearer {platformfleet.KEY}'
         work_ms = self.rng.randint(20, 150)
-        children = 0
-        # A long request makes no call, so that it ends well within a grace.
-        if not is_child and self.rng.random() < _LONG_SHARE:
+        if self.rng.random() < _LONG_SHARE:
             work_ms = _LONG_WORK_MS
-        elif not is_child:
-            children = int(self.rng.random() < _CHILD_SHARE)
+        children = int(not is_child and self.rng.random() < _CHILD_SHARE)
         return (
             f'{line}x?work_ms={work_ms}&size={call.size}'
             f'&children={children} HTTP/1.1\r\n'
