Excuse a request that a stopping node gives up in the last sixth of its time

The platform's rules let a node give up a request whose target is still at work then, if it was sent in the first 3 s.

--- a/tests/test_relay_record.py
+++ b/tests/test_relay_record.py
@@ -67,6 +67,17 @@
     assert len(record.violations()) == count
 
 
+@pytest.mark.parametrize(('ended_ms', 'count'), [(3_400.0, 1), (3_600.0, 0)])
+def test_a_request_may_be_given_up_in_the_last_sixth_of_a_grace(
+    ended_ms, count
+):
+    record = _record(runs=1, sent_ms=2_000.0, ended_ms=ended_ms, status=502)
+    record.processes.append(
+        relayrecord.Process('n1', 1_000.0, 3_800.0, 0, '{}')
+    )
+    assert len(record.violations()) == count
+
+
 @pytest.mark.parametrize(('paused_ms', 'count'), [(1_500.0, 0), (-500.0, 1)])
 def test_a_pause_during_a_stop_excuses_the_node_until_its_end(
     paused_ms, count
