--- a/src/parsleystile/relay/__init__.py
+++ b/src/parsleystile/relay/__init__.py
@@ -2,8 +2,8 @@
 
 This is the data path for platforms whose targets declare their number of
 slots and whose store lists the members. The decisions (``answerparser``,
-``declaredlimit``, ``memberlist``, ``retrybudget``, ``targetreports``,
-``tokenbuckets``) do no I/O; ``dispatch``, ``guard``, ``httpclient``,
-``httpserver``, ``ingress``, ``ratelimiter`` and ``statesync`` connect them to
-sockets and timers.
+``declaredlimit``, ``drain``, ``memberlist``, ``retrybudget``,
+``targetreports``, ``tokenbuckets``) do no I/O; ``dispatch``, ``guard``,
+``httpclient``, ``httpserver``, ``ingress``, ``plannedstop``, ``ratelimiter``
+and ``statesync`` connect them to sockets and timers.
 """
