--- a/src/parsleystile/httplistener.py
+++ b/src/parsleystile/httplistener.py
@@ -11,6 +11,7 @@
 from tornado import iostream
 from tornado import netutil
 
+from parsleystile import acceptqueue
 from parsleystile import callerstream
 from parsleystile import clock as clocks
 from parsleystile import errors
@@ -338,23 +339,12 @@
         """Accept no more connections; open ones close after an answer."""
         if not self.is_closing:
             self.is_closing = True
-            self._accept_queued()
+            for sock in self._sockets:
+                for connection, address in acceptqueue.accept_queued(sock):
+                    stream = iostream.IOStream(connection)
+                    self._server.handle_stream(stream, address)
             self._server.stop()
 
-    def _accept_queued(self) -> None:
-        # Closing a listening socket resets the connections in its queue,
-        # whose callers may have sent a request already.
-        for sock in self._sockets:
-            while True:
-                try:
-                    connection, address = sock.accept()
-                except ConnectionAbortedError:
-                    continue
-                except OSError:
-                    break
-                stream = iostream.IOStream(connection)
-                self._server.handle_stream(stream, address)
-
     async def close(self) -> None:
         """End what is open with an answer, then close every connection.
 
--- a/src/parsleystile/relay/dispatch.py
+++ b/src/parsleystile/relay/dispatch.py
@@ -153,7 +153,7 @@
         is_sent = self._pending is not None or self.may_have_run
         self.cancel()
         make = errors.unknown if is_sent else errors.not_run
-        self.on_done(self.failed_answer or make(reason, detail))
+        self._finish(make(reason, detail))
 
     def _send(self, now_ms: float) -> None:
         deps = self._deps
--- a/src/parsleystile/relay/httpserver.py
+++ b/src/parsleystile/relay/httpserver.py
@@ -8,6 +8,7 @@
 import socket
 import typing
 
+from parsleystile import acceptqueue
 from parsleystile import clock as clocks
 from parsleystile.relay import _httpconnection
 from parsleystile.relay import httprequest
@@ -113,9 +114,11 @@
         Connections that are still open after the timeout are aborted.
         """
         self.is_closing = True
-        # Closing a listening socket resets the connections in its queue,
-        # whose callers may have sent a request already.
-        accepted = [c for sock in self._sockets for c in _accept_queued(sock)]
+        accepted = [
+            connection
+            for sock in self._sockets
+            for connection, _ in acceptqueue.accept_queued(sock)
+        ]
         for server in self._servers:
             server.close()
         loop = asyncio.get_running_loop()
@@ -140,21 +143,6 @@
             connection.abort()
 
 
-def _accept_queued(listening: socket.socket) -> list[socket.socket]:
-    """Accept the connections that the event loop has not accepted yet."""
-    accepted = []
-    while True:
-        try:
-            connection, _ = listening.accept()
-        except ConnectionAbortedError:
-            continue
-        except OSError:
-            # The queue is empty, or the socket is closed.
-            return accepted
-        connection.setblocking(False)
-        accepted.append(connection)
-
-
 def http_server(
     clock: clocks.Clock,
     local_hosts: frozenset[str],
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -50,7 +50,7 @@
 _DEFAULT_COLD_PER_S = 5.0
 # Time in which connections are closed at the end of a planned stop, after
 # everything that is owed is written.
-_CLOSE_TIMEOUT_MS = 100.0
+CLOSE_TIMEOUT_MS = 100.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -236,7 +236,7 @@
             setup.caller_host, setup.caller_port
         )
         every = self._ticker.every
-        every(_SWEEP_PERIOD_MS, self._sweep)
+        every(_SWEEP_PERIOD_MS, self._http_server.close_overdue)
         every(_FLUSH_PERIOD_MS, self._flush)
         every(_GAUGE_PERIOD_MS, self._update_gauges)
         every(_SYNC_CHECK_PERIOD_MS, self.state_sync.tick)
@@ -421,9 +421,6 @@
             and not self._planned_stop.has_started
         )
 
-    def _sweep(self) -> None:
-        self._http_server.close_overdue()
-
     def _flush(self) -> None:
         self.recorder.log.flush()
 
@@ -452,8 +449,8 @@
         """Deliver what is written and close every socket."""
         self._ticker.close()
         await asyncio.gather(
-            self._http_server.shut_down(_CLOSE_TIMEOUT_MS),
-            self._links.close(_CLOSE_TIMEOUT_MS),
+            self._http_server.shut_down(CLOSE_TIMEOUT_MS),
+            self._links.close(CLOSE_TIMEOUT_MS),
         )
         self.recorder.log.flush()
 
