Name the memory of unfinished answers and its check once

The limit of 72 MiB and the counting step stood in both clients, the assertion on a rejected answer in two test files (the one for libcurl now asks for the status 502 as well), and the two events of a lost caller were built by copies. Behaviour is the same; found by reading the change again.

--- a/src/parsleystile/answermemory.py
+++ b/src/parsleystile/answermemory.py
@@ -2,6 +2,10 @@
 
 import abc
 
+# Limit on all unfinished answers of a target together.
+MAX_HELD_BYTES = 72 * 1_048_576
+# Each answer is counted towards that limit in steps of this size.
+HELD_STEP_BYTES = 32_768
 # Small chunks of a body are merged, since each takes memory beyond its size.
 _SMALL_CHUNK_BYTES = 4_096
 _MAX_SMALL_CHUNKS = 256
--- a/src/parsleystile/relay/answerparser.py
+++ b/src/parsleystile/relay/answerparser.py
@@ -40,7 +40,7 @@
     """
 
     body_bytes: int = 64 * 1_048_576
-    held_bytes: int = 72 * 1_048_576
+    held_bytes: int = answermemory.MAX_HELD_BYTES
 
 
 class AnswerError(Exception):
--- a/src/parsleystile/relay/httpclient.py
+++ b/src/parsleystile/relay/httpclient.py
@@ -27,8 +27,6 @@
 # A request that must not run twice is sent only on a connection that was idle
 # for less than this, or on a new one.
 _FRESH_IDLE_MS = 2_500.0
-# Each answer is counted towards the limit on all in steps of this size.
-_HELD_STEP_BYTES = 32_768
 
 AnswerLimits = answerparser.AnswerLimits
 OnAnswer = targetanswer.OnTargetAnswer
@@ -134,7 +132,7 @@
             return
         if parser.answer is not None:
             self._deliver()
-        elif parser.size - self.held_bytes > _HELD_STEP_BYTES:
+        elif parser.size - self.held_bytes > answermemory.HELD_STEP_BYTES:
             self._origin.memory.count(self, parser.size)
 
     def eof_received(self) -> bool:
--- a/src/parsleystile/relay/ingress.py
+++ b/src/parsleystile/relay/ingress.py
@@ -472,27 +472,19 @@
         waited_ms = (
             deps.dispatch_deps.clock.now_ms() - self._request.arrived_ms
         )
+        fields = {
+            'call': self._head.call_id,
+            'route': self._route.route_id,
+            'sends': attempts,
+            'waited_ms': round(waited_ms, 1),
+        }
         if why is httpserver.Disconnect.CALLER_LEFT:
-            deps.recorder.request_ended('abandoned', why.value, waited_ms)
-            deps.recorder.log.write(
-                logevents.CallAbandoned(
-                    call=self._head.call_id,
-                    route=self._route.route_id,
-                    sends=attempts,
-                    waited_ms=round(waited_ms, 1),
-                )
-            )
-            return
-        deps.recorder.request_ended('cut', why.value, waited_ms)
-        deps.recorder.log.write(
-            logevents.CallCut(
-                call=self._head.call_id,
-                route=self._route.route_id,
-                reason=why.value,
-                sends=attempts,
-                waited_ms=round(waited_ms, 1),
-            )
-        )
+            end, event = 'abandoned', logevents.CallAbandoned(**fields)
+        else:
+            end = 'cut'
+            event = logevents.CallCut(reason=why.value, **fields)
+        deps.recorder.request_ended(end, why.value, waited_ms)
+        deps.recorder.log.write(event)
 
 
 def _end_to_end_headers(headers: list[str]) -> list[str]:
--- a/src/parsleystile/targetclient.py
+++ b/src/parsleystile/targetclient.py
@@ -22,10 +22,6 @@
 _MAX_IDLE_HANDLES = 256
 _MAX_CONNECTIONS = 256
 _MAX_RESPONSE_HEADERS = 256
-# Limit on all unfinished answers together, unless one alone may be larger.
-_MAX_HELD_BYTES = 72 * 1_048_576
-# Each answer is counted towards that limit in steps of this size.
-_HELD_STEP_BYTES = 32_768
 _CONNECT_TIMEOUT_MS = 500
 _MS_PER_S = 1000.0
 # libcurl takes a timeout of 0 to mean no timeout.
@@ -118,7 +114,8 @@
         if self.failure:
             return 0
         self.body.append(chunk)
-        if self.body_bytes - self.held_bytes > _HELD_STEP_BYTES:
+        grown_bytes = self.body_bytes - self.held_bytes
+        if grown_bytes > answermemory.HELD_STEP_BYTES:
             self.client.memory.count(self, self.body_bytes)
         return len(chunk)
 
@@ -164,7 +161,8 @@
         self.max_body_bytes = max_body_bytes
         self.size_problem = f'the answer exceeds {max_body_bytes} bytes'
         self.memory = answermemory.answer_memory(
-            max(max_body_bytes, _MAX_HELD_BYTES)
+            # One answer alone may be larger.
+            max(max_body_bytes, answermemory.MAX_HELD_BYTES)
         )
         self._loop = loop
         self._idle_handles: collections.deque[pycurl.Curl] = (
--- a/tests/endlesstarget.py
+++ b/tests/endlesstarget.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from parsleystile import errors
+
 BLOCK_BYTES = 65_536
 # Far more than any limit on what is not a body.
 ENDLESS_BYTES = 8 * 1_048_576
@@ -46,3 +48,12 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         self.closed += 1
+
+
+def assert_rejected(result, limit):
+    """Assert that an answer was rejected for a named limit."""
+    assert isinstance(result, errors.Refusal)
+    assert result.outcome is errors.Outcome.UNKNOWN
+    assert result.reason is errors.Reason.TARGET_FAILED
+    assert result.status == 502
+    assert limit in result.detail
--- a/tests/test_relay_endless_answers.py
+++ b/tests/test_relay_endless_answers.py
@@ -7,7 +7,6 @@
 import pytest
 
 from parsleystile import clock as clocks
-from parsleystile import errors
 from parsleystile.relay import httpclient
 from tests import asyncutil
 from tests import endlesstarget
@@ -46,14 +45,6 @@
     return asyncutil.run(body())
 
 
-def _assert_rejected(result, limit):
-    assert isinstance(result, errors.Refusal)
-    assert result.outcome is errors.Outcome.UNKNOWN
-    assert result.reason is errors.Reason.TARGET_FAILED
-    assert result.status == 502
-    assert limit in result.detail
-
-
 @pytest.mark.parametrize(
     ('start', 'unit', 'limit'),
     [
@@ -89,7 +80,7 @@
 )
 def test_endless_bytes_outside_of_a_body_are_rejected(start, unit, limit):
     result, sent_bytes = _result_of(start, unit)
-    _assert_rejected(result, limit)
+    endlesstarget.assert_rejected(result, limit)
     assert sent_bytes < endlesstarget.ENDLESS_BYTES
 
 
@@ -159,14 +150,14 @@
 def test_an_answer_that_names_no_request_is_rejected_at_its_head():
     head = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
     result, sent_bytes = _result_of(head, b'8\r\nxxxxxxxx\r\n')
-    _assert_rejected(result, 'names no request')
+    endlesstarget.assert_rejected(result, 'names no request')
     assert sent_bytes < endlesstarget.ENDLESS_BYTES
 
 
 def test_endless_late_answers_are_rejected():
     late = _HEAD.replace(b'c1', b'c0') + b'Content-Length: 99\r\n\r\n'
     result, sent_bytes = _result_of(b'', late + b'x' * 99)
-    _assert_rejected(result, '4 answers')
+    endlesstarget.assert_rejected(result, '4 answers')
     assert sent_bytes < endlesstarget.ENDLESS_BYTES
 
 
@@ -182,7 +173,7 @@
 def test_a_declared_length_beyond_the_limit_is_rejected_at_the_head(length):
     head = _HEAD + b'Content-Length: %d\r\n\r\n' % length
     result, _ = _result_of(head, b'x', max_bytes=0)
-    _assert_rejected(result, '67108864 bytes')
+    endlesstarget.assert_rejected(result, '67108864 bytes')
 
 
 def test_a_declared_length_does_not_limit_an_answer_to_head():
@@ -240,7 +231,7 @@
         try:
             result = await _send(origin).get()
             await asyncutil.wait_until(lambda: target.closed == 1)
-            _assert_rejected(result, '67108864 bytes')
+            endlesstarget.assert_rejected(result, '67108864 bytes')
             return tracemalloc.get_traced_memory()[0]
         finally:
             gc.enable()
--- a/tests/test_targetclient_endless.py
+++ b/tests/test_targetclient_endless.py
@@ -6,7 +6,6 @@
 
 import pytest
 
-from parsleystile import errors
 from parsleystile import targetclient
 from tests import asyncutil
 from tests import endlesstarget
@@ -42,13 +41,6 @@
     return asyncutil.run(body())
 
 
-def _assert_rejected(result, detail):
-    assert isinstance(result, errors.Refusal)
-    assert result.outcome is errors.Outcome.UNKNOWN
-    assert result.reason is errors.Reason.TARGET_FAILED
-    assert detail in result.detail
-
-
 @pytest.mark.parametrize(
     ('start', 'unit', 'detail'),
     [
@@ -76,14 +68,14 @@
 )
 def test_endless_answers_are_rejected(start, unit, detail):
     result, sent_bytes = _result_of(start, unit)
-    _assert_rejected(result, detail)
+    endlesstarget.assert_rejected(result, detail)
     assert sent_bytes < endlesstarget.ENDLESS_BYTES
 
 
 def test_a_declared_length_beyond_the_limit_is_rejected_at_the_head():
     head = _HEAD + b'Content-Length: 1000001\r\n\r\n'
     result, _ = _result_of(head, b'x', max_bytes=0)
-    _assert_rejected(result, '1000000 bytes')
+    endlesstarget.assert_rejected(result, '1000000 bytes')
 
 
 def test_a_declared_length_does_not_limit_an_answer_to_head():
