Pass member rows and the configuration on between nodes

Cause: each node followed the store's two tables and was woken by each change of a row, so a start of N nodes cost N x N calls; a row was pushed over a link of its own to up to 96 peers; digests that differed sent all rows both ways; each merged row rebuilt the view of all services.

Now the nodes of a domain form a ring with peers at distances of 1, 2, 4 and so on, and one peer in each of four other domains. A node passes on once what is new to it; a payload goes only to a node that lacks it; exchanges compare digests by bucket. Three nodes of a domain follow the store for it. The store gets a row at a start and when a target left. Removed rows are taken out by a full read, too, and don't end a later incarnation. Gone rows are bounded.

Ruled out: the gossip of the other path (UDP, its own identities and records; rows carry more, and two protocols would have to change at once), and random peers (each pair of nodes would open a link in the end).

The test of a stopping node now waits until that node has heard of the target that its child call needs; before, the push happened to arrive first.

--- a/src/parsleystile/relay/memberlist.py
+++ b/src/parsleystile/relay/memberlist.py
@@ -5,14 +5,21 @@
 and sequence determines which of two rows is newer.
 """
 
-import zlib
+import bisect
+import typing
 
 import msgspec
 
 from parsleystile import ids
 from parsleystile import members
+from parsleystile.relay import overlay
+from parsleystile.relay import rowdigest
 from parsleystile import transport
 
+# Rows of nodes that are gone are kept, as many as there are nodes and at
+# least this many, so that an old row of such a node is recognised.
+_MIN_GONE_ROWS = 256
+
 
 class Row(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """State of a node as published by itself.
@@ -71,25 +78,37 @@
 class MemberList:
     """The rows known to this node, and which nodes it can reach.
 
+    The indexes follow each change of a row, so that a change costs the same
+    whatever the number of nodes.
+
     Attributes:
         own_row: This node's own row.
-        version: Grows with every change.
+        nodes_version: Grows when a node joins or is gone.
     """
 
     def __init__(self, own_row: Row) -> None:
         self.own_row = own_row
-        self.version = 0
-        self._rows: dict[ids.NodeId, Row] = {own_row.node_id: own_row}
+        self.nodes_version = 0
+        self._rows: dict[ids.NodeId, Row] = {}
         self._unreachable: set[ids.NodeId] = set()
-        self._digest = (-1, 0)
+        self._digests = rowdigest.row_digests()
+        # Nodes that are not gone; sorted, also by failure domain.
+        self._node_ids: list[ids.NodeId] = []
+        self._domains: dict[ids.FailureDomainId, list[ids.NodeId]] = {}
+        # Oldest first.
+        self._gone: dict[ids.NodeId, None] = {}
+        self._serving: dict[
+            ids.ServiceName, dict[ids.NodeId, members.Member]
+        ] = {}
+        self._changed_services: set[ids.ServiceName] = set()
+        self._set(own_row)
 
     def update_own_row(self, **fields: object) -> Row:
         """Change fields of this node's row and return the new row."""
         self.own_row = msgspec.structs.replace(
             self.own_row, sequence=self.own_row.sequence + 1, **fields
         )
-        self._rows[self.own_row.node_id] = self.own_row
-        self.version += 1
+        self._set(self.own_row)
         return self.own_row
 
     def merge(self, row: Row) -> bool:
@@ -100,104 +119,219 @@
         current row; the node then continues with a higher incarnation.
         """
         if row.node_id == self.own_row.node_id:
-            if row.incarnation > self.own_row.incarnation or (
-                row.incarnation == self.own_row.incarnation
-                and row.sequence > self.own_row.sequence
-            ):
-                self.update_own_row(incarnation=row.incarnation + 1)
-                return True
-            return False
+            return self._merge_own(row)
         known = self._rows.get(row.node_id)
-        if known is not None and known.revision >= row.revision:
+        if known is not None and not _supersedes(row, known):
             return False
-        self._rows[row.node_id] = row
         if known is None or known.incarnation < row.incarnation:
             self._unreachable.discard(row.node_id)
-        self.version += 1
+        self._set(row)
         return True
 
-    def mark_gone(self, node_id: ids.NodeId) -> None:
-        """Mark a node as gone after its row was removed from the store."""
+    def _merge_own(self, row: Row) -> bool:
+        own = self.own_row
+        if row.revision > own.revision:
+            self.update_own_row(incarnation=row.incarnation + 1)
+            return True
+        if row.is_gone and row.revision == own.revision and not own.is_gone:
+            # Another node took this one for gone.
+            self.update_own_row()
+            return True
+        return False
+
+    def gone_row(self, node_id: ids.NodeId, incarnation: int) -> Row | None:
+        """Return the row that marks an incarnation of a node as gone.
+
+        None if the node is unknown, is this node or has started again.
+        """
         known = self._rows.get(node_id)
         if known is None or known.is_gone or node_id == self.own_row.node_id:
-            return
-        self._rows[node_id] = msgspec.structs.replace(known, is_gone=True)
-        self.version += 1
+            return None
+        if known.incarnation > incarnation:
+            return None
+        return msgspec.structs.replace(known, is_gone=True)
 
     def set_reachable(self, node_id: ids.NodeId, is_reachable: bool) -> bool:
         """Set whether a node is reachable; False if nothing changed."""
-        if node_id not in self._rows or node_id == self.own_row.node_id:
+        row = self._rows.get(node_id)
+        if row is None or node_id == self.own_row.node_id:
             return False
-        if is_reachable == (node_id not in self._unreachable):
+        if is_reachable == self.is_reachable(node_id):
             return False
         if is_reachable:
             self._unreachable.discard(node_id)
         else:
             self._unreachable.add(node_id)
-        self.version += 1
+        self._index_service(row)
         return True
 
+    def is_reachable(self, node_id: ids.NodeId) -> bool:
+        """Whether a node is not known to be unreachable."""
+        return node_id not in self._unreachable
+
     def row(self, node_id: ids.NodeId) -> Row | None:
         """Return the row of a node; None if it is unknown."""
         return self._rows.get(node_id)
 
-    def rows(self) -> list[Row]:
-        """Return all rows, including those of nodes that are gone."""
-        return list(self._rows.values())
+    def rows_in(self, bucket: int, count: int) -> list[Row]:
+        """Return the rows, also of gone nodes, of one of ``count`` buckets."""
+        return [
+            self._rows[node_id]
+            for node_id in self._digests.nodes_in(bucket, count)
+        ]
 
     def others(self) -> list[Row]:
         """Return the rows of the other nodes that are not gone."""
         own = self.own_row.node_id
         return [
-            row
-            for row in self._rows.values()
-            if not row.is_gone and row.node_id != own
+            self._rows[node_id] for node_id in self._node_ids if node_id != own
         ]
 
     def unreachable(self) -> list[Row]:
         """Return the rows of the other nodes that do not answer."""
-        return [
-            row for row in self.others() if row.node_id in self._unreachable
-        ]
+        rows = (self._rows[node_id] for node_id in sorted(self._unreachable))
+        return [row for row in rows if not row.is_gone]
+
+    def peers(self) -> list[Row]:
+        """Return the nodes with which this one exchanges state."""
+        chosen = overlay.peers(
+            self.own_row.node_id,
+            self.own_row.domain,
+            self._domains,
+            self.is_reachable,
+        )
+        return [self._rows[node_id] for node_id in chosen]
 
-    def reachable(self) -> list[Row]:
-        """Return the rows of the other nodes not known to be unreachable."""
-        return [
-            row
-            for row in self.others()
-            if row.node_id not in self._unreachable
-        ]
+    @property
+    def is_follower(self) -> bool:
+        """Whether this node follows the store for its failure domain."""
+        chosen = overlay.followers(
+            self.own_row.domain, self._domains, self.is_reachable
+        )
+        return (
+            self.own_row.node_id in chosen
+            or len(chosen) < overlay.FOLLOWERS_PER_DOMAIN
+        )
 
     @property
     def node_ids(self) -> list[ids.NodeId]:
         """Sorted ids of the nodes that are not gone, reachable or not."""
-        return sorted(
-            row.node_id for row in self._rows.values() if not row.is_gone
-        )
+        return list(self._node_ids)
+
+    @property
+    def nodes_by_domain(
+        self,
+    ) -> typing.Mapping[ids.FailureDomainId, typing.Sequence[ids.NodeId]]:
+        """Sorted ids of the nodes of each failure domain."""
+        return self._domains
 
     @property
     def digest(self) -> int:
-        """Checksum of all rows; equal on nodes that hold the same rows."""
-        if self._digest[0] != self.version:
-            revisions = sorted(
-                (row.node_id, row.revision, row.is_gone)
-                for row in self._rows.values()
-            )
-            self._digest = (self.version, zlib.crc32(repr(revisions).encode()))
-        return self._digest[1]
+        """Checksum of the rows of all nodes that are not gone."""
+        return self._digests.total
+
+    def bucket_digests(self, count: int | None = None) -> list[int]:
+        """Return a checksum for each of ``count`` buckets of the rows.
+
+        Args:
+            count: A power of two; by default one that suits the fleet.
+        """
+        if count is None:
+            count = rowdigest.bucket_count(len(self._node_ids))
+        return self._digests.fold(count)
+
+    def members_of(self, service: ids.ServiceName) -> list[members.Member]:
+        """Return the serving, reachable members of a service."""
+        return list(self._serving.get(service, {}).values())
 
     def members_by_service(
         self,
     ) -> dict[ids.ServiceName, list[members.Member]]:
         """Return the serving, reachable members of each service."""
-        by_service: dict[ids.ServiceName, list[members.Member]] = {}
-        for row in self._rows.values():
-            if not row.is_serving or row.is_gone:
-                continue
-            if row.node_id in self._unreachable:
-                continue
-            by_service.setdefault(row.service, []).append(_member(row))
-        return by_service
+        return {
+            service: list(found.values())
+            for service, found in self._serving.items()
+        }
+
+    def take_changed_services(self) -> set[ids.ServiceName]:
+        """Return the services whose members changed since the last call."""
+        changed, self._changed_services = self._changed_services, set()
+        return changed
+
+    def _set(self, row: Row) -> None:
+        """Replace the row of a node in all indexes."""
+        known = self._rows.get(row.node_id)
+        if known is not None:
+            self._digests.remove(known.node_id, known.revision, known.is_gone)
+        self._rows[row.node_id] = row
+        self._digests.add(row.node_id, row.revision, row.is_gone)
+        was_present = known is not None and not known.is_gone
+        if was_present and (row.is_gone or known.domain != row.domain):
+            self._remove_node(known)
+            was_present = False
+        if not row.is_gone and not was_present:
+            self._add_node(row)
+        if known is not None and known.service != row.service:
+            self._unindex_service(known.service, row.node_id)
+        self._index_service(row)
+        if row.is_gone:
+            self._forget_oldest_gone(row.node_id)
+
+    def _add_node(self, row: Row) -> None:
+        self._gone.pop(row.node_id, None)
+        bisect.insort(self._node_ids, row.node_id)
+        bisect.insort(self._domains.setdefault(row.domain, []), row.node_id)
+        self.nodes_version += 1
+
+    def _remove_node(self, row: Row) -> None:
+        _remove_sorted(self._node_ids, row.node_id)
+        _remove_sorted(self._domains[row.domain], row.node_id)
+        self.nodes_version += 1
+
+    def _forget_oldest_gone(self, node_id: ids.NodeId) -> None:
+        self._gone.pop(node_id, None)
+        if node_id != self.own_row.node_id:
+            self._gone[node_id] = None
+        if len(self._gone) <= max(_MIN_GONE_ROWS, len(self._node_ids)):
+            return
+        oldest = next(iter(self._gone))
+        del self._gone[oldest]
+        row = self._rows.pop(oldest)
+        self._digests.remove(oldest, row.revision, True)
+        self._unreachable.discard(oldest)
+
+    def _index_service(self, row: Row) -> None:
+        is_usable = (
+            row.is_serving
+            and not row.is_gone
+            and self.is_reachable(row.node_id)
+        )
+        if not is_usable:
+            self._unindex_service(row.service, row.node_id)
+            return
+        self._serving.setdefault(row.service, {})[row.node_id] = _member(row)
+        self._changed_services.add(row.service)
+
+    def _unindex_service(
+        self, service: ids.ServiceName, node_id: ids.NodeId
+    ) -> None:
+        found = self._serving.get(service)
+        if found is None or found.pop(node_id, None) is None:
+            return
+        if not found:
+            del self._serving[service]
+        self._changed_services.add(service)
+
+
+def _supersedes(row: Row, known: Row) -> bool:
+    """Whether a row is newer; at the same revision a gone one is."""
+    return (row.revision, row.is_gone) > (known.revision, known.is_gone)
+
+
+def _remove_sorted(node_ids: list[ids.NodeId], node_id: ids.NodeId) -> None:
+    index = bisect.bisect_left(node_ids, node_id)
+    if index < len(node_ids) and node_ids[index] == node_id:
+        del node_ids[index]
 
 
 def _member(row: Row) -> members.Member:
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -24,6 +24,7 @@
 from parsleystile.relay import memberlist
 from parsleystile.relay import plannedstop
 from parsleystile.relay import ratelimiter
+from parsleystile.relay import reachability
 from parsleystile.relay import retrybudget
 from parsleystile.relay import statesync
 from parsleystile.relay import targetreports
@@ -134,8 +135,19 @@
                 incarnation=int(clock.wall_ms()),
             )
         )
+        self._reachability = reachability.reachability(
+            self._links, self.member_list, rng, recorder
+        )
+        self._reachability.on_changed = self._on_members_changed
         self.state_sync = statesync.state_sync(
-            self._links, self.member_list, decode, clock, wheel, rng, recorder
+            self._links,
+            self.member_list,
+            self._reachability,
+            decode,
+            clock,
+            wheel,
+            rng,
+            recorder,
         )
         self.state_sync.on_policy_changed = self._on_policy_changed
         self.state_sync.on_members_changed = self._on_members_changed
@@ -175,7 +187,12 @@
         )
         self._retry_budget = retrybudget.retry_budget(setup.retry_budget)
         self._rate_limiter = ratelimiter.rate_limiter(
-            self._links, self.member_list, clock, wheel, rng, recorder
+            self._links,
+            self.member_list,
+            clock,
+            wheel,
+            rng,
+            recorder,
         )
         self._ingress = ingress.ingress(
             ingress.Dependencies(
@@ -193,7 +210,7 @@
                     clock=clock,
                     wheel=wheel,
                     recorder=recorder,
-                    on_unreachable=self.state_sync.mark_unreachable,
+                    on_unreachable=self._reachability.mark_unreachable,
                     on_admission_level=self._record_admission_level,
                 ),
                 is_target_busy=lambda: self.guard.in_flight > 0,
@@ -209,7 +226,8 @@
             self._on_rejected_request,
         )
         self.caller_address = (setup.caller_host, setup.caller_port)
-        self._known_services: set[ids.ServiceName] = set()
+        # Version of the list of nodes among which the rates are divided.
+        self._divided_version = -1
         self._planned_stop = plannedstop.planned_stop(
             plannedstop.Dependencies(
                 http_server=self._http_server,
@@ -241,9 +259,12 @@
         every(_GAUGE_PERIOD_MS, self._update_gauges)
         every(_SYNC_CHECK_PERIOD_MS, self.state_sync.tick)
         every(
-            statesync.LINK_CHECK_PERIOD_MS, self.state_sync.check_silent_links
+            reachability.LINK_CHECK_PERIOD_MS,
+            self._reachability.check_silent_links,
+        )
+        every(
+            reachability.PROBE_PERIOD_MS, self._reachability.probe_unreachable
         )
-        every(statesync.PROBE_PERIOD_MS, self.state_sync.probe_unreachable)
 
     def every(
         self, period_ms: float, callback: typing.Callable[[], None]
@@ -383,10 +404,14 @@
             self._change_row(is_serving=True)
 
     def _on_members_changed(self) -> None:
-        by_service = self.member_list.members_by_service()
-        for service in self._known_services | set(by_service):
-            self._balancer.set_members(service, by_service.get(service, []))
-        self._known_services = set(by_service)
+        for service in self.member_list.take_changed_services():
+            self._balancer.set_members(
+                service, self.member_list.members_of(service)
+            )
+        version = self.member_list.nodes_version
+        if version == self._divided_version:
+            return
+        self._divided_version = version
         self._retry_budget.set_node_count(len(self.member_list.node_ids))
         if self.state_sync.policy is not None:
             self._rate_limiter.configure(self.state_sync.policy)
--- a/src/parsleystile/relay/ratelimiter.py
+++ b/src/parsleystile/relay/ratelimiter.py
@@ -120,8 +120,9 @@
         holders = set(self.buckets.holders(organisation))
         peers = [
             row
-            for row in self._member_list.reachable()
+            for row in self._member_list.others()
             if row.node_id in holders
+            and self._member_list.is_reachable(row.node_id)
         ]
         if not peers:
             self._finish_request(organisation, 0.0)
--- /dev/null
+++ b/src/parsleystile/relay/rowspread.py
@@ -0,0 +1,64 @@
+"""Rows that a node passes on to its peers, without I/O.
+
+Each node passes a row on once, when it first receives it, so that a change
+costs every node a constant. Changes that arrive close together share a
+message.
+"""
+
+import dataclasses
+
+from parsleystile import ids
+from parsleystile.relay import memberlist
+
+
+@dataclasses.dataclass(slots=True)
+class _Pending:
+    row: memberlist.Row
+    # Peers that sent the row and need no copy.
+    senders: set[ids.NodeId]
+
+
+class RowSpread:
+    """Rows that wait to be passed on, by node."""
+
+    def __init__(self) -> None:
+        self._pending: dict[ids.NodeId, _Pending] = {}
+
+    def __len__(self) -> int:
+        return len(self._pending)
+
+    def put(self, row: memberlist.Row, sender: ids.NodeId) -> None:
+        """Pass a new row on; it replaces an older one of the same node.
+
+        Args:
+            row: The row.
+            sender: Peer that sent it, or any other name of its source.
+        """
+        self._pending[row.node_id] = _Pending(row, {sender})
+
+    def note_copy(self, row: memberlist.Row, sender: ids.NodeId) -> None:
+        """Note that a peer sent a row that is already known."""
+        pending = self._pending.get(row.node_id)
+        if pending is not None and pending.row.revision <= row.revision:
+            pending.senders.add(sender)
+
+    def flush(
+        self, peers: list[ids.NodeId]
+    ) -> dict[ids.NodeId, list[memberlist.Row]]:
+        """Return the rows for each peer that lacks some; none then wait."""
+        pending, self._pending = self._pending, {}
+        messages: dict[ids.NodeId, list[memberlist.Row]] = {}
+        for peer in peers:
+            rows = [
+                entry.row
+                for entry in pending.values()
+                if peer not in entry.senders and peer != entry.row.node_id
+            ]
+            if rows:
+                messages[peer] = rows
+        return messages
+
+
+def row_spread() -> RowSpread:
+    """Create a queue without rows."""
+    return RowSpread()
--- a/src/parsleystile/relay/statesync.py
+++ b/src/parsleystile/relay/statesync.py
@@ -1,15 +1,16 @@
 """Replication of the configuration and the member rows to all nodes.
 
-A node learns of changes in three ways: from the store's feed, from a push by
-the author of a row, and from a periodic anti-entropy exchange with a random
-peer. The last two serve nodes that can't reach the store and keep the fleet
-going while the store is down. All three carry the same versions, so the order
-in which they deliver does not matter.
+A few nodes of each failure domain follow the store; the others learn of
+changes from their peers. Each node passes on to its peers what is new to it,
+and a periodic anti-entropy exchange with one of them makes up for messages
+that were lost. The same ways keep the fleet going while the store is down.
+All of them carry the same versions, so the order of delivery does not matter.
 """
 
 import abc
 import random
 import typing
+import zlib
 
 import msgspec
 
@@ -21,24 +22,27 @@
 from parsleystile.relay import logevents
 from parsleystile.relay import memberlist
 from parsleystile.relay import policy as policies
+from parsleystile.relay import reachability as reachability_module
+from parsleystile.relay import rowdigest
+from parsleystile.relay import rowspread
 from parsleystile.relay import telemetry
-from parsleystile import transport
 
 SYNC_KIND = 'state.sync'
 ROW_KIND = 'state.row'
-PING_KIND = 'state.ping'
-# Time between anti-entropy exchanges; shorter while the store is down.
+# Time between anti-entropy exchanges; shorter while the last one differed.
 SYNC_PERIOD_MS = 1_000.0
-STORE_DOWN_SYNC_PERIOD_MS = 250.0
+_DIFFERING_SYNC_PERIOD_MS = 375.0
 _CONTROL_TIMEOUT_MS = 500.0
-# Peers that a row is pushed to; anti-entropy reaches the others.
-_MAX_PUSH_PEERS = 96
-# A link with calls in flight that received nothing for one period is pinged,
-# and dropped if the ping fails.
-LINK_CHECK_PERIOD_MS = 250.0
-_PING_TIMEOUT_MS = 450.0
-# Time between pings of unreachable nodes.
-PROBE_PERIOD_MS = 375.0
+# Changes that arrive within this time share a message.
+_SPREAD_DELAY_MS = 20.0
+# Buckets reconciled in one exchange; the rest follow in later ones.
+_MAX_BUCKETS_PER_EXCHANGE = 8
+# A node that announced a newer configuration sends it within this time.
+_PAYLOAD_WAIT_MS = 300.0
+# A node that had no exchange for this time follows the store by itself.
+_ISOLATED_MS = 2_500.0
+# Source of rows and snapshots that were read from the store.
+STORE_SOURCE = 'store'
 
 
 class Snapshot(msgspec.Struct, frozen=True):
@@ -52,16 +56,44 @@
     seen_at: int = 0
     payload: bytes = b''
 
+    @property
+    def payload_digest(self) -> int:
+        """Checksum of the payload."""
+        return zlib.crc32(self.payload)
+
+
+class _SyncMessage(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Request and reply of an exchange; both state the sender's versions.
 
-class _SyncMessage(msgspec.Struct, frozen=True):
-    """Request and reply of an exchange; both state the sender's versions."""
+    Attributes:
+        seen_at: Version of the sender's snapshot, or of one on its way to it.
+        payload_digest: Checksum of that snapshot's payload.
+        payload: The snapshot itself, for a receiver that has an older one.
+        digest: Checksum of the sender's rows; None if only the
+            configuration is compared.
+        buckets: Checksums of the sender's rows by bucket.
+        wanted: Buckets, out of ``wanted_of``, whose rows the sender requests.
+        rows: Rows for the receiver.
+    """
 
     seen_at: int
-    digest: int
+    sender: ids.NodeId = ids.NodeId('')
+    payload_digest: int = 0
     payload: bytes = b''
+    digest: int | None = None
+    buckets: list[int] = []
+    wanted: list[int] = []
+    wanted_of: int = 0
     rows: list[memberlist.Row] = []
 
 
+class _RowsMessage(msgspec.Struct, frozen=True):
+    """New rows, passed on by a node."""
+
+    sender: ids.NodeId
+    rows: list[memberlist.Row]
+
+
 class StateStore(abc.ABC):
     """Durable storage of this node's row; its methods do not block."""
 
@@ -73,11 +105,6 @@
     def withdraw(self, row: memberlist.Row) -> None:
         """Remove the node's own row in the background."""
 
-    @property
-    @abc.abstractmethod
-    def is_reachable(self) -> bool:
-        """Whether the store currently answers this node."""
-
 
 Decode = typing.Callable[[bytes], policies.Policy | errors.SettingsError]
 OnRow = typing.Callable[[memberlist.Row], None]
@@ -100,6 +127,7 @@
         self,
         links: links_module.Links,
         member_list: memberlist.MemberList,
+        reachability: reachability_module.Reachability,
         decode: Decode,
         clock: clocks.Clock,
         wheel: deadlines.DeadlineWheel,
@@ -114,17 +142,32 @@
         self.on_previous_own_row: OnRow = lambda row: None
         self._links = links
         self._member_list = member_list
+        self._reachability = reachability
         self._decode = decode
         self._clock = clock
         self._wheel = wheel
         self._rng = rng
         self._recorder = recorder
+        self._spread = rowspread.row_spread()
+        self._is_spread_scheduled = False
+        self._is_announced = False
+        self._published: memberlist.Row | None = None
         self._next_sync_ms = 0.0
-        self._pending_pings: set[transport.Address] = set()
-        self._received_counts: dict[transport.Address, int] = {}
+        # Node that has just become reachable; it is next to exchange with.
+        self._returned: ids.NodeId | None = None
+        self._last_exchange_ms = clock.now_ms()
+        # Version of a snapshot that a peer is sending, and until when.
+        self._awaited_at = 0
+        self._awaited_until_ms = 0.0
+        reachability.on_reachable = self._on_reachable
         links.handle_control(SYNC_KIND, self._on_sync)
-        links.handle_control(ROW_KIND, self._on_row)
-        links.handle_control(PING_KIND, lambda payload, reply: reply(b''))
+        links.handle_control(ROW_KIND, self._on_rows)
+
+    @property
+    def is_following(self) -> bool:
+        """Whether this node follows the store rather than its peers."""
+        silent_ms = self._clock.now_ms() - self._last_exchange_ms
+        return self._member_list.is_follower or silent_ms > _ISOLATED_MS
 
     # Incoming state.
 
@@ -143,20 +186,12 @@
             return False
         policy = self._decode(snapshot.payload)
         if isinstance(policy, errors.SettingsError):
-            self._recorder.log.write(
-                logevents.PolicyRejected(
-                    seen_at=snapshot.seen_at, why=str(policy)
-                )
-            )
+            self._reject_policy(snapshot, str(policy))
             return False
         before = self.policy
         if before is not None and policy.version < before.version:
-            self._recorder.log.write(
-                logevents.PolicyRejected(
-                    seen_at=snapshot.seen_at,
-                    why=f'version {policy.version} after {before.version}',
-                )
-            )
+            why = f'version {policy.version} after {before.version}'
+            self._reject_policy(snapshot, why)
             return False
         self.snapshot = snapshot
         self.policy = policy
@@ -169,48 +204,87 @@
             )
         )
         self.on_policy_changed()
+        for peer in self._member_list.peers():
+            if peer.node_id != source:
+                self._send(peer, self._own_versions())
         return True
 
+    def _reject_policy(self, snapshot: Snapshot, why: str) -> None:
+        self._recorder.log.write(
+            logevents.PolicyRejected(seen_at=snapshot.seen_at, why=why)
+        )
+
     def merge_rows(
-        self, rows: typing.Iterable[memberlist.Row], source: str
+        self,
+        rows: typing.Iterable[memberlist.Row],
+        source: str,
+        is_spread: bool = True,
     ) -> None:
-        """Merge rows of nodes, including earlier rows of this node."""
+        """Merge rows of nodes, including earlier rows of this node.
+
+        Args:
+            rows: The rows, in any order.
+            source: Node that sent them, or the store.
+            is_spread: Whether peers may lack them.
+        """
         changed = False
         for row in rows:
-            if row.node_id == self._member_list.own_row.node_id:
+            is_own = row.node_id == self._member_list.own_row.node_id
+            if is_own:
                 self.on_previous_own_row(row)
             if not self._member_list.merge(row):
+                self._spread.note_copy(row, ids.NodeId(source))
                 continue
             changed = True
-            if row.node_id == self._member_list.own_row.node_id:
+            self._log_row(row, source)
+            if is_own:
                 self.publish()
-            self._recorder.log.write(
-                logevents.MemberChanged(
-                    member=row.node_id,
-                    service=row.service,
-                    target=row.target_id,
-                    state=_state_name(row),
-                    incarnation=row.incarnation,
-                    sequence=row.sequence,
-                    source=source,
-                )
+            elif is_spread:
+                self._pass_on(row, ids.NodeId(source))
+        if not changed:
+            return
+        if not self._is_announced and self._member_list.peers():
+            # This node's row was published before it knew any other node.
+            self._is_announced = True
+            self._pass_on(self._member_list.own_row, ids.NodeId(''))
+        self.on_members_changed()
+
+    def _log_row(self, row: memberlist.Row, source: str) -> None:
+        # Bounded, since a large fleet may change as a whole.
+        if not self._recorder.log.try_acquire(logevents.MemberChanged):
+            return
+        self._recorder.log.append(
+            logevents.MemberChanged(
+                member=row.node_id,
+                service=row.service,
+                target=row.target_id,
+                state=_state_name(row),
+                incarnation=row.incarnation,
+                sequence=row.sequence,
+                source=source,
             )
-        if changed:
-            self.on_members_changed()
+        )
 
-    def remove_row(self, node_id: ids.NodeId) -> None:
-        """Mark a node as gone after its row was removed from the store."""
-        self._member_list.mark_gone(node_id)
-        self.on_members_changed()
+    def remove_row(self, node_id: ids.NodeId, incarnation: int) -> None:
+        """Mark a node as gone after its row was removed from the store.
+
+        Args:
+            node_id: The node.
+            incarnation: Latest incarnation that the removed row may be of.
+        """
+        row = self._member_list.gone_row(node_id, incarnation)
+        if row is not None:
+            self.merge_rows([row], STORE_SOURCE)
 
     # Outgoing state.
 
     def publish(self) -> None:
-        """Store this node's row and push it to its peers."""
+        """Pass this node's row on, and store what must outlast the fleet."""
         row = self._member_list.own_row
-        if self.store is not None:
+        if self.store is not None and _is_stored_anew(row, self._published):
+            self._published = row
             self.store.publish(row)
-        self._push(row)
+        self._pass_on(row, ids.NodeId(''))
 
     def leave(self) -> None:
         """Announce that this node takes no more calls."""
@@ -222,18 +296,24 @@
                 self.store.publish(row)
             else:
                 self.store.withdraw(row)
-        self._push(row)
-
-    def _push(self, row: memberlist.Row) -> None:
-        others = self._member_list.reachable()
-        if len(others) > _MAX_PUSH_PEERS:
-            others = self._rng.sample(others, _MAX_PUSH_PEERS)
-        payload = memberlist.encode_row(row)
-        for other in others:
+        self._pass_on(row, ids.NodeId(''))
+
+    def _pass_on(self, row: memberlist.Row, sender: ids.NodeId) -> None:
+        self._spread.put(row, sender)
+        if not self._is_spread_scheduled:
+            self._is_spread_scheduled = True
+            due_ms = self._clock.now_ms() + _SPREAD_DELAY_MS
+            self._wheel.add(due_ms, self._spread_rows)
+
+    def _spread_rows(self) -> None:
+        self._is_spread_scheduled = False
+        peers = {peer.node_id: peer for peer in self._member_list.peers()}
+        own = self._member_list.own_row.node_id
+        for node_id, rows in self._spread.flush(list(peers)).items():
             self._links.control(
-                other.link,
+                peers[node_id].link,
                 ROW_KIND,
-                payload,
+                msgspec.msgpack.encode(_RowsMessage(own, rows)),
                 _CONTROL_TIMEOUT_MS,
                 _ignore_reply,
             )
@@ -243,60 +323,89 @@
     def tick(self) -> None:
         """Exchange state with a random peer if it is due."""
         now_ms = self._clock.now_ms()
-        if now_ms < self._next_sync_ms:
+        returned, self._returned = self._returned, None
+        if now_ms < self._next_sync_ms and returned is None:
             return
-        is_store_down = self.store is None or not self.store.is_reachable
-        period_ms = (
-            STORE_DOWN_SYNC_PERIOD_MS if is_store_down else SYNC_PERIOD_MS
+        period_ms = SYNC_PERIOD_MS * self._rng.uniform(0.8, 1.2)
+        self._next_sync_ms = now_ms + period_ms
+        peer = None if returned is None else self._member_list.row(returned)
+        if peer is None:
+            peers = self._member_list.peers()
+            if not peers:
+                return
+            peer = self._rng.choice(peers)
+        self._send(peer, self._own_versions(self._member_list.digest))
+
+    def _on_reachable(self, node_id: ids.NodeId) -> None:
+        self._returned = node_id
+
+    def _own_versions(self, digest: int | None = None) -> _SyncMessage:
+        return _SyncMessage(
+            self.snapshot.seen_at,
+            self._member_list.own_row.node_id,
+            self.snapshot.payload_digest,
+            digest=digest,
         )
-        self._next_sync_ms = now_ms + period_ms * self._rng.uniform(0.8, 1.2)
-        others = self._member_list.reachable()
-        if others:
-            self._sync_with(self._rng.choice(others))
 
-    def _sync_with(self, other: memberlist.Row) -> None:
+    def _send(self, peer: memberlist.Row, message: _SyncMessage) -> None:
         def on_reply(reply: bytes | errors.Refusal) -> None:
             if isinstance(reply, errors.Refusal):
-                self.mark_unreachable(other.node_id, reply.detail)
+                self._reachability.mark_unreachable(peer.node_id, reply.detail)
                 return
             remote = self._decode_sync(reply)
-            if remote is None:
-                return
-            self._apply(remote, other.node_id)
-            if remote.digest != self._member_list.digest and not remote.rows:
-                return
-            if remote.seen_at < self.snapshot.seen_at:
-                self._push_full_state(other)
+            if remote is not None:
+                self._last_exchange_ms = self._clock.now_ms()
+                self._on_reply(peer, message, remote)
 
-        request = _SyncMessage(self.snapshot.seen_at, self._member_list.digest)
         self._links.control(
-            other.link,
+            peer.link,
             SYNC_KIND,
-            msgspec.msgpack.encode(request),
+            msgspec.msgpack.encode(message),
             _CONTROL_TIMEOUT_MS,
             on_reply,
         )
 
-    def _push_full_state(self, other: memberlist.Row) -> None:
-        full = _SyncMessage(
-            self.snapshot.seen_at,
-            self._member_list.digest,
-            self.snapshot.payload,
-            self._member_list.rows(),
-        )
-        self._links.control(
-            other.link,
-            SYNC_KIND,
-            msgspec.msgpack.encode(full),
-            _CONTROL_TIMEOUT_MS,
-            _ignore_reply,
+    def _on_reply(
+        self, peer: memberlist.Row, sent: _SyncMessage, remote: _SyncMessage
+    ) -> None:
+        self._apply(remote, peer.node_id)
+        own = self._own_versions()
+        is_older = remote.seen_at < own.seen_at
+        if is_older and remote.payload_digest != own.payload_digest:
+            payload = self.snapshot.payload
+            self._send(peer, msgspec.structs.replace(own, payload=payload))
+        if remote.wanted:
+            rows = self._rows_of(remote.wanted, remote.wanted_of)
+            self._send(peer, msgspec.structs.replace(own, rows=rows))
+        elif sent.digest is not None and not sent.buckets:
+            self._compare_rows(peer, remote)
+
+    def _compare_rows(
+        self, peer: memberlist.Row, remote: _SyncMessage
+    ) -> None:
+        digest = self._member_list.digest
+        if remote.digest is None or remote.digest == digest:
+            return
+        self._next_sync_ms = min(
+            self._next_sync_ms,
+            self._clock.now_ms() + _DIFFERING_SYNC_PERIOD_MS,
         )
+        buckets = self._member_list.bucket_digests()
+        own = self._own_versions(digest)
+        self._send(peer, msgspec.structs.replace(own, buckets=buckets))
 
-    def _apply(self, remote: _SyncMessage, source: str) -> None:
+    def _apply(self, remote: _SyncMessage, source: ids.NodeId) -> None:
         if remote.payload:
             self.apply_snapshot(
                 Snapshot(remote.seen_at, remote.payload), source
             )
+        elif (
+            self.policy is not None
+            and remote.payload_digest == self.snapshot.payload_digest
+        ):
+            self.apply_snapshot(
+                Snapshot(remote.seen_at, self.snapshot.payload), source
+            )
         if remote.rows:
             self.merge_rows(remote.rows, source)
 
@@ -307,27 +416,78 @@
         if request is None:
             reply(b'')
             return
-        self._apply(request, 'neighbour')
-        own = self.snapshot
-        newer = own.payload if own.seen_at > request.seen_at else b''
-        differs = request.digest != self._member_list.digest
-        answer = _SyncMessage(
-            own.seen_at,
-            self._member_list.digest,
-            newer,
-            self._member_list.rows() if differs else [],
-        )
+        self._apply(request, request.sender)
+        self._reachability.probe_if_unreachable(request.sender)
+        answer = self._own_versions(self._member_list.digest)
+        if self.snapshot.seen_at > request.seen_at:
+            if answer.payload_digest != request.payload_digest:
+                answer = msgspec.structs.replace(
+                    answer, payload=self.snapshot.payload
+                )
+        elif not request.payload:
+            answer = msgspec.structs.replace(
+                answer, seen_at=self._await_payload(request.seen_at)
+            )
+        if request.buckets:
+            answer = self._add_differing_rows(answer, request.buckets)
         reply(msgspec.msgpack.encode(answer))
 
-    def _on_row(
+    def _await_payload(self, seen_at: int) -> int:
+        """Return the version to answer to a peer that has a newer one.
+
+        The peer sends its snapshot if the answer is older. While another peer
+        is sending that version already, the answer is the version itself.
+        """
+        now_ms = self._clock.now_ms()
+        own = self.snapshot.seen_at
+        if seen_at <= own:
+            return own
+        if seen_at <= self._awaited_at and now_ms < self._awaited_until_ms:
+            return seen_at
+        self._awaited_at = seen_at
+        self._awaited_until_ms = now_ms + _PAYLOAD_WAIT_MS
+        return own
+
+    def _add_differing_rows(
+        self, answer: _SyncMessage, buckets: list[int]
+    ) -> _SyncMessage:
+        count = len(buckets)
+        if not rowdigest.is_bucket_count(count):
+            self._recorder.input_rejected(SYNC_KIND, f'{count} buckets')
+            return answer
+        own = self._member_list.bucket_digests(count)
+        differing = [i for i in range(count) if own[i] != buckets[i]]
+        picked = self._rng.sample(
+            differing, min(_MAX_BUCKETS_PER_EXCHANGE, len(differing))
+        )
+        return msgspec.structs.replace(
+            answer,
+            rows=self._rows_of(picked, count),
+            wanted=picked,
+            wanted_of=count,
+        )
+
+    def _rows_of(self, buckets: list[int], count: int) -> list[memberlist.Row]:
+        if not rowdigest.is_bucket_count(count):
+            self._recorder.input_rejected(SYNC_KIND, f'{count} buckets')
+            return []
+        return [
+            row
+            for bucket in buckets[:_MAX_BUCKETS_PER_EXCHANGE]
+            if 0 <= bucket < count
+            for row in self._member_list.rows_in(bucket, count)
+        ]
+
+    def _on_rows(
         self, payload: bytes, reply: typing.Callable[[bytes], None]
     ) -> None:
-        row = memberlist.decode_row(payload)
-        if row is None:
-            self._recorder.input_rejected(ROW_KIND, 'not a row')
+        try:
+            message = msgspec.msgpack.decode(payload, type=_RowsMessage)
+        except msgspec.MsgspecError as exc:
+            self._recorder.input_rejected(ROW_KIND, str(exc))
         else:
-            self.merge_rows([row], 'author')
-            self.mark_reachable(row.node_id)
+            self.merge_rows(message.rows, message.sender)
+            self._reachability.probe_if_unreachable(message.sender)
         reply(b'')
 
     def _decode_sync(self, payload: bytes) -> _SyncMessage | None:
@@ -337,85 +497,27 @@
             self._recorder.input_rejected(SYNC_KIND, str(exc))
             return None
 
-    # Failure detection.
-
-    def check_silent_links(self) -> None:
-        """Ping the peers of links that have calls in flight but are silent."""
-        waiting = self._links.busy_links()
-        silent = [
-            address
-            for address, received in waiting
-            if self._received_counts.get(address) == received
-        ]
-        self._received_counts = dict(waiting)
-        for address in silent:
-            self._check_link(address)
 
-    def _ping(
-        self, address: transport.Address, on_reply: transport.OnControlReply
-    ) -> None:
-        """Ping an address unless a ping to it is already in flight."""
-        if address in self._pending_pings:
-            return
-        self._pending_pings.add(address)
-
-        def on_done(reply: bytes | errors.Refusal) -> None:
-            self._pending_pings.discard(address)
-            on_reply(reply)
-
-        self._links.control(address, PING_KIND, b'', _PING_TIMEOUT_MS, on_done)
-
-    def _check_link(self, address: transport.Address) -> None:
-        before = self._received_counts[address]
-
-        def on_reply(reply: bytes | errors.Refusal) -> None:
-            is_silent = dict(self._links.busy_links()).get(address) == before
-            if isinstance(reply, errors.Refusal) and is_silent:
-                why = 'no reply on a link that owes answers'
-                self._links.drop(address, why)
-                for row in self._member_list.others():
-                    if row.link == address:
-                        self.mark_unreachable(row.node_id, why)
-
-        self._ping(address, on_reply)
-
-    def probe_unreachable(self) -> None:
-        """Ping all unreachable nodes."""
-        for row in self._member_list.unreachable():
-            self._probe_row(row)
-
-    def _probe_row(self, row: memberlist.Row) -> None:
-        def on_reply(reply: bytes | errors.Refusal) -> None:
-            if not isinstance(reply, errors.Refusal):
-                self.mark_reachable(row.node_id)
-                self._next_sync_ms = 0.0
-
-        self._ping(row.link, on_reply)
-
-    def mark_reachable(self, node_id: ids.NodeId) -> None:
-        """Mark a node as reachable."""
-        if self._member_list.set_reachable(node_id, True):
-            self._log_reachability(node_id, True, 'it answers')
-
-    def mark_unreachable(self, node_id: ids.NodeId, why: str) -> None:
-        """Mark a node as unreachable; it gets no calls until it answers."""
-        if self._member_list.set_reachable(node_id, False):
-            self._log_reachability(node_id, False, why)
+def _ignore_reply(reply: bytes | errors.Refusal) -> None:
+    # Anti-entropy makes up for a lost message.
+    del reply
 
-    def _log_reachability(
-        self, node_id: ids.NodeId, is_reachable: bool, why: str
-    ) -> None:
-        self._recorder.log.write(
-            logevents.NodeReachabilityChanged(
-                member=node_id, is_reached=is_reachable, why=why
-            )
-        )
-        self.on_members_changed()
 
+def _is_stored_anew(
+    row: memberlist.Row, published: memberlist.Row | None
+) -> bool:
+    """Whether the store needs a row, given the one that it got last.
 
-def _ignore_reply(reply: bytes | errors.Refusal) -> None:
-    # Anti-entropy makes up for a lost push.
-    del reply
+    The store serves nodes that start: it tells them where the others are, and
+    which target of their own has left. The rest they learn from the others.
+    """
+    return (
+        published is None
+        or row.incarnation != published.incarnation
+        or row.link != published.link
+        or row.departed_id != published.departed_id
+        or row.departed_born_ms != published.departed_born_ms
+    )
 
 
 def _state_name(row: memberlist.Row) -> str:
@@ -427,6 +529,7 @@
 def state_sync(
     links: links_module.Links,
     member_list: memberlist.MemberList,
+    reachability: reachability_module.Reachability,
     decode: Decode,
     clock: clocks.Clock,
     wheel: deadlines.DeadlineWheel,
@@ -434,4 +537,6 @@
     recorder: telemetry.Recorder,
 ) -> StateSync:
     """Create the replication of a node without any state."""
-    return StateSync(links, member_list, decode, clock, wheel, rng, recorder)
+    return StateSync(
+        links, member_list, reachability, decode, clock, wheel, rng, recorder
+    )
--- a/tests/test_platform_stops.py
+++ b/tests/test_platform_stops.py
@@ -138,6 +138,8 @@
         ingress = first.node._ingress
         await asyncutil.wait_until(lambda: ingress.is_refusing)
         second.report()
+        members = first.node.member_list
+        await asyncutil.wait_until(lambda: members.members_of('yard'))
         child = await first.call('/lookup/x', call_id='c1.1', key='')
         assert child.status == 200
         assert (await first.call(call_id='c2')).status == 503
--- a/tests/test_platform_store_answers.py
+++ b/tests/test_platform_store_answers.py
@@ -22,13 +22,15 @@
 class _NoState:
     """Takes the place of the replicated state."""
 
+    is_following = True
+
     def apply_snapshot(self, snapshot, source):
         pass
 
-    def merge_rows(self, rows, source):
+    def merge_rows(self, rows, source, is_spread=True):
         pass
 
-    def remove_row(self, node_id):
+    def remove_row(self, node_id, incarnation):
         pass
 
 
--- /dev/null
+++ b/tests/test_relay_state.py
@@ -0,0 +1,341 @@
+"""Replication of rows and configuration between the nodes of a fleet.
+
+The costs are bounded by the target of a node at 6,200 members: 26 KB a second
+for control, in all that a node sends and receives.
+"""
+
+import random
+
+import msgspec
+import pytest
+
+from parsleystile import ids
+from parsleystile.relay import memberlist
+from parsleystile.relay import overlay
+from parsleystile.relay import rowdigest
+from parsleystile.relay import rowspread
+from parsleystile.relay import statesync
+from tests import statefleet
+
+_TARGET_BYTES_PER_S = 26_000
+
+
+def _domains(size, count=5):
+    return {
+        ids.FailureDomainId(f'd{d}'): [
+            ids.NodeId(f'n{i:04d}') for i in range(d, size, count)
+        ]
+        for d in range(count)
+    }
+
+
+def _row(node_id, **fields):
+    return memberlist.Row(
+        node_id=ids.NodeId(node_id),
+        domain=ids.FailureDomainId('a'),
+        region=ids.RegionId('r'),
+        host=node_id,
+        port=7000,
+        **fields,
+    )
+
+
+def _reached(nodes, start, is_reachable):
+    """Return the number of hops to the last node that passing on reaches."""
+    domain_of = {n: d for d, ring in nodes.items() for n in ring}
+    known = {start}
+    newest = [start]
+    hops = 0
+    while newest:
+        hops += 1
+        heard = {
+            peer
+            for node in newest
+            for peer in overlay.peers(
+                node, domain_of[node], nodes, is_reachable
+            )
+        }
+        newest = sorted(heard - known)
+        known.update(newest)
+    return known, hops
+
+
+class TestOverlay:
+    @pytest.mark.parametrize('size', [1, 2, 3, 14, 48, 195, 768, 6200])
+    def test_state_passed_on_reaches_all_nodes_in_few_hops(self, size):
+        nodes = _domains(size)
+        known, hops = _reached(nodes, ids.NodeId('n0000'), lambda node: True)
+        assert len(known) == size
+        per_domain = size / 5
+        assert hops <= per_domain.__ceil__().bit_length() + 4
+
+    @pytest.mark.parametrize('size', [48, 195, 6200])
+    def test_the_number_of_peers_grows_with_the_logarithm(self, size):
+        nodes = _domains(size)
+        for domain, ring in nodes.items():
+            for node in ring[:: max(1, len(ring) // 20)]:
+                peers = overlay.peers(node, domain, nodes, lambda n: True)
+                assert node not in peers
+                assert len(peers) == len(set(peers))
+                assert len(peers) <= len(ring).bit_length() + 4
+
+    @pytest.mark.parametrize('seed', range(20))
+    def test_state_passes_by_nodes_that_do_not_answer(self, seed):
+        rng = random.Random(seed)
+        nodes = _domains(195)
+        everyone = [n for ring in nodes.values() for n in ring]
+        down = set(rng.sample(everyone, 60))
+        start = rng.choice([n for n in everyone if n not in down])
+        known, _ = _reached(nodes, start, lambda node: node not in down)
+        assert known == set(everyone) - down
+
+    def test_followers_are_replaced_when_they_do_not_answer(self):
+        nodes = _domains(48)
+        first = overlay.followers('d0', nodes, lambda node: True)
+        assert len(first) == overlay.FOLLOWERS_PER_DOMAIN
+        down = set(first)
+        second = overlay.followers('d0', nodes, lambda n: n not in down)
+        assert len(second) == overlay.FOLLOWERS_PER_DOMAIN
+        assert not down & set(second)
+
+
+class TestRowDigests:
+    def test_digests_depend_on_the_rows_alone(self):
+        rows = [
+            (ids.NodeId(f'n{i}'), (i, i + 1), i % 7 == 0) for i in range(50)
+        ]
+        one = rowdigest.row_digests()
+        other = rowdigest.row_digests()
+        for row in rows:
+            one.add(*row)
+        other.add(ids.NodeId('n99'), (1, 1), False)
+        for row in reversed(rows):
+            other.add(*row)
+        other.remove(ids.NodeId('n99'), (1, 1), False)
+        assert one.total == other.total
+        assert one.fold(8) == other.fold(8)
+
+    def test_a_changed_row_changes_its_bucket_only(self):
+        digests = rowdigest.row_digests()
+        for i in range(100):
+            digests.add(ids.NodeId(f'n{i}'), (1, 0), False)
+        before = digests.fold(16)
+        digests.remove(ids.NodeId('n5'), (1, 0), False)
+        digests.add(ids.NodeId('n5'), (1, 1), False)
+        after = digests.fold(16)
+        changed = [i for i in range(16) if before[i] != after[i]]
+        assert len(changed) == 1
+        assert 'n5' in digests.nodes_in(changed[0], 16)
+
+    def test_a_gone_row_counts_as_absent(self):
+        digests = rowdigest.row_digests()
+        digests.add(ids.NodeId('n1'), (1, 0), True)
+        assert digests.total == 0
+        assert digests.nodes_in(0, 1) == ['n1']
+
+
+class TestRowSpread:
+    def test_rows_go_to_peers_that_did_not_send_them(self):
+        spread = rowspread.row_spread()
+        row = _row('x', incarnation=1)
+        spread.put(row, ids.NodeId('a'))
+        spread.note_copy(row, ids.NodeId('b'))
+        spread.put(_row('c', incarnation=1), ids.NodeId('a'))
+        messages = spread.flush([ids.NodeId(n) for n in 'abc'])
+        assert {
+            peer: [r.node_id for r in rows] for peer, rows in messages.items()
+        } == {'b': ['c'], 'c': ['x']}
+        assert not spread.flush([ids.NodeId('b')])
+
+
+class TestMemberList:
+    def test_a_gone_row_wins_at_the_same_revision(self):
+        member_list = memberlist.member_list(_row('own', incarnation=1))
+        row = _row('b', incarnation=3, sequence=2)
+        member_list.merge(row)
+        gone = msgspec.structs.replace(row, is_gone=True)
+        assert member_list.merge(gone)
+        assert not member_list.merge(row)
+        assert member_list.node_ids == ['own']
+
+    def test_a_removed_row_does_not_end_a_later_incarnation(self):
+        member_list = memberlist.member_list(_row('own', incarnation=1))
+        member_list.merge(_row('b', incarnation=4))
+        assert member_list.gone_row(ids.NodeId('b'), 3) is None
+        assert member_list.gone_row(ids.NodeId('b'), 4).is_gone
+
+    def test_a_node_taken_for_gone_announces_itself_anew(self):
+        own = _row('own', incarnation=1)
+        member_list = memberlist.member_list(own)
+        gone = msgspec.structs.replace(own, is_gone=True)
+        assert member_list.merge(gone)
+        assert not member_list.own_row.is_gone
+        assert member_list.own_row.revision > own.revision
+
+    def test_rows_of_gone_nodes_do_not_grow_without_bound(self):
+        member_list = memberlist.member_list(_row('own', incarnation=1))
+        for i in range(2_000):
+            member_list.merge(_row(f'n{i}', incarnation=1))
+            member_list.merge(_row(f'n{i}', incarnation=2, is_gone=True))
+        rows = [row for i in range(256) for row in member_list.rows_in(i, 256)]
+        assert len(rows) < 300
+        assert member_list.row(ids.NodeId('n1999')).is_gone
+
+    def test_only_changed_services_are_reported(self):
+        member_list = memberlist.member_list(_row('own', incarnation=1))
+        for i in range(10):
+            member_list.merge(
+                _row(
+                    f'n{i}',
+                    service=f's{i % 2}',
+                    is_serving=True,
+                    incarnation=1,
+                )
+            )
+        assert member_list.take_changed_services() == {'s0', 's1'}
+        assert not member_list.take_changed_services()
+        member_list.set_reachable(ids.NodeId('n3'), False)
+        assert member_list.take_changed_services() == {'s1'}
+        assert len(member_list.members_of('s1')) == 4
+
+
+class TestReplication:
+    @pytest.mark.parametrize('size', [14, 48, 195])
+    def test_a_change_reaches_all_nodes_within_a_second(self, size):
+        fleet = statefleet.Fleet(size)
+        fleet.timeline.run(3_000.0)
+        fleet.nodes[size // 2].serve()
+        assert fleet.settle(1_000.0) < 400.0
+        for node in fleet.running():
+            assert len(node.member_list.members_of('yard')) == 1
+
+    def test_a_configuration_reaches_all_nodes_without_the_store(self):
+        fleet = statefleet.Fleet(195)
+        fleet.timeline.run(1_000.0)
+        payload = b'7' + b' ' * 20_000
+        before = sum(fleet.bytes.values())
+        fleet.nodes[3].sync.apply_snapshot(
+            statesync.Snapshot(11, payload), 'store'
+        )
+        fleet.timeline.run(500.0)
+        versions = {node.sync.policy.version for node in fleet.running()}
+        assert versions == {7}
+        # Counted at the sender and at the receiver; each node gets it once.
+        sent = (sum(fleet.bytes.values()) - before) / 2
+        assert sent < 1.5 * 195 * len(payload)
+
+    @pytest.mark.parametrize('size', [48, 195, 384])
+    def test_a_fleet_at_rest_costs_each_node_the_same(self, size):
+        fleet = statefleet.Fleet(size)
+        fleet.timeline.run(2_000.0)
+        fleet.bytes.clear()
+        fleet.messages.clear()
+        fleet.timeline.run(10_000.0)
+        assert max(fleet.bytes.values()) / 10 < _TARGET_BYTES_PER_S / 10
+        assert max(fleet.messages.values()) / 10 < 20
+        mean = sum(fleet.messages.values()) / size / 10
+        assert mean < 6
+
+    @pytest.mark.parametrize('size', [48, 195, 384])
+    def test_a_change_costs_each_node_a_constant(self, size):
+        fleet = statefleet.Fleet(size)
+        fleet.timeline.run(2_000.0)
+        fleet.bytes.clear()
+        rounds = 20
+        for i in range(rounds):
+            fleet.nodes[i].serve()
+            fleet.timeline.run(500.0)
+        mean = sum(fleet.bytes.values()) / size / rounds
+        assert mean < _TARGET_BYTES_PER_S / 4
+        assert fleet.views() == 1
+
+    def test_only_what_must_outlast_the_fleet_is_stored(self):
+        fleet = statefleet.Fleet(3)
+        node = fleet.nodes[0]
+        node.sync.publish()
+        for i in range(5):
+            node.serve(f't{i}')
+        assert len(node.store.writes) == 1
+        node.member_list.update_own_row(
+            is_serving=False, departed_id='t4', departed_born_ms=9
+        )
+        node.sync.publish()
+        assert len(node.store.writes) == 2
+
+    def test_a_newcomer_learns_all_and_is_known_to_all(self):
+        fleet = statefleet.Fleet(48)
+        fleet.timeline.run(1_000.0)
+        newcomer = fleet.start('n9999', 'd2')
+        newcomer.sync.publish()
+        rows = [fleet.nodes[0].member_list.own_row]
+        newcomer.sync.merge_rows(rows, 'store', is_spread=False)
+        assert fleet.settle(8_000.0) < 5_000.0
+        assert len(newcomer.member_list.node_ids) == 49
+
+    def test_a_domain_that_was_cut_off_learns_what_it_missed(self):
+        fleet = statefleet.Fleet(60)
+        fleet.timeline.run(1_000.0)
+        fleet.cut_domains.add('d1')
+        fleet.timeline.run(1_000.0)
+        fleet.nodes[0].serve()
+        fleet.nodes[1].serve()
+        fleet.nodes[2].sync.apply_snapshot(
+            statesync.Snapshot(5, b'3'), 'store'
+        )
+        fleet.timeline.run(6_000.0)
+        assert fleet.nodes[6].sync.policy is None
+        fleet.cut_domains.clear()
+        assert fleet.settle(10_000.0) < 4_000.0
+        fleet.timeline.run(1_500.0)
+        assert {n.sync.policy.version for n in fleet.running()} == {3}
+
+    def test_a_node_without_peers_follows_the_store(self):
+        fleet = statefleet.Fleet(60)
+        fleet.timeline.run(2_000.0)
+        node = fleet.nodes[-1]
+        assert not node.sync.is_following
+        assert sum(n.sync.is_following for n in fleet.running()) == 15
+        for other in fleet.nodes[:-1]:
+            fleet.kill(other)
+        fleet.timeline.run(4_000.0)
+        assert node.sync.is_following
+
+    @pytest.mark.parametrize('seed', range(12))
+    def test_random_histories_end_in_one_view(self, seed):
+        fleet = statefleet.Fleet(40, seed)
+        rng = fleet.rng
+        departed = []
+        for step in range(60):
+            nodes = fleet.running()
+            node = rng.choice(nodes)
+            match rng.choice(['serve', 'leave', 'restart', 'cut', 'heal']):
+                case 'serve':
+                    node.serve(f't{step}')
+                case 'leave' if len(nodes) > 20:
+                    node.sync.leave()
+                    fleet.timeline.run(300.0)
+                    fleet.kill(node)
+                    departed.append(node.node_id)
+                case 'restart':
+                    fleet.kill(node)
+                    fleet.timeline.run(rng.uniform(0.0, 800.0))
+                    domain = node.member_list.own_row.domain
+                    again = fleet.start(node.node_id, domain)
+                    again.sync.publish()
+                    again.sync.merge_rows(
+                        [n.member_list.own_row for n in nodes if n != node],
+                        'store',
+                        is_spread=False,
+                    )
+                case 'cut':
+                    fleet.cut_domains = {f'd{rng.randrange(5)}'}
+                case 'heal':
+                    fleet.cut_domains = set()
+            fleet.timeline.run(rng.uniform(0.0, 700.0))
+        fleet.cut_domains = set()
+        fleet.settle(20_000.0)
+        assert fleet.views() == 1
+        running = sorted(node.node_id for node in fleet.running())
+        for node in fleet.running():
+            assert node.member_list.node_ids == running
+        assert not set(departed) & set(running)
