Give organisations the calls that a window allows them

The buckets refilled at the rate alone, were off on the low side by what lay at other nodes, and a refused caller was told to come back after the interval of the node's own share, many seconds.

Each failure domain holds a part of each rate, so that a domain that is cut off serves its callers; the ring of holders is stable and cheap to follow.

--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -29,6 +29,7 @@
 from parsleystile.relay import statesync
 from parsleystile.relay import targetreports
 from parsleystile.relay import telemetry
+from parsleystile.relay import tokenbuckets
 from parsleystile import shedding
 from parsleystile import ticker as tickers
 from parsleystile import wire
@@ -64,6 +65,7 @@
         target_host: Address of the local target.
         secret: Shared by all nodes of the fleet.
         retry_budget: Retry budget of the whole fleet.
+        rate_tolerance: How far the rate of an organisation may be off.
         stop_ms: Time from a stop request until the process is killed.
         lame_duck_ms: Time that a stopping node keeps answering while callers
             move elsewhere.
@@ -81,6 +83,7 @@
     secret: bytes
     header_names: headernames.HeaderNames
     retry_budget: retrybudget.Settings
+    rate_tolerance: tokenbuckets.Tolerance
     stop_ms: float
     lame_duck_ms: float
 
@@ -193,6 +196,7 @@
             wheel,
             rng,
             recorder,
+            setup.rate_tolerance,
         )
         self._ingress = ingress.ingress(
             ingress.Dependencies(
--- a/src/parsleystile/relay/ratelimiter.py
+++ b/src/parsleystile/relay/ratelimiter.py
@@ -15,6 +15,7 @@
 from parsleystile import errors
 from parsleystile import ids
 from parsleystile import link as links_module
+from parsleystile.relay import holderring
 from parsleystile.relay import memberlist
 from parsleystile.relay import policy as policies
 from parsleystile.relay import telemetry
@@ -27,7 +28,7 @@
 # another node.
 _MAX_QUEUE_MS = 60.0
 # Nodes that one request is tried at, one after the other.
-_MAX_PEERS_ASKED = 3
+_MAX_PEERS_ASKED = 5
 
 OnDecision = typing.Callable[[errors.Refusal | None], None]
 
@@ -56,6 +57,7 @@
         wheel: deadlines.DeadlineWheel,
         rng: random.Random,
         recorder: telemetry.Recorder,
+        tolerance: tokenbuckets.Tolerance,
     ) -> None:
         self._links = links
         self._member_list = member_list
@@ -66,14 +68,14 @@
         self._queues: dict[
             ids.OrganisationId, collections.deque[OnDecision]
         ] = {}
-        self.buckets = tokenbuckets.token_buckets(rng)
+        self.buckets = tokenbuckets.token_buckets(rng, tolerance)
         links.handle_control(TRANSFER_KIND, self._on_request)
 
     def configure(self, policy: policies.Policy) -> None:
         """Apply the rates of a policy to the current list of nodes."""
         self.buckets.configure(
             policy.organisations,
-            self._member_list.node_ids,
+            holderring.holder_ring(self._member_list.nodes_by_domain),
             self._member_list.own_row.node_id,
             self._clock.now_ms(),
         )
@@ -102,45 +104,56 @@
 
     def refund(self, organisation: ids.OrganisationId) -> None:
         """Return the token of a call that did not run."""
-        self.buckets.refund(organisation)
+        self.buckets.refund(organisation, self._clock.now_ms())
 
     def _request_if_low(
         self, organisation: ids.OrganisationId, now_ms: float
     ) -> None:
-        wanted = self.buckets.start_request(organisation, now_ms)
+        queue = self._queues.get(organisation, ())
+        wanted = self.buckets.start_request(organisation, len(queue), now_ms)
         if wanted > 0.0:
-            self._request_tokens(organisation, wanted, _MAX_PEERS_ASKED)
+            holders = self._order_holders(organisation)
+            self._request_tokens(organisation, wanted, holders)
+
+    def _order_holders(
+        self, organisation: ids.OrganisationId
+    ) -> list[memberlist.Row]:
+        """Return the holders to ask, those of the own domain first."""
+        own = self._member_list.own_row
+        near: list[memberlist.Row] = []
+        far: list[memberlist.Row] = []
+        for node_id in self.buckets.holders(organisation):
+            row = self._member_list.row(node_id)
+            if row is None or node_id == own.node_id:
+                continue
+            if self._member_list.is_reachable(node_id):
+                (near if row.domain == own.domain else far).append(row)
+        self._rng.shuffle(near)
+        self._rng.shuffle(far)
+        return (near + far)[:_MAX_PEERS_ASKED]
 
     def _request_tokens(
         self,
         organisation: ids.OrganisationId,
         wanted: float,
-        attempts_left: int,
+        holders: list[memberlist.Row],
     ) -> None:
-        holders = set(self.buckets.holders(organisation))
-        peers = [
-            row
-            for row in self._member_list.others()
-            if row.node_id in holders
-            and self._member_list.is_reachable(row.node_id)
-        ]
-        if not peers:
+        """Ask holders one after the other until one gives tokens."""
+        if not holders:
             self._finish_request(organisation, 0.0)
             return
-        peer = self._rng.choice(peers)
-        # The queued calls need one token each on top of the usual demand.
-        wanted += len(self._queues.get(organisation, ()))
+        holder, *others = holders
 
         def on_reply(reply: bytes | errors.Refusal) -> None:
             tokens = self._decode_reply(reply)
-            if tokens < tokenbuckets.MIN_TRANSFER and attempts_left > 1:
-                self._request_tokens(organisation, wanted, attempts_left - 1)
+            if tokens < tokenbuckets.MIN_TRANSFER and others:
+                self._request_tokens(organisation, wanted, others)
             else:
                 self._finish_request(organisation, tokens)
 
         self._recorder.count('rate-asks')
         self._links.control(
-            peer.link,
+            holder.link,
             TRANSFER_KIND,
             msgspec.msgpack.encode(_TransferRequest(organisation, wanted)),
             _TRANSFER_TIMEOUT_MS,
@@ -166,6 +179,9 @@
         queue = self._queues.get(organisation)
         while queue and self.buckets.retry_take(organisation, now_ms):
             queue.popleft()(None)
+        if queue:
+            # Calls that arrived while the request was in progress.
+            self._request_if_low(organisation, now_ms)
 
     def _expire_queue(self, organisation: ids.OrganisationId) -> None:
         queue = self._queues.pop(organisation, None)
@@ -207,6 +223,9 @@
     wheel: deadlines.DeadlineWheel,
     rng: random.Random,
     recorder: telemetry.Recorder,
+    tolerance: tokenbuckets.Tolerance,
 ) -> RateLimiter:
     """Create a rate limiter without any rates."""
-    return RateLimiter(links, member_list, clock, wheel, rng, recorder)
+    return RateLimiter(
+        links, member_list, clock, wheel, rng, recorder, tolerance
+    )
--- a/tests/statefleet.py
+++ b/tests/statefleet.py
@@ -172,8 +172,7 @@
         self.seed = seed
         self.rng = random.Random(seed)
         self.timeline = Timeline()
-        self._log_file = open(os.devnull, 'wb')
-        self.log = self._log_file.fileno()
+        self.log = os.open(os.devnull, os.O_WRONLY)
         self.by_address = {}
         self.messages = collections.Counter()
         self.bytes = collections.Counter()
