Age what a suspended process reads, and send rows across domains less

Cause of the first: after a suspension of seconds a node read requests and calls from its sockets as if they had just been sent, and granted them their whole time anew, so it sent work to a target whose caller had long left; and replies that lay unread made it take its peers for unreachable. Now late ticks show a stall; what is read then is as old as the stall, and missing replies prove nothing.

--- a/src/parsleystile/relay/ingress.py
+++ b/src/parsleystile/relay/ingress.py
@@ -51,6 +51,8 @@
         own_service: Returns the service of the local target.
         is_target_busy: Returns whether the local target runs or awaits
             calls.
+        input_age_ms: Returns how long input that is read at a time may have
+            waited.
         route_balancer: Chooses among the destinations of a route.
     """
 
@@ -61,6 +63,7 @@
     shedder: shedding.Shedder
     dispatch_deps: dispatch.Dependencies
     is_target_busy: typing.Callable[[], bool]
+    input_age_ms: typing.Callable[[float], float]
     route_balancer: 'WeightedRoundRobin'
     rng: random.Random
     recorder: telemetry.Recorder
@@ -330,7 +333,16 @@
         timeout_ms = route.timeout_ms
         if self._head.caller_timeout_ms is not None:
             timeout_ms = min(timeout_ms, self._head.caller_timeout_ms)
-        deadline_ms = request.arrived_ms + timeout_ms
+        age_ms = deps.input_age_ms(request.arrived_ms)
+        deadline_ms = request.arrived_ms + timeout_ms - age_ms
+        if age_ms >= timeout_ms:
+            self._refuse(
+                errors.not_run(
+                    errors.Reason.DEADLINE,
+                    f'waited up to {age_ms:.0f} ms to be read',
+                )
+            )
+            return
         is_child = self._organisation is None and request.is_local
         if self._ingress.is_refusing and not (
             is_child and deps.is_target_busy()
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -10,6 +10,7 @@
 from parsleystile import clock as clocks
 from parsleystile import context
 from parsleystile import errors
+from parsleystile.gen import ttypes
 from parsleystile import ids
 from parsleystile import link as links_module
 from parsleystile import metrics as metric
@@ -26,12 +27,14 @@
 from parsleystile.relay import ratelimiter
 from parsleystile.relay import reachability
 from parsleystile.relay import retrybudget
+from parsleystile.relay import stalls
 from parsleystile.relay import statesync
 from parsleystile.relay import targetreports
 from parsleystile.relay import telemetry
 from parsleystile.relay import tokenbuckets
 from parsleystile import shedding
 from parsleystile import ticker as tickers
+from parsleystile import transport
 from parsleystile import wire
 
 # All periods are multiples of the shortest, so that one wake-up serves
@@ -138,8 +141,9 @@
                 incarnation=int(clock.wall_ms()),
             )
         )
+        self._stalls = stalls.stall_detector(clock.now_ms())
         self._reachability = reachability.reachability(
-            self._links, self.member_list, rng, recorder
+            self._links, self.member_list, self._stalls, clock, rng, recorder
         )
         self._reachability.on_changed = self._on_members_changed
         self.state_sync = statesync.state_sync(
@@ -184,7 +188,7 @@
             )
         )
         self.guard.on_target_lost = self._on_target_lost
-        self._links.handle_calls(self.guard.submit)
+        self._links.handle_calls(self._submit_received)
         self._balancer = balancer.balancer(
             setup.domain, setup.region, setup.node_id, rng
         )
@@ -218,6 +222,7 @@
                     on_admission_level=self._record_admission_level,
                 ),
                 is_target_busy=lambda: self.guard.in_flight > 0,
+                input_age_ms=self._stalls.input_age_ms,
                 route_balancer=ingress.WeightedRoundRobin(rng),
                 rng=rng,
                 recorder=recorder,
@@ -258,6 +263,10 @@
             setup.caller_host, setup.caller_port
         )
         every = self._ticker.every
+        every(
+            stalls.TICK_PERIOD_MS,
+            lambda: self._stalls.tick(self._clock.now_ms()),
+        )
         every(_SWEEP_PERIOD_MS, self._http_server.close_overdue)
         every(_FLUSH_PERIOD_MS, self._flush)
         every(_GAUGE_PERIOD_MS, self._update_gauges)
@@ -282,6 +291,15 @@
 
     # The local target.
 
+    def _submit_received(
+        self, call: ttypes.Call, on_answer: guard.OnAnswer
+    ) -> transport.PendingCall | None:
+        """Submit a call of another node with the time that it has left."""
+        age_ms = self._stalls.input_age_ms(self._clock.now_ms())
+        if age_ms:
+            call.deadline_ms = max(0, int(call.deadline_ms - age_ms))
+        return self.guard.submit(call, on_answer)
+
     def handle_report(
         self, report: targetreports.Report
     ) -> targetreports.Effect:
--- a/src/parsleystile/relay/reachability.py
+++ b/src/parsleystile/relay/reachability.py
@@ -9,11 +9,13 @@
 import random
 import typing
 
+from parsleystile import clock as clocks
 from parsleystile import errors
 from parsleystile import ids
 from parsleystile import link as links_module
 from parsleystile.relay import logevents
 from parsleystile.relay import memberlist
+from parsleystile.relay import stalls as stalls_module
 from parsleystile.relay import telemetry
 from parsleystile import transport
 
@@ -39,6 +41,8 @@
         self,
         links: links_module.Links,
         member_list: memberlist.MemberList,
+        stalls: stalls_module.StallDetector,
+        clock: clocks.Clock,
         rng: random.Random,
         recorder: telemetry.Recorder,
     ) -> None:
@@ -48,6 +52,8 @@
         )
         self._links = links
         self._member_list = member_list
+        self._stalls = stalls
+        self._clock = clock
         self._rng = rng
         self._recorder = recorder
         self._pending_pings: set[transport.Address] = set()
@@ -85,7 +91,7 @@
 
         def on_reply(reply: bytes | errors.Refusal) -> None:
             is_silent = dict(self._links.busy_links()).get(address) == before
-            if isinstance(reply, errors.Refusal) and is_silent:
+            if self._is_missing(reply) and is_silent:
                 why = 'no reply on a link that owes answers'
                 self._links.drop(address, why)
                 for row in self._member_list.others():
@@ -94,6 +100,25 @@
 
         self._ping(address, on_reply)
 
+    def _is_missing(self, reply: bytes | errors.Refusal) -> bool:
+        """Whether a peer did not reply, as far as this node can tell.
+
+        After a stall of this process, replies may lie unread although the
+        time for them is up.
+        """
+        if not isinstance(reply, errors.Refusal):
+            return False
+        is_late = reply.reason is errors.Reason.DEADLINE
+        now_ms = self._clock.now_ms()
+        return not (is_late and self._stalls.input_age_ms(now_ms))
+
+    def note_refusal(
+        self, node_id: ids.NodeId, refusal: errors.Refusal
+    ) -> None:
+        """Take a node for unreachable that did not reply to a message."""
+        if self._is_missing(refusal):
+            self.mark_unreachable(node_id, refusal.detail)
+
     def probe_unreachable(self) -> None:
         """Ping some of the unreachable nodes."""
         self._probe_some(self._member_list.unreachable())
@@ -149,8 +174,10 @@
 def reachability(
     links: links_module.Links,
     member_list: memberlist.MemberList,
+    stalls: stalls_module.StallDetector,
+    clock: clocks.Clock,
     rng: random.Random,
     recorder: telemetry.Recorder,
 ) -> Reachability:
     """Create the probes of a node that takes all others for reachable."""
-    return Reachability(links, member_list, rng, recorder)
+    return Reachability(links, member_list, stalls, clock, rng, recorder)
--- a/src/parsleystile/relay/rowspread.py
+++ b/src/parsleystile/relay/rowspread.py
@@ -2,7 +2,9 @@
 
 Each node passes a row on once, when it first receives it, so that a change
 costs every node a constant. Changes that arrive close together share a
-message.
+message. Only the row's own node and those that heard it from there pass it on
+to other failure domains: traffic between domains is dear, and each node of a
+domain would otherwise send the row across.
 """
 
 import dataclasses
@@ -16,6 +18,7 @@
     row: memberlist.Row
     # Peers that sent the row and need no copy.
     senders: set[ids.NodeId]
+    crosses_domains: bool
 
 
 class RowSpread:
@@ -32,9 +35,11 @@
 
         Args:
             row: The row.
-            sender: Peer that sent it, or any other name of its source.
+            sender: Node that sent it, also for its own row, or any other name
+                of its source.
         """
-        self._pending[row.node_id] = _Pending(row, {sender})
+        crosses_domains = sender == row.node_id
+        self._pending[row.node_id] = _Pending(row, {sender}, crosses_domains)
 
     def note_copy(self, row: memberlist.Row, sender: ids.NodeId) -> None:
         """Note that a peer sent a row that is already known."""
@@ -43,19 +48,27 @@
             pending.senders.add(sender)
 
     def flush(
-        self, peers: list[ids.NodeId]
+        self, peers: list[memberlist.Row], own_domain: ids.FailureDomainId
     ) -> dict[ids.NodeId, list[memberlist.Row]]:
-        """Return the rows for each peer that lacks some; none then wait."""
+        """Return the rows for each peer that lacks some; none then wait.
+
+        Args:
+            peers: Rows of the peers themselves.
+            own_domain: Failure domain of this node.
+        """
         pending, self._pending = self._pending, {}
         messages: dict[ids.NodeId, list[memberlist.Row]] = {}
         for peer in peers:
+            is_near = peer.domain == own_domain
             rows = [
                 entry.row
                 for entry in pending.values()
-                if peer not in entry.senders and peer != entry.row.node_id
+                if (is_near or entry.crosses_domains)
+                and peer.node_id not in entry.senders
+                and peer.node_id != entry.row.node_id
             ]
             if rows:
-                messages[peer] = rows
+                messages[peer.node_id] = rows
         return messages
 
 
--- a/src/parsleystile/relay/statesync.py
+++ b/src/parsleystile/relay/statesync.py
@@ -35,6 +35,8 @@
 _CONTROL_TIMEOUT_MS = 500.0
 # Changes that arrive within this time share a message.
 _SPREAD_DELAY_MS = 20.0
+# A new configuration is offered to other failure domains after this time.
+_FAR_OFFER_DELAY_MS = 250.0
 # Buckets reconciled in one exchange; the rest follow in later ones.
 _MAX_BUCKETS_PER_EXCHANGE = 8
 # A node that announced a newer configuration sends it within this time.
@@ -204,10 +206,30 @@
             )
         )
         self.on_policy_changed()
+        self._offer_snapshot(source)
+        return True
+
+    def _offer_snapshot(self, source: str) -> None:
+        """Tell the peers of a new snapshot, those in other domains later.
+
+        Most of them learn of it within their own domain meanwhile.
+        """
+        seen_at = self.snapshot.seen_at
+        domain = self._member_list.own_row.domain
+        far: list[memberlist.Row] = []
         for peer in self._member_list.peers():
-            if peer.node_id != source:
+            if peer.domain != domain:
+                far.append(peer)
+            elif peer.node_id != source:
                 self._send(peer, self._own_versions())
-        return True
+
+        def offer_far() -> None:
+            if self.snapshot.seen_at != seen_at:
+                return
+            for peer in far:
+                self._send(peer, self._own_versions())
+
+        self._wheel.add(self._clock.now_ms() + _FAR_OFFER_DELAY_MS, offer_far)
 
     def _reject_policy(self, snapshot: Snapshot, why: str) -> None:
         self._recorder.log.write(
@@ -246,7 +268,7 @@
         if not self._is_announced and self._member_list.peers():
             # This node's row was published before it knew any other node.
             self._is_announced = True
-            self._pass_on(self._member_list.own_row, ids.NodeId(''))
+            self._pass_on_own()
         self.on_members_changed()
 
     def _log_row(self, row: memberlist.Row, source: str) -> None:
@@ -284,7 +306,7 @@
         if self.store is not None and _is_stored_anew(row, self._published):
             self._published = row
             self.store.publish(row)
-        self._pass_on(row, ids.NodeId(''))
+        self._pass_on_own()
 
     def leave(self) -> None:
         """Announce that this node takes no more calls."""
@@ -296,7 +318,11 @@
                 self.store.publish(row)
             else:
                 self.store.withdraw(row)
-        self._pass_on(row, ids.NodeId(''))
+        self._pass_on_own()
+
+    def _pass_on_own(self) -> None:
+        row = self._member_list.own_row
+        self._pass_on(row, row.node_id)
 
     def _pass_on(self, row: memberlist.Row, sender: ids.NodeId) -> None:
         self._spread.put(row, sender)
@@ -307,13 +333,15 @@
 
     def _spread_rows(self) -> None:
         self._is_spread_scheduled = False
-        peers = {peer.node_id: peer for peer in self._member_list.peers()}
-        own = self._member_list.own_row.node_id
-        for node_id, rows in self._spread.flush(list(peers)).items():
+        own = self._member_list.own_row
+        peers = self._member_list.peers()
+        links = {peer.node_id: peer.link for peer in peers}
+        messages = self._spread.flush(peers, own.domain)
+        for node_id, rows in messages.items():
             self._links.control(
-                peers[node_id].link,
+                links[node_id],
                 ROW_KIND,
-                msgspec.msgpack.encode(_RowsMessage(own, rows)),
+                msgspec.msgpack.encode(_RowsMessage(own.node_id, rows)),
                 _CONTROL_TIMEOUT_MS,
                 _ignore_reply,
             )
@@ -350,7 +378,7 @@
     def _send(self, peer: memberlist.Row, message: _SyncMessage) -> None:
         def on_reply(reply: bytes | errors.Refusal) -> None:
             if isinstance(reply, errors.Refusal):
-                self._reachability.mark_unreachable(peer.node_id, reply.detail)
+                self._reachability.note_refusal(peer.node_id, reply)
                 return
             remote = self._decode_sync(reply)
             if remote is not None:
