Send calls elsewhere while a target is many times slower than usual

Two of the four targets of the returns service turned 12 times slower, and each failure domain has one of them: its callers waited for it, since a target was only judged by how full it is, and gave way to others at three quarters of its slots, when each call took most of its deadline.

Now a node compares the answer time of each target with what calls of the route usually take, prefers faster targets, leaves its own domain when the target there is 2.5 to 5 times slower, and tries it again as the comparison fades. Code: speeds (the comparison), balancer (the choice).

Ruled out: sharing the guards' own times on the members' rows; each node has the answer times that matter to it, crossing included.

--- a/src/parsleystile/balancer.py
+++ b/src/parsleystile/balancer.py
@@ -7,6 +7,7 @@
 from parsleystile import errors
 from parsleystile import ids
 from parsleystile import members
+from parsleystile import speeds
 
 # Targets that this node connects to, by tier: own failure domain, own
 # region, other regions.
@@ -19,6 +20,10 @@
 # tier, and at which all of them do.
 SPILL_START_UTILISATION = 0.75
 SPILL_FULL_UTILISATION = 1.25
+# Slowness of the chosen target at which calls begin to go to the next tier,
+# and at which all of them do.
+SLOW_START = 2.5
+SLOW_FULL = 5.0
 # Load that each consecutive failure adds to a target, in calls.
 FAILURE_PENALTY_CALLS = 2
 FAILURES_TO_EJECT = 3
@@ -98,9 +103,9 @@
 class Balancer:
     """Power-of-two-choices balancing with locality and outlier ejection.
 
-    The own failure domain is preferred. As its targets fill up, calls spill
-    to the rest of the region and then to other regions. Targets that keep
-    failing are ejected, up to a share of the service, and probed by
+    The own failure domain is preferred. As its targets fill up or turn slow,
+    calls spill to the rest of the region and then to other regions. Targets
+    that keep failing are ejected, up to a share of the service, and probed by
     idempotent calls once the ejection ends.
     """
 
@@ -119,6 +124,7 @@
         self._services: dict[ids.ServiceName, _Service] = {}
         self._domains_out: frozenset[ids.FailureDomainId] = frozenset()
         self._members: dict[ids.ServiceName, list[members.Member]] = {}
+        self._speeds = speeds.speeds()
 
     def set_members(
         self, service: ids.ServiceName, found: list[members.Member]
@@ -160,33 +166,60 @@
             peer = self._choose_in_tier(tier, exclude, now_ms, idempotent)
             if peer is None:
                 continue
-            utilisation = peer.load(now_ms) / peer.limit()
-            spill_probability = (utilisation - SPILL_START_UTILISATION) / (
-                SPILL_FULL_UTILISATION - SPILL_START_UTILISATION
-            )
-            if (
-                spill_probability <= 0.0
-                or self._rng.random() >= spill_probability
-            ):
+            if self._rng.random() >= self._spill_probability(peer, now_ms):
                 return peer.member
-            # If every tier is full, the lowest utilisation wins, not the
+            # If every tier is full or slow, the lowest cost wins, not the
             # nearest tier.
-            if utilisation < lowest:
+            cost = self._cost(peer, now_ms)
+            if cost < lowest:
                 best = peer
-                lowest = utilisation
+                lowest = cost
         return None if best is None else best.member
 
+    def _spill_probability(self, peer: _Peer, now_ms: float) -> float:
+        """Return the share of calls that go to the next tier instead."""
+        utilisation = peer.load(now_ms) / peer.limit()
+        by_load = (utilisation - SPILL_START_UTILISATION) / (
+            SPILL_FULL_UTILISATION - SPILL_START_UTILISATION
+        )
+        slowness = self._speeds.slowness(peer.member.node_id, now_ms)
+        by_speed = (slowness - SLOW_START) / (SLOW_FULL - SLOW_START)
+        return max(by_load, by_speed)
+
+    def _cost(self, peer: _Peer, now_ms: float) -> float:
+        """Return the expected wait at a target, relative to the others."""
+        slowness = self._speeds.slowness(peer.member.node_id, now_ms)
+        return peer.cost(now_ms) * slowness
+
     def sent(self, node_id: ids.NodeId) -> None:
         """Record a call sent to a node."""
         peer = self._peers.get(node_id)
         if peer is not None:
             peer.in_flight += 1
 
-    def answered(self, node_id: ids.NodeId, load, now_ms: float) -> None:
-        """Record an answer and its load report, None without one."""
+    def answered(
+        self,
+        node_id: ids.NodeId,
+        load,
+        now_ms: float,
+        route: str = '',
+        answer_ms: float | None = None,
+    ) -> None:
+        """Record an answer.
+
+        Args:
+            node_id: Node that answered.
+            load: Its load report; None without one.
+            now_ms: Current time.
+            route: Route of the call; answer times are compared by route.
+            answer_ms: Time from the call to its answer; None if not known.
+        """
         peer = self._end_call(node_id)
         if peer is None:
             return
+        if answer_ms is not None:
+            key = (peer.member.service, route)
+            self._speeds.observe(key, node_id, answer_ms, now_ms)
         peer.failures = 0
         peer.is_ejected = False
         peer.ejections = 0
@@ -213,9 +246,25 @@
             if peer.failures >= FAILURES_TO_EJECT or peer.is_ejected:
                 self._eject(peer, now_ms)
 
-    def cancelled(self, node_id: ids.NodeId) -> None:
-        """Record that a call to a node was cancelled."""
-        self._end_call(node_id)
+    def cancelled(
+        self,
+        node_id: ids.NodeId,
+        now_ms: float = 0.0,
+        route: str = '',
+        waited_ms: float | None = None,
+    ) -> None:
+        """Record that a call to a node was cancelled.
+
+        Args:
+            node_id: The node.
+            now_ms: Current time.
+            route: Route of the call.
+            waited_ms: Time that the call had taken; None if not known.
+        """
+        peer = self._end_call(node_id)
+        if peer is not None and waited_ms is not None:
+            key = (peer.member.service, route)
+            self._speeds.observe_unanswered(key, node_id, waited_ms, now_ms)
 
     def _end_call(self, node_id: ids.NodeId) -> _Peer | None:
         peer = self._peers.get(node_id)
@@ -268,7 +317,9 @@
         second = _first_eligible(
             tier, index % size, exclude, now_ms, idempotent
         )
-        if second is not first and second.cost(now_ms) < first.cost(now_ms):
+        if second is first:
+            return first
+        if self._cost(second, now_ms) < self._cost(first, now_ms):
             return second
         return first
 
@@ -300,6 +351,7 @@
             node_id = peer.member.node_id
             if node_id not in kept_ids and self._peers.get(node_id) is peer:
                 del self._peers[node_id]
+        self._speeds.retain(self._peers)
 
     def _eligible(self, found: list[members.Member]) -> list[members.Member]:
         """Return members to send to; suspects only if most are suspect."""
--- a/src/parsleystile/relay/dispatch.py
+++ b/src/parsleystile/relay/dispatch.py
@@ -84,6 +84,7 @@
         '_deps',
         '_pending',
         '_generation',
+        '_sent_ms',
         '_started_ms',
         '_timer',
         'call',
@@ -123,6 +124,7 @@
         self._pending: transport.PendingCall | None = None
         self._generation = 0
         self._started_ms = 0.0
+        self._sent_ms = 0.0
         self._timer: deadlines.Deadline | None = None
 
     def start(self) -> None:
@@ -143,7 +145,13 @@
         pending, self._pending = self._pending, None
         if pending is not None:
             pending.cancel()
-            self._deps.balancer.cancelled(self.node_id)
+            now_ms = self._deps.clock.now_ms()
+            self._deps.balancer.cancelled(
+                self.node_id,
+                now_ms,
+                self.route.route_id,
+                now_ms - self._sent_ms,
+            )
 
     def _expire(self) -> None:
         self.give_up(errors.Reason.DEADLINE, 'no answer within the time given')
@@ -172,6 +180,7 @@
         self.node_id = member.node_id
         self.call.deadline_ms = max(1, int(self.deadline_ms - now_ms))
         deps.balancer.sent(member.node_id)
+        self._sent_ms = now_ms
         generation = self._generation
 
         def on_answer(result: Reply) -> None:
@@ -206,7 +215,13 @@
             )
             if result.outcome == errors.Outcome.ANSWERED:
                 self.targets_reached += 1
-                deps.balancer.answered(node_id, load, now_ms)
+                deps.balancer.answered(
+                    node_id,
+                    load,
+                    now_ms,
+                    self.route.route_id,
+                    now_ms - self._sent_ms,
+                )
                 self._handle_answer(result, now_ms)
                 return
             refusal = wire.refusal_from_answer(result)
