Show on how many nodes a configuration and a settings file are in force

The users' complaint: nobody could tell when each machine had taken up a changed settings file. parsleystile fleet IP:PORT asks any node's metrics listener; that node asks all others over their links and counts by failure domain: the newest configuration, the settings file as it is on the machine now (current, pending, needs a restart, invalid), and who is behind or silent. Nothing is exchanged unless somebody asks.

Ruled out: versions in the member rows; each change of the configuration would then change all rows.

--- a/src/parsleystile/cli.py
+++ b/src/parsleystile/cli.py
@@ -10,6 +10,7 @@
 
 import expression
 import fire
+import msgspec
 
 from parsleystile import clihelp
 from parsleystile import commands
@@ -120,6 +121,17 @@
     return exitcodes.ExitCode.ACCEPTED
 
 
+def _show_fleet(address: str, is_json: bool) -> exitcodes.ExitCode:
+    from parsleystile import fleettable
+
+    status = fleettable.fetch(address)
+    if is_json:
+        print(msgspec.json.encode(status).decode())
+    else:
+        print(fleettable.render(status), end='')
+    return exitcodes.ExitCode.ACCEPTED
+
+
 def run(command: commands.Command) -> exitcodes.ExitCode:
     """Run a command and return its exit code."""
     match command:
@@ -131,6 +143,8 @@
             return _check_config(path)
         case commands.ExplainLog(call_id=call_id, path=path):
             return _explain_log(call_id, path)
+        case commands.ShowFleet(address=address, is_json=is_json):
+            return _show_fleet(address, is_json)
         case commands.GenerateKey():
             key = keys.new_key()
             print(f'key {key}\nfingerprint {keys.fingerprint(key)}')
--- a/src/parsleystile/commands.py
+++ b/src/parsleystile/commands.py
@@ -65,6 +65,14 @@
     path: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShowFleet(Command):
+    """Show what the nodes of a fleet have in force, as one node tells it."""
+
+    address: str
+    is_json: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunNode(Command):
     """Run one node until it is stopped."""
--- a/src/parsleystile/console.py
+++ b/src/parsleystile/console.py
@@ -360,6 +360,16 @@
             return commands.ExplainLog(root_id, log)
         return commands.Explain(self._options, root_id)
 
+    @decorators.SetParseFn(str)
+    def fleet(self, address: str) -> commands.Command:
+        """Show which configuration and settings the nodes have in force.
+
+        Args:
+            address: Metrics listener of any node, as IP:PORT.
+        """
+        _parse_address(address)
+        return commands.ShowFleet(address, self._options.is_json)
+
     @decorators.SetParseFn(str)
     def report(self, form: str = 'text', output: str = '') -> commands.Command:
         """Report the burn rates of the error budgets.
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -16,6 +16,7 @@
 from parsleystile import metrics as metric
 from parsleystile.relay import declaredlimit
 from parsleystile.relay import dispatch
+from parsleystile.relay import fleetstatus
 from parsleystile.relay import guard
 from parsleystile.relay import headernames
 from parsleystile.relay import httpclient
@@ -101,6 +102,8 @@
         recorder: Log events and metrics.
         service: Service of the local target according to the settings.
         caller_address: Host and port for callers, as bound.
+        settings_state: Returns whether the settings file is in force.
+        fleet_status: Tells what all nodes have in force.
         on_end: Called when the node has drained or its time is up.
     """
 
@@ -159,6 +162,19 @@
         self.state_sync.on_policy_changed = self._on_policy_changed
         self.state_sync.on_members_changed = self._on_members_changed
         self.state_sync.on_previous_own_row = self._on_previous_own_row
+        self.settings_state: typing.Callable[[], fleetstatus.SettingsState] = (
+            lambda: fleetstatus.SettingsState.CURRENT
+        )
+        self.fleet_status = fleetstatus.status_service(
+            fleetstatus.Dependencies(
+                links=self._links,
+                member_list=self.member_list,
+                clock=clock,
+                recorder=recorder,
+                policy_version=self._policy_version,
+                settings_state=lambda: self.settings_state(),
+            )
+        )
         self._reports = targetreports.report_tracker()
         self._limit = declaredlimit.declared_limit()
         self._shedder = shedding.shedder(rng)
@@ -289,6 +305,10 @@
         """Set the addresses from which the local target makes calls."""
         self._http_server.local_hosts = hosts
 
+    def _policy_version(self) -> int | None:
+        policy = self.state_sync.policy
+        return None if policy is None else policy.version
+
     # The local target.
 
     def _submit_received(
