Remember the departure of a target over restarts without the store

Now a peer that hears of a restart from the node itself returns the earlier row if it names a departure that the new row lacks, and the node names it in its new row, which the store gets.

--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -411,6 +411,12 @@
 
     def _on_previous_own_row(self, row: memberlist.Row) -> None:
         self._reports.remember_departed(row.departed_id, row.departed_born_ms)
+        if row.departed_id and not self.member_list.own_row.departed_id:
+            # The next incarnation has to know it, too.
+            self._change_row(
+                departed_id=row.departed_id,
+                departed_born_ms=row.departed_born_ms,
+            )
         current = self._reports.current
         if current is not None and current.target_id == row.departed_id:
             departed = targetreports.Report(
--- a/src/parsleystile/relay/statesync.py
+++ b/src/parsleystile/relay/statesync.py
@@ -254,11 +254,14 @@
             is_own = row.node_id == self._member_list.own_row.node_id
             if is_own:
                 self.on_previous_own_row(row)
+            known = self._member_list.row(row.node_id)
             if not self._member_list.merge(row):
                 self._spread.note_copy(row, ids.NodeId(source))
                 continue
             changed = True
             self._log_row(row, source)
+            if source == row.node_id and _loses_departure(row, known):
+                self._return_row(known)
             if is_own:
                 self.publish()
             elif is_spread:
@@ -271,6 +274,21 @@
             self._pass_on_own()
         self.on_members_changed()
 
+    def _return_row(self, row: memberlist.Row) -> None:
+        """Send a node its row of before its restart.
+
+        The target that the row says has left must not be used again, and the
+        store may not have told the node.
+        """
+        own = self._member_list.own_row.node_id
+        self._links.control(
+            row.link,
+            ROW_KIND,
+            msgspec.msgpack.encode(_RowsMessage(own, [row])),
+            _CONTROL_TIMEOUT_MS,
+            _ignore_reply,
+        )
+
     def _log_row(self, row: memberlist.Row, source: str) -> None:
         # Bounded, since a large fleet may change as a whole.
         if not self._recorder.log.try_acquire(logevents.MemberChanged):
@@ -531,6 +549,18 @@
     del reply
 
 
+def _loses_departure(
+    row: memberlist.Row, known: memberlist.Row | None
+) -> bool:
+    """Whether a restarted node does not say which target had left it."""
+    return (
+        known is not None
+        and known.incarnation < row.incarnation
+        and known.departed_id != ''
+        and row.departed_id == ''
+    )
+
+
 def _is_stored_anew(
     row: memberlist.Row, published: memberlist.Row | None
 ) -> bool:
--- a/tests/test_platform_changes.py
+++ b/tests/test_platform_changes.py
@@ -144,3 +144,26 @@
 
 def test_a_refusal_can_state_not_run():
     assert errors.not_run(errors.Reason.SHED).outcome is errors.Outcome.NOT_RUN
+
+
+def test_a_departure_is_remembered_by_the_second_restart_too():
+    async def body(fleet):
+        _, second = fleet.machines
+        second.report(started_ms=5)
+        second.report(targetreports.TargetState.DRAINING, started_ms=5)
+        await asyncutil.wait_until(
+            lambda: b'i-n1' in (fleet.store.value('nodes', 'n1') or b'')
+        )
+        for _ in range(2):
+            await second.kill_node()
+            await second.start_node()
+            await asyncutil.wait_until(
+                lambda: (
+                    second.store_client.is_row_written
+                    and second.node.member_list.own_row.departed_id
+                )
+            )
+        late = second.report(started_ms=5)
+        assert late is targetreports.Effect.STALE
+
+    platformfleet.run_with_fleet(body)
--- a/tests/test_relay_state.py
+++ b/tests/test_relay_state.py
@@ -347,3 +347,73 @@
         for node in fleet.running():
             assert node.member_list.node_ids == running
         assert not set(departed) & set(running)
+
+
+class TestRestarts:
+    def test_a_withdrawn_key_is_not_in_use_again_after_a_restart(self):
+        # The store turns the restarted node away, and the first node that it
+        # hears from slept through the withdrawal.
+        fleet = statefleet.Fleet(20)
+        fleet.timeline.run(1_000.0)
+        old = statesync.Snapshot(5, b'1')
+        for node in fleet.nodes:
+            node.sync.apply_snapshot(old, 'store')
+        stale = fleet.nodes[1]
+        for node in fleet.nodes:
+            if node is not stale:
+                node.sync.apply_snapshot(statesync.Snapshot(9, b'2'), 'store')
+        restarted = fleet.nodes[2]
+        fleet.kill(restarted)
+        again = fleet.start(restarted.node_id, 'd2')
+        versions = []
+        again.sync.on_policy_changed = lambda: versions.append(
+            again.sync.policy.version
+        )
+        again.sync.apply_snapshot(stale.sync.snapshot, stale.node_id)
+        again.sync.merge_rows(
+            [n.member_list.own_row for n in fleet.nodes],
+            'store',
+            is_spread=False,
+        )
+        fleet.timeline.run(2_000.0)
+        assert versions == [1, 2]
+        assert stale.sync.policy.version == 2
+        assert not again.sync.apply_snapshot(old, stale.node_id)
+
+    def test_a_target_that_left_is_not_offered_again_after_a_restart(self):
+        fleet = statefleet.Fleet(20)
+        fleet.timeline.run(1_000.0)
+        node = fleet.nodes[3]
+        node.serve('t9')
+        fleet.settle(1_000.0)
+        node.member_list.update_own_row(
+            is_serving=False, departed_id='t9', departed_born_ms=4
+        )
+        node.sync.publish()
+        fleet.settle(1_000.0)
+        fleet.kill(node)
+        again = fleet.start(node.node_id, 'd3')
+        departed = []
+        again.sync.on_previous_own_row = lambda row: departed.append(
+            row.departed_id
+        )
+        # The store is away: it hears of its own earlier row from a peer.
+        again.sync.merge_rows(
+            [n.member_list.own_row for n in fleet.nodes[:3]],
+            'store',
+            is_spread=False,
+        )
+        again.sync.publish()
+        fleet.timeline.run(3_000.0)
+        assert 't9' in departed
+        for other in fleet.running():
+            assert not other.member_list.members_of('yard')
+
+    def test_a_node_that_was_suspended_trusts_its_peers(self):
+        # Replies to it lie unread; the time for them is up all the same.
+        fleet = statefleet.Fleet(20)
+        fleet.timeline.run(2_000.0)
+        node = fleet.nodes[0]
+        fleet.timeline._now_ms += 3_000.0
+        fleet.timeline.run(2_000.0)
+        assert not node.member_list.unreachable()
