--- a/tests/endlesstarget.py
+++ b/tests/endlesstarget.py
@@ -40,6 +40,10 @@
             sent_bytes = 0
             while sent_bytes < self.max_bytes:
                 await asyncio.sleep(self.pause_s)
+                if writer.is_closing():
+                    # uvloop raises RuntimeError on a write to a transport
+                    # whose loss the stream has not reported yet.
+                    break
                 writer.write(self.block)
                 await writer.drain()
                 sent_bytes += len(self.block)
