Hold an organisation not seen lately to what all others were told

Their guards told levels of 2.2 to 2.5, which should have shed most of the least important requests where they enter. But a level was kept for an organisation and a route, and one of 64 nodes sees a request of each of 74 organisations on a route once in many seconds: each level had expired before the next request. So all were let in, and most failed when one of their six calls was refused.

Now a node keeps the latest reports of a route from up to eight organisations, and holds an organisation without a level of its own to the highest of them.

--- a/src/parsleystile/relay/__init__.py
+++ b/src/parsleystile/relay/__init__.py
@@ -2,8 +2,9 @@
 
 This is the data path for platforms whose targets declare their number of
 slots and whose store lists the members. The decisions (``answerparser``,
-``declaredlimit``, ``drain``, ``memberlist``, ``retrybudget``,
-``targetreports``, ``tokenbuckets``) do no I/O; ``dispatch``, ``guard``,
-``httpclient``, ``httpserver``, ``ingress``, ``plannedstop``, ``ratelimiter``
-and ``statesync`` connect them to sockets and timers.
+``declaredlimit``, ``drain``, ``holderring``, ``memberlist``, ``overlay``,
+``retrybudget``, ``rowdigest``, ``rowspread``, ``stalls``, ``targetreports``,
+``tokenbuckets``) do no I/O; ``dispatch``, ``fleetstatus``, ``guard``,
+``httpclient``, ``httpserver``, ``ingress``, ``plannedstop``, ``ratelimiter``,
+``reachability`` and ``statesync`` connect them to sockets and timers.
 """
--- a/src/parsleystile/shedding.py
+++ b/src/parsleystile/shedding.py
@@ -1,5 +1,6 @@
 """Load shedding at ingress, by admission levels reported with answers."""
 
+import collections
 import dataclasses
 import random
 
@@ -20,6 +21,11 @@
 # A level within this of the highest rank counts as recovered and is discarded.
 RECOVERED_LEVEL_TOLERANCE = 0.01
 RETRY_AFTER_MS = 1000
+# Reports of a route that are held against organisations without one of their
+# own: the latest ones of this many organisations, no older than this.
+MAX_COMMON_REPORTS = 8
+MIN_COMMON_REPORTS = 2
+COMMON_REPORT_LIFETIME_MS = 3000.0
 
 _Key = tuple[ids.RouteId, ids.OrganisationId]
 
@@ -40,17 +46,60 @@
         self.reported_ms = now_ms
 
 
+@dataclasses.dataclass(slots=True)
+class _Common:
+    """What the latest answers of a route reported, by organisation.
+
+    In a large fleet a node sees a call of each organisation so seldom that
+    its own report is long out of date. What all organisations are told is
+    then due to the call graph and not to one of them.
+    """
+
+    reports: collections.OrderedDict[
+        ids.OrganisationId, tuple[float, float]
+    ] = dataclasses.field(default_factory=collections.OrderedDict)
+    probed_ms: float = 0.0
+
+    def update(
+        self,
+        organisation: ids.OrganisationId,
+        admission_level: float,
+        now_ms: float,
+    ) -> None:
+        """Record one report."""
+        self.reports.pop(organisation, None)
+        self.reports[organisation] = (admission_level, now_ms)
+        if len(self.reports) > MAX_COMMON_REPORTS:
+            self.reports.popitem(last=False)
+
+    def level(self, now_ms: float) -> float:
+        """Return the highest level that an organisation was told lately."""
+        oldest_ms = now_ms - COMMON_REPORT_LIFETIME_MS
+        recent = [
+            level
+            for level, reported_ms in self.reports.values()
+            if reported_ms >= oldest_ms
+        ]
+        if len(recent) < MIN_COMMON_REPORTS:
+            return context.RANK_LIMIT
+        return max(recent)
+
+
 class Shedder:
     """Refuses calls at ingress that a guard downstream would refuse.
 
     Each answer reports the lowest admission level, for the organisation of
     the call, in the subtree that the call passed through. Reports from all
     targets of a service are averaged, since a call may go to any of them.
+    An organisation without a recent report is held to what all others were
+    told, so that overload deep in the call graph is met where requests enter,
+    before work is done for them, however many nodes share the load.
     """
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._levels: dict[_Key, _Level] = {}
+        self._common: dict[ids.RouteId, _Common] = {}
 
     def record_level(
         self,
@@ -61,6 +110,9 @@
     ) -> None:
         """Record the admission level that an answer or refusal reported."""
         key = (route_id, organisation)
+        self._common.setdefault(route_id, _Common()).update(
+            organisation, admission_level, now_ms
+        )
         entry = self._levels.get(key)
         if entry is None:
             if admission_level >= context.RANK_LIMIT:
@@ -86,7 +138,10 @@
         key = (route_id, organisation)
         entry = self._levels.get(key)
         if entry is None:
-            return context.RANK_LIMIT
+            common = self._common.get(route_id)
+            return (
+                context.RANK_LIMIT if common is None else common.level(now_ms)
+            )
         idle_ms = now_ms - entry.reported_ms - HOLD_TIME_MS
         if idle_ms <= 0.0:
             return entry.value
@@ -106,18 +161,32 @@
         """Return a refusal if the call would be shed downstream."""
         if rank < self.level(route_id, now_ms, organisation):
             return None
-        entry = self._levels[route_id, organisation]
-        if (
-            now_ms - max(entry.reported_ms, entry.probed_ms)
-            >= PROBE_INTERVAL_MS
-        ):
-            entry.probed_ms = now_ms
+        if self._is_probe(route_id, organisation, now_ms):
             return None
         retry_after_ms = int(RETRY_AFTER_MS * self._rng.uniform(0.5, 1.5))
         return errors.not_run(
             errors.Reason.SHED, 'the call graph is full', retry_after_ms
         )
 
+    def _is_probe(
+        self,
+        route_id: ids.RouteId,
+        organisation: ids.OrganisationId,
+        now_ms: float,
+    ) -> bool:
+        """Whether a call passes to find out if the level still holds."""
+        entry = self._levels.get((route_id, organisation))
+        if entry is not None:
+            quiet_since_ms = max(entry.reported_ms, entry.probed_ms)
+        else:
+            entry = self._common[route_id]
+            latest_ms = max(ms for _, ms in entry.reports.values())
+            quiet_since_ms = max(latest_ms, entry.probed_ms)
+        if now_ms - quiet_since_ms < PROBE_INTERVAL_MS:
+            return False
+        entry.probed_ms = now_ms
+        return True
+
 
 def shedder(rng: random.Random) -> Shedder:
     """Create a shedder without any reports."""
--- /dev/null
+++ b/tests/test_deep_overload.py
@@ -0,0 +1,192 @@
+"""Overload at the end of a call tree, entered through many nodes.
+
+The load is that of a service which most requests call several times, at the
+end of their call trees, while its targets can do seven tenths of that work. A
+node sees a request of each organisation once in many seconds. What counts is
+how many requests are answered whole.
+"""
+
+import heapq
+import itertools
+import random
+
+import pytest
+
+from parsleystile import admission
+from parsleystile import ids
+from parsleystile.relay import declaredlimit
+from parsleystile import shedding
+
+NODES = 64
+ORGANISATIONS = 74
+MIDDLES = 6
+LEAVES = 4
+SLOTS = 56
+WORK_MS = 30.0
+LEAF_CALLS = 4
+LEAF_DEADLINE_MS = 700.0
+ROUTE = ids.RouteId('availability')
+CHILDREN = ids.RouteId('children')
+# What the targets at the end of the tree can do, as a share of the load.
+CAPACITY_SHARE = 0.7
+DURATION_MS = 12_000.0
+
+
+class _Leaf:
+    """A target at the end of the tree, behind its guard's queue."""
+
+    def __init__(self, rng):
+        self.queue = admission.admission_queue(
+            rng,
+            limit=declaredlimit.declared_limit(),
+            queue_per_slot=16,
+            newest_first=False,
+        )
+        self.queue.handle(admission.Announce(SLOTS), 0.0)
+
+    def level(self, now_ms):
+        return self.queue.load(now_ms, ids.OPEN_ORGANISATION).admission_level
+
+
+class _Play:
+    """Plays the load; each event is a function of the current time."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.events = []
+        self.numbers = itertools.count()
+        self.leaves = [_Leaf(self.rng) for _ in range(LEAVES)]
+        self.middles = [shedding.shedder(self.rng) for _ in range(MIDDLES)]
+        self.nodes = [shedding.shedder(self.rng) for _ in range(NODES)]
+        self.waiting = {}
+        self.whole = self.total = self.in_vain = 0
+
+    def at(self, due_ms, action):
+        heapq.heappush(self.events, (due_ms, next(self.numbers), action))
+
+    def run(self):
+        leaf_per_ms = LEAVES * SLOTS / WORK_MS
+        root_per_ms = leaf_per_ms / LEAF_CALLS / CAPACITY_SHARE
+        now_ms = 0.0
+        while now_ms < DURATION_MS:
+            now_ms += self.rng.expovariate(root_per_ms)
+            self.at(now_ms, self.enter)
+        for leaf in self.leaves:
+            self.at(0.0, lambda now_ms, leaf=leaf: self.tick(leaf, now_ms))
+        while self.events:
+            now_ms, _, action = heapq.heappop(self.events)
+            if now_ms > DURATION_MS + 2_000.0:
+                break
+            action(now_ms)
+
+    def tick(self, leaf, now_ms):
+        self.apply(leaf, admission.Tick(), now_ms)
+        self.at(now_ms + 20.0, lambda later_ms: self.tick(leaf, later_ms))
+
+    def enter(self, now_ms):
+        is_counted = now_ms > 2_000.0
+        self.total += is_counted
+        node = self.rng.choice(self.nodes)
+        organisation = ids.OrganisationId(
+            f'o{self.rng.randrange(ORGANISATIONS)}'
+        )
+        rank = 2.0 + self.rng.random()
+        if node.decide(ROUTE, rank, now_ms, organisation) is not None:
+            return
+        middle = self.rng.choice(self.middles)
+
+        def finish(is_whole, later_ms):
+            level = middle.level(CHILDREN, later_ms)
+            node.record_level(ROUTE, level, later_ms, organisation)
+            self.whole += is_whole and is_counted
+            self.in_vain += is_counted and not is_whole
+
+        self.at(
+            now_ms + 20.0,
+            lambda later_ms: self.call_leaf(
+                middle, LEAF_CALLS, finish, later_ms
+            ),
+        )
+
+    def call_leaf(self, middle, left, finish, now_ms):
+        if not left:
+            finish(True, now_ms)
+            return
+        leaf = min(
+            self.rng.sample(self.leaves, 2),
+            key=lambda leaf: len(leaf.queue._queue),
+        )
+        key = next(self.numbers)
+
+        def done(is_ok, later_ms):
+            middle.record_level(CHILDREN, leaf.level(later_ms), later_ms)
+            if is_ok:
+                self.call_leaf(middle, left - 1, finish, later_ms)
+            else:
+                finish(False, later_ms)
+
+        self.waiting[key] = done
+        self.apply(
+            leaf,
+            admission.Arrive(
+                key,
+                ids.OPEN_ORGANISATION,
+                2.0 + self.rng.random(),
+                now_ms + LEAF_DEADLINE_MS,
+                route='deposit',
+                is_sheddable=False,
+            ),
+            now_ms,
+        )
+
+    def apply(self, leaf, event, now_ms):
+        for action in leaf.queue.handle(event, now_ms):
+            key = action.call_key
+            if isinstance(action, admission.Refuse):
+                self.waiting.pop(key)(False, now_ms)
+                continue
+            work_ms = WORK_MS * self.rng.uniform(0.6, 1.4)
+            self.at(
+                now_ms + work_ms,
+                lambda later_ms, key=key, work_ms=work_ms: self.answer(
+                    leaf, key, work_ms, later_ms
+                ),
+            )
+
+    def answer(self, leaf, key, work_ms, now_ms):
+        self.apply(leaf, admission.Complete(key, True, work_ms), now_ms)
+        self.waiting.pop(key)(True, now_ms)
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_most_requests_that_the_targets_can_serve_are_served_whole(seed):
+    play = _Play(seed)
+    play.run()
+    assert play.whole >= 0.9 * CAPACITY_SHARE * play.total
+    # Little of the work is for requests that fail in the end.
+    assert play.in_vain <= 0.05 * play.total
+
+
+def test_an_overloaded_organisation_does_not_count_for_the_others():
+    shedder = shedding.shedder(random.Random(1))
+    for i in range(20):
+        shedder.record_level(ROUTE, 1.2, 100.0 * i, ids.OrganisationId('hot'))
+        shedder.record_level(ROUTE, 3.0, 100.0 * i, ids.OrganisationId('a'))
+    other = ids.OrganisationId('b')
+    assert shedder.decide(ROUTE, 2.9, 2_000.0, other) is None
+    hot = ids.OrganisationId('hot')
+    assert shedder.decide(ROUTE, 2.9, 2_000.0, hot) is not None
+
+
+def test_what_all_were_told_holds_for_an_organisation_not_seen_before():
+    shedder = shedding.shedder(random.Random(1))
+    for i in range(6):
+        organisation = ids.OrganisationId(f'o{i}')
+        shedder.record_level(ROUTE, 2.3, 10.0 * i, organisation)
+    new = ids.OrganisationId('new')
+    assert shedder.decide(ROUTE, 2.5, 100.0, new) is not None
+    assert shedder.decide(ROUTE, 2.1, 100.0, new) is None
+    # Without further reports one call in each interval finds out.
+    assert shedder.decide(ROUTE, 2.5, 400.0, new) is None
+    assert shedder.decide(ROUTE, 2.5, 410.0, new) is not None
+    assert shedder.decide(ROUTE, 2.5, 5_000.0, new) is None
