--- a/src/parsleystile/shedding.py
+++ b/src/parsleystile/shedding.py
@@ -47,7 +47,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Common:
+class _RouteReports:
     """What the latest answers of a route reported, by organisation.
 
     In a large fleet a node sees a call of each organisation so seldom that
@@ -99,7 +99,7 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._levels: dict[_Key, _Level] = {}
-        self._common: dict[ids.RouteId, _Common] = {}
+        self._route_reports: dict[ids.RouteId, _RouteReports] = {}
 
     def record_level(
         self,
@@ -110,7 +110,7 @@
     ) -> None:
         """Record the admission level that an answer or refusal reported."""
         key = (route_id, organisation)
-        self._common.setdefault(route_id, _Common()).update(
+        self._route_reports.setdefault(route_id, _RouteReports()).update(
             organisation, admission_level, now_ms
         )
         entry = self._levels.get(key)
@@ -138,9 +138,11 @@
         key = (route_id, organisation)
         entry = self._levels.get(key)
         if entry is None:
-            common = self._common.get(route_id)
+            reports = self._route_reports.get(route_id)
             return (
-                context.RANK_LIMIT if common is None else common.level(now_ms)
+                context.RANK_LIMIT
+                if reports is None
+                else reports.level(now_ms)
             )
         idle_ms = now_ms - entry.reported_ms - HOLD_TIME_MS
         if idle_ms <= 0.0:
@@ -179,7 +181,7 @@
         if entry is not None:
             quiet_since_ms = max(entry.reported_ms, entry.probed_ms)
         else:
-            entry = self._common[route_id]
+            entry = self._route_reports[route_id]
             latest_ms = max(ms for _, ms in entry.reports.values())
             quiet_since_ms = max(latest_ms, entry.probed_ms)
         if now_ms - quiet_since_ms < PROBE_INTERVAL_MS:
