--- a/src/parsleystile/relay/statesync.py
+++ b/src/parsleystile/relay/statesync.py
@@ -10,7 +10,6 @@
 import abc
 import random
 import typing
-import zlib
 
 import msgspec
 
@@ -25,6 +24,7 @@
 from parsleystile.relay import reachability as reachability_module
 from parsleystile.relay import rowdigest
 from parsleystile.relay import rowspread
+from parsleystile.relay import statemessages
 from parsleystile.relay import telemetry
 
 SYNC_KIND = 'state.sync'
@@ -47,55 +47,6 @@
 STORE_SOURCE = 'store'
 
 
-class Snapshot(msgspec.Struct, frozen=True):
-    """The operators' configuration as of one version of the store.
-
-    Attributes:
-        seen_at: Version of the store; only grows.
-        payload: Encoded configuration; ``Decode`` turns it into a policy.
-    """
-
-    seen_at: int = 0
-    payload: bytes = b''
-
-    @property
-    def payload_digest(self) -> int:
-        """Checksum of the payload."""
-        return zlib.crc32(self.payload)
-
-
-class _SyncMessage(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Request and reply of an exchange; both state the sender's versions.
-
-    Attributes:
-        seen_at: Version of the sender's snapshot, or of one on its way to it.
-        payload_digest: Checksum of that snapshot's payload.
-        payload: The snapshot itself, for a receiver that has an older one.
-        digest: Checksum of the sender's rows; None if only the
-            configuration is compared.
-        buckets: Checksums of the sender's rows by bucket.
-        wanted: Buckets, out of ``wanted_of``, whose rows the sender requests.
-        rows: Rows for the receiver.
-    """
-
-    seen_at: int
-    sender: ids.NodeId = ids.NodeId('')
-    payload_digest: int = 0
-    payload: bytes = b''
-    digest: int | None = None
-    buckets: list[int] = []
-    wanted: list[int] = []
-    wanted_of: int = 0
-    rows: list[memberlist.Row] = []
-
-
-class _RowsMessage(msgspec.Struct, frozen=True):
-    """New rows, passed on by a node."""
-
-    sender: ids.NodeId
-    rows: list[memberlist.Row]
-
-
 class StateStore(abc.ABC):
     """Durable storage of this node's row; its methods do not block."""
 
@@ -138,7 +89,7 @@
     ) -> None:
         self.store: StateStore | None = None
         self.policy: policies.Policy | None = None
-        self.snapshot = Snapshot()
+        self.snapshot = statemessages.Snapshot()
         self.on_policy_changed: typing.Callable[[], None] = lambda: None
         self.on_members_changed: typing.Callable[[], None] = lambda: None
         self.on_previous_own_row: OnRow = lambda row: None
@@ -173,7 +124,9 @@
 
     # Incoming state.
 
-    def apply_snapshot(self, snapshot: Snapshot, source: str) -> bool:
+    def apply_snapshot(
+        self, snapshot: statemessages.Snapshot, source: str
+    ) -> bool:
         """Put a snapshot in force if it is newer and valid.
 
         Returns:
@@ -231,7 +184,9 @@
 
         self._wheel.add(self._clock.now_ms() + _FAR_OFFER_DELAY_MS, offer_far)
 
-    def _reject_policy(self, snapshot: Snapshot, why: str) -> None:
+    def _reject_policy(
+        self, snapshot: statemessages.Snapshot, why: str
+    ) -> None:
         self._recorder.log.write(
             logevents.PolicyRejected(seen_at=snapshot.seen_at, why=why)
         )
@@ -284,7 +239,7 @@
         self._links.control(
             row.link,
             ROW_KIND,
-            msgspec.msgpack.encode(_RowsMessage(own, [row])),
+            msgspec.msgpack.encode(statemessages.RowsMessage(own, [row])),
             _CONTROL_TIMEOUT_MS,
             _ignore_reply,
         )
@@ -359,7 +314,9 @@
             self._links.control(
                 links[node_id],
                 ROW_KIND,
-                msgspec.msgpack.encode(_RowsMessage(own.node_id, rows)),
+                msgspec.msgpack.encode(
+                    statemessages.RowsMessage(own.node_id, rows)
+                ),
                 _CONTROL_TIMEOUT_MS,
                 _ignore_reply,
             )
@@ -385,15 +342,19 @@
     def _on_reachable(self, node_id: ids.NodeId) -> None:
         self._returned = node_id
 
-    def _own_versions(self, digest: int | None = None) -> _SyncMessage:
-        return _SyncMessage(
+    def _own_versions(
+        self, digest: int | None = None
+    ) -> statemessages.SyncMessage:
+        return statemessages.SyncMessage(
             self.snapshot.seen_at,
             self._member_list.own_row.node_id,
             self.snapshot.payload_digest,
             digest=digest,
         )
 
-    def _send(self, peer: memberlist.Row, message: _SyncMessage) -> None:
+    def _send(
+        self, peer: memberlist.Row, message: statemessages.SyncMessage
+    ) -> None:
         def on_reply(reply: bytes | errors.Refusal) -> None:
             if isinstance(reply, errors.Refusal):
                 self._reachability.note_refusal(peer.node_id, reply)
@@ -412,7 +373,10 @@
         )
 
     def _on_reply(
-        self, peer: memberlist.Row, sent: _SyncMessage, remote: _SyncMessage
+        self,
+        peer: memberlist.Row,
+        sent: statemessages.SyncMessage,
+        remote: statemessages.SyncMessage,
     ) -> None:
         self._apply(remote, peer.node_id)
         own = self._own_versions()
@@ -427,7 +391,7 @@
             self._compare_rows(peer, remote)
 
     def _compare_rows(
-        self, peer: memberlist.Row, remote: _SyncMessage
+        self, peer: memberlist.Row, remote: statemessages.SyncMessage
     ) -> None:
         digest = self._member_list.digest
         if remote.digest is None or remote.digest == digest:
@@ -440,17 +404,20 @@
         own = self._own_versions(digest)
         self._send(peer, msgspec.structs.replace(own, buckets=buckets))
 
-    def _apply(self, remote: _SyncMessage, source: ids.NodeId) -> None:
+    def _apply(
+        self, remote: statemessages.SyncMessage, source: ids.NodeId
+    ) -> None:
         if remote.payload:
             self.apply_snapshot(
-                Snapshot(remote.seen_at, remote.payload), source
+                statemessages.Snapshot(remote.seen_at, remote.payload), source
             )
         elif (
             self.policy is not None
             and remote.payload_digest == self.snapshot.payload_digest
         ):
             self.apply_snapshot(
-                Snapshot(remote.seen_at, self.snapshot.payload), source
+                statemessages.Snapshot(remote.seen_at, self.snapshot.payload),
+                source,
             )
         if remote.rows:
             self.merge_rows(remote.rows, source)
@@ -495,8 +462,8 @@
         return own
 
     def _add_differing_rows(
-        self, answer: _SyncMessage, buckets: list[int]
-    ) -> _SyncMessage:
+        self, answer: statemessages.SyncMessage, buckets: list[int]
+    ) -> statemessages.SyncMessage:
         count = len(buckets)
         if not rowdigest.is_bucket_count(count):
             self._recorder.input_rejected(SYNC_KIND, f'{count} buckets')
@@ -528,7 +495,9 @@
         self, payload: bytes, reply: typing.Callable[[bytes], None]
     ) -> None:
         try:
-            message = msgspec.msgpack.decode(payload, type=_RowsMessage)
+            message = msgspec.msgpack.decode(
+                payload, type=statemessages.RowsMessage
+            )
         except msgspec.MsgspecError as exc:
             self._recorder.input_rejected(ROW_KIND, str(exc))
         else:
@@ -536,9 +505,11 @@
             self._reachability.probe_if_unreachable(message.sender)
         reply(b'')
 
-    def _decode_sync(self, payload: bytes) -> _SyncMessage | None:
+    def _decode_sync(self, payload: bytes) -> statemessages.SyncMessage | None:
         try:
-            return msgspec.msgpack.decode(payload, type=_SyncMessage)
+            return msgspec.msgpack.decode(
+                payload, type=statemessages.SyncMessage
+            )
         except msgspec.MsgspecError as exc:
             self._recorder.input_rejected(SYNC_KIND, str(exc))
             return None
--- a/tests/test_platform_changes.py
+++ b/tests/test_platform_changes.py
@@ -4,7 +4,7 @@
 
 
 from parsleystile import errors
-from parsleystile.relay import statesync
+from parsleystile.relay import statemessages
 from parsleystile.relay import targetreports
 from tests import asyncutil
 from tests import platformfleet
@@ -70,7 +70,7 @@
         state_sync = fleet.machines[0].node.state_sync
         changes = []
         state_sync.on_policy_changed = lambda: changes.append(1)
-        later_snapshot = statesync.Snapshot(
+        later_snapshot = statemessages.Snapshot(
             state_sync.snapshot.seen_at + 5, state_sync.snapshot.payload
         )
         assert not state_sync.apply_snapshot(later_snapshot, 'store')
--- a/tests/test_relay_state.py
+++ b/tests/test_relay_state.py
@@ -14,7 +14,7 @@
 from parsleystile.relay import overlay
 from parsleystile.relay import rowdigest
 from parsleystile.relay import rowspread
-from parsleystile.relay import statesync
+from parsleystile.relay import statemessages
 from tests import statefleet
 
 _TARGET_BYTES_PER_S = 26_000
@@ -223,7 +223,7 @@
         payload = b'7' + b' ' * 20_000
         before = sum(fleet.bytes.values())
         fleet.nodes[3].sync.apply_snapshot(
-            statesync.Snapshot(11, payload), 'store'
+            statemessages.Snapshot(11, payload), 'store'
         )
         fleet.timeline.run(500.0)
         versions = {node.sync.policy.version for node in fleet.running()}
@@ -288,7 +288,7 @@
         fleet.nodes[0].serve()
         fleet.nodes[1].serve()
         fleet.nodes[2].sync.apply_snapshot(
-            statesync.Snapshot(5, b'3'), 'store'
+            statemessages.Snapshot(5, b'3'), 'store'
         )
         fleet.timeline.run(6_000.0)
         assert fleet.nodes[6].sync.policy is None
@@ -355,13 +355,15 @@
         # hears from slept through the withdrawal.
         fleet = statefleet.Fleet(20)
         fleet.timeline.run(1_000.0)
-        old = statesync.Snapshot(5, b'1')
+        old = statemessages.Snapshot(5, b'1')
         for node in fleet.nodes:
             node.sync.apply_snapshot(old, 'store')
         stale = fleet.nodes[1]
         for node in fleet.nodes:
             if node is not stale:
-                node.sync.apply_snapshot(statesync.Snapshot(9, b'2'), 'store')
+                node.sync.apply_snapshot(
+                    statemessages.Snapshot(9, b'2'), 'store'
+                )
         restarted = fleet.nodes[2]
         fleet.kill(restarted)
         again = fleet.start(restarted.node_id, 'd2')
