Let a leaving node ask its peers for news until its end

Peers drop a node that has announced its end from their rings and pass nothing on to it, so it heard of changes by its own exchange each second only, and its target's calls were refused although a target had come. Traced by a run of that test's body beside eight busy processes: 0.86 s until it knew the new target, in 1 of 12 runs, by when its own target had ended.

The test without sockets failed first.

--- a/src/parsleystile/relay/statesync.py
+++ b/src/parsleystile/relay/statesync.py
@@ -32,6 +32,9 @@
 # Time between anti-entropy exchanges; shorter while the last one differed.
 SYNC_PERIOD_MS = 1_000.0
 _DIFFERING_SYNC_PERIOD_MS = 375.0
+# The peers of a node that has announced its end pass nothing on to it, but it
+# still makes the calls of its target.
+_LEAVING_SYNC_PERIOD_MS = 100.0
 _CONTROL_TIMEOUT_MS = 500.0
 # Changes that arrive within this time share a message.
 _SPREAD_DELAY_MS = 20.0
@@ -291,6 +294,7 @@
                 self.store.publish(row)
             else:
                 self.store.withdraw(row)
+        self._next_sync_ms = 0.0
         self._pass_on_own()
 
     def _pass_on_own(self) -> None:
@@ -329,7 +333,9 @@
         returned, self._returned = self._returned, None
         if now_ms < self._next_sync_ms and returned is None:
             return
-        period_ms = SYNC_PERIOD_MS * self._rng.uniform(0.8, 1.2)
+        is_leaving = self._member_list.own_row.is_gone
+        period_ms = _LEAVING_SYNC_PERIOD_MS if is_leaving else SYNC_PERIOD_MS
+        period_ms *= self._rng.uniform(0.8, 1.2)
         self._next_sync_ms = now_ms + period_ms
         peer = None if returned is None else self._member_list.row(returned)
         if peer is None:
--- a/tests/test_relay_state.py
+++ b/tests/test_relay_state.py
@@ -419,3 +419,14 @@
         fleet.timeline._now_ms += 3_000.0
         fleet.timeline.run(2_000.0)
         assert not node.member_list.unreachable()
+
+    def test_a_node_that_leaves_still_hears_of_new_targets(self):
+        # It makes the calls of its target until the end.
+        fleet = statefleet.Fleet(20)
+        fleet.timeline.run(1_000.0)
+        leaving, other = fleet.nodes[:2]
+        leaving.sync.leave()
+        fleet.timeline.run(50.0)
+        other.serve()
+        fleet.timeline.run(300.0)
+        assert leaving.member_list.members_of('yard')
