Use one copy of bucket digests, tables and the status path

- The digests by bucket stood in the relay's rowdigest and in the own path's _memberlist and _antientropy: counting buckets, checking their number, folding, listing nodes.
Both now use bucketdigests; the hashes that each path puts on its wire are its own, as before.
- The path /fleet was written down twice, beside the listener and beside the command; it stands in fleetstatus.
The clock among that module's dependencies was never used.
- Whether a flush of rows is due followed a flag; it follows from rows that wait.

--- a/src/parsleystile/_antientropy.py
+++ b/src/parsleystile/_antientropy.py
@@ -3,8 +3,8 @@
 import random
 
 from parsleystile import _gossip_messages as messages
-from parsleystile import _memberlist
 from parsleystile import _view
+from parsleystile import bucketdigests
 from parsleystile import transport
 
 # Buckets reconciled in one exchange; the rest follow in later ones.
@@ -26,7 +26,7 @@
         source: Address of the peer.
     """
     count = len(digests)
-    if not _is_valid_bucket_count(count):
+    if not bucketdigests.is_bucket_count(count):
         return
     mine = view.member_list.fold_digests(count)
     differing = [i for i in range(count) if mine[i] != digests[i]]
@@ -46,7 +46,7 @@
     source: transport.Address,
 ) -> None:
     """Send the records of all members in some of ``count`` buckets."""
-    if not _is_valid_bucket_count(count):
+    if not bucketdigests.is_bucket_count(count):
         return
     updates = [
         messages.Update(member)
@@ -56,8 +56,3 @@
     ]
     for chunk in messages.chunks(updates):
         view.send(source, messages.Records(), None, chunk)
-
-
-def _is_valid_bucket_count(count: int) -> bool:
-    is_power = count & (count - 1) == 0
-    return 0 < count <= _memberlist.MAX_BUCKETS and is_power
--- a/src/parsleystile/_memberlist.py
+++ b/src/parsleystile/_memberlist.py
@@ -4,14 +4,13 @@
 import hashlib
 import typing
 
+from parsleystile import bucketdigests
 from parsleystile import ids
 from parsleystile import members
 
 # How long a dead member is kept as a tombstone, so that stale records of it
 # are rejected. No datagram or member view is older than this.
 TOMBSTONE_MS = 3_600_000
-# Digests cover members hashed into buckets.
-MAX_BUCKETS = 256
 MEMBERS_PER_BUCKET = 24
 DIGEST_MASK = 0xFFFFFFFF
 
@@ -35,8 +34,8 @@
 
 
 def bucket_of(node_id: ids.NodeId) -> int:
-    """Return the bucket of a node, below ``MAX_BUCKETS``."""
-    return _hash(node_id) % MAX_BUCKETS
+    """Return the bucket of a node, below ``bucketdigests.MAX_BUCKETS``."""
+    return _hash(node_id) % bucketdigests.MAX_BUCKETS
 
 
 def _digest(member: members.Member) -> int:
@@ -51,10 +50,7 @@
 
 def bucket_count(size: int) -> int:
     """Return how many buckets, a power of two, suit ``size`` members."""
-    count = 1
-    while count < MAX_BUCKETS and count * MEMBERS_PER_BUCKET < size:
-        count *= 2
-    return count
+    return bucketdigests.bucket_count(size, MEMBERS_PER_BUCKET)
 
 
 class MemberList:
@@ -80,10 +76,7 @@
         ] = {}
         self._rosters: dict[ids.FailureDomainId, list[members.Member]] = {}
         self._domain_versions: dict[ids.FailureDomainId, int] = {}
-        self._buckets = [0] * MAX_BUCKETS
-        self._bucket_nodes: list[set[ids.NodeId]] = [
-            set() for _ in range(MAX_BUCKETS)
-        ]
+        self._digests = bucketdigests.bucket_digests()
 
     def __len__(self) -> int:
         return len(self._live)
@@ -174,8 +167,7 @@
     def _add(self, member: members.Member, now_ms: float) -> None:
         entry = _Entry(member, bucket_of(member.node_id), _digest(member))
         self._entries[member.node_id] = entry
-        self._buckets[entry.bucket] ^= entry.digest
-        self._bucket_nodes[entry.bucket].add(member.node_id)
+        self._digests.add(member.node_id, entry.bucket, entry.digest)
         if member.state is members.MemberState.DEAD:
             entry.tombstone_until_ms = now_ms + TOMBSTONE_MS
             return
@@ -192,8 +184,7 @@
         entry = self._entries.pop(node_id, None)
         if entry is None:
             return
-        self._buckets[entry.bucket] ^= entry.digest
-        self._bucket_nodes[entry.bucket].discard(node_id)
+        self._digests.remove(node_id, entry.bucket, entry.digest)
         if self._live.pop(node_id, None) is None:
             return
         _remove_from_index(self._domains, entry.member.failure_domain, node_id)
@@ -212,17 +203,13 @@
 
     def fold_digests(self, count: int) -> list[int]:
         """Return digests folded to ``count`` buckets, a power of two."""
-        folded = [0] * count
-        for bucket, digest in enumerate(self._buckets):
-            folded[bucket % count] ^= digest
-        return folded
+        return self._digests.fold(count)
 
     def in_bucket(self, bucket: int, count: int) -> list[members.Member]:
         """Return the members, dead or not, of one of ``count`` buckets."""
         return [
             self._entries[node_id].member
-            for i in range(bucket, MAX_BUCKETS, count)
-            for node_id in sorted(self._bucket_nodes[i])
+            for node_id in self._digests.nodes_in(bucket, count)
         ]
 
 
--- a/src/parsleystile/cli.py
+++ b/src/parsleystile/cli.py
@@ -10,7 +10,6 @@
 
 import expression
 import fire
-import msgspec
 
 from parsleystile import clihelp
 from parsleystile import commands
@@ -123,12 +122,10 @@
 
 def _show_fleet(address: str, is_json: bool) -> exitcodes.ExitCode:
     from parsleystile import fleettable
+    from parsleystile import render
 
     status = fleettable.fetch(address)
-    if is_json:
-        print(msgspec.json.encode(status).decode())
-    else:
-        print(fleettable.render(status), end='')
+    print(render.as_json(status) if is_json else fleettable.text(status))
     return exitcodes.ExitCode.ACCEPTED
 
 
--- a/src/parsleystile/fleettable.py
+++ b/src/parsleystile/fleettable.py
@@ -6,8 +6,8 @@
 from parsleystile import errors
 from parsleystile import exitcodes
 from parsleystile.relay import fleetstatus
+from parsleystile import render
 
-PATH = '/fleet'
 _TIMEOUT_S = 5.0
 _HEADINGS = (
     'failure domain',
@@ -31,7 +31,7 @@
     client = tornado.httpclient.HTTPClient()
     try:
         answer = client.fetch(
-            f'http://{address}{PATH}', request_timeout=_TIMEOUT_S
+            f'http://{address}{fleetstatus.PATH}', request_timeout=_TIMEOUT_S
         )
         return msgspec.json.decode(answer.body, type=fleetstatus.FleetStatus)
     except (
@@ -48,27 +48,22 @@
         client.close()
 
 
-def render(status: fleetstatus.FleetStatus) -> str:
+def text(status: fleetstatus.FleetStatus) -> str:
     """Return a table with a line for each failure domain."""
     version = status.policy_version
-    rows = [_HEADINGS]
-    for domain in status.domains:
-        rows.append(
+    title = 'no configuration' if version is None else f'version {version}'
+    table = render.table(
+        _HEADINGS,
+        [
             (
                 domain.domain,
-                str(domain.nodes),
+                domain.nodes,
                 f'{domain.in_force}/{domain.nodes}',
                 f'{domain.settings_current}/{domain.nodes}',
-                str(domain.silent),
+                domain.silent,
                 ' '.join(domain.waiting_for),
             )
-        )
-    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
-    lines = [
-        '  '.join(
-            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
-        ).rstrip()
-        for row in rows
-    ]
-    title = 'no configuration' if version is None else f'version {version}'
-    return '\n'.join([title, *lines]) + '\n'
+            for domain in status.domains
+        ],
+    )
+    return f'{title}\n{render.text(table)}'
--- a/src/parsleystile/gossipcodec.py
+++ b/src/parsleystile/gossipcodec.py
@@ -10,7 +10,7 @@
 from thrift.transport import TTransport
 
 from parsleystile import _gossip_messages as messages
-from parsleystile import _memberlist
+from parsleystile import bucketdigests
 from parsleystile import errors
 from parsleystile.gen.gossip import ttypes
 from parsleystile import ids
@@ -24,7 +24,7 @@
 MAX_STRING_BYTES = 256
 MAX_RECORDS = 65_536
 _DIGEST_BYTES = 4
-_MAX_BINARY_BYTES = _DIGEST_BYTES * _memberlist.MAX_BUCKETS
+_MAX_BINARY_BYTES = _DIGEST_BYTES * bucketdigests.MAX_BUCKETS
 _KEY_PERSON = b'pst-gossip'
 
 _Struct = typing.TypeVar('_Struct')
@@ -250,7 +250,7 @@
     if not isinstance(packed, bytes) or len(packed) % _DIGEST_BYTES:
         raise ValueError('length of digests is not a multiple of 4 bytes')
     count = len(packed) // _DIGEST_BYTES
-    if count > _memberlist.MAX_BUCKETS:
+    if count > bucketdigests.MAX_BUCKETS:
         raise ValueError(f'{count} digests exceed the number of buckets')
     return struct.unpack(f'>{count}I', packed)
 
--- a/src/parsleystile/relay/fleetstatus.py
+++ b/src/parsleystile/relay/fleetstatus.py
@@ -10,13 +10,14 @@
 
 import msgspec
 
-from parsleystile import clock as clocks
 from parsleystile import errors
 from parsleystile import ids
 from parsleystile import link as links_module
 from parsleystile.relay import memberlist
 from parsleystile.relay import telemetry
 
+# Path of the status on a node's metrics listener.
+PATH = '/fleet'
 STATUS_KIND = 'fleet.status'
 _TIMEOUT_MS = 1_000.0
 # Nodes that are named for each failure domain; the others are counted.
@@ -126,7 +127,6 @@
 
     links: links_module.Links
     member_list: memberlist.MemberList
-    clock: clocks.Clock
     recorder: telemetry.Recorder
     policy_version: typing.Callable[[], int | None]
     settings_state: typing.Callable[[], SettingsState]
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -169,7 +169,6 @@
             fleetstatus.Dependencies(
                 links=self._links,
                 member_list=self.member_list,
-                clock=clock,
                 recorder=recorder,
                 policy_version=self._policy_version,
                 settings_state=lambda: self.settings_state(),
--- a/src/parsleystile/relay/rowdigest.py
+++ b/src/parsleystile/relay/rowdigest.py
@@ -1,90 +1,62 @@
-"""Digests of the member rows, by which two nodes find where they differ.
+"""Digests of the member rows.
 
-The rows are hashed into buckets whose digests are kept up to date with each
-change, so that comparing two fleets costs the same whatever their size. Rows
-of nodes that are gone count as absent, since nodes forget them at different
-times.
+Rows of nodes that are gone count as absent, since nodes forget them at
+different times.
 """
 
 import zlib
 
+from parsleystile import bucketdigests
 from parsleystile import ids
 
-MAX_BUCKETS = 256
 _ROWS_PER_BUCKET = 8
 
 
 def bucket_count(size: int) -> int:
-    """Return how many buckets, a power of two, suit a number of rows."""
-    count = 1
-    while count < MAX_BUCKETS and count * _ROWS_PER_BUCKET < size:
-        count *= 2
-    return count
-
-
-def bucket_of(node_id: ids.NodeId) -> int:
-    """Return the bucket of a node, below ``MAX_BUCKETS``."""
-    return zlib.crc32(node_id.encode()) % MAX_BUCKETS
-
-
-def is_bucket_count(count: int) -> bool:
-    """Whether digests may be folded to a number of buckets."""
-    return 0 < count <= MAX_BUCKETS and count & (count - 1) == 0
+    """Return how many buckets suit a number of rows."""
+    return bucketdigests.bucket_count(size, _ROWS_PER_BUCKET)
 
 
 class RowDigests:
-    """Digests of rows, given as pairs of a node and its revision.
-
-    Attributes:
-        total: Digest of all rows.
-    """
+    """Digests of rows, given as pairs of a node and its revision."""
 
     def __init__(self) -> None:
-        self.total = 0
-        self._digests = [0] * MAX_BUCKETS
-        self._nodes: list[set[ids.NodeId]] = [
-            set() for _ in range(MAX_BUCKETS)
-        ]
+        self._buckets = bucketdigests.bucket_digests()
 
     def add(
         self, node_id: ids.NodeId, revision: tuple[int, int], is_gone: bool
     ) -> None:
         """Add the row of a node that has none."""
-        bucket = bucket_of(node_id)
-        self._nodes[bucket].add(node_id)
-        if not is_gone:
-            self._toggle(bucket, node_id, revision)
+        digest = 0 if is_gone else _digest(node_id, revision)
+        self._buckets.add(node_id, _bucket_of(node_id), digest)
 
     def remove(
         self, node_id: ids.NodeId, revision: tuple[int, int], is_gone: bool
     ) -> None:
         """Remove a row that was added with the same arguments."""
-        bucket = bucket_of(node_id)
-        self._nodes[bucket].discard(node_id)
-        if not is_gone:
-            self._toggle(bucket, node_id, revision)
+        digest = 0 if is_gone else _digest(node_id, revision)
+        self._buckets.remove(node_id, _bucket_of(node_id), digest)
 
-    def _toggle(
-        self, bucket: int, node_id: ids.NodeId, revision: tuple[int, int]
-    ) -> None:
-        digest = zlib.crc32(f'{node_id} {revision[0]} {revision[1]}'.encode())
-        self._digests[bucket] ^= digest
-        self.total ^= digest
+    @property
+    def total(self) -> int:
+        """Digest of all rows."""
+        return self._buckets.total
 
     def fold(self, count: int) -> list[int]:
         """Return digests folded to ``count`` buckets, a power of two."""
-        folded = [0] * count
-        for bucket, digest in enumerate(self._digests):
-            folded[bucket % count] ^= digest
-        return folded
+        return self._buckets.fold(count)
 
     def nodes_in(self, bucket: int, count: int) -> list[ids.NodeId]:
         """Return the nodes, gone or not, of one of ``count`` buckets."""
-        return [
-            node_id
-            for i in range(bucket, MAX_BUCKETS, count)
-            for node_id in sorted(self._nodes[i])
-        ]
+        return self._buckets.nodes_in(bucket, count)
+
+
+def _bucket_of(node_id: ids.NodeId) -> int:
+    return zlib.crc32(node_id.encode()) % bucketdigests.MAX_BUCKETS
+
+
+def _digest(node_id: ids.NodeId, revision: tuple[int, int]) -> int:
+    return zlib.crc32(f'{node_id} {revision[0]} {revision[1]}'.encode())
 
 
 def row_digests() -> RowDigests:
--- a/src/parsleystile/relay/statemessages.py
+++ b/src/parsleystile/relay/statemessages.py
@@ -1,5 +1,6 @@
 """Messages by which nodes exchange the configuration and the member rows."""
 
+import functools
 import zlib
 
 import msgspec
@@ -8,7 +9,7 @@
 from parsleystile.relay import memberlist
 
 
-class Snapshot(msgspec.Struct, frozen=True):
+class Snapshot(msgspec.Struct, frozen=True, dict=True):
     """The operators' configuration as of one version of the store.
 
     Attributes:
@@ -19,7 +20,7 @@
     seen_at: int = 0
     payload: bytes = b''
 
-    @property
+    @functools.cached_property
     def payload_digest(self) -> int:
         """Checksum of the payload."""
         return zlib.crc32(self.payload)
--- a/src/parsleystile/relay/statesync.py
+++ b/src/parsleystile/relay/statesync.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from parsleystile import bucketdigests
 from parsleystile import clock as clocks
 from parsleystile import deadlines
 from parsleystile import errors
@@ -22,7 +23,6 @@
 from parsleystile.relay import memberlist
 from parsleystile.relay import policy as policies
 from parsleystile.relay import reachability as reachability_module
-from parsleystile.relay import rowdigest
 from parsleystile.relay import rowspread
 from parsleystile.relay import statemessages
 from parsleystile.relay import telemetry
@@ -105,7 +105,6 @@
         self._rng = rng
         self._recorder = recorder
         self._spread = rowspread.row_spread()
-        self._is_spread_scheduled = False
         self._is_announced = False
         self._published: memberlist.Row | None = None
         self._next_sync_ms = 0.0
@@ -302,14 +301,12 @@
         self._pass_on(row, row.node_id)
 
     def _pass_on(self, row: memberlist.Row, sender: ids.NodeId) -> None:
-        self._spread.put(row, sender)
-        if not self._is_spread_scheduled:
-            self._is_spread_scheduled = True
+        if not self._spread:
             due_ms = self._clock.now_ms() + _SPREAD_DELAY_MS
             self._wheel.add(due_ms, self._spread_rows)
+        self._spread.put(row, sender)
 
     def _spread_rows(self) -> None:
-        self._is_spread_scheduled = False
         own = self._member_list.own_row
         peers = self._member_list.peers()
         links = {peer.node_id: peer.link for peer in peers}
@@ -471,7 +468,7 @@
         self, answer: statemessages.SyncMessage, buckets: list[int]
     ) -> statemessages.SyncMessage:
         count = len(buckets)
-        if not rowdigest.is_bucket_count(count):
+        if not bucketdigests.is_bucket_count(count):
             self._recorder.input_rejected(SYNC_KIND, f'{count} buckets')
             return answer
         own = self._member_list.bucket_digests(count)
@@ -487,7 +484,7 @@
         )
 
     def _rows_of(self, buckets: list[int], count: int) -> list[memberlist.Row]:
-        if not rowdigest.is_bucket_count(count):
+        if not bucketdigests.is_bucket_count(count):
             self._recorder.input_rejected(SYNC_KIND, f'{count} buckets')
             return []
         return [
