--- a/Makefile
+++ b/Makefile
@@ -1,14 +1,16 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
+# An environment of another kind of machine is made anew.
+LOCKED := $(VENV)/.locked-$(shell uname -m)
 SEED ?= 1
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR):$(CURDIR)/platform
 
 .PHONY: env test lint format unit bench demo soak relay-soak
 
-env: $(VENV)/.locked
+env: $(LOCKED)
 
-$(VENV)/.locked: requirements.lock
-	test -x $(PY) || python3 -m venv $(VENV)
+$(LOCKED): requirements.lock
+	test -e $@ || python3 -m venv --clear $(VENV)
 	$(VENV)/bin/pip install --quiet --require-hashes -r requirements.lock
 	$(VENV)/bin/pip install --quiet --no-deps --no-build-isolation -e .
 	touch $@
