Record what targets say of themselves in their answers, and what they get

The guard reads Server-Limit and Server-Leaving of each answer of its target into types, logs values that can't be read as 'input-rejected' and passes every answer on as it was. A change of what is in force is a 'target-notice' line with the calls that were started under the notice before and the most in four seconds; the gauge 'target-limit' has the value now. So the lines tell a header that nobody reads from a way around the guard and from bursts.

Ruled out: binding a value that can't be read, or a header in a trailer, in a late answer to another request or in a 421, which another target may send.

--- a/src/parsleystile/relay/guard.py
+++ b/src/parsleystile/relay/guard.py
@@ -18,6 +18,9 @@
 from parsleystile.relay import declaredlimit
 from parsleystile.relay import headernames
 from parsleystile.relay import httpclient
+from parsleystile.relay import logevents
+from parsleystile.relay import startmeter
+from parsleystile.relay import targetnotices
 from parsleystile.relay import telemetry
 from parsleystile import targetanswer
 from parsleystile import transport as transports
@@ -126,6 +129,9 @@
         self._refusal_reason: errors.Reason | None = None
         self._tick_due_ms = float('inf')
         self._not_run_header = deps.header_names.not_run.lower()
+        self._notice_reader = targetnotices.notice_reader(deps.header_names)
+        self._notices = targetnotices.notice_tracker()
+        self._starts = startmeter.start_meter()
         self.on_target_lost: typing.Callable[[str], None] = lambda why: None
 
     @property
@@ -146,6 +152,8 @@
             target.cold_until_ms, target.cold_per_s, now_ms
         )
         is_new = before is None or before.target_id != target.target_id
+        if is_new:
+            self._notices = targetnotices.notice_tracker()
         if is_new or before.slots != target.slots:
             self._apply(admission.Announce(target.slots), now_ms)
 
@@ -316,6 +324,8 @@
                 self._refusal_answer(active.call, refusal, now_ms)
             )
             return
+        if self._notices.notice:
+            self._starts.count(now_ms)
         call = active.call
         outbound = httpclient.OutboundRequest(
             self._request_bytes(call, target, active.deadline_ms - now_ms),
@@ -378,6 +388,7 @@
         now_ms = self._deps.clock.now_ms()
         spent_ms = now_ms - active.started_ms
         if isinstance(result, targetanswer.TargetAnswer):
+            self._read_notice(result, active, target, now_ms)
             result = self._classify(result, target)
         is_ok = isinstance(result, targetanswer.TargetAnswer)
         self._apply(admission.Complete(active.key, is_ok, spent_ms), now_ms)
@@ -392,6 +403,53 @@
             )
         active.on_answer(self._refusal_answer(active.call, result, now_ms))
 
+    def _read_notice(
+        self,
+        answer: targetanswer.TargetAnswer,
+        active: _ActiveCall,
+        target: Target,
+        now_ms: float,
+    ) -> None:
+        """Apply what the target says of itself in an answer."""
+        current = self._target
+        is_other = current is None or current.target_id != target.target_id
+        if is_other or answer.status == _MISDIRECTED:
+            return
+        reading = self._notice_reader.read(answer.headers)
+        for bad in reading.bad:
+            self._deps.recorder.input_rejected(
+                f'target {target.target_id}',
+                f'{bad.name} {bad.value!r}: {bad.fault.value}',
+            )
+        before = self._notices.notice
+        if self._notices.answered(reading, active.started_ms, now_ms):
+            self._record_notice(target, before, 'answer', now_ms)
+
+    def _record_notice(
+        self,
+        target: Target,
+        before: targetnotices.Notice,
+        source: str,
+        now_ms: float,
+    ) -> None:
+        notice, starts = self._notices.notice, self._starts
+        self._deps.recorder.gauge(
+            'target-limit', _or_unlimited(notice.limit_per_s)
+        )
+        self._deps.recorder.log.write(
+            logevents.TargetNoticeChanged(
+                target=target.target_id,
+                limit_per_s=_or_unlimited(notice.limit_per_s),
+                is_leaving=notice.is_leaving,
+                source=source,
+                before_per_s=_or_unlimited(before.limit_per_s),
+                before_ms=round(starts.age_ms(now_ms), 1),
+                calls_started=starts.started,
+                most_started=starts.most,
+            )
+        )
+        starts.reset(now_ms)
+
     def _classify(
         self, answer: targetanswer.TargetAnswer, target: Target
     ) -> targetanswer.TargetAnswer | errors.Refusal:
@@ -443,6 +501,10 @@
         return wire.answer_from_refusal(call.call_id, refusal, 0, load)
 
 
+def _or_unlimited(limit_per_s: float | None) -> float:
+    return -1.0 if limit_per_s is None else limit_per_s
+
+
 def guard(deps: Dependencies) -> Guard:
     """Create a guard without a target."""
     return Guard(deps)
--- a/src/parsleystile/relay/headernames.py
+++ b/src/parsleystile/relay/headernames.py
@@ -14,6 +14,8 @@
         caller_service: Service that made the call.
         expected_target: Id of the target; any other target refuses the call.
         not_run: Set by a target that did not run the call.
+        rate_limit: Calls a second that a target takes from all nodes.
+        leaving: Set to 1 by a target that is about to leave.
         key: Holds the caller's key after ``key_scheme``.
     """
 
@@ -23,6 +25,8 @@
     caller_service: str
     expected_target: str
     not_run: str
+    rate_limit: str
+    leaving: str
     key: str = 'Authorization'
     key_scheme: str = 'Bearer '
 
--- a/src/parsleystile/relay/logevents.py
+++ b/src/parsleystile/relay/logevents.py
@@ -115,6 +115,24 @@
     why: str
 
 
+class TargetNoticeChanged(LogEvent, tag_field='event', tag='target-notice'):
+    """The local target named another limit, or that it leaves.
+
+    ``limit_per_s`` is -1 without a limit. The other counts are about the
+    notice that this one replaces: how long it was in force, the calls that
+    were started in that time, and the most in any four seconds of it.
+    """
+
+    target: str
+    limit_per_s: float
+    is_leaving: bool
+    source: str
+    before_per_s: float
+    before_ms: float
+    calls_started: int
+    most_started: int
+
+
 class PolicyInForce(LogEvent, tag_field='event', tag='policy-in-force'):
     """A newer policy came into force on this node."""
 
--- a/stubs/platformtarget.py
+++ b/stubs/platformtarget.py
@@ -18,6 +18,7 @@
         executed_headers: Headers of each executed request; names are in
             lower case.
         work_ms: Duration of a request.
+        notices: Further headers of each answer, names and values in turn.
         custom_answer: Answers the requests instead if set.
     """
 
@@ -25,6 +26,7 @@
         self.target_id = target_id
         self.executed_headers: list[dict[str, str]] = []
         self.work_ms = 0.0
+        self.notices: list[str] = []
         self.custom_answer: (
             typing.Callable[[httpserver.Request], None] | None
         ) = None
@@ -51,7 +53,7 @@
         names = [name.lower() for name in request.headers[::2]]
         headers = dict(zip(names, request.headers[1::2], strict=True))
         if headers.get(_EXPECTED_INSTANCE_HEADER.lower()) != self.target_id:
-            request.answer(421, [], b'')
+            request.answer(421, self.notices, b'')
             return
         self.executed_headers.append(headers)
         if self.work_ms:
@@ -74,6 +76,7 @@
                 headers.get(_ATTEMPT_ID_HEADER.lower(), ''),
                 'Parsleystile-Server-Signature',
                 f'signed-by-{self.target_id}',
+                *self.notices,
             ],
             b'done' + request.body,
         )
--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -125,7 +125,7 @@
         )
         clock = clocks.system_clock()
         rng = random.Random(self.name)
-        descriptor = os.open(self.log_path, os.O_WRONLY)
+        descriptor = os.open(self.log_path, os.O_WRONLY | os.O_APPEND)
         recorder = telemetry.recorder(self.name, clock, descriptor)
         setup = dataclasses.replace(
             process.setup(settings), lame_duck_ms=self.lame_duck_ms
@@ -212,7 +212,14 @@
         """Return an unused loopback address."""
         return f'127.0.0.{next(self._hosts)}'
 
-    async def start(self, count=2, serving=None, stop_ms=6000.0, **changes):
+    async def start(
+        self,
+        count=2,
+        serving=None,
+        stop_ms=6000.0,
+        log_path=os.devnull,
+        **changes,
+    ):
         """Start machines, the first half of them in domain a."""
         self.address = await self.store.start()
         self.put_document(document(**changes))
@@ -220,6 +227,7 @@
             domain = 'a' if i < (count + 1) // 2 else 'b'
             machine = Machine(self, f'n{i}', domain)
             machine.stop_ms = stop_ms
+            machine.log_path = log_path
             machine.lame_duck_ms = stop_ms / 2
             self.machines.append(machine)
             await machine.start()
