Show that a target gets four times the limit that it names

Two machines send 40 calls a second to one target that names 10: 159 in four seconds, 65 allowed (1.5 times the limit, and 5).

--- a/stubs/platformtarget.py
+++ b/stubs/platformtarget.py
@@ -17,6 +17,7 @@
         target_id: Id of the target; other requests get status 421.
         executed_headers: Headers of each executed request; names are in
             lower case.
+        arrived_ms: Time of each request, also of those that did not run.
         work_ms: Duration of a request.
         notices: Further headers of each answer, names and values in turn.
         custom_answer: Answers the requests instead if set.
@@ -25,14 +26,16 @@
     def __init__(self, target_id: str) -> None:
         self.target_id = target_id
         self.executed_headers: list[dict[str, str]] = []
+        self.arrived_ms: list[float] = []
         self.work_ms = 0.0
         self.notices: list[str] = []
         self.custom_answer: (
             typing.Callable[[httpserver.Request], None] | None
         ) = None
         self.address: tuple[str, int] = ('', 0)
+        self._clock = clocks.system_clock()
         self._server = httpserver.http_server(
-            clocks.system_clock(), frozenset(), self._handle
+            self._clock, frozenset(), self._handle
         )
 
     async def start(self, host: str, port: int = 0) -> tuple[str, int]:
@@ -50,6 +53,7 @@
         return len(self._server.connections)
 
     def _handle(self, request: httpserver.Request) -> None:
+        self.arrived_ms.append(self._clock.now_ms())
         names = [name.lower() for name in request.headers[::2]]
         headers = dict(zip(names, request.headers[1::2], strict=True))
         if headers.get(_EXPECTED_INSTANCE_HEADER.lower()) != self.target_id:
--- /dev/null
+++ b/tests/test_target_limits.py
@@ -0,0 +1,70 @@
+"""Targets that name how many calls a second they take."""
+
+import asyncio
+import time
+
+from parsleystile import errors
+from tests import platformfleet
+
+LIMIT_PER_S = 10.0
+WINDOW_MS = 4_000.0
+
+
+def _name_limit(machine, per_s=LIMIT_PER_S):
+    machine.target.notices = ['Server-Limit', str(per_s)]
+
+
+async def _send(machine, call_id, results, **fields):
+    result = await machine.call(call_id=call_id, wait_ms=500, **fields)
+    results.append(result)
+
+
+async def _load(senders, per_s, duration_s, **fields):
+    """Send requests from machines in turn; return the answers."""
+    results = []
+    tasks = []
+    for i in range(int(per_s * duration_s)):
+        machine = senders[i % len(senders)]
+        call_id = f'{time.monotonic_ns()}-{i}'
+        tasks.append(
+            asyncio.ensure_future(_send(machine, call_id, results, **fields))
+        )
+        await asyncio.sleep(1.0 / per_s)
+    await asyncio.gather(*tasks)
+    return results
+
+
+def _most_in_window(target, since_ms):
+    counted = [at_ms for at_ms in target.arrived_ms if at_ms >= since_ms]
+    return max(
+        (
+            sum(at_ms <= other_ms < at_ms + WINDOW_MS for other_ms in counted)
+            for at_ms in counted
+        ),
+        default=0,
+    )
+
+
+def _allowed(per_s=LIMIT_PER_S):
+    return 1.5 * WINDOW_MS / 1e3 * per_s + 5
+
+
+def _statuses(results):
+    return [0 if isinstance(r, errors.Refusal) else r.status for r in results]
+
+
+def test_a_target_gets_no_more_than_the_limit_that_it_names():
+    async def body(fleet):
+        first, second = fleet.machines
+        target = second.target
+        _name_limit(second)
+        await _load([first, second], 50.0, 0.5)
+        since_ms = target.arrived_ms[-1]
+        results = await _load([first, second], 40.0, WINDOW_MS / 1e3)
+        assert _most_in_window(target, since_ms) <= _allowed()
+        # What it takes is used.
+        answered = _statuses(results).count(200)
+        assert answered >= 0.8 * WINDOW_MS / 1e3 * LIMIT_PER_S
+        assert set(_statuses(results)) == {200, 503}
+
+    platformfleet.run_with_fleet(body, serving=[1])
