Pace the calls of a target at the rate that it names

Cause: nothing read the header. The guard beside a target starts calls by the slots of the target alone.

Change: the guard, the one place that all calls of a target pass, paces them at the rate named last. The token bucket that paces cold targets does it, at the lower of the two rates; a queue in front of it is held to what can start in half a second, and a rate of 0 still lets one call in two seconds through, since a target that gets none can't name another rate. A limit ends with an answer to a later call that names none.

Why it works: a bucket of a quarter of a second at the named rate lets at most 4.25 times the rate through in any four seconds, 6 times are allowed.

--- a/src/parsleystile/admission.py
+++ b/src/parsleystile/admission.py
@@ -155,6 +155,9 @@
     def next_open_ms(self, now_ms: float) -> float:
         """Return when time alone may open it; inf if only an answer can."""
 
+    def queue_bound(self, bound: int, now_ms: float) -> int:
+        """Return how many calls may be queued, at most ``bound``."""
+
     def started(self, in_flight: int, now_ms: float) -> None:
         """Record that a call was sent to the target."""
 
@@ -281,9 +284,10 @@
         if is_open and not self._queue.calls:
             self._start(call.call_key, call, now_ms, actions)
             return
-        capacity = self._queue_capacity(self._limit.value)
-        if len(self._queue) >= capacity and not self._make_room(call, actions):
-            return
+        capacity = self._queue_capacity(now_ms)
+        while len(self._queue) >= capacity:
+            if not self._make_room(call, actions):
+                return
         expected_ms = self._times.expected_ms(call.route, now_ms)
         self._queue.push(
             fairqueue.Waiting(
@@ -422,10 +426,12 @@
             waiting = self._queue.pop(-math.inf)
             actions.append(Refuse(waiting.call_key, refusal))
 
-    def _queue_capacity(self, limit: int) -> int:
-        if self._queue_bound is not None:
-            return self._queue_bound
-        return max(MIN_QUEUE_BOUND, self._queue_per_slot * limit)
+    def _queue_capacity(self, now_ms: float) -> int:
+        bound = self._queue_bound
+        if bound is None:
+            by_slots = self._queue_per_slot * self._limit.value
+            bound = max(MIN_QUEUE_BOUND, by_slots)
+        return self._limit.queue_bound(bound, now_ms)
 
     def _overloaded(
         self, reason: errors.Reason, detail: str
--- a/src/parsleystile/concurrency.py
+++ b/src/parsleystile/concurrency.py
@@ -180,6 +180,11 @@
         del now_ms
         return math.inf
 
+    def queue_bound(self, bound: int, now_ms: float) -> int:
+        """Return ``bound``: answers alone open this limit."""
+        del now_ms
+        return bound
+
     def started(self, in_flight: int, now_ms: float) -> None:
         """Record a started call; ``in_flight`` includes it."""
         if in_flight == 1:
--- a/src/parsleystile/relay/guard.py
+++ b/src/parsleystile/relay/guard.py
@@ -154,6 +154,7 @@
         is_new = before is None or before.target_id != target.target_id
         if is_new:
             self._notices = targetnotices.notice_tracker()
+            self._deps.limit.set_named_rate(None, now_ms)
         if is_new or before.slots != target.slots:
             self._apply(admission.Announce(target.slots), now_ms)
 
@@ -424,6 +425,9 @@
         before = self._notices.notice
         if self._notices.answered(reading, active.started_ms, now_ms):
             self._record_notice(target, before, 'answer', now_ms)
+            self._deps.limit.set_named_rate(
+                self._notices.notice.limit_per_s, now_ms
+            )
 
     def _record_notice(
         self,
@@ -443,7 +447,7 @@
                 is_leaving=notice.is_leaving,
                 source=source,
                 before_per_s=_or_unlimited(before.limit_per_s),
-                before_ms=round(starts.age_ms(now_ms), 1),
+                before_ms=round(starts.age_ms(now_ms) if before else 0.0, 1),
                 calls_started=starts.started,
                 most_started=starts.most,
             )
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -75,8 +75,15 @@
 
 
 class TestDeclaredLimit:
-    def _run_queue(self, cold_per_s, per_s, seed, cold_ms=3_000.0):
-        """Return the start times of calls to a cold target."""
+    def _run_queue(
+        self, cold_per_s, per_s, seed, cold_ms=3_000.0, named=(), until_ms=None
+    ):
+        """Return the start times of calls to a paced target.
+
+        ``named`` holds times and the rates that the target names then.
+        """
+        until_ms = cold_ms if until_ms is None else until_ms
+        named = list(named)
         rng = random.Random(seed)
         limit = declaredlimit.declared_limit()
         queue = admission.admission_queue(rng, limit=limit)
@@ -85,9 +92,11 @@
         starts = []
         arrive_ms, key = 0.0, 0
         now_ms = 0.0
-        while now_ms < cold_ms:
+        while now_ms < until_ms:
             tick_ms = queue.next_tick_ms
             now_ms = max(now_ms, min(arrive_ms, tick_ms))
+            while named and named[0][0] <= now_ms:
+                limit.set_named_rate(named.pop(0)[1], now_ms)
             if arrive_ms <= now_ms:
                 key += 1
                 rank = rng.random()
@@ -102,7 +111,7 @@
                     queue.handle(
                         admission.Complete(action.call_key, True, 5.0), now_ms
                     )
-        return [t for t in starts if t < cold_ms]
+        return [t for t in starts if t < until_ms]
 
     @pytest.mark.parametrize('seed', range(5))
     @pytest.mark.parametrize('cold_per_s', [9.1, 44.0])
@@ -116,6 +125,49 @@
         starts = self._run_queue(44.0, 300.0, 1)
         assert len(starts) >= 0.8 * declaredlimit.COLD_RATE_SHARE * 44.0 * 3
 
+    @pytest.mark.parametrize('seed', range(5))
+    @pytest.mark.parametrize('per_s', [0.0, 0.2, 4.7, 31.8, 77.1])
+    def test_a_target_gets_no_more_than_it_names_in_any_window(
+        self, per_s, seed
+    ):
+        starts = self._run_queue(
+            44.0, 300.0, seed, 0.0, [(1_000.0, per_s)], 12_000.0
+        )
+        starts = [t for t in starts if t >= 1_000.0]
+        for start in starts:
+            in_window = sum(start <= t < start + 4_000.0 for t in starts)
+            # A burst and the least that lets it be heard at all; 1.5 times
+            # the limit and 5 calls are allowed.
+            assert in_window <= 4.0 * max(per_s, 0.5) + max(1, per_s / 4) + 1
+        # What it takes is used.
+        assert len(starts) >= 0.9 * 11.0 * per_s
+
+    def test_each_limit_that_a_target_names_holds_from_then_on(self):
+        named = [(0.0, 60.0), (4_000.0, 6.0), (8_000.0, None)]
+        starts = self._run_queue(44.0, 300.0, 1, 0.0, named, 13_000.0)
+        between = sum(4_000.0 <= t < 8_000.0 for t in starts)
+        assert 4 * 6 - 2 <= between <= 4 * 6 + 2
+        assert sum(t >= 12_000.0 for t in starts) >= 250
+
+    def test_a_cold_target_in_need_gets_the_lower_of_both_rates(self):
+        named = [(0.0, 10.0)]
+        starts = self._run_queue(44.0, 300.0, 1, 3_000.0, named)
+        assert len(starts) <= 3 * 10 + 2
+        named = [(0.0, 200.0)]
+        starts = self._run_queue(44.0, 300.0, 1, 3_000.0, named)
+        assert len(starts) <= 3 * 44 + 2
+
+    def test_the_queue_of_a_target_in_need_is_short(self):
+        limit = declaredlimit.declared_limit()
+        limit.announce(177, 0.0)
+        assert limit.queue_bound(2_832, 0.0) == 2_832
+        limit.set_named_rate(40.0, 0.0)
+        assert limit.queue_bound(2_832, 0.0) == 20
+        limit.set_named_rate(0.0, 0.0)
+        assert limit.queue_bound(2_832, 0.0) == declaredlimit.MIN_NAMED_QUEUE
+        limit.set_named_rate(None, 0.0)
+        assert limit.queue_bound(2_832, 0.0) == 2_832
+
     def test_a_warm_target_is_limited_by_its_slots_only(self):
         limit = declaredlimit.declared_limit()
         limit.announce(27, 0.0)
