Remember a limit of a target over a restart of the node beside it

What targets would see: the guard beside a target restarts, knows of no limit and starts calls at full speed until the target's first answer, while the machines that had passed the limit on are not excused (LIMIT excuses only the machine that restarted).

Cause: what is known of a target lay in one process. Class of fault: a promise that outlives the process that keeps it.

Change: each answer between nodes carries the notice in force, and each call takes along what its sender was last told, with the target's id and start. A guard that has not heard its target itself applies it before the call, with an empty bucket; the target's own answers are newer. No message of a third node is needed, and a stale notice of a target that was replaced names another incarnation and is passed over. The fields are optional: nodes of both versions understand each other.

--- a/idl/parsleystile.thrift
+++ b/idl/parsleystile.thrift
@@ -3,6 +3,16 @@
 // binary protocol.
 namespace py parsleystile.gen
 
+// What a target says of itself in its answers.
+struct TargetNotice {
+  1: string target_id
+  // Start of the incarnation in milliseconds since 1970-01-01 UTC.
+  2: i64 born_ms
+  // Calls a second that it takes from all nodes; absent without a limit.
+  3: optional double limit_per_s
+  4: bool is_leaving
+}
+
 // What the guard of a target tells about itself on each answer.
 struct Load {
   1: i32 in_flight
@@ -11,6 +21,10 @@
   // Lowest admission rank refused, for the organisation of the call, in the
   // whole subtree below; 3.0 admits all.
   4: double admission_level
+  // Time until the target's rate lets another call start; absent if it does.
+  5: optional i32 wait_ms
+  // The notice in force; absent without one.
+  6: optional TargetNotice notice
 }
 
 struct Call {
@@ -31,6 +45,11 @@
   15: list<string> headers
   16: binary body
   17: string idempotency_key
+  // What the sender was last told of the target; its guard may have restarted.
+  18: optional TargetNotice notice
+  // Longest time to wait for the target's rate; absent where no other target
+  // of the service is known to have room.
+  19: optional i32 max_wait_ms
 }
 
 struct Answer {
--- a/src/parsleystile/gen/ttypes.py
+++ b/src/parsleystile/gen/ttypes.py
@@ -16,6 +16,110 @@
 all_structs = []
 
 
+class TargetNotice(object):
+    """
+    Attributes:
+     - target_id
+     - born_ms
+     - limit_per_s
+     - is_leaving
+
+    """
+
+    __slots__ = (
+        'target_id',
+        'born_ms',
+        'limit_per_s',
+        'is_leaving',
+    )
+
+
+    def __init__(self, target_id=None, born_ms=None, limit_per_s=None, is_leaving=None,):
+        self.target_id = target_id
+        self.born_ms = born_ms
+        self.limit_per_s = limit_per_s
+        self.is_leaving = is_leaving
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.target_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.limit_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.is_leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TargetNotice')
+        if self.target_id is not None:
+            oprot.writeFieldBegin('target_id', TType.STRING, 1)
+            oprot.writeString(self.target_id.encode('utf-8') if sys.version_info[0] == 2 else self.target_id)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 2)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.limit_per_s is not None:
+            oprot.writeFieldBegin('limit_per_s', TType.DOUBLE, 3)
+            oprot.writeDouble(self.limit_per_s)
+            oprot.writeFieldEnd()
+        if self.is_leaving is not None:
+            oprot.writeFieldBegin('is_leaving', TType.BOOL, 4)
+            oprot.writeBool(self.is_leaving)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Load(object):
     """
     Attributes:
@@ -23,6 +127,8 @@
      - limit
      - queued
      - admission_level
+     - wait_ms
+     - notice
 
     """
 
@@ -31,14 +137,18 @@
         'limit',
         'queued',
         'admission_level',
+        'wait_ms',
+        'notice',
     )
 
 
-    def __init__(self, in_flight=None, limit=None, queued=None, admission_level=None,):
+    def __init__(self, in_flight=None, limit=None, queued=None, admission_level=None, wait_ms=None, notice=None,):
         self.in_flight = in_flight
         self.limit = limit
         self.queued = queued
         self.admission_level = admission_level
+        self.wait_ms = wait_ms
+        self.notice = notice
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -69,6 +179,17 @@
                     self.admission_level = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.notice = TargetNotice()
+                    self.notice.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -95,6 +216,14 @@
             oprot.writeFieldBegin('admission_level', TType.DOUBLE, 4)
             oprot.writeDouble(self.admission_level)
             oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 5)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        if self.notice is not None:
+            oprot.writeFieldBegin('notice', TType.STRUCT, 6)
+            self.notice.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -140,6 +269,8 @@
      - headers
      - body
      - idempotency_key
+     - notice
+     - max_wait_ms
 
     """
 
@@ -161,10 +292,12 @@
         'headers',
         'body',
         'idempotency_key',
+        'notice',
+        'max_wait_ms',
     )
 
 
-    def __init__(self, call_id=None, root_id=None, organisation=None, importance=None, deadline_ms=None, depth=None, retry_allowance=None, idempotent=None, draw=None, caller_service=None, callee_service=None, route=None, method=None, path=None, headers=None, body=None, idempotency_key=None,):
+    def __init__(self, call_id=None, root_id=None, organisation=None, importance=None, deadline_ms=None, depth=None, retry_allowance=None, idempotent=None, draw=None, caller_service=None, callee_service=None, route=None, method=None, path=None, headers=None, body=None, idempotency_key=None, notice=None, max_wait_ms=None,):
         self.call_id = call_id
         self.root_id = root_id
         self.organisation = organisation
@@ -182,6 +315,8 @@
         self.headers = headers
         self.body = body
         self.idempotency_key = idempotency_key
+        self.notice = notice
+        self.max_wait_ms = max_wait_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -282,6 +417,17 @@
                     self.idempotency_key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRUCT:
+                    self.notice = TargetNotice()
+                    self.notice.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.I32:
+                    self.max_wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -363,6 +509,14 @@
             oprot.writeFieldBegin('idempotency_key', TType.STRING, 17)
             oprot.writeString(self.idempotency_key.encode('utf-8') if sys.version_info[0] == 2 else self.idempotency_key)
             oprot.writeFieldEnd()
+        if self.notice is not None:
+            oprot.writeFieldBegin('notice', TType.STRUCT, 18)
+            self.notice.write(oprot)
+            oprot.writeFieldEnd()
+        if self.max_wait_ms is not None:
+            oprot.writeFieldBegin('max_wait_ms', TType.I32, 19)
+            oprot.writeI32(self.max_wait_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -847,6 +1001,14 @@
 
     def __ne__(self, other):
         return not (self == other)
+all_structs.append(TargetNotice)
+TargetNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'target_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born_ms', None, None, ),  # 2
+    (3, TType.DOUBLE, 'limit_per_s', None, None, ),  # 3
+    (4, TType.BOOL, 'is_leaving', None, None, ),  # 4
+)
 all_structs.append(Load)
 Load.thrift_spec = (
     None,  # 0
@@ -854,6 +1016,8 @@
     (2, TType.I32, 'limit', None, None, ),  # 2
     (3, TType.I32, 'queued', None, None, ),  # 3
     (4, TType.DOUBLE, 'admission_level', None, None, ),  # 4
+    (5, TType.I32, 'wait_ms', None, None, ),  # 5
+    (6, TType.STRUCT, 'notice', [TargetNotice, None], None, ),  # 6
 )
 all_structs.append(Call)
 Call.thrift_spec = (
@@ -875,6 +1039,8 @@
     (15, TType.LIST, 'headers', (TType.STRING, 'UTF8', False), None, ),  # 15
     (16, TType.STRING, 'body', 'BINARY', None, ),  # 16
     (17, TType.STRING, 'idempotency_key', 'UTF8', None, ),  # 17
+    (18, TType.STRUCT, 'notice', [TargetNotice, None], None, ),  # 18
+    (19, TType.I32, 'max_wait_ms', None, None, ),  # 19
 )
 all_structs.append(Answer)
 Answer.thrift_spec = (
--- a/src/parsleystile/relay/dispatch.py
+++ b/src/parsleystile/relay/dispatch.py
@@ -14,6 +14,7 @@
 from parsleystile import members
 from parsleystile.relay import guard as guards
 from parsleystile.relay import logevents
+from parsleystile.relay import noticememory
 from parsleystile.relay import policy as policies
 from parsleystile.relay import retrybudget
 from parsleystile.relay import telemetry
@@ -54,6 +55,7 @@
     own_node_id: ids.NodeId
     balancer: balancer.Balancer
     budget: retrybudget.RetryBudget
+    notices: noticememory.NoticeMemory
     links: links_module.Links
     guard: guards.Guard
     clock: clocks.Clock
@@ -179,6 +181,7 @@
         self._generation += 1
         self.node_id = member.node_id
         self.call.deadline_ms = max(1, int(self.deadline_ms - now_ms))
+        self.call.notice = deps.notices.of(member.node_id)
         deps.balancer.sent(member.node_id)
         self._sent_ms = now_ms
         generation = self._generation
@@ -206,6 +209,8 @@
         node_id, load = self.node_id, None
         if isinstance(result, ttypes.Answer):
             load = result.load
+            has_run = result.outcome == errors.Outcome.ANSWERED
+            deps.notices.heard(node_id, load.notice, has_run)
             deps.on_admission_level(
                 self.route.route_id,
                 self.call.organisation,
@@ -213,7 +218,7 @@
                 now_ms,
                 self.is_child,
             )
-            if result.outcome == errors.Outcome.ANSWERED:
+            if has_run:
                 self.targets_reached += 1
                 deps.balancer.answered(
                     node_id,
--- a/src/parsleystile/relay/guard.py
+++ b/src/parsleystile/relay/guard.py
@@ -47,7 +47,8 @@
     """The local target, as of its last report.
 
     Attributes:
-        target_id: Identifies this incarnation.
+        target_id: Identifies this incarnation, together with ``born_ms``.
+        born_ms: When it started; 0 if it did not report that.
         cold_until_ms: End of the cold phase on this node's clock.
         cold_per_s: Calls a second that it handles while cold.
     """
@@ -57,6 +58,15 @@
     slots: int
     cold_until_ms: float
     cold_per_s: float
+    born_ms: int = 0
+
+    def is_same(self, other: 'Target | None') -> bool:
+        """Whether both are the same incarnation."""
+        return (
+            other is not None
+            and self.target_id == other.target_id
+            and self.born_ms == other.born_ms
+        )
 
 
 class _ActiveCall(transports.PendingCall):
@@ -132,6 +142,9 @@
         self._notice_reader = targetnotices.notice_reader(deps.header_names)
         self._notices = targetnotices.notice_tracker()
         self._starts = startmeter.start_meter()
+        # The notice in force as callers are told it; of the last target
+        # until there is another one.
+        self._told_notice: ttypes.TargetNotice | None = None
         self.on_target_lost: typing.Callable[[str], None] = lambda why: None
 
     @property
@@ -151,9 +164,10 @@
         self._deps.limit.set_cold(
             target.cold_until_ms, target.cold_per_s, now_ms
         )
-        is_new = before is None or before.target_id != target.target_id
+        is_new = not target.is_same(before)
         if is_new:
             self._notices = targetnotices.notice_tracker()
+            self._told_notice = None
             self._deps.limit.set_named_rate(None, now_ms)
         if is_new or before.slots != target.slots:
             self._apply(admission.Announce(target.slots), now_ms)
@@ -211,6 +225,7 @@
             limit,
             load.queued,
             min(load.admission_level, self._deps.child_level(now_ms)),
+            notice=self._told_notice,
         )
 
     def submit(
@@ -223,6 +238,8 @@
         calls of the service.
         """
         now_ms = self._deps.clock.now_ms()
+        if call.notice is not None:
+            self._recall_notice(call.notice, now_ms)
         refusal = self._admission_refusal(call)
         if refusal is not None:
             on_answer(self._refusal_answer(call, refusal, now_ms))
@@ -412,8 +429,7 @@
         now_ms: float,
     ) -> None:
         """Apply what the target says of itself in an answer."""
-        current = self._target
-        is_other = current is None or current.target_id != target.target_id
+        is_other = not target.is_same(self._target)
         if is_other or answer.status == _MISDIRECTED:
             return
         reading = self._notice_reader.read(answer.headers)
@@ -424,16 +440,50 @@
             )
         before = self._notices.notice
         if self._notices.answered(reading, active.started_ms, now_ms):
-            self._record_notice(target, before, 'answer', now_ms)
-            self._deps.limit.set_named_rate(
-                self._notices.notice.limit_per_s, now_ms
+            source = targetnotices.Source.ANSWER
+            self._apply_notice(target, before, source, now_ms)
+
+    def _recall_notice(self, told: ttypes.TargetNotice, now_ms: float) -> None:
+        """Apply what the sender of a call was told before a restart here."""
+        target = self._target
+        if (
+            target is None
+            or target.target_id != told.target_id
+            or target.born_ms != told.born_ms
+        ):
+            return
+        before = self._notices.notice
+        notice = targetnotices.Notice(told.limit_per_s, told.is_leaving)
+        if self._notices.recalled(notice, now_ms):
+            source = targetnotices.Source.RECALLED
+            self._apply_notice(target, before, source, now_ms)
+
+    def _apply_notice(
+        self,
+        target: Target,
+        before: targetnotices.Notice,
+        source: targetnotices.Source,
+        now_ms: float,
+    ) -> None:
+        notice = self._notices.notice
+        self._record_notice(target, before, source, now_ms)
+        # Before a restart the rate may have been used up.
+        tokens = 1.0 if source is targetnotices.Source.ANSWER else 0.0
+        self._deps.limit.set_named_rate(notice.limit_per_s, now_ms, tokens)
+        self._told_notice = None
+        if notice:
+            self._told_notice = ttypes.TargetNotice(
+                target.target_id,
+                target.born_ms,
+                notice.limit_per_s,
+                notice.is_leaving,
             )
 
     def _record_notice(
         self,
         target: Target,
         before: targetnotices.Notice,
-        source: str,
+        source: targetnotices.Source,
         now_ms: float,
     ) -> None:
         notice, starts = self._notices.notice, self._starts
@@ -445,7 +495,7 @@
                 target=target.target_id,
                 limit_per_s=_or_unlimited(notice.limit_per_s),
                 is_leaving=notice.is_leaving,
-                source=source,
+                source=source.value,
                 before_per_s=_or_unlimited(before.limit_per_s),
                 before_ms=round(starts.age_ms(now_ms) if before else 0.0, 1),
                 calls_started=starts.started,
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -24,6 +24,7 @@
 from parsleystile.relay import ingress
 from parsleystile.relay import logevents
 from parsleystile.relay import memberlist
+from parsleystile.relay import noticememory
 from parsleystile.relay import plannedstop
 from parsleystile.relay import ratelimiter
 from parsleystile.relay import reachability
@@ -228,6 +229,7 @@
                     own_node_id=setup.node_id,
                     balancer=self._balancer,
                     budget=self._retry_budget,
+                    notices=noticememory.notice_memory(),
                     links=self._links,
                     guard=self.guard,
                     clock=clock,
@@ -344,6 +346,7 @@
             slots=report.slots,
             cold_until_ms=now_ms + report.cold_ms,
             cold_per_s=bounds.cold_per_s if bounds else _DEFAULT_COLD_PER_S,
+            born_ms=report.started_ms,
         )
         before = self.member_list.own_row
         self.guard.set_target(target)
--- a/src/parsleystile/relay/targetnotices.py
+++ b/src/parsleystile/relay/targetnotices.py
@@ -140,6 +140,14 @@
     return BadHeader(name, value[:_MAX_NUMBER_CHARS], fault)
 
 
+class Source(enum.Enum):
+    """Where a guard has a notice from."""
+
+    ANSWER = 'answer'
+    # The sender of a call was told before the guard restarted.
+    RECALLED = 'recalled'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Notice:
     """What is in force for one target.
@@ -166,6 +174,7 @@
     def __init__(self) -> None:
         self.notice = Notice()
         self._named_ms = -math.inf
+        self._is_heard = False
 
     def answered(
         self, reading: Reading, started_ms: float, now_ms: float
@@ -184,20 +193,39 @@
         Returns:
             Whether the notice in force changed.
         """
-        before = self.notice
-        limit_per_s = before.limit_per_s
+        self._is_heard = True
+        limit_per_s = self.notice.limit_per_s
         if reading.limit_per_s is not None:
             limit_per_s = reading.limit_per_s
             self._named_ms = now_ms
         elif not reading.is_limit_unreadable and started_ms > self._named_ms:
             limit_per_s = None
-        is_leaving = before.is_leaving or reading.is_leaving
-        if (limit_per_s, is_leaving) == (
-            before.limit_per_s,
-            before.is_leaving,
-        ):
+        is_leaving = self.notice.is_leaving or reading.is_leaving
+        return self._set(Notice(limit_per_s, is_leaving))
+
+    def recalled(self, told: Notice, now_ms: float) -> bool:
+        """Apply a notice that this process or a former one gave away.
+
+        The target's own answers are newer than what others were told of its
+        limit; of what several were told, the lowest holds until then.
+
+        Returns:
+            Whether the notice in force changed.
+        """
+        limit_per_s = self.notice.limit_per_s
+        if told.limit_per_s is not None and not self._is_heard:
+            self._named_ms = now_ms
+            limit_per_s = min(
+                told.limit_per_s,
+                math.inf if limit_per_s is None else limit_per_s,
+            )
+        is_leaving = self.notice.is_leaving or told.is_leaving
+        return self._set(Notice(limit_per_s, is_leaving))
+
+    def _set(self, notice: Notice) -> bool:
+        if notice == self.notice:
             return False
-        self.notice = Notice(limit_per_s, is_leaving)
+        self.notice = notice
         return True
 
 
--- a/src/parsleystile/wire.py
+++ b/src/parsleystile/wire.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import math
 import operator
 import struct
 
@@ -66,11 +67,24 @@
     return _HEADER.pack(len(payload) + 1, kind) + payload
 
 
-# Reads all fields of a message in one call. ``__class__`` is included because
-# an attrgetter of a single name does not return a tuple.
+# Fields that a message may lack.
+_OPTIONAL_FIELDS: dict[type, tuple[str, ...]] = {
+    ttypes.Call: ('notice', 'max_wait_ms'),
+    ttypes.Load: ('wait_ms', 'notice'),
+    ttypes.TargetNotice: ('limit_per_s',),
+}
+
+
+def _required_fields(message_type: type) -> tuple[str, ...]:
+    optional = _OPTIONAL_FIELDS.get(message_type, ())
+    return tuple(n for n in message_type.__slots__ if n not in optional)
+
+
+# Reads all required fields of a message in one call. ``__class__`` is
+# included because an attrgetter of a single name does not return a tuple.
 _FIELD_GETTERS = {
-    t: operator.attrgetter(*t.__slots__, '__class__')
-    for t in (*_TYPES.values(), ttypes.Load)
+    t: operator.attrgetter(*_required_fields(t), '__class__')
+    for t in (*_TYPES.values(), ttypes.Load, ttypes.TargetNotice)
 }
 _OUTCOMES = frozenset(map(int, errors.Outcome))
 _REASONS = frozenset(map(int, errors.Reason))
@@ -83,6 +97,8 @@
     # Created without defaults, so that _check finds fields that the frame
     # does not contain.
     message = message_type.__new__(message_type)
+    for name in _OPTIONAL_FIELDS.get(message_type, ()):
+        setattr(message, name, None)
     _DECODER.trans = TTransport.TMemoryBuffer(payload)
     _DECODER.string_length_limit = len(payload)
     # On malformed input the decoder raises errors of many types (type,
@@ -105,14 +121,16 @@
         _check_answer(message)
 
 
-def _check_required_fields(message: Message | ttypes.Load) -> None:
+def _check_required_fields(
+    message: Message | ttypes.Load | ttypes.TargetNotice,
+) -> None:
     kind = type(message)
     try:
         is_complete = None not in _FIELD_GETTERS[kind](message)
     except AttributeError:
         is_complete = False
     if not is_complete:
-        names = kind.__slots__
+        names = _required_fields(kind)
         missing = [n for n in names if getattr(message, n, None) is None]
         raise errors.FrameError(
             f'{kind.__name__} frame without field {missing[0]}'
@@ -121,6 +139,8 @@
 
 def _check_call(call: ttypes.Call) -> None:
     _check_headers(call.headers)
+    if call.notice is not None:
+        _check_notice(call.notice)
     if not 0 <= call.importance < len(context.Importance):
         raise errors.FrameError(
             f'Call frame with importance {call.importance}'
@@ -137,6 +157,8 @@
 
 def _check_answer(answer: ttypes.Answer) -> None:
     _check_required_fields(answer.load)
+    if answer.load.notice is not None:
+        _check_notice(answer.load.notice)
     _check_headers(answer.headers)
     if answer.outcome not in _OUTCOMES:
         raise errors.FrameError(f'Answer frame with outcome {answer.outcome}')
@@ -144,6 +166,13 @@
         raise errors.FrameError(f'Answer frame with reason {answer.reason}')
 
 
+def _check_notice(notice: ttypes.TargetNotice) -> None:
+    _check_required_fields(notice)
+    limit_per_s = notice.limit_per_s
+    if limit_per_s is not None and not 0.0 <= limit_per_s < math.inf:
+        raise errors.FrameError(f'notice with a limit of {limit_per_s}')
+
+
 def _check_headers(headers: list[str]) -> None:
     if len(headers) % 2:
         raise errors.FrameError(f'header list of odd length {len(headers)}')
--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -214,6 +214,8 @@
         ['k', 'v'],
         b'body',
         'i',
+        ttypes.TargetNotice('i-1', 1, 2.5, False),
+        40,
     )
     answer = ttypes.Answer(
         1,
@@ -225,7 +227,9 @@
         '',
         0,
         1,
-        ttypes.Load(1, 2, 3, 3.0),
+        ttypes.Load(
+            1, 2, 3, 3.0, 5, ttypes.TargetNotice('i-1', 1, 2.5, False)
+        ),
         False,
     )
     hello = ttypes.Hello('n', b'n' * 16, b'p' * 32)
--- a/tests/test_relay_dispatch.py
+++ b/tests/test_relay_dispatch.py
@@ -13,6 +13,7 @@
 from parsleystile import ids
 from parsleystile import members
 from parsleystile.relay import dispatch
+from parsleystile.relay import noticememory
 from parsleystile.relay import policy
 from parsleystile.relay import retrybudget
 from parsleystile.relay import telemetry
@@ -93,6 +94,7 @@
         budget=retrybudget.retry_budget(
             retrybudget.Settings(0.0, slack, 10_000.0)
         ),
+        notices=noticememory.notice_memory(),
         links=links,
         guard=None,
         clock=clock,
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -68,3 +68,22 @@
         assert set(_statuses(results)) == {200, 503}
 
     platformfleet.run_with_fleet(body, serving=[1])
+
+
+def test_a_limit_is_not_forgotten_with_the_node_beside_the_target():
+    async def body(fleet):
+        first, second = fleet.machines
+        _name_limit(second)
+        await _load([first], 20.0, 0.5)
+        await second.kill_node()
+        await second.start_node()
+        await fleet.wait_settled()
+        second.report()
+        await fleet.wait_serving(1)
+        # Nothing is answered, so the new process hears nothing of its target.
+        second.target.custom_answer = lambda request: None
+        second.target.arrived_ms.clear()
+        await _load([first], 60.0, 0.5)
+        assert len(second.target.arrived_ms) <= 0.5 * 1.5 * LIMIT_PER_S + 5
+
+    platformfleet.run_with_fleet(body, serving=[1])
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -3,7 +3,10 @@
 import pytest
 
 from adapter import headers as platform_headers
+from parsleystile.gen import ttypes
+from parsleystile import ids
 from parsleystile.relay import answerparser
+from parsleystile.relay import noticememory
 from parsleystile.relay import targetnotices
 from tests import platformfleet
 
@@ -107,6 +110,21 @@
         assert not tracker.answered(_read('lots'), 150.0, 200.0)
         assert tracker.notice.limit_per_s == 9.0
 
+    def test_a_restarted_guard_holds_the_lowest_limit_that_others_recall(self):
+        tracker = targetnotices.notice_tracker()
+        assert tracker.recalled(targetnotices.Notice(9.0), 10.0)
+        assert not tracker.recalled(targetnotices.Notice(12.0), 20.0)
+        assert tracker.recalled(targetnotices.Notice(7.0), 30.0)
+        assert tracker.notice.limit_per_s == 7.0
+
+    def test_an_answer_of_the_target_is_newer_than_what_others_recall(self):
+        tracker = targetnotices.notice_tracker()
+        tracker.recalled(targetnotices.Notice(9.0), 10.0)
+        assert tracker.answered(_read(), 20.0, 30.0)
+        assert not tracker.recalled(targetnotices.Notice(9.0), 40.0)
+        assert tracker.recalled(targetnotices.Notice(9.0, True), 50.0)
+        assert tracker.notice == targetnotices.Notice(None, True)
+
     def test_a_leaving_target_does_not_stay_after_all(self):
         tracker = targetnotices.notice_tracker()
         leaving = _read('1', name='Server-Leaving')
@@ -115,6 +133,19 @@
         assert tracker.notice.is_leaving
 
 
+class TestMemory:
+    NODE = ids.NodeId('n1')
+
+    def test_a_refusal_without_a_notice_ends_none(self):
+        memory = noticememory.notice_memory()
+        notice = ttypes.TargetNotice('i-1', 1, 9.0, False)
+        memory.heard(self.NODE, notice, True)
+        memory.heard(self.NODE, None, False)
+        assert memory.of(self.NODE) == notice
+        memory.heard(self.NODE, None, True)
+        assert memory.of(self.NODE) is None
+
+
 def test_bad_values_of_a_target_are_logged_and_its_answers_passed_on(tmp_path):
     notices = ['Server-Limit', 'many', 'Server-Leaving', 'soon']
     log_path = tmp_path / 'log'
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -65,3 +65,32 @@
     (answer,) = _decode(frame)
     assert wire.refusal_from_answer(answer) == refusal
     assert answer.retry_unspent == 2
+
+
+def _answer_with(load):
+    refusal = errors.not_run(errors.Reason.SHED, 'full')
+    answer = wire.answer_from_refusal(4, refusal, 2, load)
+    return wire.encode(wire.FrameKind.ANSWER, answer)
+
+
+def test_notices_are_carried_and_absent_ones_are_none():
+    notice = ttypes.TargetNotice('i-1', 7, 2.5, False)
+    load = ttypes.Load(1, 2, 3, 1.5, 40, notice)
+    (answer,) = _decode(_answer_with(load))
+    assert answer.load == load
+    (answer,) = _decode(_answer_with(ttypes.Load(1, 2, 3, 1.5)))
+    assert answer.load.notice is None
+    assert answer.load.wait_ms is None
+    (call,) = _decode(_call_with(notice=notice))
+    assert call.notice == notice
+    (call,) = _decode(_call_with())
+    assert call.notice is None
+
+
+@pytest.mark.parametrize('limit_per_s', [-1.0, float('nan'), float('inf')])
+def test_a_notice_of_a_peer_with_a_bad_limit_raises_frame_error(limit_per_s):
+    notice = ttypes.TargetNotice('i-1', 7, limit_per_s, False)
+    with pytest.raises(errors.FrameError):
+        _decode(_answer_with(ttypes.Load(1, 2, 3, 1.5, 40, notice)))
+    with pytest.raises(errors.FrameError):
+        _decode(_call_with(notice=notice))
