--- a/src/parsleystile/admission.py
+++ b/src/parsleystile/admission.py
@@ -226,6 +226,11 @@
             )
         return math.inf
 
+    @property
+    def queued(self) -> int:
+        """Number of calls that wait to be started."""
+        return len(self._queue)
+
     def load(
         self, now_ms: float, organisation: ids.OrganisationId | None = None
     ) -> Load:
--- a/src/parsleystile/balancer.py
+++ b/src/parsleystile/balancer.py
@@ -24,6 +24,10 @@
 # and at which all of them do.
 SLOW_START = 2.5
 SLOW_FULL = 5.0
+# Wait for the rate of a target that weighs as much as all of its slots.
+FULL_WAIT_MS = 100.0
+# A rate below this counts as this one.
+MIN_RATE_PER_S = 0.5
 # Load that each consecutive failure adds to a target, in calls.
 FAILURE_PENALTY_CALLS = 2
 FAILURES_TO_EJECT = 3
@@ -66,6 +70,10 @@
     ejections: int = 0
     is_ejected: bool = False
     unavailable_until_ms: float = float('-inf')
+    # When the rate that the target names lets another call start, and the
+    # time between two; 0 without such a rate.
+    opens_ms: float = float('-inf')
+    interval_ms: float = 0.0
 
     def load(self, now_ms: float) -> int:
         """Return the estimated number of calls at the target."""
@@ -85,6 +93,10 @@
         load = self.load(now_ms) + FAILURE_PENALTY_CALLS * self.failures
         return (load + 1) / self.limit()
 
+    def wait_ms(self, now_ms: float) -> float:
+        """Return how long the rate of the target keeps another call."""
+        return max(0.0, self.opens_ms - now_ms)
+
     def limit(self) -> int:
         """Return the concurrency limit of the target, at least 1."""
         if self.reported_limit:
@@ -179,6 +191,8 @@
     def _spill_probability(self, peer: _Peer, now_ms: float) -> float:
         """Return the share of calls that go to the next tier instead."""
         utilisation = peer.load(now_ms) / peer.limit()
+        if peer.opens_ms > now_ms:
+            return 1.0
         by_load = (utilisation - SPILL_START_UTILISATION) / (
             SPILL_FULL_UTILISATION - SPILL_START_UTILISATION
         )
@@ -189,13 +203,75 @@
     def _cost(self, peer: _Peer, now_ms: float) -> float:
         """Return the expected wait at a target, relative to the others."""
         slowness = self._speeds.slowness(peer.member.node_id, now_ms)
-        return peer.cost(now_ms) * slowness
+        cost = peer.cost(now_ms) * slowness
+        if peer.opens_ms <= now_ms:
+            return cost
+        return max(1.0, cost) + peer.wait_ms(now_ms) / FULL_WAIT_MS
 
-    def sent(self, node_id: ids.NodeId) -> None:
+    def sent(self, node_id: ids.NodeId, now_ms: float = 0.0) -> None:
         """Record a call sent to a node."""
         peer = self._peers.get(node_id)
-        if peer is not None:
-            peer.in_flight += 1
+        if peer is None:
+            return
+        peer.in_flight += 1
+        if peer.interval_ms:
+            peer.opens_ms = max(peer.opens_ms, now_ms) + peer.interval_ms
+
+    def record_rate(
+        self,
+        node_id: ids.NodeId,
+        limit_per_s: float | None,
+        wait_ms: float | None,
+        now_ms: float,
+    ) -> None:
+        """Record the rate that a target names.
+
+        Args:
+            node_id: Node of the target.
+            limit_per_s: Calls a second that it takes; None without a limit.
+            wait_ms: Time until another call may start; None if it may now.
+            now_ms: Current time.
+        """
+        peer = self._peers.get(node_id)
+        if peer is None:
+            return
+        if limit_per_s is None:
+            peer.interval_ms = 0.0
+        else:
+            peer.interval_ms = 1e3 / max(limit_per_s, MIN_RATE_PER_S)
+        if wait_ms is None:
+            peer.opens_ms = float('-inf')
+        else:
+            peer.opens_ms = now_ms + wait_ms
+
+    def has_room_elsewhere(
+        self,
+        member: members.Member,
+        exclude: frozenset[ids.NodeId],
+        now_ms: float,
+    ) -> bool:
+        """Whether a call need not wait for the rate of a target.
+
+        Args:
+            member: The target, which may name a rate.
+            exclude: Nodes that have refused the call.
+            now_ms: Current time.
+
+        Returns:
+            True if the target names a rate and another one takes calls now.
+        """
+        chosen = self._peers.get(member.node_id)
+        if chosen is None or not chosen.interval_ms:
+            return False
+        return any(
+            peer is not chosen
+            and peer.member.node_id not in exclude
+            and not peer.is_ejected
+            and peer.unavailable_until_ms <= now_ms
+            and peer.opens_ms <= now_ms
+            and peer.load(now_ms) < peer.limit()
+            for peer in self._services[member.service].peers
+        )
 
     def answered(
         self,
@@ -322,11 +398,18 @@
         second = _first_eligible(
             tier, index % size, exclude, now_ms, idempotent
         )
-        if second is first:
-            return first
+        best = first
         if self._cost(second, now_ms) < self._cost(first, now_ms):
-            return second
-        return first
+            best = second
+        if best.opens_ms <= now_ms:
+            return best
+        # Both are at the rates that they name; others may not be.
+        eligible = [
+            peer
+            for peer in tier
+            if _is_eligible(peer, exclude, now_ms, idempotent)
+        ]
+        return min(eligible, key=lambda peer: self._cost(peer, now_ms))
 
     def _rebuild(self, service: ids.ServiceName) -> None:
         tiers: list[list[members.Member]] = [[], [], []]
@@ -391,8 +474,14 @@
     def _peer(self, member: members.Member) -> _Peer:
         peer = self._peers.get(member.node_id)
         if peer is None or peer.member.incarnation < member.incarnation:
-            in_flight = peer.in_flight if peer is not None else 0
-            return _Peer(member, in_flight)
+            if peer is None:
+                return _Peer(member)
+            return _Peer(
+                member,
+                peer.in_flight,
+                opens_ms=peer.opens_ms,
+                interval_ms=peer.interval_ms,
+            )
         peer.member = member
         return peer
 
@@ -408,16 +497,25 @@
     size = len(tier)
     for _ in range(size):
         peer = tier[index]
-        if (
-            peer.unavailable_until_ms <= now_ms
-            and peer.member.node_id not in exclude
-            and (not peer.is_ejected or _may_probe(peer, now_ms, idempotent))
-        ):
+        if _is_eligible(peer, exclude, now_ms, idempotent):
             return peer
         index = index + 1 if index + 1 < size else 0
     return None
 
 
+def _is_eligible(
+    peer: _Peer,
+    exclude: frozenset[ids.NodeId],
+    now_ms: float,
+    idempotent: bool,
+) -> bool:
+    return (
+        peer.unavailable_until_ms <= now_ms
+        and peer.member.node_id not in exclude
+        and (not peer.is_ejected or _may_probe(peer, now_ms, idempotent))
+    )
+
+
 def _may_probe(peer: _Peer, now_ms: float, idempotent: bool) -> bool:
     if peer.in_flight:
         return False
--- a/src/parsleystile/relay/declaredlimit.py
+++ b/src/parsleystile/relay/declaredlimit.py
@@ -117,6 +117,20 @@
         startable = int(self._per_ms(now_ms) * NAMED_QUEUE_MS)
         return min(bound, max(MIN_NAMED_QUEUE, startable))
 
+    def wait_ms(self, queued: int, now_ms: float) -> float:
+        """Return the time until one more call may start; 0 if not named.
+
+        Args:
+            queued: Calls that start before it.
+            now_ms: Current time.
+        """
+        if math.isinf(self._named_per_ms):
+            return 0.0
+        self._refill(now_ms)
+        per_ms = self._per_ms(now_ms)
+        missing = queued + 1 - self._tokens
+        return max(0.0, missing / per_ms if per_ms else math.inf)
+
     def started(self, in_flight: int, now_ms: float) -> None:
         """Count a call that was sent to the target."""
         del in_flight
--- a/src/parsleystile/relay/dispatch.py
+++ b/src/parsleystile/relay/dispatch.py
@@ -29,6 +29,8 @@
 _OVERLOAD_REASONS = frozenset(
     {errors.Reason.QUEUE_FULL, errors.Reason.SHED, errors.Reason.DEADLINE}
 )
+# Longest wait for the rate of a target while others take calls at once.
+_MAX_RATE_WAIT_MS = 25
 # No retry is made in the last part of a request's time: what is left must
 # exceed this ratio of the time it had at the start.
 _MIN_REMAINING_TIME_RATIO = 0.15
@@ -182,7 +184,10 @@
         self.node_id = member.node_id
         self.call.deadline_ms = max(1, int(self.deadline_ms - now_ms))
         self.call.notice = deps.notices.of(member.node_id)
-        deps.balancer.sent(member.node_id)
+        self.call.max_wait_ms = None
+        if deps.balancer.has_room_elsewhere(member, self._excluded, now_ms):
+            self.call.max_wait_ms = _MAX_RATE_WAIT_MS
+        deps.balancer.sent(member.node_id, now_ms)
         self._sent_ms = now_ms
         generation = self._generation
 
@@ -211,6 +216,7 @@
             load = result.load
             has_run = result.outcome == errors.Outcome.ANSWERED
             deps.notices.heard(node_id, load.notice, has_run)
+            self._record_rate(node_id, load, now_ms)
             deps.on_admission_level(
                 self.route.route_id,
                 self.call.organisation,
@@ -239,6 +245,15 @@
         self._excluded |= {node_id}
         self._handle_refusal(refusal, now_ms)
 
+    def _record_rate(
+        self, node_id: ids.NodeId, load: ttypes.Load, now_ms: float
+    ) -> None:
+        notice = load.notice
+        limit_per_s = None if notice is None else notice.limit_per_s
+        self._deps.balancer.record_rate(
+            node_id, limit_per_s, load.wait_ms, now_ms
+        )
+
     def _handle_answer(self, answer: ttypes.Answer, now_ms: float) -> None:
         is_failure = answer.status >= _FIRST_SERVER_ERROR
         # If a target further down the call chain sheds load, the calls above
@@ -291,6 +306,9 @@
         return True
 
     def _max_reroutes(self, refusal: errors.Refusal) -> int:
+        # Refused since others have room; not for lack of it at the service.
+        if self.call.max_wait_ms is not None:
+            return _MAX_REROUTES
         if refusal.reason in _OVERLOAD_REASONS:
             return _MAX_REROUTES_WHEN_OVERLOADED
         return _MAX_REROUTES
--- a/src/parsleystile/relay/guard.py
+++ b/src/parsleystile/relay/guard.py
@@ -36,6 +36,8 @@
 _ASSUMED_COLD_MS = 3_000.0
 # Extra time after the deadline for the target to report the timeout itself.
 _DEADLINE_GRACE_MS = 250.0
+# Longest wait that is told; a rate of 0 would need longer.
+_MAX_WAIT_MS = 60_000.0
 _REFUSAL_STATUSES = frozenset({400, 421, 429, 503})
 _MISDIRECTED = 421
 
@@ -225,9 +227,15 @@
             limit,
             load.queued,
             min(load.admission_level, self._deps.child_level(now_ms)),
-            notice=self._told_notice,
+            self._wait_ms(load.queued, now_ms),
+            self._told_notice,
         )
 
+    def _wait_ms(self, queued: int, now_ms: float) -> int | None:
+        """Return how long the target's rate keeps a call; None if not."""
+        wait_ms = self._deps.limit.wait_ms(queued, now_ms)
+        return int(min(wait_ms, _MAX_WAIT_MS)) or None
+
     def submit(
         self, call: ttypes.Call, on_answer: OnAnswer
     ) -> transports.PendingCall | None:
@@ -240,7 +248,7 @@
         now_ms = self._deps.clock.now_ms()
         if call.notice is not None:
             self._recall_notice(call.notice, now_ms)
-        refusal = self._admission_refusal(call)
+        refusal = self._admission_refusal(call, now_ms)
         if refusal is not None:
             on_answer(self._refusal_answer(call, refusal, now_ms))
             return None
@@ -266,7 +274,9 @@
         )
         return active
 
-    def _admission_refusal(self, call: ttypes.Call) -> errors.Refusal | None:
+    def _admission_refusal(
+        self, call: ttypes.Call, now_ms: float
+    ) -> errors.Refusal | None:
         if self._refusal_reason is not None:
             return errors.not_run(self._refusal_reason, 'no new work here')
         target = self._target
@@ -275,6 +285,15 @@
                 errors.Reason.LEAVING,
                 f'no target of {call.callee_service} here',
             )
+        if call.max_wait_ms is None:
+            return None
+        wait_ms = self._wait_ms(self._deps.queue.queued, now_ms)
+        if wait_ms is not None and wait_ms > call.max_wait_ms:
+            return errors.not_run(
+                errors.Reason.QUEUE_FULL,
+                'the target takes no more for now, and others do',
+                wait_ms,
+            )
         return None
 
     def cancel(self, active: _ActiveCall) -> None:
