--- a/src/parsleystile/balancer.py
+++ b/src/parsleystile/balancer.py
@@ -26,6 +26,9 @@
 SLOW_FULL = 5.0
 # Wait for the rate of a target that weighs as much as all of its slots.
 FULL_WAIT_MS = 100.0
+# Calls of the target's rate that one call sent to it stands for: until the
+# answer tells more, other nodes call it as well.
+PACED_INTERVALS = 4
 # A rate below this counts as this one.
 MIN_RATE_PER_S = 0.5
 # Load that each consecutive failure adds to a target, in calls.
@@ -215,7 +218,8 @@
             return
         peer.in_flight += 1
         if peer.interval_ms:
-            peer.opens_ms = max(peer.opens_ms, now_ms) + peer.interval_ms
+            opens_ms = max(peer.opens_ms, now_ms)
+            peer.opens_ms = opens_ms + PACED_INTERVALS * peer.interval_ms
 
     def record_rate(
         self,
--- a/src/parsleystile/relay/dispatch.py
+++ b/src/parsleystile/relay/dispatch.py
@@ -185,7 +185,10 @@
         self.call.deadline_ms = max(1, int(self.deadline_ms - now_ms))
         self.call.notice = deps.notices.of(member.node_id)
         self.call.max_wait_ms = None
-        if deps.balancer.has_room_elsewhere(member, self._excluded, now_ms):
+        is_last = self.attempts > _MAX_REROUTES
+        if not is_last and deps.balancer.has_room_elsewhere(
+            member, self._excluded, now_ms
+        ):
             self.call.max_wait_ms = _MAX_RATE_WAIT_MS
         deps.balancer.sent(member.node_id, now_ms)
         self._sent_ms = now_ms
