Send nothing more to a target that says it leaves in its answers

What targets would see: one whose answers say Server-Leaving goes on getting calls until its report of draining comes, which may be seconds late, may be outrun by an older report that says ready, and is lost with the node beside it (DRAIN, the new part).

Cause: as for the limit, nobody read the header.

Change: the guard takes it for the leave of that incarnation: no new call is started, queued ones go elsewhere as not run, running ones finish, later reports of it are stale, and its departure is published.

--- a/src/parsleystile/relay/guard.py
+++ b/src/parsleystile/relay/guard.py
@@ -42,6 +42,7 @@
 _MISDIRECTED = 421
 
 OnAnswer = typing.Callable[[ttypes.Answer], None]
+OnLeaving = typing.Callable[[ids.TargetId, int], None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -131,6 +132,8 @@
     Attributes:
         on_target_lost: Called with the reason when the target is unreachable
             or was replaced by another one.
+        on_target_leaving: Called with the id and the start time of a target
+            that has said that it leaves.
     """
 
     def __init__(self, deps: Dependencies) -> None:
@@ -148,6 +151,7 @@
         # until there is another one.
         self._told_notice: ttypes.TargetNotice | None = None
         self.on_target_lost: typing.Callable[[str], None] = lambda why: None
+        self.on_target_leaving: OnLeaving = lambda target_id, born_ms: None
 
     @property
     def target(self) -> Target | None:
@@ -470,6 +474,10 @@
             or target.target_id != told.target_id
             or target.born_ms != told.born_ms
         ):
+            if told.is_leaving:
+                # It may report here once more, as ready.
+                target_id = ids.TargetId(told.target_id)
+                self.on_target_leaving(target_id, told.born_ms)
             return
         before = self._notices.notice
         notice = targetnotices.Notice(told.limit_per_s, told.is_leaving)
@@ -497,6 +505,8 @@
                 notice.limit_per_s,
                 notice.is_leaving,
             )
+        if notice.is_leaving:
+            self.on_target_leaving(target.target_id, target.born_ms)
 
     def _record_notice(
         self,
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -204,6 +204,7 @@
             )
         )
         self.guard.on_target_lost = self._on_target_lost
+        self.guard.on_target_leaving = self._on_target_leaving
         self._links.handle_calls(self._submit_received)
         self._balancer = balancer.balancer(
             setup.domain, setup.region, setup.node_id, rng
@@ -374,6 +375,12 @@
             departed_born_ms=report.started_ms,
         )
 
+    def _on_target_leaving(
+        self, target_id: ids.TargetId, born_ms: int
+    ) -> None:
+        state = targetreports.TargetState.DRAINING
+        self.handle_report(targetreports.Report(target_id, state, born_ms))
+
     def _on_target_lost(self, why: str) -> None:
         current = self._reports.current
         if current is None:
