--- a/src/parsleystile/relay/noticememory.py
+++ b/src/parsleystile/relay/noticememory.py
@@ -5,8 +5,8 @@
 sender was last told.
 """
 
-from parsleystile import ids
 from parsleystile.gen import ttypes
+from parsleystile import ids
 
 # The oldest are forgotten beyond this; above the size of the largest fleets.
 _MAX_NOTICES = 16_384
