Tell a refused caller when a target at its rate takes more

What callers saw at a target that names half a call a second: held until a tenth of their time was left, then refused as 'deadline' or, where it was the last target, as 'no_target', with a Retry-After of 0.2 to 0.6 s that is true for neither.

Cause: the queue judged a deadline by the work alone, not by when the rate lets the next call start; the jitter of Retry-After knows no rate; and a reroute without another target threw the refusal away.

Change: a call that the rate keeps beyond its deadline is refused on arrival; a refusal of a paced guard says at least when the rate takes one more; a full target's refusal stands where no other target is left.

--- a/src/parsleystile/admission.py
+++ b/src/parsleystile/admission.py
@@ -327,13 +327,15 @@
         is_admitted = self._levels.is_admitted(call.organisation, call.rank)
         if call.is_sheddable and not is_admitted:
             return self._overloaded(errors.Reason.SHED, 'rank is not admitted')
-        remaining_ms = call.deadline_ms - now_ms
+        # What is left once the next call may start at all.
+        wait_ms = self._limit.wait_ms(0, now_ms)
+        remaining_ms = call.deadline_ms - now_ms - wait_ms
         # With no call in flight the estimate may be stale, so one may start.
         if remaining_ms <= 0.0 or (
             self._running
             and remaining_ms < self._times.expected_ms(call.route, now_ms)
         ):
-            return _deadline_unreachable()
+            return _deadline_unreachable(wait_ms)
         return None
 
     def _make_room(self, call: Arrive, actions: list[Action]) -> bool:
@@ -465,9 +467,11 @@
     )
 
 
-def _deadline_unreachable() -> errors.Refusal:
+def _deadline_unreachable(wait_ms: float = 0.0) -> errors.Refusal:
     return errors.not_run(
-        errors.Reason.DEADLINE, 'cannot finish before the deadline'
+        errors.Reason.DEADLINE,
+        'cannot finish before the deadline',
+        int(wait_ms),
     )
 
 
--- a/src/parsleystile/relay/dispatch.py
+++ b/src/parsleystile/relay/dispatch.py
@@ -167,14 +167,24 @@
         make = errors.unknown if is_sent else errors.not_run
         self._finish(make(reason, detail))
 
-    def _send(self, now_ms: float) -> None:
+    def _send(
+        self, now_ms: float, refusal: errors.Refusal | None = None
+    ) -> None:
+        """Send the call to a target.
+
+        Args:
+            now_ms: Current time.
+            refusal: Ends the request if no other target is left, since it
+                says more than that; None for that itself.
+        """
         deps = self._deps
         member = deps.balancer.choose(
             self.service, self._excluded, now_ms, self.route.is_idempotent
         )
         if member is None:
             self._finish(
-                errors.not_run(
+                refusal
+                or errors.not_run(
                     errors.Reason.NO_TARGET, f'no target of {self.service}'
                 )
             )
@@ -287,7 +297,8 @@
             and self._has_time_left(now_ms)
         ):
             self._log_retry(refusal, now_ms)
-            self._send(now_ms)
+            is_full = refusal.reason in _OVERLOAD_REASONS
+            self._send(now_ms, refusal if is_full else None)
             return
         self._finish(refusal)
 
--- a/src/parsleystile/relay/guard.py
+++ b/src/parsleystile/relay/guard.py
@@ -578,6 +578,12 @@
         self, call: ttypes.Call, refusal: errors.Refusal, now_ms: float
     ) -> ttypes.Answer:
         load = self._load(ids.OrganisationId(call.organisation), now_ms)
+        if refusal.retry_after_ms and load.wait_ms is not None:
+            # The jittered value knows nothing of the target's rate.
+            retry_after_ms = max(refusal.retry_after_ms, load.wait_ms)
+            refusal = dataclasses.replace(
+                refusal, retry_after_ms=retry_after_ms
+            )
         self._deps.recorder.guard_refused(
             call.root_id, call.callee_service, refusal, load
         )
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -7,6 +7,7 @@
 import pytest
 
 from parsleystile import admission
+from parsleystile import errors
 from parsleystile import ids
 from parsleystile.relay import declaredlimit
 from parsleystile.relay import ingress
@@ -157,6 +158,21 @@
         starts = self._run_queue(44.0, 300.0, 1, 3_000.0, named)
         assert len(starts) <= 3 * 44 + 2
 
+    def test_a_call_that_a_low_rate_keeps_beyond_its_deadline_is_not_held(
+        self,
+    ):
+        limit = declaredlimit.declared_limit()
+        queue = admission.admission_queue(random.Random(1), limit=limit)
+        queue.handle(admission.Announce(20), 0.0)
+        limit.set_named_rate(1.0, 0.0, tokens=0.0)
+        late = admission.Arrive(1, 'o', 0.5, 400.0)
+        (refused,) = queue.handle(late, 0.0)
+        assert isinstance(refused, admission.Refuse)
+        assert refused.refusal.reason is errors.Reason.DEADLINE
+        assert not queue.handle(admission.Arrive(2, 'o', 0.5, 2_000.0), 0.0)
+        (started,) = queue.handle(admission.Tick(), 1_001.0)
+        assert started == admission.Start(2)
+
     def test_the_queue_of_a_target_in_need_is_short(self):
         limit = declaredlimit.declared_limit()
         limit.announce(177, 0.0)
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -3,6 +3,8 @@
 import asyncio
 import time
 
+import pytest
+
 from parsleystile import errors
 from tests import platformfleet
 
@@ -14,8 +16,8 @@
     machine.target.notices = ['Server-Limit', str(per_s)]
 
 
-async def _send(machine, call_id, results, **fields):
-    result = await machine.call(call_id=call_id, wait_ms=500, **fields)
+async def _send(machine, call_id, results, wait_ms=500):
+    result = await machine.call(call_id=call_id, wait_ms=wait_ms)
     results.append(result)
 
 
@@ -87,3 +89,26 @@
         assert len(second.target.arrived_ms) <= 0.5 * 1.5 * LIMIT_PER_S + 5
 
     platformfleet.run_with_fleet(body, serving=[1])
+
+
+@pytest.mark.parametrize(
+    ('wait_ms', 'reason', 'least_s'),
+    # Of ten calls, one starts at once and two are queued; those that can't
+    # wait for two seconds are not.
+    [(10_000, b'queue_full\n', 2.0), (200, b'deadline\n', 1.5)],
+)
+def test_a_refused_caller_is_told_when_the_target_takes_more(
+    wait_ms, reason, least_s
+):
+    async def body(fleet):
+        (machine,) = fleet.machines
+        _name_limit(machine, 0.5)
+        await machine.call(call_id='first')
+        results = await _load([machine], 500.0, 0.02, wait_ms=wait_ms)
+        refused = [r for r in results if r.body == reason]
+        assert len(refused) >= 5
+        for answer in refused:
+            start = answer.headers.index('Retry-After')
+            assert least_s <= float(answer.headers[start + 1]) <= 6.0
+
+    platformfleet.run_with_fleet(body, count=1)
