--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -27,7 +27,7 @@
         self.ran: set[str] = set()
         self.failed: set[str] = set()
 
-    def pytest_configure(self) -> None:
+    def pytest_collection_finish(self) -> None:
         gc.enable()
 
     def pytest_runtest_logreport(self, report: pytest.TestReport) -> None:
@@ -50,7 +50,7 @@
     if _LIST_PATH.exists():
         listed = set(parse_entries(_LIST_PATH.read_text()))
     outcomes = Outcomes()
-    # Until its plugins are loaded: the parser of Python 3.11.6 fails if the
+    # Until the tests are collected: the parser of Python 3.11.6 fails if the
     # collector runs in it.
     gc.disable()
     code = pytest.main(argv, plugins=[outcomes])
