--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -8,6 +8,7 @@
 import gc
 import pathlib
 import sys
+import typing
 
 import pytest
 
@@ -27,8 +28,13 @@
         self.ran: set[str] = set()
         self.failed: set[str] = set()
 
-    def pytest_collection_finish(self) -> None:
+    @pytest.hookimpl(wrapper=True)
+    def pytest_runtestloop(self) -> typing.Generator[None, bool, bool]:
         gc.enable()
+        try:
+            return (yield)
+        finally:
+            gc.disable()
 
     def pytest_runtest_logreport(self, report: pytest.TestReport) -> None:
         self.ran.add(report.nodeid)
@@ -50,8 +56,8 @@
     if _LIST_PATH.exists():
         listed = set(parse_entries(_LIST_PATH.read_text()))
     outcomes = Outcomes()
-    # Until the tests are collected: the parser of Python 3.11.6 fails if the
-    # collector runs in it.
+    # But for the tests themselves: the parser of Python 3.11.6, which loads
+    # them and the plugins, fails if the collector runs in it.
     gc.disable()
     code = pytest.main(argv, plugins=[outcomes])
     if code not in (pytest.ExitCode.OK, pytest.ExitCode.TESTS_FAILED):
