Let targets of the relay soak name limits and leave by their answers

Promises checked from what targets see, by the users' rules: a machine counts from half a second after an answer with the limit went to it, and from two seconds after a leave, until its process ends or is paused. Targets name 0, 2 or 8.5 calls a second for six seconds and more, and say in their answers that they leave at least 2.5 s before they report it.

--- a/tests/relayprocesses.py
+++ b/tests/relayprocesses.py
@@ -17,6 +17,7 @@
 
 from stubs import platformstore
 from stubs import platformtarget
+from tests import noticerecord
 from tests import platformfleet
 from tests import relaycallers
 from tests import relayrecord
@@ -47,7 +48,10 @@
         self._domain = 'ab'[index % 2]
         self._fleet = fleet
         self.target = None
+        # What the target says of itself in its answers.
+        self._spell = None
         self._is_leaving = False
+        self._is_replacing = False
         self._target_starts = 0
         self._sequence = 0
         self._working = 0
@@ -64,10 +68,34 @@
         self._is_leaving = False
         fleet.spawn(self._report_forever())
 
-    async def replace_target(self):
-        """Let the target leave as announced, then start another one."""
-        if self._is_leaving:
+    async def name_limit(self, per_s, hold_s):
+        """Let the target name a limit for a time."""
+        if self._spell is not None:
             return
+        spell = self._start_spell(per_s)
+        self.target.notices = ['Server-Limit', str(per_s)]
+        await asyncio.sleep(hold_s)
+        if self._spell is spell:
+            self._spell = None
+            self.target.notices = []
+
+    def _start_spell(self, limit_per_s):
+        self._spell = noticerecord.Spell(self.target.target_id, limit_per_s)
+        self._fleet.record.spells.append(self._spell)
+        return self._spell
+
+    async def replace_target(self, hold_s):
+        """Let the target leave, then start another one.
+
+        It says so in its answers first, and reports for a while that it is
+        ready.
+        """
+        if self._is_leaving or self._is_replacing:
+            return
+        self._is_replacing = True
+        self._start_spell(None)
+        self.target.notices = ['Server-Leaving', '1']
+        await asyncio.sleep(hold_s)
         self._is_leaving = True
         while not await self._report('draining'):
             await asyncio.sleep(_HEARTBEAT_S)
@@ -75,6 +103,8 @@
         while self._working:
             await asyncio.sleep(_POLL_S)
         self.target.close()
+        self._spell = None
+        self._is_replacing = False
         await self.start_target()
 
     async def _report_forever(self):
@@ -108,6 +138,12 @@
         headers = dict(zip(names, request.headers[1::2], strict=True))
         call_id = headers['parsleystile-attempt-id']
         self._fleet.record.runs.append(call_id)
+        call = self._fleet.record.call(call_id)
+        target, arrived_ms = self.target, relayrecord.now_ms()
+        if self._spell is not None:
+            self._spell.arrive(
+                noticerecord.Arrival(arrived_ms, call.node, call.sent_ms)
+            )
         self._working += 1
         await asyncio.sleep(int(query['work_ms']) / 1e3)
         status = 200
@@ -118,6 +154,9 @@
         self._working -= 1
         answer_headers = ['Parsleystile-Attempt-Id', call_id]
         answer_headers += ['Parsleystile-Server-Signature', self.name]
+        answer_headers += target.notices
+        if self._spell is not None and target is self.target:
+            self._spell.tell(call.node, relayrecord.now_ms())
         body = relayrecord.expected_body(call_id, int(query['size']))
         request.answer(status, answer_headers, body)
 
@@ -178,6 +217,7 @@
     async def _record_end(self, process, output):
         code = await process.wait()
         ended_ms = relayrecord.now_ms()
+        self._fleet.record.forget_notices(self.name)
         self._is_listening = False
         self._fleet.record.processes.append(
             relayrecord.Process(
--- a/tests/relayrecord.py
+++ b/tests/relayrecord.py
@@ -79,15 +79,28 @@
         self.runs = []
         self.processes = []
         self.disruptions = []
+        self.spells = []
+        self._by_id = {}
         self._numbers = itertools.count(1)
 
     def new_call(self, node, style, is_idempotent, size=0):
         call_id = f'{style}-{next(self._numbers)}'
         self.calls.append(Call(call_id, node, style, is_idempotent, size))
+        self._by_id[call_id] = self.calls[-1]
         return self.calls[-1]
 
+    def call(self, call_id):
+        """Return a call by its id."""
+        return self._by_id[call_id]
+
+    def forget_notices(self, node):
+        """Record that a node knows nothing of before, or is excused."""
+        for spell in self.spells:
+            spell.forget(node)
+
     def disrupt(self, node):
         """Record a fault from now on."""
+        self.forget_notices(node)
         self.disruptions.append(Disruption(node, now_ms()))
         return self.disruptions[-1]
 
@@ -153,6 +166,8 @@
             for process in self.processes
             for why in self._process_faults(process)
         ]
+        for spell in self.spells:
+            lines += spell.violations()
         return lines
 
     def _call_faults(self, call, runs):
--- a/tests/relaysoak.py
+++ b/tests/relaysoak.py
@@ -21,9 +21,14 @@
 _NODES = 5
 _GRACE_S = 3.0
 _STYLES = ('kept', 'new', 'pipelined', 'slow-reader', 'slow-sender')
-_PLANNED = ('stop', 'roll', 'reload', 'config', 'target', 'store')
+_PLANNED = ('stop', 'roll', 'reload', 'config', 'target', 'store', 'limit')
 _UNPLANNED = ('kill', 'pause')
 _STORE_FAULTS = ('refuses', 'ignores_requests', 'loses_answers')
+# Limits that targets name, in calls a second, and for how long.
+_LIMITS_PER_S = (0.0, 2.0, 8.5)
+_LIMIT_S = 6.0
+# Time from the word of a leave in answers to its report, at least.
+_LATE_REPORT_S = 2.5
 _ROLL_STEP_S = 0.4
 # A longer stall of the event loop of callers and targets falsifies times.
 _STALL_MS = 100.0
@@ -78,7 +83,17 @@
             case 'config':
                 self._fleet.put_next_document()
             case 'target':
-                await machines[0].replace_target()
+                await machines[0].replace_target(_LATE_REPORT_S + fault.hold_s)
+            case 'limit':
+                await asyncio.gather(
+                    *(
+                        machine.name_limit(
+                            _LIMITS_PER_S[i % len(_LIMITS_PER_S)],
+                            _LIMIT_S + fault.hold_s,
+                        )
+                        for i, machine in enumerate(machines)
+                    )
+                )
             case 'store':
                 await self._disrupt_store(fault)
             case 'kill' if machines[0].is_serving:
--- a/tests/test_relay_record.py
+++ b/tests/test_relay_record.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from tests import noticerecord
 from tests import relayrecord
 
 _ANSWERED = {'status': 200, 'is_signed': True, 'is_whole': True}
@@ -110,3 +111,38 @@
         relayrecord.Process('n0', asked_ms, 200.0, code, output)
     )
     assert len(record.violations()) == count
+
+
+class TestNotices:
+    def _arrivals(self, spell, count, start_ms, step_ms, node='n0'):
+        for i in range(count):
+            at_ms = start_ms + i * step_ms
+            spell.arrive(noticerecord.Arrival(at_ms, node, at_ms))
+
+    def test_a_machine_that_was_told_is_held_to_the_limit(self):
+        spell = noticerecord.Spell('i-1', 4.0)
+        spell.tell('n0', 0.0)
+        self._arrivals(spell, 100, 0.0, 20.0)
+        assert not list(spell.violations())
+        self._arrivals(spell, 100, 4_000.0, 20.0, 'untold')
+        assert not list(spell.violations())
+        self._arrivals(spell, 100, 7_000.0, 20.0)
+        assert len(list(spell.violations())) == 1
+
+    def test_a_restart_excuses_a_machine_until_it_is_told_again(self):
+        spell = noticerecord.Spell('i-1', 4.0)
+        spell.tell('n0', 0.0)
+        spell.forget('n0')
+        self._arrivals(spell, 100, 4_000.0, 20.0)
+        assert not list(spell.violations())
+        spell.tell('n0', 6_000.0)
+        self._arrivals(spell, 100, 7_000.0, 20.0)
+        assert list(spell.violations())
+
+    def test_a_machine_that_was_told_of_a_leave_sends_nothing_later(self):
+        spell = noticerecord.Spell('i-1', None)
+        spell.tell('n0', 0.0)
+        self._arrivals(spell, 3, 100.0, 10.0)
+        assert not list(spell.violations())
+        self._arrivals(spell, 1, 2_001.0, 10.0)
+        assert len(list(spell.violations())) == 1
