Keep the notices of a target that is unreachable for a moment

What a target in need would see: a refused connection takes it out of use, its next report brings it back, and the guard starts calls at full speed until the next answer, although it is the same incarnation that named the limit.

Cause: the guard compared a report with the target in use, and there was none, so the notices ended as with a new target. Found in the review of the diff.

Change: notices belong to the latest incarnation, in use or not, and an answer that comes while it is out of use counts as well.

--- a/src/parsleystile/relay/guard.py
+++ b/src/parsleystile/relay/guard.py
@@ -18,9 +18,7 @@
 from parsleystile.relay import declaredlimit
 from parsleystile.relay import headernames
 from parsleystile.relay import httpclient
-from parsleystile.relay import logevents
-from parsleystile.relay import startmeter
-from parsleystile.relay import targetnotices
+from parsleystile.relay import noticekeeper
 from parsleystile.relay import telemetry
 from parsleystile import targetanswer
 from parsleystile import transport as transports
@@ -42,7 +40,6 @@
 _MISDIRECTED = 421
 
 OnAnswer = typing.Callable[[ttypes.Answer], None]
-OnLeaving = typing.Callable[[ids.TargetId, int], None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,13 +60,10 @@
     cold_per_s: float
     born_ms: int = 0
 
-    def is_same(self, other: 'Target | None') -> bool:
-        """Whether both are the same incarnation."""
-        return (
-            other is not None
-            and self.target_id == other.target_id
-            and self.born_ms == other.born_ms
-        )
+    @property
+    def key(self) -> noticekeeper.TargetKey:
+        """Identifies the incarnation."""
+        return noticekeeper.TargetKey(self.target_id, self.born_ms)
 
 
 class _ActiveCall(transports.PendingCall):
@@ -132,8 +126,7 @@
     Attributes:
         on_target_lost: Called with the reason when the target is unreachable
             or was replaced by another one.
-        on_target_leaving: Called with the id and the start time of a target
-            that has said that it leaves.
+        notices: What the target says of itself.
     """
 
     def __init__(self, deps: Dependencies) -> None:
@@ -144,14 +137,10 @@
         self._refusal_reason: errors.Reason | None = None
         self._tick_due_ms = float('inf')
         self._not_run_header = deps.header_names.not_run.lower()
-        self._notice_reader = targetnotices.notice_reader(deps.header_names)
-        self._notices = targetnotices.notice_tracker()
-        self._starts = startmeter.start_meter()
-        # The notice in force as callers are told it; of the last target
-        # until there is another one.
-        self._told_notice: ttypes.TargetNotice | None = None
+        self.notices = noticekeeper.notice_keeper(
+            deps.header_names, deps.limit, deps.recorder
+        )
         self.on_target_lost: typing.Callable[[str], None] = lambda why: None
-        self.on_target_leaving: OnLeaving = lambda target_id, born_ms: None
 
     @property
     def target(self) -> Target | None:
@@ -170,11 +159,8 @@
         self._deps.limit.set_cold(
             target.cold_until_ms, target.cold_per_s, now_ms
         )
-        is_new = not target.is_same(before)
-        if is_new:
-            self._notices = targetnotices.notice_tracker()
-            self._told_notice = None
-            self._deps.limit.set_named_rate(None, now_ms)
+        self.notices.set_target(target.key, now_ms)
+        is_new = before is None or before.key != target.key
         if is_new or before.slots != target.slots:
             self._apply(admission.Announce(target.slots), now_ms)
 
@@ -232,7 +218,7 @@
             load.queued,
             min(load.admission_level, self._deps.child_level(now_ms)),
             self._wait_ms(load.queued, now_ms),
-            self._told_notice,
+            self.notices.told,
         )
 
     def _wait_ms(self, queued: int, now_ms: float) -> int | None:
@@ -251,7 +237,7 @@
         """
         now_ms = self._deps.clock.now_ms()
         if call.notice is not None:
-            self._recall_notice(call.notice, now_ms)
+            self.notices.recalled(call.notice, now_ms)
         refusal = self._admission_refusal(call, now_ms)
         if refusal is not None:
             on_answer(self._refusal_answer(call, refusal, now_ms))
@@ -365,8 +351,7 @@
                 self._refusal_answer(active.call, refusal, now_ms)
             )
             return
-        if self._notices.notice:
-            self._starts.count(now_ms)
+        self.notices.started(now_ms)
         call = active.call
         outbound = httpclient.OutboundRequest(
             self._request_bytes(call, target, active.deadline_ms - now_ms),
@@ -429,7 +414,11 @@
         now_ms = self._deps.clock.now_ms()
         spent_ms = now_ms - active.started_ms
         if isinstance(result, targetanswer.TargetAnswer):
-            self._read_notice(result, active, target, now_ms)
+            # Another target may have given that answer.
+            if result.status != _MISDIRECTED:
+                self.notices.answered(
+                    target.key, result.headers, active.started_ms, now_ms
+                )
             result = self._classify(result, target)
         is_ok = isinstance(result, targetanswer.TargetAnswer)
         self._apply(admission.Complete(active.key, is_ok, spent_ms), now_ms)
@@ -444,95 +433,6 @@
             )
         active.on_answer(self._refusal_answer(active.call, result, now_ms))
 
-    def _read_notice(
-        self,
-        answer: targetanswer.TargetAnswer,
-        active: _ActiveCall,
-        target: Target,
-        now_ms: float,
-    ) -> None:
-        """Apply what the target says of itself in an answer."""
-        is_other = not target.is_same(self._target)
-        if is_other or answer.status == _MISDIRECTED:
-            return
-        reading = self._notice_reader.read(answer.headers)
-        for bad in reading.bad:
-            self._deps.recorder.input_rejected(
-                f'target {target.target_id}',
-                f'{bad.name} {bad.value!r}: {bad.fault.value}',
-            )
-        before = self._notices.notice
-        if self._notices.answered(reading, active.started_ms, now_ms):
-            source = targetnotices.Source.ANSWER
-            self._apply_notice(target, before, source, now_ms)
-
-    def _recall_notice(self, told: ttypes.TargetNotice, now_ms: float) -> None:
-        """Apply what the sender of a call was told before a restart here."""
-        target = self._target
-        if (
-            target is None
-            or target.target_id != told.target_id
-            or target.born_ms != told.born_ms
-        ):
-            if told.is_leaving:
-                # It may report here once more, as ready.
-                target_id = ids.TargetId(told.target_id)
-                self.on_target_leaving(target_id, told.born_ms)
-            return
-        before = self._notices.notice
-        notice = targetnotices.Notice(told.limit_per_s, told.is_leaving)
-        if self._notices.recalled(notice, now_ms):
-            source = targetnotices.Source.RECALLED
-            self._apply_notice(target, before, source, now_ms)
-
-    def _apply_notice(
-        self,
-        target: Target,
-        before: targetnotices.Notice,
-        source: targetnotices.Source,
-        now_ms: float,
-    ) -> None:
-        notice = self._notices.notice
-        self._record_notice(target, before, source, now_ms)
-        # Before a restart the rate may have been used up.
-        tokens = 1.0 if source is targetnotices.Source.ANSWER else 0.0
-        self._deps.limit.set_named_rate(notice.limit_per_s, now_ms, tokens)
-        self._told_notice = None
-        if notice:
-            self._told_notice = ttypes.TargetNotice(
-                target.target_id,
-                target.born_ms,
-                notice.limit_per_s,
-                notice.is_leaving,
-            )
-        if notice.is_leaving:
-            self.on_target_leaving(target.target_id, target.born_ms)
-
-    def _record_notice(
-        self,
-        target: Target,
-        before: targetnotices.Notice,
-        source: targetnotices.Source,
-        now_ms: float,
-    ) -> None:
-        notice, starts = self._notices.notice, self._starts
-        self._deps.recorder.gauge(
-            'target-limit', _or_unlimited(notice.limit_per_s)
-        )
-        self._deps.recorder.log.write(
-            logevents.TargetNoticeChanged(
-                target=target.target_id,
-                limit_per_s=_or_unlimited(notice.limit_per_s),
-                is_leaving=notice.is_leaving,
-                source=source.value,
-                before_per_s=_or_unlimited(before.limit_per_s),
-                before_ms=round(starts.age_ms(now_ms) if before else 0.0, 1),
-                calls_started=starts.started,
-                most_started=starts.most,
-            )
-        )
-        starts.reset(now_ms)
-
     def _classify(
         self, answer: targetanswer.TargetAnswer, target: Target
     ) -> targetanswer.TargetAnswer | errors.Refusal:
@@ -590,10 +490,6 @@
         return wire.answer_from_refusal(call.call_id, refusal, 0, load)
 
 
-def _or_unlimited(limit_per_s: float | None) -> float:
-    return -1.0 if limit_per_s is None else limit_per_s
-
-
 def guard(deps: Dependencies) -> Guard:
     """Create a guard without a target."""
     return Guard(deps)
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -204,7 +204,7 @@
             )
         )
         self.guard.on_target_lost = self._on_target_lost
-        self.guard.on_target_leaving = self._on_target_leaving
+        self.guard.notices.on_leaving = self._on_target_leaving
         self._links.handle_calls(self._submit_received)
         self._balancer = balancer.balancer(
             setup.domain, setup.region, setup.node_id, rng
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -91,6 +91,24 @@
     platformfleet.run_with_fleet(body, serving=[1])
 
 
+def test_a_limit_stays_in_force_while_its_target_is_unreachable():
+    async def body(fleet):
+        first, second = fleet.machines
+        _name_limit(second)
+        await _load([first], 20.0, 0.5)
+        second.node.guard.on_target_lost('no connection')
+        second.report()
+        await fleet.wait_serving(1)
+        # Nothing is answered, so the limit is not heard again.
+        second.target.custom_answer = lambda request: None
+        second.target.arrived_ms.clear()
+        first.node._ingress._deps.dispatch_deps.notices.heard('n1', None, True)
+        await _load([first], 60.0, 0.5)
+        assert len(second.target.arrived_ms) <= 0.5 * 1.5 * LIMIT_PER_S + 5
+
+    platformfleet.run_with_fleet(body, serving=[1])
+
+
 @pytest.mark.parametrize(
     ('wait_ms', 'reason', 'least_s'),
     # Of ten calls, one starts at once and two are queued; those that can't
