--- a/tests/relayprocesses.py
+++ b/tests/relayprocesses.py
@@ -138,11 +138,12 @@
         headers = dict(zip(names, request.headers[1::2], strict=True))
         call_id = headers['parsleystile-attempt-id']
         self._fleet.record.runs.append(call_id)
-        call = self._fleet.record.call(call_id)
-        target, arrived_ms = self.target, relayrecord.now_ms()
+        target = self.target
         if self._spell is not None:
+            call = self._fleet.record.call(call_id)
+            at_ms = relayrecord.now_ms()
             self._spell.arrive(
-                noticerecord.Arrival(arrived_ms, call.node, call.sent_ms)
+                noticerecord.Arrival(at_ms, call.node, call.sent_ms)
             )
         self._working += 1
         await asyncio.sleep(int(query['work_ms']) / 1e3)
@@ -156,7 +157,8 @@
         answer_headers += ['Parsleystile-Server-Signature', self.name]
         answer_headers += target.notices
         if self._spell is not None and target is self.target:
-            self._spell.tell(call.node, relayrecord.now_ms())
+            node = self._fleet.record.call(call_id).node
+            self._spell.tell(node, relayrecord.now_ms())
         body = relayrecord.expected_body(call_id, int(query['size']))
         request.answer(status, answer_headers, body)
 
