Ask once whether a target is open, and keep one floor of its rate

No change of behaviour. The choice of a target compared its next opening in four places, checked by hand again who may get a call, weighed a single eligible target against itself (two costs for each call to a service that has one), and kept its own copy of the least rate that the guard grants. The time until the bucket holds enough was computed in two places.

--- a/src/parsleystile/balancer.py
+++ b/src/parsleystile/balancer.py
@@ -29,8 +29,6 @@
 # Calls of the target's rate that one call sent to it stands for: until the
 # answer tells more, other nodes call it as well.
 PACED_INTERVALS = 4
-# A rate below this counts as this one.
-MIN_RATE_PER_S = 0.5
 # Load that each consecutive failure adds to a target, in calls.
 FAILURE_PENALTY_CALLS = 2
 FAILURES_TO_EJECT = 3
@@ -96,9 +94,9 @@
         load = self.load(now_ms) + FAILURE_PENALTY_CALLS * self.failures
         return (load + 1) / self.limit()
 
-    def wait_ms(self, now_ms: float) -> float:
-        """Return how long the rate of the target keeps another call."""
-        return max(0.0, self.opens_ms - now_ms)
+    def is_open(self, now_ms: float) -> bool:
+        """Whether the rate of the target lets another call start."""
+        return self.opens_ms <= now_ms
 
     def limit(self) -> int:
         """Return the concurrency limit of the target, at least 1."""
@@ -193,9 +191,9 @@
 
     def _spill_probability(self, peer: _Peer, now_ms: float) -> float:
         """Return the share of calls that go to the next tier instead."""
-        utilisation = peer.load(now_ms) / peer.limit()
-        if peer.opens_ms > now_ms:
+        if not peer.is_open(now_ms):
             return 1.0
+        utilisation = peer.load(now_ms) / peer.limit()
         by_load = (utilisation - SPILL_START_UTILISATION) / (
             SPILL_FULL_UTILISATION - SPILL_START_UTILISATION
         )
@@ -207,9 +205,9 @@
         """Return the expected wait at a target, relative to the others."""
         slowness = self._speeds.slowness(peer.member.node_id, now_ms)
         cost = peer.cost(now_ms) * slowness
-        if peer.opens_ms <= now_ms:
+        if peer.is_open(now_ms):
             return cost
-        return max(1.0, cost) + peer.wait_ms(now_ms) / FULL_WAIT_MS
+        return max(1.0, cost) + (peer.opens_ms - now_ms) / FULL_WAIT_MS
 
     def sent(self, node_id: ids.NodeId, now_ms: float = 0.0) -> None:
         """Record a call sent to a node."""
@@ -232,7 +230,8 @@
 
         Args:
             node_id: Node of the target.
-            limit_per_s: Calls a second that it takes; None without a limit.
+            limit_per_s: Calls a second that it gets, over 0; None without a
+                limit.
             wait_ms: Time until another call may start; None if it may now.
             now_ms: Current time.
         """
@@ -242,7 +241,7 @@
         if limit_per_s is None:
             peer.interval_ms = 0.0
         else:
-            peer.interval_ms = 1e3 / max(limit_per_s, MIN_RATE_PER_S)
+            peer.interval_ms = 1e3 / limit_per_s
         if wait_ms is None:
             peer.opens_ms = float('-inf')
         else:
@@ -269,10 +268,9 @@
             return False
         return any(
             peer is not chosen
-            and peer.member.node_id not in exclude
             and not peer.is_ejected
-            and peer.unavailable_until_ms <= now_ms
-            and peer.opens_ms <= now_ms
+            and _is_eligible(peer, exclude, now_ms, False)
+            and peer.is_open(now_ms)
             and peer.load(now_ms) < peer.limit()
             for peer in self._services[member.service].peers
         )
@@ -403,9 +401,11 @@
             tier, index % size, exclude, now_ms, idempotent
         )
         best = first
-        if self._cost(second, now_ms) < self._cost(first, now_ms):
+        if second is not first and (
+            self._cost(second, now_ms) < self._cost(first, now_ms)
+        ):
             best = second
-        if best.opens_ms <= now_ms:
+        if best.is_open(now_ms):
             return best
         # Both are at the rates that they name; others may not be.
         eligible = [
--- a/src/parsleystile/relay/declaredlimit.py
+++ b/src/parsleystile/relay/declaredlimit.py
@@ -78,7 +78,7 @@
             return
         if not self._is_paced(now_ms):
             self._tokens = tokens
-        self._named_per_ms = max(MIN_NAMED_PER_S, per_s) / 1e3
+        self._named_per_ms = paced_per_s(per_s) / 1e3
         self._tokens = min(self._tokens, self._capacity(now_ms))
 
     def is_cold(self, now_ms: float) -> bool:
@@ -98,9 +98,7 @@
         """Return when the token bucket allows a call; inf if not paced."""
         if not self._is_paced(now_ms):
             return math.inf
-        per_ms = self._per_ms(now_ms)
-        missing = max(0.0, 1.0 - self._tokens)
-        due_ms = self._refilled_ms + missing / per_ms if per_ms else math.inf
+        due_ms = self._refilled_ms + self._time_to_ms(1.0, now_ms)
         if self.is_cold(now_ms):
             return min(self._cold_until_ms, due_ms)
         return due_ms
@@ -127,9 +125,7 @@
         if math.isinf(self._named_per_ms):
             return 0.0
         self._refill(now_ms)
-        per_ms = self._per_ms(now_ms)
-        missing = queued + 1 - self._tokens
-        return max(0.0, missing / per_ms if per_ms else math.inf)
+        return self._time_to_ms(queued + 1, now_ms)
 
     def started(self, in_flight: int, now_ms: float) -> None:
         """Count a call that was sent to the target."""
@@ -168,6 +164,12 @@
             return min(self._cold_per_ms, self._named_per_ms)
         return self._named_per_ms
 
+    def _time_to_ms(self, tokens: float, now_ms: float) -> float:
+        """Return the time from the last refill until there are so many."""
+        missing = max(0.0, tokens - self._tokens)
+        per_ms = self._per_ms(now_ms)
+        return missing / per_ms if per_ms else math.inf
+
     def _capacity(self, now_ms: float) -> float:
         capacity = max(1.0, self._named_per_ms * NAMED_BURST_MS)
         if now_ms < self._cold_until_ms:
@@ -182,6 +184,11 @@
             self._tokens = min(self._capacity(now_ms), filled)
 
 
+def paced_per_s(named_per_s: float) -> float:
+    """Return the calls a second that a target gets at the rate it names."""
+    return max(MIN_NAMED_PER_S, named_per_s)
+
+
 def declared_limit() -> DeclaredLimit:
     """Create the limit of a node without a target."""
     return DeclaredLimit()
--- a/src/parsleystile/relay/dispatch.py
+++ b/src/parsleystile/relay/dispatch.py
@@ -12,6 +12,7 @@
 from parsleystile import ids
 from parsleystile import link as links_module
 from parsleystile import members
+from parsleystile.relay import declaredlimit
 from parsleystile.relay import guard as guards
 from parsleystile.relay import logevents
 from parsleystile.relay import noticememory
@@ -263,6 +264,8 @@
     ) -> None:
         notice = load.notice
         limit_per_s = None if notice is None else notice.limit_per_s
+        if limit_per_s is not None:
+            limit_per_s = declaredlimit.paced_per_s(limit_per_s)
         self._deps.balancer.record_rate(
             node_id, limit_per_s, load.wait_ms, now_ms
         )
