Keep one window count and one member for the tests of choosing targets

The new tests had two copies of a count over sliding windows, one of them quadratic, and a third copy of a member of a service beside the two in test_slow_targets. Assertions, bounds and windows stay as they were.

--- a/tests/test_capped_service.py
+++ b/tests/test_capped_service.py
@@ -15,10 +15,10 @@
 from parsleystile import balancer
 from parsleystile import errors
 from parsleystile import ids
-from parsleystile import members
 from parsleystile.relay import declaredlimit
 from parsleystile import shedding
-from parsleystile import transport
+from tests import servicemembers
+from tests import windows
 
 SERVICE = ids.ServiceName('stock')
 ROUTE = ids.RouteId('read')
@@ -38,21 +38,6 @@
 WINDOW_MS = 4_000.0
 
 
-def _member(index):
-    address = transport.Address(f't{index}', 1)
-    return members.Member(
-        node_id=ids.NodeId(f't{index}'),
-        vm=ids.VmId(f't{index}'),
-        region=ids.RegionId('r'),
-        failure_domain=ids.FailureDomainId(f'd{index % DOMAINS}'),
-        service=SERVICE,
-        slots=SLOTS,
-        link=address,
-        gossip=address,
-        incarnation=ids.Incarnation(1),
-    )
-
-
 class _Target:
     """A target behind its guard."""
 
@@ -83,7 +68,10 @@
         self.rng = random.Random(seed)
         self.numbers = itertools.count()
         self.events = []
-        found = [_member(i) for i in range(len(rates_per_s))]
+        found = [
+            servicemembers.member(i, f'd{i % DOMAINS}', SERVICE, SLOTS)
+            for i in range(len(rates_per_s))
+        ]
         self.targets = {
             member.node_id: _Target(self.rng, per_s)
             for member, per_s in zip(found, rates_per_s, strict=True)
@@ -209,16 +197,6 @@
         return [c for c in self.calls if c.arrived_ms >= HEARD_MS]
 
 
-def _most_in_window(starts, since_ms):
-    counted = [at_ms for at_ms in starts if at_ms >= since_ms]
-    most = first = 0
-    for i, at_ms in enumerate(counted):
-        while at_ms - counted[first] >= WINDOW_MS:
-            first += 1
-        most = max(most, i - first + 1)
-    return most
-
-
 RATES_PER_S = [53.9, 31.8, None, 42.0, 38.5]
 
 
@@ -239,7 +217,7 @@
     for target in play.targets.values():
         if target.per_s is None:
             continue
-        most = _most_in_window(target.starts, HEARD_MS)
+        most = windows.most_in_window(target.starts, HEARD_MS, WINDOW_MS)
         assert most <= 1.5 * target.per_s * WINDOW_MS / 1e3 + 5
         used = sum(HEARD_MS <= at_ms < END_MS for at_ms in target.starts)
         assert used >= 0.7 * target.per_s * (END_MS - HEARD_MS) / 1e3
--- a/tests/test_slow_targets.py
+++ b/tests/test_slow_targets.py
@@ -13,9 +13,8 @@
 
 from parsleystile import balancer
 from parsleystile import ids
-from parsleystile import members
 from parsleystile import speeds
-from parsleystile import transport
+from tests import servicemembers
 
 SERVICE = ids.ServiceName('returns')
 SLOTS = 56
@@ -47,25 +46,13 @@
         return WORK_MS * factor * rng.lognormvariate(0.0, 0.4)
 
 
-def _member(index):
-    address = transport.Address(f't{index}', 1)
-    return members.Member(
-        node_id=ids.NodeId(f't{index}'),
-        vm=ids.VmId(f't{index}'),
-        region=ids.RegionId('r'),
-        failure_domain=ids.FailureDomainId(f'd{index}'),
-        service=SERVICE,
-        slots=SLOTS,
-        link=address,
-        gossip=address,
-        incarnation=ids.Incarnation(1),
-    )
-
-
 def _play(factors, seed, per_s):
     """Return (sent at, waited) of each call, inf if it was given up."""
     rng = random.Random(seed)
-    found = [_member(i) for i in range(DOMAINS)]
+    found = [
+        servicemembers.member(i, f'd{i}', SERVICE, SLOTS)
+        for i in range(DOMAINS)
+    ]
     targets = {
         member.node_id: _Target(factor)
         for member, factor in zip(found, factors, strict=True)
@@ -199,20 +186,7 @@
     """Return the share of failed calls once the balancer has adapted."""
     rng = random.Random(seed)
     own = ids.FailureDomainId('d0')
-    found = [
-        members.Member(
-            node_id=ids.NodeId(f't{i}'),
-            vm=ids.VmId(f't{i}'),
-            region=ids.RegionId('r'),
-            failure_domain=own,
-            service=SERVICE,
-            slots=SLOTS,
-            link=transport.Address(f't{i}', 1),
-            gossip=transport.Address(f't{i}', 1),
-            incarnation=ids.Incarnation(1),
-        )
-        for i in range(14)
-    ]
+    found = [servicemembers.member(i, own, SERVICE, SLOTS) for i in range(14)]
     node = balancer.balancer(own, ids.RegionId('r'), ids.NodeId('n'), rng)
     node.set_members(SERVICE, found)
     failed = total = 0
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -7,6 +7,7 @@
 
 from parsleystile import errors
 from tests import platformfleet
+from tests import windows
 
 LIMIT_PER_S = 10.0
 WINDOW_MS = 4_000.0
@@ -36,17 +37,6 @@
     return results
 
 
-def _most_in_window(target, since_ms):
-    counted = [at_ms for at_ms in target.arrived_ms if at_ms >= since_ms]
-    return max(
-        (
-            sum(at_ms <= other_ms < at_ms + WINDOW_MS for other_ms in counted)
-            for at_ms in counted
-        ),
-        default=0,
-    )
-
-
 def _allowed(per_s=LIMIT_PER_S):
     return 1.5 * WINDOW_MS / 1e3 * per_s + 5
 
@@ -63,7 +53,8 @@
         await _load([first, second], 50.0, 0.5)
         since_ms = target.arrived_ms[-1]
         results = await _load([first, second], 40.0, WINDOW_MS / 1e3)
-        assert _most_in_window(target, since_ms) <= _allowed()
+        most = windows.most_in_window(target.arrived_ms, since_ms, WINDOW_MS)
+        assert most <= _allowed()
         # What it takes is used.
         answered = _statuses(results).count(200)
         assert answered >= 0.8 * WINDOW_MS / 1e3 * LIMIT_PER_S
