End idle connections in the step that found them idle

Cause: the end of an idle connection was written as an empty write whose callback shut the socket down in a later turn of the loop, behind the ends of all other connections. A request that came between was read and dropped.

The test failed before: the connection was open after the first step of the close. The relay path closes idle connections in one step already.

--- a/src/parsleystile/callerstream.py
+++ b/src/parsleystile/callerstream.py
@@ -1,7 +1,6 @@
 """Stream of one caller: what it still delivers, and how its sending ends."""
 
 import array
-import asyncio
 import contextlib
 import fcntl
 import socket
@@ -51,9 +50,15 @@
         if self.is_ended or self._stream.closed():
             return
         self.is_ended = True
-        self._stream.write(last).add_done_callback(self._shut_down)
-
-    def _shut_down(self, written: asyncio.Future[None]) -> None:
+        if last or self._stream.writing():
+            self._stream.write(last).add_done_callback(
+                lambda written: self._shut_down()
+            )
+        else:
+            # A later end would lose the requests that arrive before it.
+            self._shut_down()
+
+    def _shut_down(self) -> None:
         if not self._stream.closed():
             with contextlib.suppress(OSError):
                 self._stream.socket.shutdown(socket.SHUT_WR)
--- a/tests/test_httplistener.py
+++ b/tests/test_httplistener.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import os
 import socket
 
 import pytest
@@ -387,6 +388,43 @@
     asyncutil.run(body())
 
 
+def test_idle_connections_end_at_once_when_the_listener_closes():
+    # A request that comes between the decision and the end would be lost.
+    async def body():
+        async with _open() as listener:
+            _, busy = await listener.connect()
+            busy.write(_POST[:-1])
+            reader, idle = await listener.connect()
+            idle.write(_GET)
+            exchange = await listener.arrived(1)
+            exchange.finish(exchanges.Answer(204, [], b''))
+            await _read_answer(reader)
+            await asyncutil.wait_until(lambda: listener.http.owed_count == 1)
+            closing = asyncio.get_running_loop().create_task(
+                listener.http.close()
+            )
+            # The close waits for the busy connection after its first step.
+            await asyncio.sleep(0)
+            assert _is_ended(idle)
+            assert not closing.done()
+            await closing
+            busy.close()
+            idle.close()
+
+    asyncutil.run(body())
+
+
+def _is_ended(writer):
+    """Return whether the peer has ended the connection; reads nothing."""
+    descriptor = os.dup(writer.get_extra_info('socket').fileno())
+    with socket.socket(fileno=descriptor) as sock:
+        sock.setblocking(False)
+        try:
+            return sock.recv(1, socket.MSG_PEEK) == b''
+        except BlockingIOError:
+            return False
+
+
 def test_a_close_with_unread_bytes_does_not_reset_the_last_answer():
     async def body():
         async with _open() as listener:
