Tell callers shed at their node when a target at its rate takes more

What callers saw: a request shed at its own node by level got a Retry-After of 0.5 to 1.5 s at random, also where every target of the service names a rate so low that none takes a call before then. A client has few tries.

Cause: the level says how much is refused and nothing of when; the guard's refusals told the wait of the rate, those at the node of the caller did not.

Change: such a refusal tells no time before the first target of the route's services takes a call. Where one names no rate or is open, nothing changes.

--- a/src/parsleystile/balancer.py
+++ b/src/parsleystile/balancer.py
@@ -275,6 +275,21 @@
             for peer in self._services[member.service].peers
         )
 
+    def rate_wait_ms(self, service: ids.ServiceName, now_ms: float) -> float:
+        """Return the time until the rates of the targets allow a call.
+
+        Args:
+            service: Service to call.
+            now_ms: Current time.
+
+        Returns:
+            0 if a target names no rate, or one that it is not at.
+        """
+        targets = self._services.get(service)
+        if targets is None:
+            return 0.0
+        return max(0.0, min(peer.opens_ms for peer in targets.peers) - now_ms)
+
     def answered(
         self,
         node_id: ids.NodeId,
--- a/src/parsleystile/relay/ingress.py
+++ b/src/parsleystile/relay/ingress.py
@@ -364,7 +364,7 @@
                 self._organisation_id,
             )
             if refusal is not None:
-                self._refuse(refusal)
+                self._refuse(self._with_rate_wait(refusal))
                 return
         call = self._build_call(rank, is_child)
         self._dispatch = dispatch.Dispatch(
@@ -377,6 +377,17 @@
                 self._organisation_id, self._on_rate_decision
             )
 
+    def _with_rate_wait(self, refusal: errors.Refusal) -> errors.Refusal:
+        """Return a refusal that tells no time before a target takes a call."""
+        deps = self._ingress._deps.dispatch_deps
+        now_ms = deps.clock.now_ms()
+        wait_ms = min(
+            deps.balancer.rate_wait_ms(destination.service, now_ms)
+            for destination in self._route.destinations
+        )
+        retry_after_ms = max(refusal.retry_after_ms, int(wait_ms))
+        return dataclasses.replace(refusal, retry_after_ms=retry_after_ms)
+
     def _importance(self, is_child: bool) -> int:
         if is_child:
             return _LOWEST_IMPORTANCE
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -233,3 +233,14 @@
     assert 'a' not in _choices(chooser, now_ms=late_ms)
     chooser.answered('a', _load(0), late_ms)
     assert 'a' in _choices(chooser, now_ms=late_ms)
+
+
+def test_the_wait_for_a_service_is_that_of_the_target_that_opens_first():
+    chooser = _balancer([_member('a'), _member('b', 'd1')])
+    assert chooser.rate_wait_ms('s', 0.0) == 0.0
+    chooser.record_rate('a', 0.5, 2_000.0, 0.0)
+    assert chooser.rate_wait_ms('s', 100.0) == 0.0
+    chooser.record_rate('b', 2.0, 500.0, 0.0)
+    assert chooser.rate_wait_ms('s', 100.0) == 400.0
+    assert chooser.rate_wait_ms('s', 600.0) == 0.0
+    assert chooser.rate_wait_ms('unknown', 0.0) == 0.0
