--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -127,11 +127,12 @@
     async def body(fleet):
         (machine,) = fleet.machines
         _name_limit(machine, 0.5)
-        await machine.call(call_id='first')
+        for call_id in ('named', 'paced'):
+            await machine.call(call_id=call_id)
         shedder = machine.node._ingress._deps.shedder
         refusal = errors.not_run(errors.Reason.SHED, 'full', 500)
         shedder.decide = lambda *details: refusal
-        answer = await machine.call(call_id='second')
+        answer = await machine.call(call_id='shed')
         assert answer.body == b'shed\n'
         start = answer.headers.index('Retry-After')
         assert 1.5 <= float(answer.headers[start + 1]) <= 2.0
