Don't pace a cold target of a service that sets no cold rate

A cold target that also named a limit raised OverflowError in its guard.

Cause: a rate that is not set was read as a rate of 0. Found while looking for what else an infinite wait reaches.

Change: without a cold rate only the slots limit a cold target. Both cases of the test failed before (1 call in 3 s; OverflowError).

--- a/src/parsleystile/relay/declaredlimit.py
+++ b/src/parsleystile/relay/declaredlimit.py
@@ -55,8 +55,17 @@
     def set_cold(
         self, until_ms: float, cold_per_s: float, now_ms: float
     ) -> None:
-        """Apply the cold rate until a time; a past time ends it."""
+        """Apply the cold rate until a time; a past time ends it.
+
+        Args:
+            until_ms: End of the cold phase.
+            cold_per_s: Calls a second; 0 if the service has no cold rate,
+                then only the slots limit the target.
+            now_ms: Current time.
+        """
         self._refill(now_ms)
+        if not cold_per_s:
+            until_ms = now_ms
         if until_ms > now_ms and not self._is_paced(now_ms):
             self._tokens = 1.0
         self._cold_until_ms = until_ms
--- a/src/parsleystile/relay/policy.py
+++ b/src/parsleystile/relay/policy.py
@@ -74,7 +74,8 @@
 
     Attributes:
         max_connections: Open connections from all callers together.
-        cold_per_s: Requests a second that a cold target can handle.
+        cold_per_s: Requests a second that a cold target can handle; 0 if
+            none is set.
     """
 
     max_connections: int
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -158,6 +158,13 @@
         starts = self._run_queue(44.0, 300.0, 1, 3_000.0, named)
         assert len(starts) <= 3 * 44 + 2
 
+    @pytest.mark.parametrize('named', [(), [(0.0, 50.0)]])
+    def test_a_cold_target_of_a_service_without_a_cold_rate_gets_calls(
+        self, named
+    ):
+        starts = self._run_queue(0.0, 100.0, 1, 3_000.0, named)
+        assert len(starts) >= 0.9 * 3 * 50
+
     def test_a_call_that_a_low_rate_keeps_beyond_its_deadline_is_not_held(
         self,
     ):
