Cut a level that nodes further up apply once they can have been told

A guard never refuses a call made by a target for its rank: the nodes where requests enter shed by the level. That takes them an averaging time and the guard's answers, but the level was cut again each 100 ms, so it fell too far.

The test failed before: cut in each window.

--- a/src/parsleystile/admission.py
+++ b/src/parsleystile/admission.py
@@ -324,7 +324,9 @@
             return _leaving()
         if limit == 0:
             return _no_target()
-        is_admitted = self._levels.is_admitted(call.organisation, call.rank)
+        is_admitted = self._levels.is_admitted(
+            call.organisation, call.rank, call.is_sheddable
+        )
         if call.is_sheddable and not is_admitted:
             return self._overloaded(errors.Reason.SHED, 'rank is not admitted')
         # What is left once the next call may start at all.
--- a/src/parsleystile/levels.py
+++ b/src/parsleystile/levels.py
@@ -18,6 +18,8 @@
 MIN_STEP = 0.001
 STEP_GROWTH = 1.35
 MAX_STEP = 0.3
+# A cut that only callers further up carry out shows after this time.
+UPSTREAM_DELAY_MS = 200.0
 MAX_ORGANISATIONS = 1024
 # A histogram with fewer arrivals, after decay, counts as empty.
 _MIN_COUNT = 0.01
@@ -33,7 +35,14 @@
     raises it by a step that grows until the next cut.
     """
 
-    __slots__ = ('_histogram', '_next_cut_ms', '_served', '_step', 'value')
+    __slots__ = (
+        '_histogram',
+        '_is_applied_upstream',
+        '_next_cut_ms',
+        '_served',
+        '_step',
+        'value',
+    )
 
     def __init__(self) -> None:
         self.value = context.RANK_LIMIT
@@ -41,6 +50,7 @@
         self._histogram = [0.0] * _HISTOGRAM_BINS
         self._served = 0.0
         self._next_cut_ms = 0.0
+        self._is_applied_upstream = False
 
     @property
     def is_idle(self) -> bool:
@@ -50,8 +60,10 @@
             and sum(self._histogram) < _MIN_COUNT
         )
 
-    def arrived(self, rank: float) -> None:
+    def arrived(self, rank: float, is_sheddable: bool) -> None:
         """Count an arrival, admitted or not."""
+        if not is_sheddable:
+            self._is_applied_upstream = True
         self._histogram[int(rank / _BIN_WIDTH)] += 1.0
 
     def served(self) -> None:
@@ -62,6 +74,8 @@
         self, overloaded: bool, half_life_ms: float, now_ms: float
     ) -> None:
         """Lower or raise the level for the window that ends now."""
+        if self._is_applied_upstream:
+            half_life_ms = max(half_life_ms, UPSTREAM_DELAY_MS)
         if not overloaded:
             self._raise()
         elif now_ms >= self._next_cut_ms:
@@ -129,13 +143,23 @@
         return self._cap if level is None else min(level.value, self._cap)
 
     def is_admitted(
-        self, organisation: ids.OrganisationId, rank: float
+        self,
+        organisation: ids.OrganisationId,
+        rank: float,
+        is_sheddable: bool = True,
     ) -> bool:
-        """Count an arrival and return whether its rank is admitted."""
+        """Count an arrival and return whether its rank is admitted.
+
+        Args:
+            organisation: Organisation of the call.
+            rank: Its rank.
+            is_sheddable: Whether it may be refused here for its rank, and
+                not only where the request entered.
+        """
         level = self._levels.get(organisation)
         if level is None:
             level = self._add(organisation)
-        level.arrived(rank)
+        level.arrived(rank, is_sheddable)
         return rank < level.value and rank < self._cap
 
     def served(self, organisation: ids.OrganisationId) -> None:
--- a/tests/test_deep_overload.py
+++ b/tests/test_deep_overload.py
@@ -14,6 +14,7 @@
 
 from parsleystile import admission
 from parsleystile import ids
+from parsleystile import levels
 from parsleystile.relay import declaredlimit
 from parsleystile import shedding
 
@@ -190,3 +191,21 @@
     assert shedder.decide(ROUTE, 2.5, 400.0, new) is None
     assert shedder.decide(ROUTE, 2.5, 410.0, new) is not None
     assert shedder.decide(ROUTE, 2.5, 5_000.0, new) is None
+
+
+def test_a_level_that_nodes_further_up_apply_is_cut_once_they_can_have():
+    applied_upstream = levels.AdmissionLevels()
+    values = []
+    for window in range(1, 5):
+        for i in range(100):
+            rank = 2.0 + i / 100.0
+            applied_upstream.is_admitted('o', rank, is_sheddable=False)
+            if i < 70:
+                applied_upstream.served('o')
+        at_ms = window * levels.WINDOW_MS
+        applied_upstream.end_window({'o'}, 30.0, at_ms)
+        values.append(applied_upstream.value('o'))
+    assert 2.6 <= values[0] <= 2.7
+    windows = int(levels.UPSTREAM_DELAY_MS / levels.WINDOW_MS)
+    assert values[:windows] == [values[0]] * windows
+    assert values[windows] < values[0]
