Say in the log when a request is shed for its further calls

Both refusals at ingress read 'the call graph is full', so a log could not tell overload at the target from overload further down. The text is in the log only.

--- a/src/parsleystile/relay/subtreeshedding.py
+++ b/src/parsleystile/relay/subtreeshedding.py
@@ -6,6 +6,7 @@
 admitted at ingress, the most important ones, whatever their classes are.
 """
 
+import dataclasses
 import random
 
 from parsleystile import context
@@ -82,7 +83,10 @@
         if not self._is_limited(route_id, now_ms):
             return None
         child_rank = CHILD_CLASS + self._position(rank, now_ms)
-        return self._shedder.decide(route_id, child_rank, now_ms)
+        refusal = self._shedder.decide(route_id, child_rank, now_ms)
+        if refusal is None:
+            return None
+        return dataclasses.replace(refusal, detail='no room for its calls')
 
     def _is_limited(self, route_id: ids.RouteId, now_ms: float) -> bool:
         return self._shedder.level(route_id, now_ms) < context.RANK_LIMIT
--- a/tests/test_deep_overload.py
+++ b/tests/test_deep_overload.py
@@ -230,6 +230,7 @@
     assert shedder.decide(ROUTE, 0.55, 1_000.0) is None
     refusal = shedder.decide(ROUTE, 0.85, 1_000.0)
     assert refusal.reason is errors.Reason.SHED
+    assert refusal.detail == 'no room for its calls'
     # A route whose requests make no such calls, or none that are refused.
     assert shedder.decide(other, 2.5, 1_000.0) is None
 
