Move the level of a target's calls out of the node, and test it

The node held a decision of its own (when callers are told of overload further down). It is a class beside the one that applies it now; the behaviour is the same. Its 1 s had no test.

--- a/src/parsleystile/relay/ingress.py
+++ b/src/parsleystile/relay/ingress.py
@@ -19,6 +19,7 @@
 from parsleystile.relay import telemetry
 from parsleystile import shedding
 
+_LOWEST_IMPORTANCE = 2
 # A stopping node is usually replaced within this time; the range spreads the
 # return of its callers.
 _REPLACEMENT_RANGE_MS = (500, 1_500)
@@ -400,7 +401,7 @@
         owner = self._organisation
         if owner is not None and owner.priority is not None:
             priority = owner.priority
-        return max(0, min(priority, subtreeshedding.CHILD_CLASS))
+        return max(0, min(priority, _LOWEST_IMPORTANCE))
 
     def _build_call(self, rank: float, is_child: bool) -> ttypes.Call:
         deps = self._ingress._deps
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -2,14 +2,12 @@
 
 import asyncio
 import dataclasses
-import math
 import random
 import typing
 
 from parsleystile import admission
 from parsleystile import balancer
 from parsleystile import clock as clocks
-from parsleystile import context
 from parsleystile import errors
 from parsleystile.gen import ttypes
 from parsleystile import ids
@@ -51,11 +49,6 @@
 # refusal would waste the work of the request that made them. Calls that can't
 # meet their deadline are dropped for that reason.
 _QUEUE_PER_SLOT = 16
-# Callers are told of overload further down for this time after a call of the
-# target was refused: a queue that all calls pass is no reason to refuse any.
-_CHILD_REFUSAL_LIFETIME_MS = 1_000.0
-# Key of the admission levels of calls made by the local target.
-_CHILD_ROUTE_ID = ids.RouteId('children')
 # Room for the largest body that a policy may allow, 64 MiB.
 _MAX_FRAME_BYTES = 65 * 1_048_576
 # Low cold rate for a target whose service is not in the policy.
@@ -183,8 +176,8 @@
         self._reports = targetreports.report_tracker()
         self._limit = declaredlimit.declared_limit()
         self._shedder = shedding.shedder(rng)
-        self._child_refused_ms = -math.inf
         self._subtree_shedder = subtreeshedding.subtree_shedder(rng)
+        self._child_levels = subtreeshedding.child_levels(rng)
         self.guard = guard.guard(
             guard.Dependencies(
                 # First in, first out: a request that makes several calls
@@ -207,7 +200,7 @@
                 clock=clock,
                 wheel=wheel,
                 recorder=recorder,
-                child_level=self._child_level,
+                child_level=self._child_levels.level,
             )
         )
         self.guard.on_target_lost = self._on_target_lost
@@ -246,7 +239,7 @@
                     recorder=recorder,
                     on_unreachable=self._reachability.mark_unreachable,
                     on_load=self._record_levels,
-                    on_child_load=self._record_child_level,
+                    on_child_load=self._record_child_load,
                 ),
                 is_target_busy=lambda: self.guard.in_flight > 0,
                 input_age_ms=self._stalls.input_age_ms,
@@ -500,20 +493,11 @@
             route_id, load.child_level, now_ms, is_failure
         )
 
-    def _record_child_level(
+    def _record_child_load(
         self, load: ttypes.Load, now_ms: float, is_refused: bool
     ) -> None:
-        if is_refused:
-            self._child_refused_ms = now_ms
         level = dispatch.lowest_level(load)
-        self._shedder.record_level(_CHILD_ROUTE_ID, level, now_ms)
-
-    def _child_level(self, now_ms: float) -> float:
-        if now_ms - self._child_refused_ms > _CHILD_REFUSAL_LIFETIME_MS:
-            return context.RANK_LIMIT
-        return min(
-            context.RANK_LIMIT, self._shedder.level(_CHILD_ROUTE_ID, now_ms)
-        )
+        self._child_levels.record(level, now_ms, is_refused)
 
     # Periodic work.
 
--- a/src/parsleystile/relay/subtreeshedding.py
+++ b/src/parsleystile/relay/subtreeshedding.py
@@ -23,10 +23,40 @@
 # The level is that of all calls that a target makes. Only routes on which a
 # request failed within this time are taken to make calls that are refused.
 _FAILURE_LIFETIME_MS = 3_000.0
+# Callers are told of overload further down for this time after a call of the
+# target was refused: a queue that all calls pass is no reason to refuse any.
+_REFUSAL_LIFETIME_MS = 1_000.0
+_CHILD_ROUTE_ID = ids.RouteId('children')
 # Counts of ranks are halved after this time.
 _HALF_LIFE_MS = 4_000.0
 
 
+class ChildLevels:
+    """The level that callers are told of the calls that one target makes."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._shedder = shedding.shedder(rng)
+        self._refused_ms = -math.inf
+
+    def record(self, level: float, now_ms: float, is_refused: bool) -> None:
+        """Record the answer to a call.
+
+        Args:
+            level: Lowest rank refused where it went and further down.
+            now_ms: Current time.
+            is_refused: Whether it found no room, there or further down.
+        """
+        if is_refused:
+            self._refused_ms = now_ms
+        self._shedder.record_level(_CHILD_ROUTE_ID, level, now_ms)
+
+    def level(self, now_ms: float) -> float:
+        """Return the lowest rank refused; 3.0 refuses none."""
+        if now_ms - self._refused_ms > _REFUSAL_LIFETIME_MS:
+            return context.RANK_LIMIT
+        return self._shedder.level(_CHILD_ROUTE_ID, now_ms)
+
+
 class _OfferedRanks:
     """Histogram of the ranks of recent requests, admitted or not."""
 
@@ -117,6 +147,11 @@
         return below / total
 
 
+def child_levels(rng: random.Random) -> ChildLevels:
+    """Create the levels of a target that has made no calls."""
+    return ChildLevels(rng)
+
+
 def subtree_shedder(rng: random.Random) -> SubtreeShedder:
     """Create a shedder without any reports."""
     return SubtreeShedder(rng)
--- a/tests/test_deep_overload.py
+++ b/tests/test_deep_overload.py
@@ -282,3 +282,15 @@
         shedder.record_level(quiet, 2.1, 500.0 + 10.0 * i, i == 0)
     # Its one failure is long past.
     assert shedder.decide(quiet, 2.9, 5_500.0) is None
+
+
+def test_a_queue_that_all_calls_pass_is_not_told_to_callers():
+    child_levels = subtreeshedding.child_levels(random.Random(1))
+    for i in range(100):
+        child_levels.record(2.4, 10.0 * i, False)
+    assert child_levels.level(1_000.0) == 3.0
+    child_levels.record(2.4, 1_000.0, True)
+    assert child_levels.level(1_000.0) < 2.5
+    for i in range(200):
+        child_levels.record(2.4, 1_000.0 + 10.0 * i, False)
+    assert child_levels.level(3_000.0) == 3.0
