Play the load with levels of organisations again

The play moved to the levels of further calls and no longer went through the shedder by organisation, of which many nodes see each seldom; the count of organisations was left unused. Both kinds of nodes are played, with the bounds that stood before.

--- a/tests/test_deep_overload.py
+++ b/tests/test_deep_overload.py
@@ -62,15 +62,24 @@
         self.numbers = itertools.count()
         self.leaves = [_Leaf(self.rng) for _ in range(LEAVES)]
         self.middles = [shedding.shedder(self.rng) for _ in range(MIDDLES)]
-        self.nodes = [
-            subtreeshedding.subtree_shedder(self.rng) for _ in range(NODES)
-        ]
+        self.nodes = [self.make_node() for _ in range(NODES)]
         self.waiting = {}
         self.whole = self.total = self.in_vain = 0
         # Requests of each class, and those of them that were answered whole.
         self.asked = collections.Counter()
         self.served = collections.Counter()
 
+    def make_node(self):
+        return subtreeshedding.subtree_shedder(self.rng)
+
+    def decide(self, node, rank, now_ms, organisation):
+        del organisation
+        return node.decide(ROUTE, rank, now_ms)
+
+    def record(self, node, level, now_ms, organisation, is_whole):
+        del organisation
+        node.record_level(ROUTE, level, now_ms, not is_whole)
+
     def at(self, due_ms, action):
         heapq.heappush(self.events, (due_ms, next(self.numbers), action))
 
@@ -97,16 +106,19 @@
         is_counted = now_ms > 2_000.0
         self.total += is_counted
         node = self.rng.choice(self.nodes)
+        organisation = ids.OrganisationId(
+            f'o{self.rng.randrange(ORGANISATIONS)}'
+        )
         importance = self.rng.choice(self.classes)
         self.asked[importance] += is_counted
         rank = importance + self.rng.random()
-        if node.decide(ROUTE, rank, now_ms) is not None:
+        if self.decide(node, rank, now_ms, organisation) is not None:
             return
         middle = self.rng.choice(self.middles)
 
         def finish(is_whole, later_ms):
             level = middle.level(CHILDREN, later_ms)
-            node.record_level(ROUTE, level, later_ms, not is_whole)
+            self.record(node, level, later_ms, organisation, is_whole)
             self.whole += is_whole and is_counted
             self.served[importance] += is_whole and is_counted
             self.in_vain += is_counted and not is_whole
@@ -168,6 +180,28 @@
         self.waiting.pop(key)(True, now_ms)
 
 
+class _OrganisationPlay(_Play):
+    """The play with nodes that shed by the levels of organisations."""
+
+    def make_node(self):
+        return shedding.shedder(self.rng)
+
+    def decide(self, node, rank, now_ms, organisation):
+        return node.decide(ROUTE, rank, now_ms, organisation)
+
+    def record(self, node, level, now_ms, organisation, is_whole):
+        del is_whole
+        node.record_level(ROUTE, level, now_ms, organisation)
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_levels_of_organisations_seen_seldom_hold_for_the_others(seed):
+    play = _OrganisationPlay(seed)
+    play.run()
+    assert play.whole >= 0.9 * CAPACITY_SHARE * play.total
+    assert play.in_vain <= 0.05 * play.total
+
+
 @pytest.mark.parametrize('classes', [(2,), (0,), (0, 1, 2)])
 @pytest.mark.parametrize('seed', range(3))
 def test_most_requests_that_the_targets_can_serve_are_served_whole(
