Tell rows that change alike from rows that did not change

Cause: the digest of all rows was the exclusive or of a CRC-32 for each. The checksum is linear, so that two rows that change in the same way cancel out, and the exchange between two nodes saw no difference.

Change: the hash that the other path combines, as one function for both. The digests of similar texts are independent, so that differences don't cancel. Ruled out: no exchange at all (the next configuration came by it).

--- a/src/parsleystile/_memberlist.py
+++ b/src/parsleystile/_memberlist.py
@@ -1,7 +1,6 @@
 """Member list of a node: merging of records, indexes, anti-entropy digests."""
 
 import dataclasses
-import hashlib
 import typing
 
 from parsleystile import bucketdigests
@@ -12,7 +11,6 @@
 # are rejected. No datagram or member view is older than this.
 TOMBSTONE_MS = 3_600_000
 MEMBERS_PER_BUCKET = 24
-DIGEST_MASK = 0xFFFFFFFF
 
 
 @dataclasses.dataclass(slots=True)
@@ -23,19 +21,14 @@
     tombstone_until_ms: float = 0.0
 
 
-def _hash(text: str) -> int:
-    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
-    return int.from_bytes(digest, 'big')
-
-
 def ring_position(node_id: ids.NodeId) -> int:
     """Return the position of a node in its domain's monitoring ring."""
-    return _hash(f'ring|{node_id}')
+    return bucketdigests.text_hash(f'ring|{node_id}')
 
 
 def bucket_of(node_id: ids.NodeId) -> int:
     """Return the bucket of a node, below ``bucketdigests.MAX_BUCKETS``."""
-    return _hash(node_id) % bucketdigests.MAX_BUCKETS
+    return bucketdigests.text_hash(node_id) % bucketdigests.MAX_BUCKETS
 
 
 def _digest(member: members.Member) -> int:
@@ -45,7 +38,7 @@
         return 0
     is_leaving = member.state is members.MemberState.LEAVING
     text = f'{member.node_id}|{member.incarnation}|{is_leaving}'
-    return _hash(text) & DIGEST_MASK
+    return bucketdigests.record_digest(text)
 
 
 def bucket_count(size: int) -> int:
--- a/src/parsleystile/bucketdigests.py
+++ b/src/parsleystile/bucketdigests.py
@@ -1,12 +1,28 @@
 """Digests of records in buckets, by which two nodes find where they differ.
 
 The digests are kept up to date with each change, so that comparing two fleets
-costs the same whatever their size.
+costs the same whatever their size. The digest of several records is the
+exclusive or of their digests, so that records that change alike must not have
+related digests, as checksums would.
 """
 
+import hashlib
+
 from parsleystile import ids
 
 MAX_BUCKETS = 256
+_DIGEST_MASK = 0xFFFFFFFF
+
+
+def text_hash(text: str) -> int:
+    """Return a hash of a text that is the same in every process."""
+    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, 'big')
+
+
+def record_digest(text: str) -> int:
+    """Return the digest of a record, given as text, in 32 bits."""
+    return text_hash(text) & _DIGEST_MASK
 
 
 def bucket_count(size: int, records_per_bucket: int) -> int:
--- a/src/parsleystile/relay/rowdigest.py
+++ b/src/parsleystile/relay/rowdigest.py
@@ -56,7 +56,9 @@
 
 
 def _digest(node_id: ids.NodeId, revision: tuple[int, int]) -> int:
-    return zlib.crc32(f'{node_id} {revision[0]} {revision[1]}'.encode())
+    return bucketdigests.record_digest(
+        f'{node_id} {revision[0]} {revision[1]}'
+    )
 
 
 def row_digests() -> RowDigests:
--- a/tests/test_relay_state.py
+++ b/tests/test_relay_state.py
@@ -4,6 +4,7 @@
 for control, in all that a node sends and receives.
 """
 
+import itertools
 import random
 
 import msgspec
@@ -127,6 +128,16 @@
         assert len(changed) == 1
         assert 'n5' in digests.nodes_in(changed[0], 16)
 
+    def test_rows_that_change_alike_do_not_cancel_out(self):
+        # Checksums did: nodes that missed both changes never learned of them.
+        totals = set()
+        for sequences in itertools.product(range(3), repeat=2):
+            digests = rowdigest.row_digests()
+            for name, sequence in zip(('n1', 'n2'), sequences, strict=True):
+                digests.add(ids.NodeId(name), (1, sequence), False)
+            totals.add(digests.total)
+        assert len(totals) == 9
+
     def test_a_gone_row_counts_as_absent(self):
         digests = rowdigest.row_digests()
         digests.add(ids.NodeId('n1'), (1, 0), True)
@@ -217,6 +228,20 @@
         for node in fleet.running():
             assert len(node.member_list.members_of('yard')) == 1
 
+    def test_two_rows_that_were_missed_at_once_are_made_up_for(self):
+        fleet = statefleet.Fleet(14)
+        fleet.timeline.run(1_000.0)
+        newcomer = fleet.start('n9999', 'd2')
+        # As the store has them: before their targets reported.
+        rows = [node.member_list.own_row for node in fleet.nodes]
+        for node in fleet.nodes[:2]:
+            node.serve()
+        fleet.timeline.run(500.0)
+        newcomer.sync.merge_rows(rows, 'store', is_spread=False)
+        newcomer.sync.publish()
+        fleet.timeline.run(8_000.0)
+        assert len(newcomer.member_list.members_of('yard')) == 2
+
     def test_a_configuration_reaches_all_nodes_without_the_store(self):
         fleet = statefleet.Fleet(195)
         fleet.timeline.run(1_000.0)
