Route by the longest prefix that begins the path

Cause: the index of prefixes took off their last slash and matched whole segments, the promise of the operators' document. On the users' platform a prefix takes the paths that it begins. The type could not tell the prefix /a/ from the path /a.

Change: the index compares texts as written; the document asks it with segment_prefix and segment_path, which keep its promise (its tests pass unchanged, and a property holds it to a reference). Ruled out: mixed versions; a path changed on the way.

--- a/src/parsleystile/fleetconfig.py
+++ b/src/parsleystile/fleetconfig.py
@@ -157,8 +157,9 @@
     @functools.cached_property
     def _route_index(self) -> _routes.RouteIndex[tuple[ids.RouteId, Route]]:
         return _routes.route_index(
-            (r.path_prefix, r.methods, (route_id, r))
+            (prefix, r.methods, (route_id, r))
             for route_id, r in self.routes.items()
+            if (prefix := _routes.segment_prefix(r.path_prefix)) is not None
         )
 
     @property
@@ -180,7 +181,10 @@
             method: HTTP method in capitals.
             path: Path of the request target, with or without a query.
         """
-        return self._route_index.match(method, path)
+        looked_up = _routes.segment_path(path)
+        if looked_up is None:
+            return None
+        return self._route_index.match(method, looked_up)
 
     def is_withdrawn(self, key_id: ids.KeyId) -> bool:
         """Return whether a key was issued and later withdrawn."""
@@ -215,7 +219,7 @@
     owners: dict[tuple[str, str], str] = {}
     for route_id, route in config.routes.items():
         path = f'routes.{route_id}'
-        prefix = _routes.normal_prefix(route.path_prefix)
+        prefix = _routes.segment_prefix(route.path_prefix)
         if prefix is None:
             return errors.SettingsError(
                 f'{path}.path_prefix',
