Route paths in odd forms by the prefix that begins them

Callers saw: 404 for paths that hold //, %2F, %5C, a backslash or a dot segment, though a prefix begins them (DENIED counts such a 404).

The path goes to the target unchanged.

--- a/src/parsleystile/relay/policy.py
+++ b/src/parsleystile/relay/policy.py
@@ -142,9 +142,7 @@
         index = self._hosts.get(host)
         if index is None:
             index = self._hosts.get(host.partition(':')[0].lower())
-        if index is None or _routes.segment_path(path) is None:
-            return None
-        return index.match('', path)
+        return None if index is None else index.match('', path)
 
     def organisation_of(self, key: str) -> Organisation | None:
         """Return the organisation of a key; None if it is not in force."""
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -53,6 +53,22 @@
     platformfleet.run_with_fleet(body, serving=[1])
 
 
+@pytest.mark.parametrize('path', ['/stock//x', '/stock/a%2Fb/../x?y=//'])
+def test_a_path_in_an_odd_form_is_forwarded_unchanged(path):
+    async def body(fleet):
+        paths = []
+
+        def answer(request):
+            paths.append(request.path)
+            request.answer(200, ['Parsleystile-Attempt-Id', 'c1'], b'done')
+
+        fleet.machines[1].target.custom_answer = answer
+        assert (await fleet.machines[0].call(path)).status == 200
+        assert paths == [path]
+
+    platformfleet.run_with_fleet(body, serving=[1])
+
+
 def test_forged_platform_headers_are_not_forwarded():
     async def body(fleet):
         extra = (
