Name the node that a link is opened to

Cause: links are opened to addresses, while callers mean nodes. Nothing along the way could notice that another node answers.

Change: Links and Transport take a Peer, an address with the node that is meant; links are kept by it. Rows, members and seed rows name theirs; peers of the settings have only addresses and mean whoever is there.

--- a/bench/idempotency.py
+++ b/bench/idempotency.py
@@ -52,7 +52,7 @@
 
     def control(
         self,
-        to: transport.Address,
+        to: transport.Peer,
         kind: str,
         payload: bytes,
         timeout_ms: float,
--- a/src/parsleystile/configservice.py
+++ b/src/parsleystile/configservice.py
@@ -125,7 +125,7 @@
         self._next_poll_ms = now_ms + period_ms * self._rng.uniform(0.5, 1.5)
         self._tasks.start('poll', self.poll)
 
-    def fetch(self, version: int, peer: transport.Address) -> None:
+    def fetch(self, version: int, peer: transport.Peer) -> None:
         """Fetch a newer version from a peer that has it in force."""
         if self._is_fetching or version <= self.state.config.version:
             return
@@ -321,7 +321,7 @@
     def _publish_config(self) -> None:
         self._apply_config(self.state.config)
 
-    def _send_fetch(self, peer: transport.Address, have: int) -> None:
+    def _send_fetch(self, peer: transport.Peer, have: int) -> None:
         payload = msgspec.json.encode(configstore.FetchRequest(have=have))
 
         def on_reply(reply: bytes | errors.Refusal) -> None:
@@ -334,7 +334,7 @@
         )
 
     def _on_fetch_reply(
-        self, payload: bytes, peer: transport.Address, have: int
+        self, payload: bytes, peer: transport.Peer, have: int
     ) -> None:
         try:
             reply = msgspec.json.decode(payload, type=configstore.FetchReply)
--- a/src/parsleystile/dispatcher.py
+++ b/src/parsleystile/dispatcher.py
@@ -172,7 +172,7 @@
         deps = self._dispatcher.deps
         if member.node_id == deps.own_node_id:
             return deps.guard.submit(call, on_answer)
-        return deps.transport.call(member.link, call, on_answer)
+        return deps.transport.call(member.peer, call, on_answer)
 
     def _handle_result(self, result: ttypes.Answer | errors.Refusal) -> None:
         deps = self._dispatcher.deps
--- a/src/parsleystile/idempotencyservice.py
+++ b/src/parsleystile/idempotencyservice.py
@@ -187,12 +187,12 @@
             if not notified.done():
                 notified.set_result(None)
 
-        address = self._duties.addresses.get(deputy)
-        if address is None:
+        peer = self._duties.peers.get(deputy)
+        if peer is None:
             notified.set_result(None)
         else:
             self._network.control(
-                address,
+                peer,
                 claimwire.RELEASED_KIND,
                 b'',
                 _RELEASED_TIMEOUT_MS,
@@ -310,8 +310,8 @@
         reply_type: type[_T],
         on_reply: typing.Callable[[_T | None], None],
     ) -> None:
-        address = self._duties.addresses.get(to)
-        if address is None:
+        peer = self._duties.peers.get(to)
+        if peer is None:
             on_reply(None)
             return
 
@@ -322,7 +322,7 @@
                 on_reply(self._decode(answer, reply_type))
 
         payload = msgspec.msgpack.encode(message)
-        self._network.control(address, kind, payload, timeout_ms, on_answer)
+        self._network.control(peer, kind, payload, timeout_ms, on_answer)
 
     def _decode(self, payload: bytes, kind: type[_T]) -> _T | None:
         try:
--- a/src/parsleystile/keywithdrawals.py
+++ b/src/parsleystile/keywithdrawals.py
@@ -182,7 +182,7 @@
                 confirmed.set_result(not isinstance(reply, errors.Refusal))
 
         self._network.control(
-            member.link,
+            member.peer,
             WITHDRAW_KIND,
             msgspec.json.encode(WithdrawNotice(key_ids=(key_id,))),
             CONFIRM_TIMEOUT_MS,
--- a/src/parsleystile/link.py
+++ b/src/parsleystile/link.py
@@ -35,7 +35,7 @@
         self._clock = clock
         self._wheel = wheel
         self._metrics = metrics
-        self._links: dict[transport.Address, _linkprotocol.ClientLink] = {}
+        self._links: dict[transport.Peer, _linkprotocol.ClientLink] = {}
         self._accepted: set[_linkprotocol.ServerLink] = set()
         self._control_handlers: dict[str, transport.ControlHandler] = {}
         self._connecting: set[asyncio.Task[None]] = set()
@@ -90,16 +90,16 @@
 
     def call(
         self,
-        to: transport.Address,
+        to: transport.Peer,
         call: ttypes.Call,
         on_answer: transport.OnAnswer,
     ) -> transport.PendingCall:
-        """Send a call to the node at ``to``; see ``Transport.call``."""
+        """Send a call to a node; see ``Transport.call``."""
         return self._link(to).call(call, on_answer)
 
     def control(
         self,
-        to: transport.Address,
+        to: transport.Peer,
         kind: str,
         payload: bytes,
         timeout_ms: float,
@@ -113,15 +113,15 @@
             functools.partial(link.expire_control, request_id),
         )
 
-    def busy_links(self) -> list[tuple[transport.Address, int]]:
+    def busy_links(self) -> list[tuple[transport.Peer, int]]:
         """Return each link with calls in flight and its received chunks."""
         return [
-            (address, link.received_chunks)
-            for address, link in self._links.items()
+            (peer, link.received_chunks)
+            for peer, link in self._links.items()
             if link.calls_in_flight
         ]
 
-    def drop(self, to: transport.Address, detail: str) -> None:
+    def drop(self, to: transport.Peer, detail: str) -> None:
         """Abort a link; its calls end as UNKNOWN or, if unsent, as NOT_RUN."""
         link = self._links.get(to)
         if link is not None:
@@ -134,7 +134,7 @@
         """Serve control requests of one kind on every accepted link."""
         self._control_handlers[kind] = handler
 
-    def _link(self, to: transport.Address) -> _linkprotocol.ClientLink:
+    def _link(self, to: transport.Peer) -> _linkprotocol.ClientLink:
         link = self._links.get(to)
         if link is None:
             remove = functools.partial(self._links.pop, to, None)
@@ -150,12 +150,14 @@
         return link
 
     async def _connect(
-        self, to: transport.Address, link: _linkprotocol.ClientLink
+        self, to: transport.Peer, link: _linkprotocol.ClientLink
     ) -> None:
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_MS / 1000):
-                await loop.create_connection(lambda: link, to.host, to.port)
+                await loop.create_connection(
+                    lambda: link, to.address.host, to.address.port
+                )
         except (OSError, TimeoutError) as exc:
             self._metrics.incr('link.connect_failures')
             link.fail(f'no link to {to}: {type(exc).__name__}')
--- a/src/parsleystile/members.py
+++ b/src/parsleystile/members.py
@@ -39,3 +39,8 @@
     gossip: transport.Address
     incarnation: ids.Incarnation
     state: MemberState = MemberState.ALIVE
+
+    @property
+    def peer(self) -> transport.Peer:
+        """The node, to connect to."""
+        return transport.Peer(self.link, self.node_id)
--- a/src/parsleystile/memberservice.py
+++ b/src/parsleystile/memberservice.py
@@ -26,7 +26,7 @@
 WRITES_PER_DISCOVERY = 10
 
 OnLeaveDone = typing.Callable[[membership.LeaveConfirmed], None]
-OnNewerConfig = typing.Callable[[ids.ConfigVersion, transport.Address], None]
+OnNewerConfig = typing.Callable[[ids.ConfigVersion, transport.Peer], None]
 OnWithdrawn = typing.Callable[[tuple[ids.KeyId, ...]], None]
 
 
@@ -132,15 +132,16 @@
 
     async def _join(self) -> None:
         found = await self._seeds.read(self._machine.local_member)
-        addresses = [seed.link for seed in (found or [])[:SEEDS_PER_JOIN]]
+        peers = [seed.peer for seed in (found or [])[:SEEDS_PER_JOIN]]
         if not found:
             # No seeds, or the table is unavailable: use the configured peers.
             count = min(SEEDS_PER_JOIN, len(self._peers))
-            addresses = self._rng.sample(self._peers, count)
-        for address in addresses:
-            self._fetch_members(address)
+            sampled = self._rng.sample(self._peers, count)
+            peers = [transport.Peer(address) for address in sampled]
+        for peer in peers:
+            self._fetch_members(peer)
 
-    def _fetch_members(self, address: transport.Address) -> None:
+    def _fetch_members(self, peer: transport.Peer) -> None:
         def on_reply(reply: bytes | errors.Refusal) -> None:
             if isinstance(reply, errors.Refusal):
                 return
@@ -149,7 +150,7 @@
                 self.handle(membership.Learned(learned))
 
         self._network.control(
-            address,
+            peer,
             FETCH_KIND,
             gossipcodec.encode_view([self._machine.local_member]),
             FETCH_TIMEOUT_MS,
@@ -192,7 +193,7 @@
         for seed in await self._seeds.read(self._machine.local_member) or ():
             known = self._machine.get(seed.node_id)
             if known is None or known.link != seed.link:
-                self._fetch_members(seed.link)
+                self._fetch_members(seed.peer)
                 return
 
 
--- a/src/parsleystile/membership.py
+++ b/src/parsleystile/membership.py
@@ -129,7 +129,7 @@
     """Action: fetch a newer version of the document from a peer."""
 
     version: ids.ConfigVersion
-    peer: transport.Address
+    peer: transport.Peer
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -347,7 +347,7 @@
             return actions
         view.record_config_version(message.sender, message.config_version)
         if message.config_version > view.config_version:
-            actions.append(FetchConfig(message.config_version, sender.link))
+            actions.append(FetchConfig(message.config_version, sender.peer))
         return actions
 
     def _handle_body(
--- a/src/parsleystile/nettransport.py
+++ b/src/parsleystile/nettransport.py
@@ -17,7 +17,7 @@
 
     def call(
         self,
-        to: transport.Address,
+        to: transport.Peer,
         call: ttypes.Call,
         on_answer: transport.OnAnswer,
     ) -> transport.PendingCall:
@@ -26,7 +26,7 @@
 
     def control(
         self,
-        to: transport.Address,
+        to: transport.Peer,
         kind: str,
         payload: bytes,
         timeout_ms: float,
--- a/src/parsleystile/ownermaps.py
+++ b/src/parsleystile/ownermaps.py
@@ -54,22 +54,22 @@
 
     def tick(
         self,
-        addresses: typing.Collection[transport.Address],
+        peers: typing.Collection[transport.Peer],
         now_ms: float,
     ) -> None:
         """Send a request if one is due and the table was never read.
 
         Args:
-            addresses: Link addresses of the peers.
+            peers: The other members.
             now_ms: The current time in ms.
         """
-        if self._ownership.part_map.read_at_ms is not None or not addresses:
+        if self._ownership.part_map.read_at_ms is not None or not peers:
             return
         if now_ms < self._next_request_ms:
             return
         self._next_request_ms = now_ms + REQUEST_PERIOD_MS
         self._network.control(
-            self._rng.choice(list(addresses)),
+            self._rng.choice(list(peers)),
             self._kind,
             b'',
             _TIMEOUT_MS,
--- a/src/parsleystile/ownershiptasks.py
+++ b/src/parsleystile/ownershiptasks.py
@@ -38,7 +38,7 @@
     """Runs the tasks of one service.
 
     Attributes:
-        addresses: Link address of each known member.
+        peers: Each known member, to connect to.
     """
 
     def __init__(
@@ -62,7 +62,7 @@
         )
         self._next_members_ms = 0.0
         self._next_report_ms = 0.0
-        self.addresses: dict[ids.NodeId, transport.Address] = {}
+        self.peers: dict[ids.NodeId, transport.Peer] = {}
         self._promises = promises
         promises.register(prefix, owner.ownership)
 
@@ -70,7 +70,7 @@
         self, action: leases.RequestPromise, on_reply: promiseservice.OnReply
     ) -> None:
         """Request a promise; ``on_reply`` is called if the deputy answers."""
-        self._promises.request(action, self.addresses, on_reply)
+        self._promises.request(action, self.peers, on_reply)
 
     def before_tick(self, now_ms: float) -> None:
         """Refresh the members if that is due."""
@@ -81,12 +81,12 @@
         self._next_members_ms = now_ms + ownerships.members_refresh_period_ms(
             members
         )
-        self.addresses = {m.node_id: m.link for m in members}
+        self.peers = {m.node_id: m.peer for m in members}
         self._owner.set_members(members)
 
     def after_tick(self, now_ms: float) -> None:
         """Exchange owners, log lease changes and report metrics if due."""
-        self._owner_map.tick(self.addresses.values(), now_ms)
+        self._owner_map.tick(self.peers.values(), now_ms)
         self._lease_logger.observe(self._owner.ownership, now_ms)
         if now_ms >= self._next_report_ms:
             self._next_report_ms = now_ms + _REPORT_PERIOD_MS
--- a/src/parsleystile/promiseservice.py
+++ b/src/parsleystile/promiseservice.py
@@ -15,7 +15,7 @@
 _TIMEOUT_MS = 500.0
 
 OnReply = typing.Callable[[leases.PromiseReplied], None]
-Addresses = dict[ids.NodeId, transport.Address]
+Peers = dict[ids.NodeId, transport.Peer]
 
 
 class PromiseService:
@@ -36,18 +36,18 @@
     def request(
         self,
         action: leases.RequestPromise,
-        addresses: Addresses,
+        peers: Peers,
         on_reply: OnReply,
     ) -> None:
         """Send a request; ``on_reply`` is called if the deputy answers.
 
         Args:
             action: The request and its receiver.
-            addresses: Link addresses of nodes; an unknown node is skipped.
+            peers: Nodes to connect to; an unknown node is skipped.
             on_reply: Called with the deputy's answer.
         """
-        address = addresses.get(action.to)
-        if address is None:
+        peer = peers.get(action.to)
+        if peer is None:
             return
 
         def on_answer(answer: bytes | errors.Refusal) -> None:
@@ -70,7 +70,7 @@
 
         payload = msgspec.msgpack.encode(action.request)
         self._network.control(
-            address, PROMISE_KIND, payload, _TIMEOUT_MS, on_answer
+            peer, PROMISE_KIND, payload, _TIMEOUT_MS, on_answer
         )
 
     def _on_request(
--- a/src/parsleystile/quotaservice.py
+++ b/src/parsleystile/quotaservice.py
@@ -134,8 +134,8 @@
         self, action: quotarequests.SendGrantRequest
     ) -> None:
         seq = action.request.seq
-        address = self._duties.addresses.get(action.to)
-        if address is None:
+        peer = self._duties.peers.get(action.to)
+        if peer is None:
             self._handle(quota.GrantsReceived(action.to, seq, None))
             return
 
@@ -145,7 +145,7 @@
 
         self._metrics.incr('quota.asks')
         self._network.control(
-            address,
+            peer,
             quotawire.REQUEST_KIND,
             msgspec.msgpack.encode(action.request),
             quotarequests.REQUEST_TIMEOUT_MS,
--- a/src/parsleystile/relay/dispatch.py
+++ b/src/parsleystile/relay/dispatch.py
@@ -230,7 +230,7 @@
         deps = self._deps
         if member.node_id == deps.own_node_id:
             return deps.guard.submit(self.call, on_answer)
-        return deps.links.call(member.link, self.call, on_answer)
+        return deps.links.call(member.peer, self.call, on_answer)
 
     def _on_result(self, result: Reply) -> None:
         deps = self._deps
--- a/src/parsleystile/relay/fleetstatus.py
+++ b/src/parsleystile/relay/fleetstatus.py
@@ -191,7 +191,7 @@
                 on_status(silent)
 
         self._deps.links.control(
-            row.link, STATUS_KIND, b'', _TIMEOUT_MS, on_reply
+            row.peer, STATUS_KIND, b'', _TIMEOUT_MS, on_reply
         )
 
 
--- a/src/parsleystile/relay/memberlist.py
+++ b/src/parsleystile/relay/memberlist.py
@@ -61,6 +61,11 @@
         """Address at which the node accepts links."""
         return transport.Address(self.host, self.port)
 
+    @property
+    def peer(self) -> transport.Peer:
+        """The node, to connect to."""
+        return transport.Peer(self.link, self.node_id)
+
 
 def encode_row(row: Row) -> bytes:
     """Encode a row for the store and for other nodes."""
--- a/src/parsleystile/relay/ratelimiter.py
+++ b/src/parsleystile/relay/ratelimiter.py
@@ -153,7 +153,7 @@
 
         self._recorder.count('rate-asks')
         self._links.control(
-            holder.link,
+            holder.peer,
             TRANSFER_KIND,
             msgspec.msgpack.encode(_TransferRequest(organisation, wanted)),
             _TRANSFER_TIMEOUT_MS,
--- a/src/parsleystile/relay/reachability.py
+++ b/src/parsleystile/relay/reachability.py
@@ -56,49 +56,48 @@
         self._clock = clock
         self._rng = rng
         self._recorder = recorder
-        self._pending_pings: set[transport.Address] = set()
-        self._received_counts: dict[transport.Address, int] = {}
+        self._pending_pings: set[transport.Peer] = set()
+        self._received_counts: dict[transport.Peer, int] = {}
         links.handle_control(PING_KIND, lambda payload, reply: reply(b''))
 
     def check_silent_links(self) -> None:
         """Ping the peers of links that have calls in flight but are silent."""
         waiting = self._links.busy_links()
         silent = [
-            address
-            for address, received in waiting
-            if self._received_counts.get(address) == received
+            peer
+            for peer, received in waiting
+            if self._received_counts.get(peer) == received
         ]
         self._received_counts = dict(waiting)
-        for address in silent:
-            self._check_link(address)
+        for peer in silent:
+            self._check_link(peer)
 
     def _ping(
-        self, address: transport.Address, on_reply: transport.OnControlReply
+        self, peer: transport.Peer, on_reply: transport.OnControlReply
     ) -> None:
-        """Ping an address unless a ping to it is already in flight."""
-        if address in self._pending_pings:
+        """Ping a node unless a ping to it is already in flight."""
+        if peer in self._pending_pings:
             return
-        self._pending_pings.add(address)
+        self._pending_pings.add(peer)
 
         def on_done(reply: bytes | errors.Refusal) -> None:
-            self._pending_pings.discard(address)
+            self._pending_pings.discard(peer)
             on_reply(reply)
 
-        self._links.control(address, PING_KIND, b'', _PING_TIMEOUT_MS, on_done)
+        self._links.control(peer, PING_KIND, b'', _PING_TIMEOUT_MS, on_done)
 
-    def _check_link(self, address: transport.Address) -> None:
-        before = self._received_counts[address]
+    def _check_link(self, peer: transport.Peer) -> None:
+        before = self._received_counts[peer]
 
         def on_reply(reply: bytes | errors.Refusal) -> None:
-            is_silent = dict(self._links.busy_links()).get(address) == before
+            is_silent = dict(self._links.busy_links()).get(peer) == before
             if self._is_missing(reply) and is_silent:
                 why = 'no reply on a link that owes answers'
-                self._links.drop(address, why)
-                for row in self._member_list.others():
-                    if row.link == address:
-                        self.mark_unreachable(row.node_id, why)
+                self._links.drop(peer, why)
+                if peer.node_id is not None:
+                    self.mark_unreachable(peer.node_id, why)
 
-        self._ping(address, on_reply)
+        self._ping(peer, on_reply)
 
     def _is_missing(self, reply: bytes | errors.Refusal) -> bool:
         """Whether a peer did not reply, as far as this node can tell.
@@ -146,7 +145,7 @@
                     ]
                 )
 
-        self._ping(row.link, on_reply)
+        self._ping(row.peer, on_reply)
 
     def mark_reachable(self, node_id: ids.NodeId) -> bool:
         """Mark a node as reachable; False if it was."""
--- a/src/parsleystile/relay/statesync.py
+++ b/src/parsleystile/relay/statesync.py
@@ -239,7 +239,7 @@
         """
         own = self._member_list.own_row.node_id
         self._links.control(
-            row.link,
+            row.peer,
             ROW_KIND,
             msgspec.msgpack.encode(statemessages.RowsMessage(own, [row])),
             _CONTROL_TIMEOUT_MS,
@@ -309,11 +309,11 @@
     def _spread_rows(self) -> None:
         own = self._member_list.own_row
         peers = self._member_list.peers()
-        links = {peer.node_id: peer.link for peer in peers}
+        by_id = {peer.node_id: peer for peer in peers}
         messages = self._spread.flush(peers, own.domain)
         for node_id, rows in messages.items():
             self._links.control(
-                links[node_id],
+                by_id[node_id].peer,
                 ROW_KIND,
                 msgspec.msgpack.encode(
                     statemessages.RowsMessage(own.node_id, rows)
@@ -368,7 +368,7 @@
                 self._on_reply(peer, message, remote)
 
         self._links.control(
-            peer.link,
+            peer.peer,
             SYNC_KIND,
             msgspec.msgpack.encode(message),
             _CONTROL_TIMEOUT_MS,
--- a/src/parsleystile/seedrows.py
+++ b/src/parsleystile/seedrows.py
@@ -41,6 +41,11 @@
     link: transport.Address
     at_wall_ms: int
 
+    @property
+    def peer(self) -> transport.Peer:
+        """The node, to connect to."""
+        return transport.Peer(self.link, self.node_id)
+
 
 def row_key(node_id: ids.NodeId, domain: ids.FailureDomainId) -> str:
     """Return the key of the row that a node shares with others."""
--- a/src/parsleystile/transport.py
+++ b/src/parsleystile/transport.py
@@ -7,6 +7,7 @@
 
 from parsleystile import errors
 from parsleystile.gen import ttypes
+from parsleystile import ids
 
 
 class Address(msgspec.Struct, frozen=True):
@@ -19,6 +20,23 @@
         return f'{self.host}:{self.port}'
 
 
+class Peer(msgspec.Struct, frozen=True, cache_hash=True):
+    """A node to connect to.
+
+    Attributes:
+        address: Address of its link listener.
+        node_id: The node; None if any node that listens there will do.
+    """
+
+    address: Address
+    node_id: ids.NodeId | None = None
+
+    def __str__(self) -> str:
+        if self.node_id is None:
+            return str(self.address)
+        return f'{self.node_id} at {self.address}'
+
+
 class PendingCall(abc.ABC):
     """A call whose answer is outstanding."""
 
@@ -42,7 +60,7 @@
 
     @abc.abstractmethod
     def call(
-        self, to: Address, call: ttypes.Call, on_answer: OnAnswer
+        self, to: Peer, call: ttypes.Call, on_answer: OnAnswer
     ) -> PendingCall:
         """Send a call; ``on_answer`` is called exactly once unless cancelled.
 
@@ -52,7 +70,7 @@
     @abc.abstractmethod
     def control(
         self,
-        to: Address,
+        to: Peer,
         kind: str,
         payload: bytes,
         timeout_ms: float,
--- a/stubs/controlfleet.py
+++ b/stubs/controlfleet.py
@@ -31,7 +31,7 @@
 
     def call(
         self,
-        to: transport.Address,
+        to: transport.Peer,
         call: ttypes.Call,
         on_answer: transport.OnAnswer,
     ) -> transport.PendingCall:
@@ -40,7 +40,7 @@
 
     def control(
         self,
-        to: transport.Address,
+        to: transport.Peer,
         kind: str,
         payload: bytes,
         timeout_ms: float,
@@ -48,7 +48,7 @@
     ) -> None:
         """Send a control request."""
         loop = asyncio.get_running_loop()
-        peer = self._fleet.reachable_transport(self._address, to)
+        peer = self._fleet.reachable_transport(self._address, to.address)
         if peer is None:
             refusal = errors.not_run(errors.Reason.UNREACHABLE, str(to))
             loop.call_soon(on_reply, refusal)
--- a/tests/drivenfleet.py
+++ b/tests/drivenfleet.py
@@ -128,7 +128,7 @@
         return pending
 
     def _deliver(self, to, call, return_answer, pending):
-        guard = self._fleet.node_at(to).guard
+        guard = self._fleet.node_at(to.address).guard
         pending.inner = guard.submit(call, return_answer)
         if pending.is_cancelled and pending.inner is not None:
             pending.inner.cancel()
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -32,7 +32,7 @@
         self.is_paused = False
 
     def control(self, to, kind, payload, timeout_ms, on_reply):
-        other = self._fleet.network.get(to)
+        other = self._fleet.network.get(to.address)
         lost = errors.unknown(errors.Reason.LINK_LOST, 'lost')
         if other is None or self._loses_message_to(other):
             self._deliver(on_reply, lost)
--- a/tests/statefleet.py
+++ b/tests/statefleet.py
@@ -63,7 +63,8 @@
     def busy_links(self):
         return []
 
-    def control(self, to, kind, payload, timeout_ms, on_reply):
+    def control(self, peer, kind, payload, timeout_ms, on_reply):
+        to = peer.address
         fleet, timeline = self._fleet, self._fleet.timeline
         fleet.count(self._address, to, payload)
         answered = []
@@ -82,9 +83,9 @@
                 timeline.after(DELAY_MS, lambda: answer(reply))
 
         def deliver():
-            peer = fleet.by_address.get(to)
-            if peer and fleet.is_connected(self._address, to):
-                peer.links.handlers[kind](payload, deliver_reply)
+            node = fleet.by_address.get(to)
+            if node and fleet.is_connected(self._address, to):
+                node.links.handlers[kind](payload, deliver_reply)
 
         timeline.after(DELAY_MS, deliver)
         timeline.after(timeout_ms, expire)
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -83,9 +83,9 @@
 @contextlib.asynccontextmanager
 async def _pair(secret=b's'):
     client, server = _Node(), _Node(secret)
-    address = await server.links.listen('127.0.0.1', 0)
+    peer = transport.Peer(await server.links.listen('127.0.0.1', 0))
     try:
-        yield client, server, address
+        yield client, server, peer
     finally:
         await client.links.close()
         await server.links.close()
@@ -94,10 +94,10 @@
 
 def test_answers_out_of_order_reach_their_callers():
     async def body():
-        async with _pair() as (client, server, address):
+        async with _pair() as (client, server, peer):
             boxes = [asyncutil.CallbackResult() for _ in range(3)]
             for i, box in enumerate(boxes):
-                client.links.call(address, call(f'/{i}'), box.put)
+                client.links.call(peer, call(f'/{i}'), box.put)
             await asyncutil.wait_until(lambda: len(server.calls) == 3)
             for received, on_answer in reversed(server.calls):
                 on_answer(answer(received.path.encode()))
@@ -109,14 +109,14 @@
 
 def test_a_cancelled_call_is_cancelled_at_the_peer_and_its_answer_dropped():
     async def body():
-        async with _pair() as (client, server, address):
+        async with _pair() as (client, server, peer):
             box, other = asyncutil.CallbackResult(), asyncutil.CallbackResult()
-            pending = client.links.call(address, call('/gone'), box.put)
+            pending = client.links.call(peer, call('/gone'), box.put)
             await asyncutil.wait_until(lambda: server.calls)
             pending.cancel()
             await asyncutil.wait_until(lambda: server.cancelled == ['/gone'])
             server.calls[0][1](answer(b'late'))
-            client.links.call(address, call('/next'), other.put)
+            client.links.call(peer, call('/next'), other.put)
             await asyncutil.wait_until(lambda: len(server.calls) == 2)
             server.calls[1][1](answer(b'next'))
             assert (await other.get()).body == b'next'
@@ -128,9 +128,9 @@
 
 def test_calls_sent_on_a_lost_link_are_unknown():
     async def body():
-        async with _pair() as (client, server, address):
+        async with _pair() as (client, server, peer):
             box = asyncutil.CallbackResult()
-            client.links.call(address, call(), box.put)
+            client.links.call(peer, call(), box.put)
             await asyncutil.wait_until(lambda: server.calls)
             await server.links.close()
             refusal = await box.get()
@@ -145,15 +145,16 @@
     async def body():
         client, server = _Node(), _Node()
         address = await server.links.listen('127.0.0.1', 0)
+        peer = transport.Peer(address)
         await server.links.close()
         box = asyncutil.CallbackResult()
-        client.links.call(address, call(), box.put)
+        client.links.call(peer, call(), box.put)
         refusal = await box.get()
         assert refusal.outcome is errors.Outcome.NOT_RUN
         second_server = _Node()
         await second_server.links.listen(address.host, address.port)
         second_box = asyncutil.CallbackResult()
-        client.links.call(address, call(), second_box.put)
+        client.links.call(peer, call(), second_box.put)
         await asyncutil.wait_until(lambda: second_server.calls)
         second_server.calls[0][1](answer(b'ok'))
         assert (await second_box.get()).body == b'ok'
@@ -165,9 +166,9 @@
 
 def test_peers_with_different_secrets_exchange_no_calls():
     async def body():
-        async with _pair(secret=b'other') as (client, server, address):
+        async with _pair(secret=b'other') as (client, server, peer):
             box = asyncutil.CallbackResult()
-            client.links.call(address, call(), box.put)
+            client.links.call(peer, call(), box.put)
             refusal = await box.get()
             assert refusal.outcome is errors.Outcome.NOT_RUN
             assert server.calls == []
@@ -178,9 +179,9 @@
 
 def test_a_peer_that_skips_the_handshake_is_disconnected():
     async def body():
-        async with _pair() as (_, server, address):
+        async with _pair() as (_, server, peer):
             reader, writer = await asyncio.open_connection(
-                address.host, address.port
+                peer.address.host, peer.address.port
             )
             writer.write(wire.encode(wire.FrameKind.CALL, call()))
             assert await reader.read() == b''
@@ -193,9 +194,9 @@
 
 def test_a_silent_peer_is_disconnected_after_the_handshake_timeout():
     async def body():
-        async with _pair() as (_, server, address):
+        async with _pair() as (_, server, peer):
             reader, writer = await asyncio.open_connection(
-                address.host, address.port
+                peer.address.host, peer.address.port
             )
             await asyncutil.wait_until(
                 lambda: server.links.accepted_count == 1
@@ -209,13 +210,13 @@
 
 def test_control_requests_are_answered_or_expire():
     async def body():
-        async with _pair() as (client, server, address):
+        async with _pair() as (client, server, peer):
             server.links.handle_control('echo', lambda p, reply: reply(p + p))
             server.links.handle_control('mute', lambda p, reply: None)
             box, mute = asyncutil.CallbackResult(), asyncutil.CallbackResult()
-            client.links.control(address, 'echo', b'a', 500, box.put)
+            client.links.control(peer, 'echo', b'a', 500, box.put)
             assert await box.get() == b'aa'
-            client.links.control(address, 'mute', b'a', 500, mute.put)
+            client.links.control(peer, 'mute', b'a', 500, mute.put)
             client.wheel.expire(client.clock.advance(600.0))
             refusal = await mute.get()
             assert refusal.outcome is errors.Outcome.UNKNOWN
@@ -225,9 +226,9 @@
 
 def test_answers_are_flushed_when_a_node_closes():
     async def body():
-        async with _pair() as (client, server, address):
+        async with _pair() as (client, server, peer):
             box = asyncutil.CallbackResult()
-            client.links.call(address, call(), box.put)
+            client.links.call(peer, call(), box.put)
             await asyncutil.wait_until(lambda: server.calls)
             server.calls[0][1](answer(b'x' * 100_000))
             await server.links.close()
