Show how old a node's knowledge of the store is and who follows it

Change: followers note when the store had what they hold; replies of peers carry the age, and a node that has all of a peer's changes takes it over. The age counts from when the reply was asked for, so that it is never told too young. New lines store-following and store-age, new gauges follows-store and store-age-ms. No decision uses them. Older builds ignore the new field and send none.

--- a/src/parsleystile/relay/logevents.py
+++ b/src/parsleystile/relay/logevents.py
@@ -178,6 +178,27 @@
     at_version: int
 
 
+class StoreFollowingChanged(
+    LogEvent, tag_field='event', tag='store-following'
+):
+    """This node began or ceased to follow the store, for a reason."""
+
+    is_following: bool
+    why: str
+
+
+class StoreAgeChanged(LogEvent, tag_field='event', tag='store-age'):
+    """The reading of the store behind this node's state is too old or not.
+
+    ``age_ms`` counts from the start if there was no reading.
+    """
+
+    is_overdue: bool
+    age_ms: int
+    limit_ms: int
+    seen_at: int
+
+
 class ProcessChanged(LogEvent, tag_field='event', tag='process'):
     """The process starts, serves, reloads settings, drains or ends."""
 
--- a/src/parsleystile/relay/memberlist.py
+++ b/src/parsleystile/relay/memberlist.py
@@ -218,6 +218,11 @@
             or len(chosen) < overlay.FOLLOWERS_PER_DOMAIN
         )
 
+    @property
+    def own_domain_size(self) -> int:
+        """Number of nodes of the failure domain that are not gone."""
+        return len(self._domains[self.own_row.domain])
+
     @property
     def node_ids(self) -> list[ids.NodeId]:
         """Sorted ids of the nodes that are not gone, reachable or not."""
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -518,6 +518,9 @@
         gauge('requests-open', self._http_server.owed_requests)
         gauge('nodes-known', len(self.member_list.node_ids))
         gauge('nodes-unreached', len(self.member_list.unreachable()))
+        now_ms = self._clock.now_ms()
+        gauge('store-age-ms', self.state_sync.store_age.age_ms(now_ms))
+        gauge('follows-store', self.state_sync.is_following)
         gauge('lines-dropped', self.recorder.log.dropped)
 
     def _on_rejected_request(self, status: int, why: str) -> None:
--- a/src/parsleystile/relay/statemessages.py
+++ b/src/parsleystile/relay/statemessages.py
@@ -38,6 +38,8 @@
         buckets: Checksums of the sender's rows by bucket.
         wanted: Buckets, out of ``wanted_of``, whose rows the sender requests.
         rows: Rows for the receiver.
+        store_age_ms: Age of the reading of the store that the sender's
+            snapshot rests on; None without one.
     """
 
     seen_at: int
@@ -49,6 +51,7 @@
     wanted: list[int] = []
     wanted_of: int = 0
     rows: list[memberlist.Row] = []
+    store_age_ms: int | None = None
 
 
 class RowsMessage(msgspec.Struct, frozen=True):
--- a/src/parsleystile/relay/statesync.py
+++ b/src/parsleystile/relay/statesync.py
@@ -8,6 +8,7 @@
 """
 
 import abc
+import math
 import random
 import typing
 
@@ -25,6 +26,7 @@
 from parsleystile.relay import reachability as reachability_module
 from parsleystile.relay import rowspread
 from parsleystile.relay import statemessages
+from parsleystile.relay import storeage
 from parsleystile.relay import telemetry
 
 SYNC_KIND = 'state.sync'
@@ -73,6 +75,7 @@
         store: Set by the platform adapter before the first publish.
         policy: The policy in force; None before the first one.
         snapshot: The snapshot that the policy was decoded from.
+        store_age: Age of the reading of the store that it rests on.
         on_policy_changed: Called after a newer policy came into force.
         on_members_changed: Called after the member list changed.
         on_previous_own_row: Called with each received row of this node, which
@@ -111,6 +114,8 @@
         # Node that has just become reachable; it is next to exchange with.
         self._returned: ids.NodeId | None = None
         self._last_exchange_ms = clock.now_ms()
+        self.store_age = storeage.store_age(clock.now_ms())
+        self._was_following = False
         # Version of a snapshot that a peer is sending, and until when.
         self._awaited_at = 0
         self._awaited_until_ms = 0.0
@@ -121,8 +126,38 @@
     @property
     def is_following(self) -> bool:
         """Whether this node follows the store rather than its peers."""
-        silent_ms = self._clock.now_ms() - self._last_exchange_ms
-        return self._member_list.is_follower or silent_ms > _ISOLATED_MS
+        return self._reason_to_follow() != ''
+
+    def _reason_to_follow(self) -> str:
+        """Return why this node follows the store; empty if it doesn't."""
+        now_ms = self._clock.now_ms()
+        if self._member_list.is_follower:
+            return 'among the first reachable nodes of its domain'
+        if now_ms - self._last_exchange_ms > _ISOLATED_MS:
+            return 'no exchange with a peer'
+        return ''
+
+    def _check_store_age(self) -> None:
+        now_ms = self._clock.now_ms()
+        limit_ms = storeage.bound_ms(self._member_list.own_domain_size)
+        if self.store_age.check(now_ms, limit_ms):
+            self._recorder.log.write(
+                logevents.StoreAgeChanged(
+                    is_overdue=self.store_age.is_overdue,
+                    age_ms=int(self.store_age.age_ms(now_ms)),
+                    limit_ms=int(limit_ms),
+                    seen_at=self.snapshot.seen_at,
+                )
+            )
+        why = self._reason_to_follow()
+        if (why != '') is not self._was_following:
+            self._was_following = why != ''
+            self._recorder.log.write(
+                logevents.StoreFollowingChanged(
+                    is_following=self._was_following,
+                    why=why or 'others follow it',
+                )
+            )
 
     # Incoming state.
 
@@ -326,6 +361,7 @@
 
     def tick(self) -> None:
         """Exchange state with a random peer if it is due."""
+        self._check_store_age()
         now_ms = self._clock.now_ms()
         returned, self._returned = self._returned, None
         if now_ms < self._next_sync_ms and returned is None:
@@ -348,16 +384,21 @@
     def _own_versions(
         self, digest: int | None = None
     ) -> statemessages.SyncMessage:
+        age_ms = self.store_age.reading_age_ms(self._clock.now_ms())
         return statemessages.SyncMessage(
             self.snapshot.seen_at,
             self._member_list.own_row.node_id,
             self.snapshot.payload_digest,
             digest=digest,
+            # Rounded up, so that it isn't younger with each hop.
+            store_age_ms=None if age_ms is None else math.ceil(age_ms),
         )
 
     def _send(
         self, peer: memberlist.Row, message: statemessages.SyncMessage
     ) -> None:
+        sent_ms = self._clock.now_ms()
+
         def on_reply(reply: bytes | errors.Refusal) -> None:
             if isinstance(reply, errors.Refusal):
                 self._reachability.note_refusal(peer.node_id, reply)
@@ -366,6 +407,7 @@
             if remote is not None:
                 self._last_exchange_ms = self._clock.now_ms()
                 self._on_reply(peer, message, remote)
+                self._note_reading_of(remote, sent_ms)
 
         self._links.control(
             peer.peer,
@@ -393,6 +435,19 @@
         elif sent.digest is not None and not sent.buckets:
             self._compare_rows(peer, remote)
 
+    def _note_reading_of(
+        self, remote: statemessages.SyncMessage, sent_ms: float
+    ) -> None:
+        """Note the reading of a peer that knows nothing newer.
+
+        Args:
+            remote: The peer's reply.
+            sent_ms: When it was asked; the age it tells is of later.
+        """
+        has_all = remote.seen_at <= self.snapshot.seen_at
+        if has_all and remote.store_age_ms is not None:
+            self.store_age.note_reading(sent_ms - remote.store_age_ms)
+
     def _compare_rows(
         self, peer: memberlist.Row, remote: statemessages.SyncMessage
     ) -> None:
--- a/tests/test_platform_store_answers.py
+++ b/tests/test_platform_store_answers.py
@@ -10,6 +10,7 @@
 from adapter import store as stores
 from parsleystile import clock as clocks
 from parsleystile.relay import memberlist
+from parsleystile.relay import storeage
 from parsleystile.relay import telemetry
 from parsleystile import transport
 from tests import asyncutil
@@ -24,6 +25,9 @@
 
     is_following = True
 
+    def __init__(self):
+        self.store_age = storeage.store_age(0.0)
+
     def apply_snapshot(self, snapshot, source):
         pass
 
