Open a link to a node, not to whoever holds its address

Cause: a link is opened to an address and a row names a node. HELLO carries the id of the node that answers and nobody looked at it, so that pings brought a lost node back: all that goes over links believed the same (calls, exchanges of state, rows, tokens, status).

Change: one check where the link is made. What was queued on such a link ends as not run and unreachable; nothing has been sent by then. A node that starts again under its id, and builds of before, which send their id already, work as before. Weighed: the id within the proof of the secret. Frames after the handshake carry no proof, so that it would add nothing against whoever can change them, and builds of before would be turned away.

--- a/src/parsleystile/_linkprotocol.py
+++ b/src/parsleystile/_linkprotocol.py
@@ -44,6 +44,10 @@
     logs.log_event(logevents.PeerRejected(address=address, why=why))
 
 
+def _log_wrong_peer(peer: transport.Peer, found: ids.NodeId) -> None:
+    _log_rejected(str(peer), f'{found} answers there')
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LinkSettings:
     """Settings shared by all links of a node.
@@ -53,12 +57,17 @@
         max_frame_bytes: Longest frame that either end accepts.
         on_rejected: Called with the address of a peer that violates the
             protocol, and the reason.
+        on_wrong_peer: Called with the node that was meant and the one that
+            answered in its place.
     """
 
     node_id: ids.NodeId
     secret: bytes
     max_frame_bytes: int
     on_rejected: typing.Callable[[str, str], None] = _log_rejected
+    on_wrong_peer: typing.Callable[[transport.Peer, ids.NodeId], None] = (
+        _log_wrong_peer
+    )
 
 
 def _proof(
@@ -274,11 +283,13 @@
 
     def __init__(
         self,
+        peer: transport.Peer,
         settings: LinkSettings,
         metrics: metric.Metrics,
         on_close: typing.Callable[[], None],
     ) -> None:
         super().__init__(settings, metrics)
+        self._peer = peer
         self._on_close = on_close
         self._closed = False
         self._request_ids = itertools.count(1)
@@ -328,6 +339,10 @@
         if not hmac.compare_digest(expected, hello.proof):
             self._metrics.incr('link.rejected_proofs')
             raise errors.FrameError('wrong proof of the fleet secret')
+        found = ids.NodeId(hello.node_id)
+        if self._peer.node_id not in (None, found):
+            self._reject_peer(found)
+            return
         proof = _proof(secret, b'client', self._nonce, hello.nonce)
         answer = ttypes.Hello(self._settings.node_id, self._nonce, proof)
         self.send(wire.FrameKind.HELLO, answer)
@@ -342,6 +357,16 @@
             self.send(wire.FrameKind.CONTROL, control)
         self._queued_controls.clear()
 
+    def _reject_peer(self, found: ids.NodeId) -> None:
+        """Close the link to a node that took over the address of another.
+
+        Nothing has been sent to it yet.
+        """
+        self._metrics.incr('link.wrong_peers')
+        self._settings.on_wrong_peer(self._peer, found)
+        self.fail(f'{found} answers in place of {self._peer}')
+        self.abort()
+
     def on_message(self, message: wire.Message) -> None:
         match message:
             case ttypes.Answer():
--- a/src/parsleystile/link.py
+++ b/src/parsleystile/link.py
@@ -139,7 +139,7 @@
         if link is None:
             remove = functools.partial(self._links.pop, to, None)
             link = _linkprotocol.ClientLink(
-                self._settings, self._metrics, remove
+                to, self._settings, self._metrics, remove
             )
             self._links[to] = link
             task = asyncio.get_running_loop().create_task(
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -128,6 +128,7 @@
                 setup.secret,
                 _MAX_FRAME_BYTES + wire.FRAME_OVERHEAD_BYTES,
                 lambda peer, why: recorder.input_rejected(f'link {peer}', why),
+                lambda peer, found: recorder.count('wrong-peers'),
             ),
             clock,
             wheel,
--- a/tests/statefleet.py
+++ b/tests/statefleet.py
@@ -84,8 +84,12 @@
 
         def deliver():
             node = fleet.by_address.get(to)
-            if node and fleet.is_connected(self._address, to):
+            if not node or not fleet.is_connected(self._address, to):
+                return
+            if peer.node_id in (None, node.node_id):
                 node.links.handlers[kind](payload, deliver_reply)
+            else:
+                answer(errors.unknown(errors.Reason.LINK_LOST, 'wrong peer'))
 
         timeline.after(DELAY_MS, deliver)
         timeline.after(timeout_ms, expire)
@@ -107,16 +111,16 @@
 class Node:
     """One node: its member list and replication."""
 
-    def __init__(self, fleet, node_id, domain):
+    def __init__(self, fleet, node_id, domain, host):
         self.node_id = ids.NodeId(node_id)
-        self.address = transport.Address(node_id, 7000)
+        self.address = transport.Address(host, 7000)
         self.links = _Links(fleet, self.address)
         self.member_list = memberlist.member_list(
             memberlist.Row(
                 node_id=self.node_id,
                 domain=ids.FailureDomainId(domain),
                 region=ids.RegionId('r'),
-                host=node_id,
+                host=host,
                 port=7000,
                 incarnation=int(fleet.timeline.now_ms()) + 1,
             )
@@ -197,9 +201,9 @@
         for node in self.nodes:
             node.sync.merge_rows(rows, 'store', is_spread=False)
 
-    def start(self, node_id, domain):
+    def start(self, node_id, domain, host=None):
         """Start a node that knows no other one."""
-        node = Node(self, node_id, domain)
+        node = Node(self, node_id, domain, host or node_id)
         self.by_address[node.address] = node
         return node
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -55,12 +55,12 @@
 class _Node:
     """The links of one node."""
 
-    def __init__(self, secret=b's'):
+    def __init__(self, secret=b's', node_id='n'):
         self.metrics = metrics.memory_metrics()
         self.wheel = deadlines.DeadlineWheel()
         self.clock = clock.manual_clock()
         self.links = link.links(
-            link.LinkSettings('n', secret, 200_000),
+            link.LinkSettings(node_id, secret, 200_000),
             self.clock,
             self.wheel,
             self.metrics,
@@ -177,6 +177,48 @@
     asyncutil.run(body())
 
 
+def test_nothing_is_sent_to_a_node_that_took_over_an_address():
+    # The lost node counted as reachable; its calls ran at another one.
+    async def body():
+        async with _pair() as (client, server, peer):
+            server.links.handle_control('ping', lambda p, reply: reply(b''))
+            lost = transport.Peer(peer.address, 'lost')
+            box, ping = asyncutil.CallbackResult(), asyncutil.CallbackResult()
+            client.links.call(lost, call(), box.put)
+            client.links.control(lost, 'ping', b'', 500, ping.put)
+            refusal = await box.get()
+            assert refusal.outcome is errors.Outcome.NOT_RUN
+            assert refusal.reason is errors.Reason.UNREACHABLE
+            assert 'n answers in place of lost' in refusal.detail
+            assert isinstance(await ping.get(), errors.Refusal)
+            assert server.calls == []
+            assert client.metrics.counters['link.wrong_peers'] == 1
+            found = asyncutil.CallbackResult()
+            present = transport.Peer(peer.address, 'n')
+            client.links.control(present, 'ping', b'', 500, found.put)
+            assert await found.get() == b''
+
+    asyncutil.run(body())
+
+
+def test_a_node_that_started_again_under_its_id_is_reached_again():
+    async def body():
+        async with _pair() as (client, server, peer):
+            named = transport.Peer(peer.address, 'n')
+            box = asyncutil.CallbackResult()
+            client.links.call(named, call(), box.put)
+            await asyncutil.wait_until(lambda: server.calls)
+            await server.links.close()
+            await box.get()
+            again = _Node()
+            await again.links.listen(peer.address.host, peer.address.port)
+            client.links.call(named, call(), box.put)
+            await asyncutil.wait_until(lambda: again.calls)
+            await again.links.close()
+
+    asyncutil.run(body())
+
+
 def test_a_peer_that_skips_the_handshake_is_disconnected():
     async def body():
         async with _pair() as (_, server, peer):
--- a/tests/test_relay_state.py
+++ b/tests/test_relay_state.py
@@ -374,6 +374,35 @@
         assert not set(departed) & set(running)
 
 
+class TestAddressesUsedAgain:
+    def _replace(self, fleet, number):
+        """Lose a node for good; another one gets its address."""
+        lost = fleet.nodes[number]
+        fleet.kill(lost)
+        fleet.timeline.run(2_200.0)
+        rows = [node.member_list.row(lost.node_id) for node in fleet.running()]
+        rows += [node.member_list.own_row for node in fleet.running()]
+        added = fleet.start(
+            f'n{number + 100:04d}',
+            lost.member_list.own_row.domain,
+            lost.address.host,
+        )
+        added.sync.publish()
+        added.sync.merge_rows(rows, 'store', is_spread=False)
+        fleet.timeline.run(1_000.0)
+        return lost
+
+    def test_a_lost_node_stays_unreachable_at_an_address_in_use(self):
+        # The node there answered for it.
+        fleet = statefleet.Fleet(15)
+        fleet.timeline.run(1_000.0)
+        lost = self._replace(fleet, 1)
+        fleet.timeline.run(60_000.0)
+        for node in fleet.running():
+            peers = [peer.node_id for peer in node.member_list.peers()]
+            assert lost.node_id not in peers
+
+
 class TestRestarts:
     def test_a_withdrawn_key_is_not_in_use_again_after_a_restart(self):
         # The store turns the restarted node away, and the first node that it
