Follow the store without being appointed when news of it grow old

Cause: who follows the store is worked out from beliefs about other nodes, and a follower believes in its poll for 17 s. Where either is wrong at all nodes, nobody reads the store, and nobody notices: an exchange with a peer counted as news, whatever the peer knew.

In the new tests (no appointed follower at 9, 48 and 195 driven nodes; lost polls at two real ones) the configuration did not come before; now within 2 s and 5 s.

Change: a node whose reading of the store is older than readings get in a healthy fleet volunteers to follow it for a minute. A volunteer whose call fails waits once to three times the bound. The poll of the operators' table takes 2.5 s and is given up after 4 s; the next call is a read that answers at once, on another connection. Cost on paper at 6,200 nodes, 18 followers: 7.2 polls a second. Weighed: shorter polls of everybody; asking a follower for its word (one node would answer for a whole domain).

--- a/src/parsleystile/relay/statesync.py
+++ b/src/parsleystile/relay/statesync.py
@@ -114,7 +114,7 @@
         # Node that has just become reachable; it is next to exchange with.
         self._returned: ids.NodeId | None = None
         self._last_exchange_ms = clock.now_ms()
-        self.store_age = storeage.store_age(clock.now_ms())
+        self.store_age = storeage.store_age(rng, clock.now_ms())
         self._was_following = False
         # Version of a snapshot that a peer is sending, and until when.
         self._awaited_at = 0
@@ -135,11 +135,22 @@
             return 'among the first reachable nodes of its domain'
         if now_ms - self._last_exchange_ms > _ISOLATED_MS:
             return 'no exchange with a peer'
+        if self.store_age.is_volunteering(now_ms):
+            return 'no news of it for too long'
         return ''
 
+    def note_store_failure(self) -> None:
+        """Note that a call to the store failed."""
+        self.store_age.note_failure(
+            self._clock.now_ms(), self._store_age_limit_ms()
+        )
+
+    def _store_age_limit_ms(self) -> float:
+        return storeage.bound_ms(self._member_list.own_domain_size)
+
     def _check_store_age(self) -> None:
         now_ms = self._clock.now_ms()
-        limit_ms = storeage.bound_ms(self._member_list.own_domain_size)
+        limit_ms = self._store_age_limit_ms()
         if self.store_age.check(now_ms, limit_ms):
             self._recorder.log.write(
                 logevents.StoreAgeChanged(
--- a/stubs/platformstore.py
+++ b/stubs/platformstore.py
@@ -70,6 +70,11 @@
         self.version += 1
         self._changed.set()
 
+    def lose_feeds(self) -> None:
+        """Never answer the feeds that wait for a change."""
+        for task in self._feed_tasks:
+            task.cancel()
+
     def drop_connections(self) -> None:
         """Abort every connection."""
         for connection in list(self._server.connections):
--- a/tests/test_platform_changes.py
+++ b/tests/test_platform_changes.py
@@ -9,6 +9,10 @@
 from tests import asyncutil
 from tests import platformfleet
 
+# Bounds of the users' platform.
+_STABLE_WINDOW_S = 3.0
+_CONFIG_APPLY_S = 2.0
+
 
 def test_an_evacuated_domain_gets_no_calls_until_it_is_back():
     async def body(fleet):
@@ -49,6 +53,27 @@
     platformfleet.run_with_fleet(body)
 
 
+def test_a_silent_store_does_not_hold_back_a_later_configuration():
+    # All followers waited 17 s for answers to polls that had been lost.
+    async def body(fleet):
+        # Each node follows the store once it has read both tables.
+        await asyncutil.wait_until(
+            lambda: fleet.store.request_paths.count('/v1/rows-feed') >= 4
+        )
+        fleet.store.lose_feeds()
+        lost_s = asyncio.get_running_loop().time()
+        fleet.put_document(platformfleet.document(version=9))
+        async with asyncio.timeout(_STABLE_WINDOW_S + _CONFIG_APPLY_S):
+            while any(
+                m.node.state_sync.policy.version != 9 for m in fleet.machines
+            ):
+                await asyncio.sleep(0.02)
+        # Not by the next poll of a connection that was not lost.
+        assert asyncio.get_running_loop().time() - lost_s > 1.0
+
+    platformfleet.run_with_fleet(body)
+
+
 def test_members_are_replicated_while_the_store_is_down():
     async def body(fleet):
         first, second = fleet.machines
--- a/tests/test_platform_store_answers.py
+++ b/tests/test_platform_store_answers.py
@@ -26,7 +26,10 @@
     is_following = True
 
     def __init__(self):
-        self.store_age = storeage.store_age(0.0)
+        self.store_age = storeage.store_age(random.Random(1), 0.0)
+
+    def note_store_failure(self):
+        pass
 
     def apply_snapshot(self, snapshot, source):
         pass
--- a/tests/test_relay_state.py
+++ b/tests/test_relay_state.py
@@ -16,6 +16,7 @@
 from parsleystile.relay import rowdigest
 from parsleystile.relay import rowspread
 from parsleystile.relay import statemessages
+from parsleystile.relay import storeage
 from tests import statefleet
 
 _TARGET_BYTES_PER_S = 26_000
@@ -374,6 +375,110 @@
         assert not set(departed) & set(running)
 
 
+class TestStoreAge:
+    _LIMIT_MS = 5_000.0
+
+    def _age(self, seed=1):
+        return storeage.store_age(random.Random(seed), 0.0)
+
+    def test_an_older_reading_changes_nothing(self):
+        age = self._age()
+        assert age.reading_age_ms(9.0) is None
+        age.note_reading(100.0)
+        age.note_reading(50.0)
+        assert age.age_ms(300.0) == 200.0
+
+    def test_passing_the_bound_and_coming_back_are_told_once(self):
+        age = self._age()
+        age.note_reading(0.0)
+        assert not age.check(5_000.0, self._LIMIT_MS)
+        assert age.check(5_001.0, self._LIMIT_MS)
+        assert not age.check(5_200.0, self._LIMIT_MS)
+        age.note_reading(5_100.0)
+        assert age.check(5_300.0, self._LIMIT_MS)
+        assert not age.is_overdue
+
+    def test_a_volunteer_whose_call_fails_waits_before_it_tries_again(self):
+        tries = 0
+        for seed in range(100):
+            age = self._age(seed)
+            for now_ms in range(0, 60_000, 125):
+                age.check(now_ms, self._LIMIT_MS)
+                if age.is_volunteering(now_ms):
+                    tries += 1
+                    age.note_failure(now_ms, self._LIMIT_MS)
+        assert 100 * 60 / 15 <= tries <= 100 * 60 / 5
+
+    def test_nodes_do_not_volunteer_at_once(self):
+        nodes = [self._age(seed) for seed in range(200)]
+        first = {}
+        for now_ms in range(0, 16_000, 125):
+            for number, age in enumerate(nodes):
+                age.check(now_ms, self._LIMIT_MS)
+                if age.is_volunteering(now_ms):
+                    first.setdefault(number, now_ms)
+        assert len(first) == 200
+        for start_ms in range(5_000, 15_000, 500):
+            at_once = [
+                t for t in first.values() if start_ms <= t < start_ms + 500
+            ]
+            assert len(at_once) < 25
+
+
+class TestNewsOfTheStore:
+    def _follow(self, fleet, period_ms=5_000.0):
+        """Let the nodes that follow the store read it; count the calls."""
+        calls = []
+
+        def start(node):
+            def poll():
+                if not node.is_running:
+                    return
+                now_ms = fleet.timeline.now_ms()
+                if node.sync.is_following:
+                    calls.append(node)
+                    node.sync.store_age.note_reading(now_ms)
+                    if fleet.stored.seen_at:
+                        node.sync.apply_snapshot(fleet.stored, 'store')
+                fleet.timeline.after(period_ms, poll)
+
+            fleet.timeline.after(period_ms * fleet.rng.random(), poll)
+
+        fleet.stored = statemessages.Snapshot()
+        for node in fleet.nodes:
+            start(node)
+        return calls
+
+    @pytest.mark.parametrize('size', [9, 14, 48, 195])
+    def test_readings_of_followers_reach_all_nodes_in_time(self, size):
+        fleet = statefleet.Fleet(size)
+        self._follow(fleet)
+        fleet.timeline.run(12_000.0)
+        for _ in range(60):
+            fleet.timeline.run(500.0)
+            assert not any(
+                node.sync.store_age.is_overdue for node in fleet.running()
+            )
+
+    @pytest.mark.parametrize('size', [9, 48, 195])
+    def test_news_arrive_though_all_appointed_followers_are_wrong(self, size):
+        # Each node took others for followers, and nobody read the store.
+        fleet = statefleet.Fleet(size)
+        calls = self._follow(fleet, 250.0)
+        for node in fleet.nodes:
+            node.member_list.__class__ = _NeverAppointed
+        fleet.timeline.run(30_000.0)
+        calls.clear()
+        fleet.stored = statemessages.Snapshot(7, b'4')
+        fleet.timeline.run(2_000.0)
+        assert {node.sync.policy.version for node in fleet.running()} == {4}
+        assert len({node.node_id for node in calls}) <= max(3, size / 4)
+
+
+class _NeverAppointed(memberlist.MemberList):
+    is_follower = False
+
+
 class TestAddressesUsedAgain:
     def _replace(self, fleet, number):
         """Lose a node for good; another one gets its address."""
