End the rows of nodes whose addresses others have

Callers saw: calls of before are refused one by one at a lost node's address; its part of each organisation's rate stays unused; each node that starts is told of it by the store.

Cause: nobody takes out the row of a node that ended without a word.

Evidence: the new tests failed before (followers of a domain whose nodes were all replaced, the lists of all nodes, the row in the store).

Change: a node whose row names another node's address holds that address, so that the other one can't be running. A node that is taken for gone by mistake says so, as before, and now writes its row to the store anew. Weighed: removal by age (a node that is only cut off goes on spending its part of a rate, which others would get as well); what any node sees at the address (a claim about another node's present, and many that make it).

--- a/src/parsleystile/relay/memberlist.py
+++ b/src/parsleystile/relay/memberlist.py
@@ -156,6 +156,15 @@
             return None
         return msgspec.structs.replace(known, is_gone=True)
 
+    def is_predecessor(self, row: Row) -> bool:
+        """Whether a row is of a node whose address this node has now."""
+        own = self.own_row
+        return (
+            row.node_id != own.node_id
+            and row.link == own.link
+            and not own.is_gone
+        )
+
     def set_reachable(self, node_id: ids.NodeId, is_reachable: bool) -> bool:
         """Set whether a node is reachable; False if nothing changed."""
         row = self._rows.get(node_id)
--- a/src/parsleystile/relay/statesync.py
+++ b/src/parsleystile/relay/statesync.py
@@ -254,6 +254,9 @@
         """
         changed = False
         for row in rows:
+            if self._member_list.is_predecessor(row):
+                changed |= self._end_predecessor(row)
+                continue
             is_own = row.node_id == self._member_list.own_row.node_id
             if is_own:
                 self.on_previous_own_row(row)
@@ -266,6 +269,8 @@
             if source == row.node_id and _loses_departure(row, known):
                 self._return_row(known)
             if is_own:
+                # Whoever took this node for gone may have removed its row.
+                self._published = None
                 self.publish()
             elif is_spread:
                 self._pass_on(row, ids.NodeId(source))
@@ -277,6 +282,19 @@
             self._pass_on_own()
         self.on_members_changed()
 
+    def _end_predecessor(self, row: memberlist.Row) -> bool:
+        """Take a node as gone and tell the others; False if it was.
+
+        Its address is this node's, so that it can't be running.
+        """
+        gone = msgspec.structs.replace(row, is_gone=True)
+        if not self._member_list.merge(gone):
+            return False
+        self._log_row(gone, self._member_list.own_row.node_id)
+        # Also to the sender of the row, which takes the node for present.
+        self._pass_on(gone, gone.node_id)
+        return True
+
     def _return_row(self, row: memberlist.Row) -> None:
         """Send a node its row of before its restart.
 
@@ -308,6 +326,10 @@
             )
         )
 
+    def is_predecessor(self, row: memberlist.Row) -> bool:
+        """Whether a row is of a node whose address this node has now."""
+        return self._member_list.is_predecessor(row)
+
     def remove_row(self, node_id: ids.NodeId, incarnation: int) -> None:
         """Mark a node as gone after its row was removed from the store.
 
--- a/tests/test_platform_changes.py
+++ b/tests/test_platform_changes.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
+import msgspec
+
 
 from parsleystile import errors
+from parsleystile.relay import memberlist
 from parsleystile.relay import statemessages
 from parsleystile.relay import targetreports
 from tests import asyncutil
@@ -74,6 +77,22 @@
     platformfleet.run_with_fleet(body)
 
 
+def test_the_stored_row_of_a_lost_node_is_removed_by_its_successor():
+    # The store named lost nodes to each node that started, for ever.
+    async def body(fleet):
+        own = fleet.machines[0].node.member_list.own_row
+        lost = msgspec.structs.replace(own, node_id='lost', incarnation=7)
+        fleet.store.put('nodes', 'lost', memberlist.encode_row(lost))
+        await asyncutil.wait_until(
+            lambda: fleet.store.value('nodes', 'lost') is None
+        )
+        for machine in fleet.machines:
+            assert 'lost' not in machine.node.member_list.node_ids
+            assert fleet.store.value('nodes', machine.name) is not None
+
+    platformfleet.run_with_fleet(body)
+
+
 def test_members_are_replicated_while_the_store_is_down():
     async def body(fleet):
         first, second = fleet.machines
--- a/tests/test_relay_state.py
+++ b/tests/test_relay_state.py
@@ -507,6 +507,42 @@
             peers = [peer.node_id for peer in node.member_list.peers()]
             assert lost.node_id not in peers
 
+    def test_a_domain_has_followers_after_its_nodes_were_replaced(self):
+        # The lost nodes counted as reachable, and nobody followed the store.
+        fleet = statefleet.Fleet(15)
+        fleet.timeline.run(1_000.0)
+        for number in range(15):
+            self._replace(fleet, number)
+        fleet.timeline.run(6_000.0)
+        for domain in {n.member_list.own_row.domain for n in fleet.nodes}:
+            nodes = [
+                node
+                for node in fleet.running()
+                if node.member_list.own_row.domain == domain
+            ]
+            assert all(node.sync.is_following for node in nodes)
+
+    def test_the_row_of_a_lost_node_ends_when_its_address_is_used(self):
+        # Such rows stayed in the list of each node for ever.
+        fleet = statefleet.Fleet(15)
+        fleet.timeline.run(1_000.0)
+        fleet.nodes[1].serve()
+        fleet.settle(1_000.0)
+        lost = self._replace(fleet, 1)
+        assert fleet.settle(3_000.0) < 3_000.0
+        for node in fleet.running():
+            assert not node.member_list.members_of('yard')
+            assert lost.node_id not in node.member_list.node_ids
+
+    def test_a_node_taken_for_lost_by_mistake_is_stored_again(self):
+        fleet = statefleet.Fleet(3)
+        node = fleet.nodes[0]
+        node.sync.publish()
+        gone = msgspec.structs.replace(node.member_list.own_row, is_gone=True)
+        node.sync.merge_rows([gone], 'n0001')
+        assert not node.member_list.own_row.is_gone
+        assert len(node.store.writes) == 2
+
 
 class TestRestarts:
     def test_a_withdrawn_key_is_not_in_use_again_after_a_restart(self):
