Take an ack of the node that was pinged only

Callers of the product's own path would see: calls to a VM that is gone refused one by one for ever, once another node has its address.

A ping goes to an address, and an ack was matched by its number alone, so that the node which had taken over the address kept the lost one alive.

Change: an ack counts if it comes from the member that was pinged, or from one that was asked to ping it, which applies the same check. Datagrams name their sender already; nothing changes on the wire.

--- a/src/parsleystile/_failure_detector.py
+++ b/src/parsleystile/_failure_detector.py
@@ -166,11 +166,14 @@
             member.gossip, messages.Ping(sequence), member, priority_updates
         )
 
-    def on_ack(self, ack: messages.Ack, now_ms: float) -> None:
+    def on_ack(
+        self, ack: messages.Ack, sender: ids.NodeId, now_ms: float
+    ) -> None:
         """Process an ack; one that matches no pending probe is ignored."""
-        probe = self._probes.complete(ack.sequence)
-        if probe is None:
+        probe = self._probes.get(ack.sequence)
+        if probe is None or not probe.may_ack(sender):
             return
+        self._probes.complete(ack.sequence)
         self._view.reachability.record_any_ack(now_ms)
         if ack.is_stranger:
             self._view.broadcast_local()
@@ -286,9 +289,14 @@
             for d in self._rng.sample(other_domains, len(other_domains))[:1]
         ]
         request = messages.PingRequest(sequence, probe.subject)
-        for helper in helpers:
-            if helper is not None and helper.node_id != probe.subject:
-                self._view.send(helper.gossip, request, helper)
+        found = {
+            helper.node_id: helper
+            for helper in helpers
+            if helper is not None and helper.node_id != probe.subject
+        }
+        probe.helpers = frozenset(found)
+        for helper in found.values():
+            self._view.send(helper.gossip, request, helper)
 
     def _random_peer(
         self, domain: ids.FailureDomainId
--- a/src/parsleystile/_probes.py
+++ b/src/parsleystile/_probes.py
@@ -39,6 +39,7 @@
         subject: The member that was pinged.
         purpose: What a missing ack leads to.
         deadline_ms: When the probe times out.
+        helpers: Members that were asked to probe the subject as well.
         is_indirect: Whether indirect probes have been requested as well.
         relay_to: Address that requested a ``RELAY`` probe.
         relay_sequence: The requester's sequence number.
@@ -47,9 +48,17 @@
     subject: ids.NodeId
     purpose: Purpose
     deadline_ms: float
-    is_indirect: bool = False
+    helpers: frozenset[ids.NodeId] = frozenset()
     relay_to: transport.Address | None = None
     relay_sequence: int = 0
+    is_indirect: bool = False
+
+    def may_ack(self, node_id: ids.NodeId) -> bool:
+        """Whether an ack of a node tells of the subject.
+
+        Another node may have taken over the subject's address.
+        """
+        return node_id == self.subject or node_id in self.helpers
 
 
 class Probes:
@@ -74,6 +83,10 @@
         """Return whether a ``MONITOR`` probe of ``subject`` is pending."""
         return subject in self._monitored
 
+    def get(self, sequence: int) -> Probe | None:
+        """Return the probe of a sequence number, if pending."""
+        return self._pending.get(sequence)
+
     def complete(self, sequence: int) -> Probe | None:
         """Remove and return the probe of a sequence number, if pending."""
         probe = self._pending.pop(sequence, None)
--- a/src/parsleystile/membership.py
+++ b/src/parsleystile/membership.py
@@ -361,7 +361,7 @@
             case messages.Ping(sequence=sequence):
                 self._reply_to_ping(message, source, sequence)
             case messages.Ack():
-                self._detector.on_ack(message.body, now_ms)
+                self._detector.on_ack(message.body, message.sender, now_ms)
             case messages.PingRequest(sequence=sequence, subject=subject):
                 member = self._view.member_list.get(subject)
                 if member is not None:
--- a/stubs/gossipnetwork.py
+++ b/stubs/gossipnetwork.py
@@ -79,11 +79,25 @@
         """Current simulated time."""
         return self.clock.now_ms()
 
-    def add(self, node_id: str, domain: str, service: str = 'stock') -> Node:
-        """Start or restart a node; it knows no other member."""
+    def add(
+        self,
+        node_id: str,
+        domain: str,
+        service: str = 'stock',
+        port: int | None = None,
+    ) -> Node:
+        """Start or restart a node; it knows no other member.
+
+        Args:
+            node_id: The node.
+            domain: Its failure domain.
+            service: Service of its target.
+            port: Port of a lost node; by default the node's own.
+        """
         old = self.nodes.get(node_id)
-        port = old.address.port if old else self._next_port
-        self._next_port += 0 if old else 1
+        if port is None:
+            port = old.address.port if old else self._next_port
+            self._next_port += 0 if old else 1
         me = make_member(node_id, domain, port, int(self.now_ms), service)
         machine = membership.membership(
             me, random.Random(self.rng.getrandbits(32))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -49,6 +49,22 @@
     assert _views_agree(network)()
 
 
+@pytest.mark.parametrize('seed', range(8))
+def test_a_dead_vm_whose_address_is_used_again_is_out_of_use(seed):
+    # The node at its address acked the pings that were meant for it.
+    network = gossipnetwork.network(SIZES, seed)
+    network.run(3000)
+    lost = network.nodes['b-1']
+    _kill(network, {'b-1'})
+    added = network.add('b-9', 'b', port=lost.address.port)
+    known = network.nodes['a-0'].machine.local_member
+    network.handle(added, membership.Learned((known,)))
+    took_ms = network.run_until(_is_unused(network, {'b-1'}), 10_000)
+    assert took_ms <= BOUND_MS
+    network.run(2000)
+    assert _views_agree(network)()
+
+
 @pytest.mark.parametrize('seed', range(4))
 def test_a_leaving_node_is_out_of_use_and_its_leave_acked(seed):
     network = gossipnetwork.network(SIZES, seed)
