Give out no part of a rate before the other nodes are known

Callers saw: an organisation over its rate by a multiple. The review: six nodes killed together while the table of nodes gave 503 for 12 s ran 730 calls in 5 s, 152 were allowed.

Cause: a node reads the operators' rows and the list of nodes independently and serves once it has the first. One that knows only itself took the whole rate for its part.

After: 0 of 20 run until the list is read, then they do; an open route is served throughout.

Until then requests under a rate get 503, not run, with Retry-After.

--- a/src/parsleystile/relay/memberlist.py
+++ b/src/parsleystile/relay/memberlist.py
@@ -89,11 +89,14 @@
     Attributes:
         own_row: This node's own row.
         nodes_version: Grows when a node joins or is gone.
+        is_complete: Whether the list was complete at some time; until then
+            this node can't tell which part of a rate is its own.
     """
 
     def __init__(self, own_row: Row) -> None:
         self.own_row = own_row
         self.nodes_version = 0
+        self.is_complete = False
         self._rows: dict[ids.NodeId, Row] = {}
         self._unreachable: set[ids.NodeId] = set()
         self._digests = rowdigest.row_digests()
@@ -156,6 +159,14 @@
             return None
         return msgspec.structs.replace(known, is_gone=True)
 
+    def note_complete(self) -> bool:
+        """Note that all nodes are known; False if it was noted before."""
+        if self.is_complete:
+            return False
+        self.is_complete = True
+        self.nodes_version += 1
+        return True
+
     def is_predecessor(self, row: Row) -> bool:
         """Whether a row is of a node whose address this node has now."""
         own = self.own_row
--- a/src/parsleystile/relay/ratelimiter.py
+++ b/src/parsleystile/relay/ratelimiter.py
@@ -27,6 +27,8 @@
 # Longest time that a call is queued for tokens; enough for a round trip to
 # another node.
 _MAX_QUEUE_MS = 60.0
+# A node that starts knows the other nodes within this time, mostly.
+_LIST_RETRY_AFTER_MS = 500
 # Nodes that one request is tried at, one after the other.
 _MAX_PEERS_ASKED = 5
 
@@ -72,10 +74,15 @@
         links.handle_control(TRANSFER_KIND, self._on_request)
 
     def configure(self, policy: policies.Policy) -> None:
-        """Apply the rates of a policy to the current list of nodes."""
+        """Apply the rates of a policy to the current list of nodes.
+
+        Without a complete list this node has no part of any rate.
+        """
+        known = self._member_list
+        nodes = known.nodes_by_domain if known.is_complete else {}
         self.buckets.configure(
             policy.organisations,
-            holderring.holder_ring(self._member_list.nodes_by_domain),
+            holderring.holder_ring(nodes),
             self._member_list.own_row.node_id,
             self._clock.now_ms(),
         )
@@ -88,6 +95,17 @@
         ``on_decision`` is called once, with None or a refusal; it is called
         before the return if a token is at hand.
         """
+        if not self._member_list.is_complete and self.buckets.is_limited(
+            organisation
+        ):
+            on_decision(
+                errors.not_run(
+                    errors.Reason.STORE_UNAVAILABLE,
+                    'the other nodes are not known yet',
+                    _LIST_RETRY_AFTER_MS,
+                )
+            )
+            return
         now_ms = self._clock.now_ms()
         if self.buckets.try_take(organisation, now_ms):
             on_decision(None)
--- a/src/parsleystile/relay/statemessages.py
+++ b/src/parsleystile/relay/statemessages.py
@@ -38,6 +38,7 @@
         buckets: Checksums of the sender's rows by bucket.
         wanted: Buckets, out of ``wanted_of``, whose rows the sender requests.
         rows: Rows for the receiver.
+        knows_all: Whether the sender knew all nodes at some time.
         store_age_ms: Age of the reading of the store that the sender's
             snapshot rests on; None without one.
     """
@@ -51,6 +52,7 @@
     wanted: list[int] = []
     wanted_of: int = 0
     rows: list[memberlist.Row] = []
+    knows_all: bool = False
     store_age_ms: int | None = None
 
 
--- a/src/parsleystile/relay/statesync.py
+++ b/src/parsleystile/relay/statesync.py
@@ -330,6 +330,11 @@
         """Whether a row is of a node whose address this node has now."""
         return self._member_list.is_predecessor(row)
 
+    def note_all_rows(self) -> None:
+        """Note that this node has the rows of all nodes."""
+        if self._member_list.note_complete():
+            self.on_members_changed()
+
     def remove_row(self, node_id: ids.NodeId, incarnation: int) -> None:
         """Mark a node as gone after its row was removed from the store.
 
@@ -423,6 +428,7 @@
             self._member_list.own_row.node_id,
             self.snapshot.payload_digest,
             digest=digest,
+            knows_all=self._member_list.is_complete,
             # Rounded up, so that it isn't younger with each hop.
             store_age_ms=None if age_ms is None else math.ceil(age_ms),
         )
@@ -481,10 +487,16 @@
         if has_all and remote.store_age_ms is not None:
             self.store_age.note_reading(sent_ms - remote.store_age_ms)
 
+    def _note_completeness_of(self, remote: statemessages.SyncMessage) -> None:
+        """Note that this node has all rows of a peer that knows all nodes."""
+        if remote.knows_all and remote.digest == self._member_list.digest:
+            self.note_all_rows()
+
     def _compare_rows(
         self, peer: memberlist.Row, remote: statemessages.SyncMessage
     ) -> None:
         digest = self._member_list.digest
+        self._note_completeness_of(remote)
         if remote.digest is None or remote.digest == digest:
             return
         self._next_sync_ms = min(
@@ -521,6 +533,7 @@
             reply(b'')
             return
         self._apply(request, request.sender)
+        self._note_completeness_of(request)
         self._reachability.probe_if_unreachable(request.sender)
         answer = self._own_versions(self._member_list.digest)
         if self.snapshot.seen_at > request.seen_at:
--- a/stubs/platformstore.py
+++ b/stubs/platformstore.py
@@ -19,6 +19,7 @@
         version: Counter shared by all tables; grows with each write.
         oldest_feed_version: Feeds after an earlier version get status 410.
         refusal_status: Status of every response; 0 to serve requests.
+        refused_tables: Tables whose reads get status 503.
         ignores_requests: Requests get no response at all.
         loses_answers: Requests take effect but get no response.
         request_paths: Paths of the requests so far.
@@ -28,6 +29,7 @@
         self.version = 0
         self.oldest_feed_version = 0
         self.refusal_status = 0
+        self.refused_tables: set[str] = set()
         self.ignores_requests = False
         self.loses_answers = False
         self.request_paths: list[str] = []
@@ -104,6 +106,9 @@
         if self.refusal_status:
             request.answer(self.refusal_status, [], b'')
             return
+        if query.get('table') in self.refused_tables:
+            request.answer(503, [], b'')
+            return
         match url.path:
             case '/v1/rows-get':
                 self._answer(request, 200, self._list_rows(query))
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -267,6 +267,40 @@
     )
 
 
+def test_nodes_that_know_only_themselves_do_not_each_use_the_whole_rate():
+    # 730 calls ran in 5 s where 152 were allowed.
+    async def whole():
+        fleet = platformfleet.Fleet()
+        fleet.store.refused_tables.add('nodes')
+        fleet.address = await fleet.store.start()
+        fleet.put_document(platformfleet.document())
+        try:
+            for name in ('n0', 'n1'):
+                machine = platformfleet.Machine(fleet, name, 'a')
+                fleet.machines.append(machine)
+                await machine.start()
+                machine.report()
+                await asyncutil.wait_until(lambda m=machine: m.node.is_ready)
+            answers = [
+                await m.call(call_id=f'{m.name}-{i}')
+                for m in fleet.machines
+                for i in range(10)
+            ]
+            assert {answer.status for answer in answers} == {503}
+            assert fleet.executed_ids() == []
+            open_route = await fleet.machines[0].call('/lookup/x', key='')
+            assert open_route.status == 200
+            fleet.store.refused_tables.clear()
+            await fleet.wait_settled()
+            await asyncio.sleep(0.3)
+            found = await fleet.machines[0].call(call_id='later')
+            assert found.status == 200
+        finally:
+            await fleet.close()
+
+    asyncutil.run(whole())
+
+
 def test_a_leaving_target_gets_no_more_calls():
     async def body(fleet):
         first, second = fleet.machines
--- a/tests/test_platform_store_answers.py
+++ b/tests/test_platform_store_answers.py
@@ -37,6 +37,9 @@
     def merge_rows(self, rows, source, is_spread=True):
         pass
 
+    def note_all_rows(self):
+        pass
+
     def is_predecessor(self, row):
         return False
 
--- a/tests/test_relay_state.py
+++ b/tests/test_relay_state.py
@@ -479,6 +479,21 @@
     is_follower = False
 
 
+class TestCompleteness:
+    def test_only_a_node_that_knows_all_makes_another_one_know_all(self):
+        fleet = statefleet.Fleet(0)
+        one, other = fleet.start('n1', 'd1'), fleet.start('n2', 'd2')
+        rows = [one.member_list.own_row, other.member_list.own_row]
+        for node in (one, other):
+            node.sync.merge_rows(rows, 'store', is_spread=False)
+        fleet.timeline.run(4_000.0)
+        assert fleet.views() == 1
+        assert not one.member_list.is_complete
+        one.sync.note_all_rows()
+        fleet.timeline.run(3_000.0)
+        assert other.member_list.is_complete
+
+
 class TestAddressesUsedAgain:
     def _replace(self, fleet, number):
         """Lose a node for good; another one gets its address."""
