Take no report that can't be true

Cause: what a report says was decoded without bounds and without a look at the services there are.

Evidence: seven cases of test_an_invalid_heartbeat_is_rejected, the property test_a_report_that_is_accepted_can_be_sent_on (500 seeded inputs) and test_a_row_that_can_not_be_true_is_not_taken failed before.

Change: each field of a report and of a row has a typed bound where it is decoded; a service must be named by the settings or the policy. What is refused is counted, logged and answered with 400. Not done: a message between nodes is still refused whole if one of its rows is; nodes of this build don't pass such rows on. No long run of the fuzz.

--- a/src/parsleystile/relay/memberlist.py
+++ b/src/parsleystile/relay/memberlist.py
@@ -21,6 +21,13 @@
 _MIN_GONE_ROWS = 256
 
 
+_MAX_NAME_CHARS = 200
+# Far beyond any clock, and below what a message can carry.
+_MAX_INCARNATION = 2**43
+_Sequence = typing.Annotated[int, msgspec.Meta(ge=0, lt=1_000_000)]
+_Incarnation = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_INCARNATION)]
+
+
 class Row(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """State of a node as published by itself.
 
@@ -36,20 +43,22 @@
         sequence: Grows with each change within an incarnation.
     """
 
-    node_id: ids.NodeId
+    node_id: typing.Annotated[
+        ids.NodeId, msgspec.Meta(min_length=1, max_length=_MAX_NAME_CHARS)
+    ]
     domain: ids.FailureDomainId
     region: ids.RegionId
     host: str
-    port: int
+    port: typing.Annotated[int, msgspec.Meta(ge=0, le=65_535)]
     service: ids.ServiceName = ids.ServiceName('')
     target_id: ids.TargetId = ids.TargetId('')
-    slots: int = 0
+    slots: typing.Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 0
     is_serving: bool = False
     departed_id: ids.TargetId = ids.TargetId('')
     departed_born_ms: int = 0
     is_gone: bool = False
-    incarnation: int = 0
-    sequence: int = 0
+    incarnation: _Incarnation = 0
+    sequence: _Sequence = 0
 
     @property
     def revision(self) -> tuple[int, int]:
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -310,6 +310,13 @@
         """Set the addresses from which the local target makes calls."""
         self._http_server.local_hosts = hosts
 
+    def is_service(self, name: ids.ServiceName) -> bool:
+        """Whether the settings or the policy name a service."""
+        policy = self.state_sync.policy
+        return name == self.service or (
+            policy is not None and name in policy.services
+        )
+
     def _policy_version(self) -> int | None:
         policy = self.state_sync.policy
         return None if policy is None else policy.version
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -3,7 +3,10 @@
 import asyncio
 import json
 import os
+import types
 
+import hypothesis
+from hypothesis import strategies as st
 import msgspec
 import pytest
 
@@ -14,10 +17,13 @@
 from adapter import units
 from parsleystile import clock as clocks
 from parsleystile import errors
+from parsleystile.gen import ttypes
 from parsleystile.relay import httpserver
 from parsleystile.relay import logevents
+from parsleystile.relay import memberlist
 from parsleystile.relay import targetreports
 from parsleystile.relay import telemetry
+from parsleystile import wire
 from tests import asyncutil
 from tests import platformfleet
 
@@ -201,7 +207,7 @@
         descriptor = os.open(os.devnull, os.O_WRONLY)
         recorder = telemetry.recorder('n1', clock, descriptor)
         listener = listeners.ReportListener(
-            '10.1.0.2:5', accepted.append, recorder
+            '10.1.0.2:5', {'yard'}.__contains__, accepted.append, recorder
         )
         server = httpserver.http_server(clock, frozenset(), listener.handle)
         host, port = await server.listen('127.0.0.1', 0)
@@ -245,6 +251,13 @@
         [
             {'state': 'resting'},
             {'slots': 0},
+            {'slots': 10**12},
+            {'service': 'nowhere'},
+            {'service': ''},
+            {'sequence': -1},
+            {'sequence': 10**30},
+            {'cold_remaining': '1e12s'},
+            {'born': 2**60},
             {'slots': '27'},
             {'sequence': None},
             {'cold_remaining': 'a while'},
@@ -280,6 +293,64 @@
         assert _report('/v1/instances/i-7/heartbeat', body) == (400, [])
 
 
+_ODD_VALUES = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(),
+    st.integers(min_value=2**31),
+    st.floats(),
+    st.text(max_size=300),
+    st.lists(st.integers(), max_size=2),
+    st.sampled_from(['yard', 'ready', 'draining', '10.1.0.2:5', '5s', 'nans']),
+)
+
+
+@hypothesis.settings(max_examples=500, derandomize=True, deadline=None)
+@hypothesis.given(
+    changes=st.dictionaries(
+        st.sampled_from(sorted(_HEARTBEAT)), _ODD_VALUES, max_size=2
+    ),
+    target_id=st.text(
+        st.characters(codec='ascii', exclude_characters='/'), max_size=250
+    ),
+)
+def test_a_report_that_is_accepted_can_be_sent_on(changes, target_id):
+    # A report of 10^12 slots broke the answers between nodes.
+    accepted = []
+    answers = []
+    descriptor = os.open(os.devnull, os.O_WRONLY)
+    recorder = telemetry.recorder('n1', clocks.manual_clock(), descriptor)
+    listener = listeners.ReportListener(
+        '10.1.0.2:5', {'yard'}.__contains__, accepted.append, recorder
+    )
+    request = types.SimpleNamespace(
+        method='POST',
+        path=f'/v1/instances/{target_id}/heartbeat',
+        body=json.dumps(_HEARTBEAT | changes).encode(),
+        answer=lambda status, headers, body: answers.append(status),
+    )
+    listener.handle(request)
+    os.close(descriptor)
+    assert answers == [200 if accepted else 400]
+    for report in accepted:
+        row = memberlist.Row(
+            node_id='n1',
+            domain='a',
+            region='r',
+            host='h',
+            port=1,
+            service=report.service,
+            target_id=report.target_id,
+            slots=report.slots,
+            departed_born_ms=report.started_ms,
+        )
+        assert memberlist.decode_row(memberlist.encode_row(row)) == row
+        load = ttypes.Load(report.slots, report.slots, 0, 3.0)
+        refusal = errors.not_run(errors.Reason.SHED)
+        answer = wire.answer_from_refusal(1, refusal, 0, load)
+        assert wire.encode(wire.FrameKind.ANSWER, answer)
+
+
 class TestLogWriter:
     def _read_lines(self, log, reader):
         log.flush()
--- a/tests/test_platform_listeners.py
+++ b/tests/test_platform_listeners.py
@@ -25,7 +25,9 @@
             own='127.0.0.1',
             last_port=0,
         )
-        node = types.SimpleNamespace(handle_report=None, is_ready=True)
+        node = types.SimpleNamespace(
+            handle_report=None, is_service=None, is_ready=True
+        )
         servers = await process._listen(
             settings, node, clocks.system_clock(), None
         )
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -4,6 +4,7 @@
 import math
 import random
 
+import msgspec
 import pytest
 
 from parsleystile import admission
@@ -329,6 +330,22 @@
     def test_invalid_bytes_decode_to_no_row(self, data):
         assert memberlist.decode_row(data) is None
 
+    @pytest.mark.parametrize(
+        'change',
+        [
+            {'slots': 10**12},
+            {'slots': -1},
+            {'port': 70_000},
+            {'node_id': ''},
+            {'sequence': 10**6},
+            {'incarnation': 2**60},
+        ],
+    )
+    def test_a_row_that_can_not_be_true_is_not_taken(self, change):
+        # Its author would count on from it until no message could carry it.
+        row = msgspec.structs.replace(_row('a'), **change)
+        assert memberlist.decode_row(memberlist.encode_row(row)) is None
+
     def test_rows_round_trip_through_encoding(self):
         row = _row('a', departed_id=ids.TargetId('i-1'), departed_born_ms=5)
         assert memberlist.decode_row(memberlist.encode_row(row)) == row
