Give the decision to follow the store a module of its own

Cause: statesync exchanges state; why a node follows the store, and the lines on it, had grown in it.

Change: relay/storefollowing holds the decision, the age of readings and their lines. No behaviour changes; tests of state, store client and nodes pass.

--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -527,7 +527,7 @@
         gauge('nodes-known', len(self.member_list.node_ids))
         gauge('nodes-unreached', len(self.member_list.unreachable()))
         now_ms = self._clock.now_ms()
-        gauge('store-age-ms', self.state_sync.store_age.age_ms(now_ms))
+        gauge('store-age-ms', self.state_sync.following.age.age_ms(now_ms))
         gauge('follows-store', self.state_sync.is_following)
         gauge('lines-dropped', self.recorder.log.dropped)
 
--- a/src/parsleystile/relay/statesync.py
+++ b/src/parsleystile/relay/statesync.py
@@ -26,7 +26,7 @@
 from parsleystile.relay import reachability as reachability_module
 from parsleystile.relay import rowspread
 from parsleystile.relay import statemessages
-from parsleystile.relay import storeage
+from parsleystile.relay import storefollowing
 from parsleystile.relay import telemetry
 
 SYNC_KIND = 'state.sync'
@@ -46,8 +46,6 @@
 _MAX_BUCKETS_PER_EXCHANGE = 8
 # A node that announced a newer configuration sends it within this time.
 _PAYLOAD_WAIT_MS = 300.0
-# A node that had no exchange for this time follows the store by itself.
-_ISOLATED_MS = 2_500.0
 # Source of rows and snapshots that were read from the store.
 STORE_SOURCE = 'store'
 
@@ -75,7 +73,8 @@
         store: Set by the platform adapter before the first publish.
         policy: The policy in force; None before the first one.
         snapshot: The snapshot that the policy was decoded from.
-        store_age: Age of the reading of the store that it rests on.
+        following: Whether this node follows the store, and the age of the
+            reading that the snapshot rests on.
         on_policy_changed: Called after a newer policy came into force.
         on_members_changed: Called after the member list changed.
         on_previous_own_row: Called with each received row of this node, which
@@ -113,9 +112,9 @@
         self._next_sync_ms = 0.0
         # Node that has just become reachable; it is next to exchange with.
         self._returned: ids.NodeId | None = None
-        self._last_exchange_ms = clock.now_ms()
-        self.store_age = storeage.store_age(rng, clock.now_ms())
-        self._was_following = False
+        self.following = storefollowing.store_following(
+            member_list, clock, rng, recorder
+        )
         # Version of a snapshot that a peer is sending, and until when.
         self._awaited_at = 0
         self._awaited_until_ms = 0.0
@@ -126,49 +125,7 @@
     @property
     def is_following(self) -> bool:
         """Whether this node follows the store rather than its peers."""
-        return self._reason_to_follow() != ''
-
-    def _reason_to_follow(self) -> str:
-        """Return why this node follows the store; empty if it doesn't."""
-        now_ms = self._clock.now_ms()
-        if self._member_list.is_follower:
-            return 'among the first reachable nodes of its domain'
-        if now_ms - self._last_exchange_ms > _ISOLATED_MS:
-            return 'no exchange with a peer'
-        if self.store_age.is_volunteering(now_ms):
-            return 'no news of it for too long'
-        return ''
-
-    def note_store_failure(self) -> None:
-        """Note that a call to the store failed."""
-        self.store_age.note_failure(
-            self._clock.now_ms(), self._store_age_limit_ms()
-        )
-
-    def _store_age_limit_ms(self) -> float:
-        return storeage.bound_ms(self._member_list.own_domain_size)
-
-    def _check_store_age(self) -> None:
-        now_ms = self._clock.now_ms()
-        limit_ms = self._store_age_limit_ms()
-        if self.store_age.check(now_ms, limit_ms):
-            self._recorder.log.write(
-                logevents.StoreAgeChanged(
-                    is_overdue=self.store_age.is_overdue,
-                    age_ms=int(self.store_age.age_ms(now_ms)),
-                    limit_ms=int(limit_ms),
-                    seen_at=self.snapshot.seen_at,
-                )
-            )
-        why = self._reason_to_follow()
-        if (why != '') is not self._was_following:
-            self._was_following = why != ''
-            self._recorder.log.write(
-                logevents.StoreFollowingChanged(
-                    is_following=self._was_following,
-                    why=why or 'others follow it',
-                )
-            )
+        return self.following.is_following
 
     # Incoming state.
 
@@ -399,7 +356,7 @@
 
     def tick(self) -> None:
         """Exchange state with a random peer if it is due."""
-        self._check_store_age()
+        self.following.check(self.snapshot.seen_at)
         now_ms = self._clock.now_ms()
         returned, self._returned = self._returned, None
         if now_ms < self._next_sync_ms and returned is None:
@@ -422,7 +379,7 @@
     def _own_versions(
         self, digest: int | None = None
     ) -> statemessages.SyncMessage:
-        age_ms = self.store_age.reading_age_ms(self._clock.now_ms())
+        age_ms = self.following.age.reading_age_ms(self._clock.now_ms())
         return statemessages.SyncMessage(
             self.snapshot.seen_at,
             self._member_list.own_row.node_id,
@@ -444,7 +401,7 @@
                 return
             remote = self._decode_sync(reply)
             if remote is not None:
-                self._last_exchange_ms = self._clock.now_ms()
+                self.following.note_exchange()
                 self._on_reply(peer, message, remote)
                 self._note_reading_of(remote, sent_ms)
 
@@ -485,7 +442,7 @@
         """
         has_all = remote.seen_at <= self.snapshot.seen_at
         if has_all and remote.store_age_ms is not None:
-            self.store_age.note_reading(sent_ms - remote.store_age_ms)
+            self.following.note_reading(sent_ms - remote.store_age_ms)
 
     def _note_completeness_of(self, remote: statemessages.SyncMessage) -> None:
         """Note that this node has all rows of a peer that knows all nodes."""
--- a/tests/test_platform_store_answers.py
+++ b/tests/test_platform_store_answers.py
@@ -4,13 +4,13 @@
 import json
 import os
 import random
+import types
 
 import pytest
 
 from adapter import store as stores
 from parsleystile import clock as clocks
 from parsleystile.relay import memberlist
-from parsleystile.relay import storeage
 from parsleystile.relay import telemetry
 from parsleystile import transport
 from tests import asyncutil
@@ -26,10 +26,9 @@
     is_following = True
 
     def __init__(self):
-        self.store_age = storeage.store_age(random.Random(1), 0.0)
-
-    def note_store_failure(self):
-        pass
+        self.following = types.SimpleNamespace(
+            note_reading=lambda read_ms: None, note_failure=lambda: None
+        )
 
     def apply_snapshot(self, snapshot, source):
         pass
--- a/tests/test_relay_state.py
+++ b/tests/test_relay_state.py
@@ -437,7 +437,7 @@
                 now_ms = fleet.timeline.now_ms()
                 if node.sync.is_following:
                     calls.append(node)
-                    node.sync.store_age.note_reading(now_ms)
+                    node.sync.following.age.note_reading(now_ms)
                     if fleet.stored.seen_at:
                         node.sync.apply_snapshot(fleet.stored, 'store')
                 fleet.timeline.after(period_ms, poll)
@@ -457,7 +457,7 @@
         for _ in range(60):
             fleet.timeline.run(500.0)
             assert not any(
-                node.sync.store_age.is_overdue for node in fleet.running()
+                node.sync.following.age.is_overdue for node in fleet.running()
             )
 
     @pytest.mark.parametrize('size', [9, 48, 195])
