--- a/src/parsleystile/_probes.py
+++ b/src/parsleystile/_probes.py
@@ -39,8 +39,8 @@
         subject: The member that was pinged.
         purpose: What a missing ack leads to.
         deadline_ms: When the probe times out.
-        helpers: Members that were asked to probe the subject as well.
         is_indirect: Whether indirect probes have been requested as well.
+        helpers: Members that were asked for them.
         relay_to: Address that requested a ``RELAY`` probe.
         relay_sequence: The requester's sequence number.
     """
@@ -48,10 +48,10 @@
     subject: ids.NodeId
     purpose: Purpose
     deadline_ms: float
+    is_indirect: bool = False
     helpers: frozenset[ids.NodeId] = frozenset()
     relay_to: transport.Address | None = None
     relay_sequence: int = 0
-    is_indirect: bool = False
 
     def may_ack(self, node_id: ids.NodeId) -> bool:
         """Whether an ack of a node tells of the subject.
