--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -134,6 +134,16 @@
         owner = result.organisation_of(platformfleet.KEY)
         assert owner.rate_per_s == 1000
 
+    @pytest.mark.parametrize('route_type', ['safe', 'download'])
+    def test_reads_may_be_repeated(self, route_type):
+        document = platformfleet.document()
+        document['virtual_hosts'][0]['paths'][0]['type'] = route_type
+        assert (
+            _decode(document)
+            .match(platformfleet.HOST, '/stock/x')
+            .is_idempotent
+        )
+
     def test_an_unknown_type_is_not_idempotent(self):
         document = platformfleet.document()
         document['virtual_hosts'][0]['paths'][0]['type'] = 'keyed'
