Check a configuration for what can't work before it is sent

Cause: 'config check' said only whether a document decodes, and the users' platform had no check of its configuration at all. Routes that never match (the same host and prefix twice, no slash in front), splits without a weight, presets that refuse a route's class and versions that nodes would not take were found after they had been sent.

Policy keeps its routes and key owners for it.

--- a/src/parsleystile/cli.py
+++ b/src/parsleystile/cli.py
@@ -110,10 +110,24 @@
             return _print_error(f'{path}: {problem}', exitcodes.ExitCode.USAGE)
 
 
-def _check_config(path: str) -> exitcodes.ExitCode:
+def _check_config(path: str, in_force_path: str) -> exitcodes.ExitCode:
     from parsleystile import commandinputs
+    from parsleystile import configfindings
+    from parsleystile import documentcheck
 
     document = commandinputs.read_document(path)
+    findings = documentcheck.findings(document)
+    changes = None
+    if in_force_path:
+        in_force = commandinputs.read_document(in_force_path)
+        changes = documentcheck.differences(in_force, document)
+    report = configfindings.report(findings, changes)
+    if report:
+        print(report)
+    if configfindings.has_errors(findings):
+        return _print_error(
+            f'{path}: entries that cannot work', exitcodes.ExitCode.USAGE
+        )
     print(
         f'{path}: {len(document.organisations)} organisations,'
         f' {len(document.routes)} routes, {len(document.presets)} presets,'
@@ -152,8 +166,8 @@
             return _run_node(path)
         case commands.CheckSettings(path=path):
             return _check_settings(path)
-        case commands.CheckConfig(path=path):
-            return _check_config(path)
+        case commands.CheckConfig(path=path, in_force_path=in_force_path):
+            return _check_config(path, in_force_path)
         case commands.ExplainLog(call_id=call_id, path=path):
             return _explain_log(call_id, path)
         case commands.ShowFleet(address=address, is_json=is_json):
--- a/src/parsleystile/commandinputs.py
+++ b/src/parsleystile/commandinputs.py
@@ -41,7 +41,10 @@
 
 
 def read_document(path: str) -> fleetconfig.FleetConfig:
-    """Read and validate a TOML configuration document.
+    """Read and validate a configuration document.
+
+    Args:
+        path: A TOML file, or a JSON file whose name ends in ``.json``.
 
     Raises:
         errors.CommandFailure: The file cannot be read or is invalid.
@@ -50,7 +53,12 @@
         text = pathlib.Path(path).read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as exc:
         raise errors.CommandFailure(f'file: {exc}', Code.USAGE) from None
-    decoded = validation.decode_toml(text, fleetconfig.FleetConfig, 'document')
+    if path.endswith('.json'):
+        decoded = fleetconfig.decode(text.encode())
+    else:
+        decoded = validation.decode_toml(
+            text, fleetconfig.FleetConfig, 'document'
+        )
     error = (
         decoded.error if decoded.is_error() else fleetconfig.check(decoded.ok)
     )
--- a/src/parsleystile/commands.py
+++ b/src/parsleystile/commands.py
@@ -89,9 +89,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CheckConfig(Command):
-    """Check a configuration document without sending it."""
+    """Check a configuration document without sending it.
+
+    Attributes:
+        path: TOML file with the document.
+        in_force_path: File with the document in force, as TOML or as JSON;
+            empty if it is not known.
+    """
 
     path: str
+    in_force_path: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/parsleystile/console.py
+++ b/src/parsleystile/console.py
@@ -260,9 +260,15 @@
         return commands.ShowConfig(self._options)
 
     @decorators.SetParseFn(str)
-    def check(self, file: str) -> commands.Command:
-        """Check a TOML document without sending it."""
-        return commands.CheckConfig(file)
+    def check(self, file: str, in_force: str = '') -> commands.Command:
+        """Check a TOML document without sending it.
+
+        Args:
+            file: TOML file with the document.
+            in_force: File with the document in force, as ``config show``
+                prints it; what differs from it is shown.
+        """
+        return commands.CheckConfig(file, in_force)
 
     @decorators.SetParseFn(str)
     def apply(self, file: str) -> commands.Command:
--- a/src/parsleystile/relay/policy.py
+++ b/src/parsleystile/relay/policy.py
@@ -97,6 +97,8 @@
 
     Attributes:
         version: Version of the operators' document; only grows.
+        routes: All routes, as the document orders them.
+        key_owners: Organisation of each key in force.
         organisations: Organisations by id.
         services: Limits of services by name.
         limits: Limits on callers.
@@ -114,13 +116,14 @@
         domains_out: frozenset[ids.FailureDomainId],
     ) -> None:
         self.version = version
+        self.routes = tuple(routes)
         self.organisations = {o.organisation_id: o for o in organisations}
         self.services = services
         self.limits = limits
         self.domains_out = domains_out
-        self._keys = keys
+        self.key_owners = keys
         by_host: dict[str, list[Route]] = {}
-        for route in routes:
+        for route in self.routes:
             by_host.setdefault(route.host, []).append(route)
         self._hosts = {
             host: _routes.route_index((r.prefix, (), r) for r in host_routes)
@@ -146,5 +149,5 @@
 
     def organisation_of(self, key: str) -> Organisation | None:
         """Return the organisation of a key; None if it is not in force."""
-        owner = self._keys.get(key_digest(key))
+        owner = self.key_owners.get(key_digest(key))
         return None if owner is None else self.organisations.get(owner)
