Take a status outside of 100 to 599 for a failure of the target

Cause: the relay's parser took every status below 200 for an interim answer, so after 000 or 099 the caller waited to its deadline, and passed 600 and 999 on as answers. The other path did the same through libcurl.

Change: such an answer is a typed failure (TARGET_FAILED, unknown, 502) as soon as its status is read, counted and logged like any other, and its connection is closed.

EndlessTarget may now have nothing to repeat; its checks are as they were.

--- a/src/parsleystile/relay/answerparser.py
+++ b/src/parsleystile/relay/answerparser.py
@@ -199,6 +199,10 @@
     def on_headers_complete(self) -> None:
         """Check a complete head."""
         status = self._parser.get_status_code()
+        problem = targetanswer.status_problem(status)
+        if problem:
+            # Also below 100: it is no interim answer, and none may follow.
+            raise AnswerError(problem)
         if status < _FIRST_FINAL_STATUS:
             return
         if (
--- a/src/parsleystile/targetanswer.py
+++ b/src/parsleystile/targetanswer.py
@@ -15,6 +15,9 @@
     body: bytes
 
 
+# Statuses that HTTP defines, interim ones included.
+_STATUSES = range(100, 600)
+
 OnTargetAnswer = typing.Callable[[TargetAnswer | errors.Refusal], None]
 
 
@@ -23,6 +26,13 @@
     return errors.unknown(errors.Reason.TARGET_FAILED, why)
 
 
+def status_problem(status: int) -> str:
+    """Return why a status is none of the protocol; empty if it is one."""
+    if status in _STATUSES:
+        return ''
+    return f'status {status:03d} is none of HTTP'
+
+
 def parse_headers(lines: list[bytes]) -> list[str]:
     """Return the names and values after the status line, alternating."""
     headers = []
--- a/src/parsleystile/targetclient.py
+++ b/src/parsleystile/targetclient.py
@@ -101,11 +101,16 @@
         self.failure = ''
         self.send_count = 0
 
-    def on_header(self, line: bytes) -> None:
+    def on_header(self, line: bytes) -> int:
         if line.startswith(_STATUS_LINE):
             # A new status line: what came before was an interim response.
             self.header_lines.clear()
+            self.failure = targetanswer.status_problem(_status(line))
+            if self.failure:
+                # libcurl would take one below 100 for an interim response.
+                return 0
         self.header_lines.append(line)
+        return len(line)
 
     def on_body(self, chunk: bytes) -> int:
         self.body_bytes += len(chunk)
@@ -366,6 +371,12 @@
     handle.setopt(pycurl.PREREQFUNCTION, transfer.on_before_send)
 
 
+def _status(line: bytes) -> int:
+    """Return the status of a status line; 0 if there is no number."""
+    digits = line.partition(b' ')[2][:3]
+    return int(digits) if digits.isdigit() else 0
+
+
 def _transfer_result(
     transfer: _Transfer, handle: pycurl.Curl, code: int
 ) -> targetanswer.TargetAnswer | errors.Refusal:
--- a/tests/endlesstarget.py
+++ b/tests/endlesstarget.py
@@ -22,7 +22,7 @@
 
     def __init__(self, start, unit, max_bytes=ENDLESS_BYTES, pause_s=0.0):
         self._start = start
-        self.block = unit * max(1, BLOCK_BYTES // len(unit))
+        self.block = unit * max(1, BLOCK_BYTES // max(1, len(unit)))
         self.max_bytes = max_bytes
         self.pause_s = pause_s
         self.closed = 0
