Order what comes from the store by its era

After the store came back from a copy, its versions were lower than those that nodes knew, and no change came into force any more. A node that starts hears a peer before it takes a document from a store that may have been restored, and doesn't take its rows for all.

The stand-in of the store learns to copy, to come back from it, the header and 410 for a version that it doesn't have. The stand-in of the replicated state in test_platform_store_answers gets the members that the client now uses.

--- a/src/parsleystile/relay/logevents.py
+++ b/src/parsleystile/relay/logevents.py
@@ -178,6 +178,23 @@
     at_version: int
 
 
+class StoreEraChanged(LogEvent, tag_field='event', tag='store-era'):
+    """The store was restored from a copy; ``seen_at`` is of before."""
+
+    old: int
+    new: int
+    seen_at: int
+
+
+class StoreRowsMissing(LogEvent, tag_field='event', tag='store-rows-missing'):
+    """A restored store lacks rows that this node knew; some are named."""
+
+    era: int
+    table: str
+    missing: int
+    names: list[str]
+
+
 class StoreFollowingChanged(
     LogEvent, tag_field='event', tag='store-following'
 ):
--- a/src/parsleystile/relay/statesync.py
+++ b/src/parsleystile/relay/statesync.py
@@ -26,6 +26,7 @@
 from parsleystile.relay import reachability as reachability_module
 from parsleystile.relay import rowspread
 from parsleystile.relay import statemessages
+from parsleystile.relay import storeera
 from parsleystile.relay import storefollowing
 from parsleystile.relay import telemetry
 
@@ -63,6 +64,9 @@
 
 
 Decode = typing.Callable[[bytes], policies.Policy | errors.SettingsError]
+# Encodes a payload with the document of another one, or with the domains that
+# the other one takes out, or both.
+Combine = typing.Callable[[bytes, bytes, bool, bool], bytes]
 OnRow = typing.Callable[[memberlist.Row], None]
 
 
@@ -75,6 +79,10 @@
         snapshot: The snapshot that the policy was decoded from.
         following: Whether this node follows the store, and the age of the
             reading that the snapshot rests on.
+        combine: Set by the platform adapter; without it a whole payload is
+            taken for its document.
+        eras: The eras of the store that this node knows.
+        on_era_risen: Called after the store was restored.
         on_policy_changed: Called after a newer policy came into force.
         on_members_changed: Called after the member list changed.
         on_previous_own_row: Called with each received row of this node, which
@@ -95,6 +103,9 @@
         self.store: StateStore | None = None
         self.policy: policies.Policy | None = None
         self.snapshot = statemessages.Snapshot()
+        self.combine: Combine | None = None
+        self.eras = storeera.store_eras()
+        self.on_era_risen: typing.Callable[[], None] = lambda: None
         self.on_policy_changed: typing.Callable[[], None] = lambda: None
         self.on_members_changed: typing.Callable[[], None] = lambda: None
         self.on_previous_own_row: OnRow = lambda row: None
@@ -108,6 +119,10 @@
         self._recorder = recorder
         self._spread = rowspread.row_spread()
         self._is_announced = False
+        self._has_read_all = False
+        # Snapshot of the store that waits for what a peer has.
+        self._held: statemessages.Snapshot | None = None
+        self._has_heard_peer = False
         self._published: memberlist.Row | None = None
         self._next_sync_ms = 0.0
         # Node that has just become reachable; it is next to exchange with.
@@ -115,9 +130,11 @@
         self.following = storefollowing.store_following(
             member_list, clock, rng, recorder
         )
-        # Version of a snapshot that a peer is sending, and until when.
-        self._awaited_at = 0
+        # Place of a snapshot that a peer is sending, and until when.
+        self._awaited = storeera.place(self.snapshot)
         self._awaited_until_ms = 0.0
+        # Why the store's last document was not taken, so as to log it once.
+        self._kept_why = ''
         reachability.on_reachable = self._on_reachable
         links.handle_control(SYNC_KIND, self._on_sync)
         links.handle_control(ROW_KIND, self._on_rows)
@@ -127,33 +144,71 @@
         """Whether this node follows the store rather than its peers."""
         return self.following.is_following
 
+    @property
+    def node_count(self) -> int:
+        """Number of nodes that are not gone."""
+        return len(self._member_list.node_ids)
+
     # Incoming state.
 
+    def note_era(self, era: int | None) -> bool:
+        """Note the era that the store or a peer names.
+
+        Returns:
+            False if the era is an earlier one.
+        """
+        old = self.eras.known
+        change = self.eras.note(era, self._clock.now_ms())
+        if change is storeera.Change.RISEN:
+            self._recorder.count('store-eras-risen')
+            self._recorder.log.write(
+                logevents.StoreEraChanged(
+                    old=old,
+                    new=self.eras.known,
+                    seen_at=self.snapshot.seen_at,
+                )
+            )
+            self.on_era_risen()
+        return change is not storeera.Change.EARLIER
+
+    def store_phase(self) -> statemessages.Phase:
+        """Return the phase of a snapshot that is read from the store now."""
+        return self.eras.phase(self._clock.now_ms())
+
     def apply_snapshot(
         self, snapshot: statemessages.Snapshot, source: str
     ) -> bool:
-        """Put a snapshot in force if it is newer and valid.
+        """Put a snapshot in force as far as it is newer and valid.
 
         Returns:
             Whether the policy changed.
         """
-        if snapshot.seen_at <= self.snapshot.seen_at:
+        if self._is_held(snapshot):
+            self._held = snapshot
             return False
-        is_same = snapshot.payload == self.snapshot.payload
+        own = self.snapshot
+        is_same = snapshot.payload == own.payload
         if is_same and self.policy is not None:
             # A full read returns the same configuration at a later version.
-            self.snapshot = snapshot
+            if storeera.place(snapshot) > storeera.place(own):
+                self.snapshot = snapshot
             return False
         policy = self._decode(snapshot.payload)
         if isinstance(policy, errors.SettingsError):
-            self._reject_policy(snapshot, str(policy))
-            return False
-        before = self.policy
-        if before is not None and policy.version < before.version:
-            why = f'version {policy.version} after {before.version}'
-            self._reject_policy(snapshot, why)
+            if storeera.place(snapshot) > storeera.place(own):
+                self._reject_policy(snapshot, str(policy))
             return False
+        if self.policy is not None:
+            joined = self._join(snapshot, policy)
+            if joined == own:
+                return False
+            if joined.payload != snapshot.payload:
+                policy = self._decode(joined.payload)
+            snapshot = joined
+        is_changed = snapshot.payload != own.payload
         self.snapshot = snapshot
+        if not is_changed:
+            return False
         self.policy = policy
         self._recorder.log.write(
             logevents.PolicyInForce(
@@ -167,12 +222,54 @@
         self._offer_snapshot(source)
         return True
 
+    def _is_held(self, snapshot: statemessages.Snapshot) -> bool:
+        """Whether to hear a peer before a snapshot is put in force.
+
+        A store that was restored may bring back keys that were withdrawn.
+        """
+        return (
+            self.policy is None
+            and not self._has_heard_peer
+            and snapshot.phase is statemessages.Phase.UNKNOWN
+            and self.store_phase() is statemessages.Phase.UNKNOWN
+        )
+
+    def _apply_held(self) -> None:
+        held = self._held
+        if held is not None and not self._is_held(held):
+            self._held = None
+            self.apply_snapshot(held, STORE_SOURCE)
+
+    def _join(
+        self, snapshot: statemessages.Snapshot, policy: policies.Policy
+    ) -> statemessages.Snapshot:
+        """Return what is in force after a valid snapshot was received."""
+        join = storeera.join(
+            self.snapshot, self.policy.version, snapshot, policy.version
+        )
+        if join.takes_document and join.base is snapshot:
+            why = f'version {policy.version} after {self.policy.version}'
+            if why != self._kept_why:
+                self._kept_why = why
+                self._reject_policy(snapshot, why)
+        payload = join.base.payload
+        if self.combine is not None:
+            payload = self.combine(
+                payload,
+                join.other.payload,
+                join.takes_document,
+                join.keeps_domains,
+            )
+        elif join.takes_document:
+            payload = join.other.payload
+        return msgspec.structs.replace(join.base, payload=payload)
+
     def _offer_snapshot(self, source: str) -> None:
         """Tell the peers of a new snapshot, those in other domains later.
 
         Most of them learn of it within their own domain meanwhile.
         """
-        seen_at = self.snapshot.seen_at
+        offered = self.snapshot
         domain = self._member_list.own_row.domain
         far: list[memberlist.Row] = []
         for peer in self._member_list.peers():
@@ -182,7 +279,7 @@
                 self._send(peer, self._own_versions())
 
         def offer_far() -> None:
-            if self.snapshot.seen_at != seen_at:
+            if self.snapshot is not offered:
                 return
             for peer in far:
                 self._send(peer, self._own_versions())
@@ -288,7 +385,19 @@
         return self._member_list.is_predecessor(row)
 
     def note_all_rows(self) -> None:
-        """Note that this node has the rows of all nodes."""
+        """Note that this node has read the rows of all nodes.
+
+        A store that may lack some does not tell how many share a rate.
+        """
+        self._has_read_all = True
+        self._check_complete()
+
+    def _check_complete(self) -> None:
+        is_settled = self.store_phase() is statemessages.Phase.SETTLED
+        if self._has_read_all and is_settled:
+            self._note_complete()
+
+    def _note_complete(self) -> None:
         if self._member_list.note_complete():
             self.on_members_changed()
 
@@ -308,7 +417,7 @@
     def publish(self) -> None:
         """Pass this node's row on, and store what must outlast the fleet."""
         row = self._member_list.own_row
-        if self.store is not None and _is_stored_anew(row, self._published):
+        if self.store is not None and is_stored_anew(row, self._published):
             self._published = row
             self.store.publish(row)
         self._pass_on_own()
@@ -357,6 +466,8 @@
     def tick(self) -> None:
         """Exchange state with a random peer if it is due."""
         self.following.check(self.snapshot.seen_at)
+        self._check_complete()
+        self._apply_held()
         now_ms = self._clock.now_ms()
         returned, self._returned = self._returned, None
         if now_ms < self._next_sync_ms and returned is None:
@@ -388,6 +499,8 @@
             knows_all=self._member_list.is_complete,
             # Rounded up, so that it isn't younger with each hop.
             store_age_ms=None if age_ms is None else math.ceil(age_ms),
+            era=self.snapshot.era,
+            phase=self.snapshot.phase,
         )
 
     def _send(
@@ -420,9 +533,11 @@
         remote: statemessages.SyncMessage,
     ) -> None:
         self._apply(remote, peer.node_id)
+        if remote.seen_at:
+            self._has_heard_peer = True
+            self._apply_held()
         own = self._own_versions()
-        is_older = remote.seen_at < own.seen_at
-        if is_older and remote.payload_digest != own.payload_digest:
+        if storeera.needs_payload(self.snapshot, remote):
             payload = self.snapshot.payload
             self._send(peer, msgspec.structs.replace(own, payload=payload))
         if remote.wanted:
@@ -440,14 +555,14 @@
             remote: The peer's reply.
             sent_ms: When it was asked; the age it tells is of later.
         """
-        has_all = remote.seen_at <= self.snapshot.seen_at
+        has_all = self._place_of(remote) <= storeera.place(self.snapshot)
         if has_all and remote.store_age_ms is not None:
             self.following.note_reading(sent_ms - remote.store_age_ms)
 
     def _note_completeness_of(self, remote: statemessages.SyncMessage) -> None:
         """Note that this node has all rows of a peer that knows all nodes."""
         if remote.knows_all and remote.digest == self._member_list.digest:
-            self.note_all_rows()
+            self._note_complete()
 
     def _compare_rows(
         self, peer: memberlist.Row, remote: statemessages.SyncMessage
@@ -467,16 +582,17 @@
     def _apply(
         self, remote: statemessages.SyncMessage, source: ids.NodeId
     ) -> None:
-        if remote.payload:
-            self.apply_snapshot(
-                statemessages.Snapshot(remote.seen_at, remote.payload), source
-            )
-        elif (
-            self.policy is not None
-            and remote.payload_digest == self.snapshot.payload_digest
-        ):
+        payload = remote.payload
+        is_same = remote.payload_digest == self.snapshot.payload_digest
+        if not payload and self.policy is not None and is_same:
+            payload = self.snapshot.payload
+        at = self._place_of(remote)
+        if remote.seen_at and remote.era is not None:
+            self.note_era(remote.era)
+            self.eras.note_peer(at, self._clock.now_ms())
+        if payload:
             self.apply_snapshot(
-                statemessages.Snapshot(remote.seen_at, self.snapshot.payload),
+                statemessages.Snapshot(at.seen_at, payload, at.era, at.phase),
                 source,
             )
         if remote.rows:
@@ -493,34 +609,44 @@
         self._note_completeness_of(request)
         self._reachability.probe_if_unreachable(request.sender)
         answer = self._own_versions(self._member_list.digest)
-        if self.snapshot.seen_at > request.seen_at:
-            if answer.payload_digest != request.payload_digest:
-                answer = msgspec.structs.replace(
-                    answer, payload=self.snapshot.payload
-                )
-        elif not request.payload:
+        if storeera.needs_payload(self.snapshot, request):
             answer = msgspec.structs.replace(
-                answer, seen_at=self._await_payload(request.seen_at)
+                answer, payload=self.snapshot.payload
             )
+        elif not request.payload:
+            answer = self._await_payload(answer, request)
         if request.buckets:
             answer = self._add_differing_rows(answer, request.buckets)
         reply(msgspec.msgpack.encode(answer))
 
-    def _await_payload(self, seen_at: int) -> int:
-        """Return the version to answer to a peer that has a newer one.
+    def _await_payload(
+        self,
+        answer: statemessages.SyncMessage,
+        request: statemessages.SyncMessage,
+    ) -> statemessages.SyncMessage:
+        """Return the answer to a peer that may have a newer snapshot.
 
         The peer sends its snapshot if the answer is older. While another peer
-        is sending that version already, the answer is the version itself.
+        is sending that one already, the answer states the peer's own.
         """
         now_ms = self._clock.now_ms()
-        own = self.snapshot.seen_at
-        if seen_at <= own:
-            return own
-        if seen_at <= self._awaited_at and now_ms < self._awaited_until_ms:
-            return seen_at
-        self._awaited_at = seen_at
+        at = self._place_of(request)
+        if at <= storeera.place(self.snapshot):
+            return answer
+        if at <= self._awaited and now_ms < self._awaited_until_ms:
+            return msgspec.structs.replace(
+                answer,
+                seen_at=request.seen_at,
+                payload_digest=request.payload_digest,
+                era=request.era,
+                phase=request.phase,
+            )
+        self._awaited = at
         self._awaited_until_ms = now_ms + _PAYLOAD_WAIT_MS
-        return own
+        return answer
+
+    def _place_of(self, message: statemessages.SyncMessage) -> storeera.Place:
+        return storeera.place(message, self.eras.first)
 
     def _add_differing_rows(
         self, answer: statemessages.SyncMessage, buckets: list[int]
@@ -593,7 +719,7 @@
     )
 
 
-def _is_stored_anew(
+def is_stored_anew(
     row: memberlist.Row, published: memberlist.Row | None
 ) -> bool:
     """Whether the store needs a row, given the one that it got last.
--- a/stubs/platformstore.py
+++ b/stubs/platformstore.py
@@ -21,6 +21,7 @@
         refusal_status: Status of every response; 0 to serve requests.
         refused_tables: Tables whose reads get status 503.
         ignores_requests: Requests get no response at all.
+        era: Named in all answers; None to name none.
         loses_answers: Requests take effect but get no response.
         request_paths: Paths of the requests so far.
     """
@@ -32,7 +33,9 @@
         self.refused_tables: set[str] = set()
         self.ignores_requests = False
         self.loses_answers = False
+        self.era: int | None = None
         self.request_paths: list[str] = []
+        self._copy: tuple[int, dict] = (0, {})
         self._rows: dict[tuple[str, str], dict[str, typing.Any]] = {}
         self._changed = asyncio.Event()
         self._server = httpserver.http_server(
@@ -66,6 +69,26 @@
             return None
         return base64.b64decode(row['value'])
 
+    def copy(self) -> None:
+        """Keep a copy of all rows."""
+        self._copy = self.version, dict(self._rows)
+
+    def change_copy(self, table: str, key: str, value: bytes | None) -> None:
+        """Change a row of the copy, or drop it."""
+        version, rows = self._copy
+        rows.pop((table, key), None)
+        if value is not None:
+            text = base64.b64encode(value).decode()
+            rows[table, key] = _row(table, key, version, text)
+
+    def restore(self) -> None:
+        """Come back from the copy, in the next era."""
+        self.version, rows = self._copy
+        self._rows = dict(rows)
+        self.era = (self.era or 0) + 1
+        self.drop_connections()
+        self._changed.set()
+
     def drop_history(self) -> None:
         """Discard the change history, so that feeds get status 410."""
         self.oldest_feed_version = self.version + 1
@@ -84,16 +107,11 @@
 
     def _write(self, name: dict[str, str], value: bytes | None) -> None:
         self.version += 1
-        row = {
-            'table': name['table'],
-            'part': '',
-            'key': name['key'],
-            'ver': self.version,
-        }
+        table, key = name['table'], name['key']
         if value is None:
-            row['deleted'] = True
+            row = {**_row(table, key, self.version), 'deleted': True}
         else:
-            row['value'] = value.decode()
+            row = _row(table, key, self.version, value.decode())
         self._rows[name['table'], name['key']] = row
         self._changed.set()
 
@@ -104,10 +122,10 @@
         if self.ignores_requests:
             return
         if self.refusal_status:
-            request.answer(self.refusal_status, [], b'')
+            request.answer(self.refusal_status, self._headers(), b'')
             return
         if query.get('table') in self.refused_tables:
-            request.answer(503, [], b'')
+            request.answer(503, self._headers(), b'')
             return
         match url.path:
             case '/v1/rows-get':
@@ -141,8 +159,9 @@
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + int(query['wait_ms']) / 1e3
         while True:
-            if after_version < self.oldest_feed_version:
-                request.answer(410, [], b'')
+            is_known = self.oldest_feed_version <= after_version
+            if not is_known or after_version > self.version:
+                request.answer(410, self._headers(), b'')
                 return
             rows = [
                 row
@@ -175,6 +194,9 @@
             self._write(name, None)
         self._answer(request, 200, [])
 
+    def _headers(self) -> list[str]:
+        return [] if self.era is None else ['Store-Era', str(self.era)]
+
     def _answer(
         self,
         request: httpserver.Request,
@@ -185,10 +207,19 @@
             return
         body = {'rows': rows, 'ver': self.version, 'now': '0ms'}
         request.answer(
-            status, _JSON, json.dumps({**body, 'has_more': False}).encode()
+            status,
+            _JSON + self._headers(),
+            json.dumps({**body, 'has_more': False}).encode(),
         )
 
 
+def _row(
+    table: str, key: str, version: int, value: str = ''
+) -> dict[str, typing.Any]:
+    row = {'table': table, 'part': '', 'key': key, 'ver': version}
+    return {**row, 'value': value} if value else row
+
+
 def platform_store() -> PlatformStore:
     """Create an empty store that is not listening yet."""
     return PlatformStore()
--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -218,9 +218,11 @@
         serving=None,
         stop_ms=6000.0,
         log_path=os.devnull,
+        era=None,
         **changes,
     ):
         """Start machines, the first half of them in domain a."""
+        self.store.era = era
         self.address = await self.store.start()
         self.put_document(document(**changes))
         for i in range(count):
--- a/tests/test_platform_store_answers.py
+++ b/tests/test_platform_store_answers.py
@@ -11,6 +11,8 @@
 from adapter import store as stores
 from parsleystile import clock as clocks
 from parsleystile.relay import memberlist
+from parsleystile.relay import statemessages
+from parsleystile.relay import storeera
 from parsleystile.relay import telemetry
 from parsleystile import transport
 from tests import asyncutil
@@ -24,12 +26,21 @@
     """Takes the place of the replicated state."""
 
     is_following = True
+    node_count = 1
+    eras = storeera.store_eras()
+    snapshot = statemessages.Snapshot()
 
     def __init__(self):
         self.following = types.SimpleNamespace(
             note_reading=lambda read_ms: None, note_failure=lambda: None
         )
 
+    def note_era(self, era):
+        return True
+
+    def store_phase(self):
+        return statemessages.Phase.SETTLED
+
     def apply_snapshot(self, snapshot, source):
         pass
 
