Keep an ended evacuation ended after a restore, and tell on-call of it

A copy of before the end of an evacuation brought its row back, and the domain got no calls again. A follower that saw the removal knows the row by its version and leaves it out while the store settles.

--- a/src/parsleystile/relay/logtrace.py
+++ b/src/parsleystile/relay/logtrace.py
@@ -107,7 +107,12 @@
         entry.node == end.node
         and entry.time_ms <= end.time_ms
         and entry.event
-        in ('policy-in-force', 'policy-rejected', 'store-reach')
+        in (
+            'policy-in-force',
+            'policy-rejected',
+            'store-era',
+            'store-reach',
+        )
     )
 
 
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -29,6 +29,7 @@
 from parsleystile.relay import reachability
 from parsleystile.relay import retrybudget
 from parsleystile.relay import stalls
+from parsleystile.relay import statemessages
 from parsleystile.relay import statesync
 from parsleystile.relay import subtreeshedding
 from parsleystile.relay import targetreports
@@ -527,6 +528,9 @@
         gauge('nodes-known', len(self.member_list.node_ids))
         gauge('nodes-unreached', len(self.member_list.unreachable()))
         now_ms = self._clock.now_ms()
+        gauge('store-era', self.state_sync.eras.known)
+        phase = self.state_sync.snapshot.phase
+        gauge('store-settled', phase is statemessages.Phase.SETTLED)
         gauge('store-age-ms', self.state_sync.following.age.age_ms(now_ms))
         gauge('follows-store', self.state_sync.is_following)
         gauge('lines-dropped', self.recorder.log.dropped)
--- a/tests/test_platform_restored_store.py
+++ b/tests/test_platform_restored_store.py
@@ -154,6 +154,34 @@
     _run(body)
 
 
+def test_an_evacuation_that_the_copy_brings_back_is_not_in_force_again():
+    async def body(fleet):
+        fleet.store.put('op', 'evacuate/b', b'{}')
+        await asyncutil.wait_until(lambda: all(_is_out(fleet, 'b')))
+        # Both nodes follow the store and see the removal.
+        await asyncutil.wait_until(
+            lambda: fleet.store.request_paths.count('/v1/rows-feed') >= 4
+        )
+        fleet.store.copy()
+        fleet.store.remove('op', 'evacuate/b')
+        await asyncutil.wait_until(lambda: not any(_is_out(fleet, 'b')))
+        seen = []
+        for machine in fleet.machines:
+            machine.node.state_sync.on_policy_changed = lambda: seen.extend(
+                _is_out(fleet, 'b')
+            )
+        fleet.store.restore()
+        fleet.put_document(_document(4))
+        await _wait_versions(fleet, 4)
+        assert _eras(fleet) == {2}
+        assert not any(seen)
+        # A later one is in force at once.
+        fleet.store.put('op', 'evacuate/b', b'{}')
+        await asyncutil.wait_until(lambda: all(_is_out(fleet, 'b')))
+
+    _run(body)
+
+
 def test_own_rows_that_the_copy_lacks_are_written_again():
     async def body(fleet):
         fleet.store.copy()
