Restore the store from a copy in tests with node processes

The soak has a fourth fault of the store: it comes back from a copy taken when the fault began, and the operator writes its configuration again 1 s later. The store of the process tests names its era.

--- a/tests/relayprocesses.py
+++ b/tests/relayprocesses.py
@@ -259,6 +259,7 @@
         self.host_prefix = _host_prefix()
         self.record = relayrecord.Record(grace_s * 1e3)
         self.store = platformstore.platform_store()
+        self.store.era = 0
         self.store_address = ('', 0)
         self.machines = [Machine(self, i) for i in range(count)]
         self._version = 0
@@ -285,14 +286,20 @@
                 await caller.run_once()
                 await asyncio.sleep(_POLL_S)
 
-    def put_next_document(self):
+    def put_next_document(self, keys=(platformfleet.KEY,)):
         """Write a new version of the configuration to the store."""
         self._version += 1
+        self.put_document(keys)
+
+    def put_document(self, keys=(platformfleet.KEY,)):
+        """Write the newest version of the configuration, maybe again."""
         services = [
             {'name': 'yard', 'max_connections': 200, 'cold_per_s': 1e4}
         ]
         data = platformfleet.document(self._version, services=services)
-        data['tenants'][0].update(rate_per_s=1e5, burst=1e5)
+        data['tenants'][0].update(
+            rate_per_s=1e5, burst=1e5, api_keys=list(keys)
+        )
         for route in data['virtual_hosts'][0]['paths']:
             route['timeout'] = '6s'
         self.store.put('op', 'config', json.dumps(data).encode())
--- a/tests/relaysoak.py
+++ b/tests/relaysoak.py
@@ -23,7 +23,9 @@
 _STYLES = ('kept', 'new', 'pipelined', 'slow-reader', 'slow-sender')
 _PLANNED = ('stop', 'roll', 'reload', 'config', 'target', 'store', 'limit')
 _UNPLANNED = ('kill', 'pause')
-_STORE_FAULTS = ('refuses', 'ignores_requests', 'loses_answers')
+_STORE_FAULTS = ('refuses', 'ignores_requests', 'loses_answers', 'restores')
+# Time until the operator writes its rows again.
+_WRITTEN_AGAIN_S = 1.0
 # Limits that targets name, in calls a second, and for how long.
 _LIMITS_PER_S = (0.0, 2.0, 8.5)
 _LIMIT_S = 6.0
@@ -109,6 +111,13 @@
     async def _disrupt_store(self, fault):
         store = self._fleet.store
         kind = _STORE_FAULTS[sum(fault.nodes) % len(_STORE_FAULTS)]
+        if kind == 'restores':
+            store.copy()
+            await asyncio.sleep(fault.hold_s)
+            store.restore()
+            await asyncio.sleep(_WRITTEN_AGAIN_S)
+            self._fleet.put_document()
+            return
         store.refusal_status = 503 * (kind == 'refuses')
         store.ignores_requests = kind == 'ignores_requests'
         store.loses_answers = kind == 'loses_answers'
