--- a/tests/test_relay_storeera.py
+++ b/tests/test_relay_storeera.py
@@ -277,3 +277,28 @@
         )
         node.sync._note_reading_of(newer, restored.fleet.timeline.now_ms())
         assert node.sync.following.age.reading_age_ms(0.0) is None
+
+    def test_a_snapshot_of_a_later_era_is_asked_of_one_peer_only(self):
+        restored = _Restored(9)
+        restored.put(_snapshot(900, b'5'), 0)
+        restored.fleet.timeline.run(2_000.0)
+        node = restored.fleet.nodes[2]
+        news = _snapshot(40, b'6', 1, _SETTLING)
+        replies = []
+        for sender in ('n0003', 'n0004'):
+            message = statemessages.SyncMessage(
+                40,
+                ids.NodeId(sender),
+                news.payload_digest,
+                era=1,
+                phase=_SETTLING,
+            )
+            node.links.handlers[statesync.SYNC_KIND](
+                msgspec.msgpack.encode(message), replies.append
+            )
+        answers = [
+            msgspec.msgpack.decode(reply, type=statemessages.SyncMessage)
+            for reply in replies
+        ]
+        needs = [storeera.needs_payload(news, answer) for answer in answers]
+        assert needs == [True, False]
