--- a/src/parsleystile/relay/memberlist.py
+++ b/src/parsleystile/relay/memberlist.py
@@ -13,6 +13,7 @@
 from parsleystile import ids
 from parsleystile import members
 from parsleystile.relay import overlay
+from parsleystile.relay import rollout
 from parsleystile.relay import rowdigest
 from parsleystile import transport
 
@@ -25,6 +26,7 @@
 # Far beyond any clock, and below what a message can carry.
 _MAX_INCARNATION = 2**43
 _Sequence = typing.Annotated[int, msgspec.Meta(ge=0, lt=1_000_000)]
+_Version = typing.Annotated[str, msgspec.Meta(max_length=_MAX_NAME_CHARS)]
 _Incarnation = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_INCARNATION)]
 
 
@@ -41,6 +43,8 @@
         is_gone: Whether the node has shut down for good.
         incarnation: Grows with each start of the process.
         sequence: Grows with each change within an incarnation.
+        version: Version of what its target runs; empty if not known.
+        rollouts: Stages of roll-outs that this node knows of as a judge.
     """
 
     node_id: typing.Annotated[
@@ -59,6 +63,8 @@
     is_gone: bool = False
     incarnation: _Incarnation = 0
     sequence: _Sequence = 0
+    version: _Version = ''
+    rollouts: tuple[rollout.Progress, ...] = ()
 
     @property
     def revision(self) -> tuple[int, int]:
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -367,6 +367,7 @@
             and before.service == report.service
             and before.slots == report.slots
             and before.is_serving == is_serving
+            and before.version == report.version
         )
         if is_same:
             return
@@ -376,6 +377,7 @@
             service=report.service,
             slots=report.slots,
             is_serving=is_serving,
+            version=report.version,
         )
 
     def _publish_departure(self, report: targetreports.Report) -> None:
--- a/src/parsleystile/relay/policy.py
+++ b/src/parsleystile/relay/policy.py
@@ -92,6 +92,22 @@
     idle_timeout_ms: float = 15_000.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rollout:
+    """An order to move a service to another version of its targets.
+
+    Attributes:
+        order: Orders the orders of a service from old to new.
+        target_version: Version that is to get all calls.
+        duration_ms: Time from the order until it is to be done.
+    """
+
+    service: ids.ServiceName
+    order: int
+    target_version: str
+    duration_ms: float
+
+
 class Policy:
     """One version of the operators' configuration.
 
@@ -101,6 +117,7 @@
         services: Limits of services by name.
         limits: Limits on callers.
         domains_out: Failure domains whose targets get no new calls.
+        rollouts: Orders to change the version of a service, by service.
     """
 
     def __init__(
@@ -112,12 +129,14 @@
         services: dict[ids.ServiceName, ServiceBounds],
         limits: CallerLimits,
         domains_out: frozenset[ids.FailureDomainId],
+        rollouts: typing.Iterable[Rollout] = (),
     ) -> None:
         self.version = version
         self.organisations = {o.organisation_id: o for o in organisations}
         self.services = services
         self.limits = limits
         self.domains_out = domains_out
+        self.rollouts = {r.service: r for r in rollouts}
         self._keys = keys
         by_host: dict[str, list[Route]] = {}
         for route in routes:
--- a/src/parsleystile/relay/targetreports.py
+++ b/src/parsleystile/relay/targetreports.py
@@ -32,6 +32,7 @@
         cold_ms: Remaining time of its cold phase.
         sequence: Grows with each report of an incarnation; -1 if not
             reported.
+        version: Version of what the target runs; empty if not reported.
     """
 
     target_id: ids.TargetId
@@ -41,6 +42,7 @@
     slots: int = 0
     cold_ms: float = 0.0
     sequence: int = -1
+    version: str = ''
 
 
 class Effect(enum.Enum):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -237,6 +237,7 @@
                 27,
                 1500.0,
                 4,
+                'v1',
             )
         ]
 
