Move calls to a new version by shares, and back if it is bad

A service with an order (op/rollout/SERVICE) gave its new version an even part of all calls from the first moment. Senders now divide its targets into two groups at the balancer and keep the share by credits of each route; three nodes of the service judge by the counts of the guards; the status row is written under a condition on both rows.

Ruled out: a verdict by each new target's guard alone, which can't tell a bad version from a service in trouble; counts on member rows, which go to all.

--- a/src/parsleystile/fleettable.py
+++ b/src/parsleystile/fleettable.py
@@ -1,5 +1,7 @@
 """Shows what the nodes of a fleet have in force, as one of them tells it."""
 
+import typing
+
 import msgspec
 import tornado.httpclient
 
@@ -17,6 +19,14 @@
     'silent',
     'waiting for',
 )
+_ROLLOUT_HEADINGS = (
+    'service',
+    'roll-out to',
+    'stage',
+    'version',
+    'failure domain',
+    'nodes',
+)
 
 
 def fetch(address: str) -> fleetstatus.FleetStatus:
@@ -66,4 +76,26 @@
             for domain in status.domains
         ],
     )
-    return f'{title}\n{render.text(table)}'
+    shown = f'{title}\n{render.text(table)}'
+    if not status.rollouts:
+        return shown
+    return f'{shown}\n\n{_rollouts_text(status.rollouts)}'
+
+
+def _rollouts_text(
+    rollouts: typing.Iterable[fleetstatus.RolloutStatus],
+) -> str:
+    rows = [
+        (
+            rollout.service,
+            rollout.version,
+            rollout.stage,
+            version or '-',
+            domain,
+            count,
+        )
+        for rollout in rollouts
+        for version, counts in sorted(rollout.nodes.items())
+        for domain, count in sorted(counts.items())
+    ]
+    return render.text(render.table(_ROLLOUT_HEADINGS, rows))
--- a/src/parsleystile/relay/__init__.py
+++ b/src/parsleystile/relay/__init__.py
@@ -3,8 +3,10 @@
 This is the data path for platforms whose targets declare their number of
 slots and whose store lists the members. The decisions (``answerparser``,
 ``declaredlimit``, ``drain``, ``holderring``, ``memberlist``, ``overlay``,
-``retrybudget``, ``rowdigest``, ``rowspread``, ``stalls``, ``targetreports``,
-``tokenbuckets``) do no I/O; ``dispatch``, ``fleetstatus``, ``guard``,
-``httpclient``, ``httpserver``, ``ingress``, ``plannedstop``, ``ratelimiter``,
-``reachability`` and ``statesync`` connect them to sockets and timers.
+``retrybudget``, ``rollout``, ``rolloutcounts``, ``rolloutgroups``,
+``rolloutjudge``, ``rolloutplan``, ``rowdigest``, ``rowspread``, ``stalls``,
+``targetreports``, ``tokenbuckets``) do no I/O; ``dispatch``, ``fleetstatus``,
+``guard``, ``httpclient``, ``httpserver``, ``ingress``, ``plannedstop``,
+``ratelimiter``, ``reachability``, ``rolloutcontrol`` and ``statesync``
+connect them to sockets and timers.
 """
--- a/src/parsleystile/relay/dispatch.py
+++ b/src/parsleystile/relay/dispatch.py
@@ -18,6 +18,7 @@
 from parsleystile.relay import noticememory
 from parsleystile.relay import policy as policies
 from parsleystile.relay import retrybudget
+from parsleystile.relay import rolloutgroups
 from parsleystile.relay import telemetry
 from parsleystile import transport
 from parsleystile import wire
@@ -56,6 +57,8 @@
         on_child_load: Called for each answer to a call made by the local
             target with the load, the time in milliseconds and whether the
             call found no room.
+        versions: Chooses among the versions of a service; None to leave
+            versions out of account.
     """
 
     own_node_id: ids.NodeId
@@ -72,6 +75,7 @@
         [ids.RouteId, str, ttypes.Load, float, bool], None
     ]
     on_child_load: typing.Callable[[ttypes.Load, float, bool], None]
+    versions: rolloutgroups.VersionChoice | None = None
 
 
 def lowest_level(load: ttypes.Load) -> float:
@@ -190,9 +194,7 @@
                 says more than that; None for that itself.
         """
         deps = self._deps
-        member = deps.balancer.choose(
-            self.service, self._excluded, now_ms, self.route.is_idempotent
-        )
+        member = self._choose(now_ms, self.route.is_idempotent)
         if member is None:
             self._finish(
                 refusal
@@ -224,6 +226,23 @@
         if generation == self._generation:
             self._pending = pending
 
+    def _choose(
+        self, now_ms: float, is_idempotent: bool
+    ) -> members.Member | None:
+        versions = self._deps.versions
+        if versions is None:
+            return self._deps.balancer.choose(
+                self.service, self._excluded, now_ms, is_idempotent
+            )
+        return versions.choose(
+            self.service,
+            self.route.route_id,
+            not self.attempts,
+            self._excluded,
+            now_ms,
+            is_idempotent,
+        )
+
     def _submit(
         self, member: members.Member, on_answer: transport.OnAnswer
     ) -> transport.PendingCall | None:
@@ -335,9 +354,7 @@
             return False
         if not self._has_time_left(now_ms):
             return False
-        alternative = self._deps.balancer.choose(
-            self.service, self._excluded, now_ms, True
-        )
+        alternative = self._choose(now_ms, True)
         if alternative is None:
             return False
         if not self._deps.budget.try_acquire(self.service, now_ms):
--- a/src/parsleystile/relay/fleetstatus.py
+++ b/src/parsleystile/relay/fleetstatus.py
@@ -70,6 +70,19 @@
     waiting_for: list[ids.NodeId]
 
 
+class RolloutStatus(msgspec.Struct, frozen=True):
+    """How far a roll-out is, as far as the asked node knows.
+
+    Attributes:
+        nodes: Serving nodes of the service by version and failure domain.
+    """
+
+    service: ids.ServiceName
+    version: str
+    stage: str
+    nodes: dict[str, dict[ids.FailureDomainId, int]]
+
+
 class FleetStatus(msgspec.Struct, frozen=True):
     """What a fleet has in force.
 
@@ -80,6 +93,7 @@
 
     policy_version: int | None
     domains: list[DomainStatus]
+    rollouts: list[RolloutStatus] = []
 
 
 def summarise(statuses: typing.Iterable[NodeStatus]) -> FleetStatus:
@@ -123,6 +137,7 @@
     Attributes:
         policy_version: Returns the version in force here; None without one.
         settings_state: Returns the state of this node's settings file.
+        rollouts: Returns the roll-outs that this node knows of.
     """
 
     links: links_module.Links
@@ -130,6 +145,7 @@
     recorder: telemetry.Recorder
     policy_version: typing.Callable[[], int | None]
     settings_state: typing.Callable[[], SettingsState]
+    rollouts: typing.Callable[[], list[RolloutStatus]] = list
 
 
 class StatusService:
@@ -160,7 +176,7 @@
         others = self._deps.member_list.others()
         left = len(others)
         if not left:
-            on_done(summarise(statuses))
+            on_done(self._summarise(statuses))
             return
 
         def add(status: NodeStatus) -> None:
@@ -168,11 +184,15 @@
             statuses.append(status)
             left -= 1
             if not left:
-                on_done(summarise(statuses))
+                on_done(self._summarise(statuses))
 
         for row in others:
             self._ask(row, add)
 
+    def _summarise(self, statuses: list[NodeStatus]) -> FleetStatus:
+        summary = summarise(statuses)
+        return msgspec.structs.replace(summary, rollouts=self._deps.rollouts())
+
     def _ask(
         self,
         row: memberlist.Row,
--- a/src/parsleystile/relay/guard.py
+++ b/src/parsleystile/relay/guard.py
@@ -39,7 +39,11 @@
 _MAX_WAIT_MS = 60_000.0
 _REFUSAL_STATUSES = frozenset({400, 421, 429, 503})
 _MISDIRECTED = 421
+_FIRST_SERVER_ERROR = 500
+# A caller that gives up this much before the deadline did so for it.
+_DEADLINE_ERROR_MS = 25.0
 
+OnResult = typing.Callable[[str, bool, float, bool], None]
 OnAnswer = typing.Callable[[ttypes.Answer], None]
 
 
@@ -127,6 +131,9 @@
     Attributes:
         on_target_lost: Called with the reason when the target is unreachable
             or was replaced by another one.
+        on_result: Called for each answer of the target with the route,
+            whether it failed, its time in milliseconds and whether the target
+            is cold.
         notices: What the target says of itself.
     """
 
@@ -142,6 +149,8 @@
             deps.header_names, deps.limit, deps.recorder
         )
         self.on_target_lost: typing.Callable[[str], None] = lambda why: None
+        self.on_result: OnResult = lambda *result: None
+        self.is_version_open = True
 
     @property
     def target(self) -> Target | None:
@@ -185,6 +194,17 @@
                     active, errors.not_run(reason, 'no new work here')
                 )
 
+    def set_version_open(self, is_open: bool) -> None:
+        """Set whether the target's version takes calls in a roll-out."""
+        if is_open is self.is_version_open:
+            return
+        self.is_version_open = is_open
+        if is_open:
+            return
+        for active in list(self._calls.values()):
+            if active.pending is None:
+                self._refuse_active(active, _closed_version())
+
     def end_all(self, reason: errors.Reason) -> None:
         """Answer all calls at once; running ones may have run."""
         for active in list(self._calls.values()):
@@ -282,6 +302,8 @@
                 errors.Reason.LEAVING,
                 f'no target of {call.callee_service} here',
             )
+        if not self.is_version_open:
+            return _closed_version()
         if call.max_wait_ms is None:
             return None
         wait_ms = self._wait_ms(self._deps.queue.queued, now_ms)
@@ -307,6 +329,8 @@
         self._cancel_timer(active)
         active.pending.cancel()
         spent_ms = now_ms - active.started_ms
+        if now_ms >= active.deadline_ms - _DEADLINE_ERROR_MS:
+            self.on_result(active.call.route, True, spent_ms, False)
         self._apply(admission.Cancel(active.key), now_ms)
         self._apply(admission.Complete(active.key, True, spent_ms), now_ms)
 
@@ -428,6 +452,7 @@
                 )
             result = self._classify(result, target)
         is_ok = isinstance(result, targetanswer.TargetAnswer)
+        self._tell_result(active, result, spent_ms, now_ms)
         self._apply(admission.Complete(active.key, is_ok, spent_ms), now_ms)
         if is_ok:
             active.on_answer(self._success_answer(active.call, result, now_ms))
@@ -440,6 +465,23 @@
             )
         active.on_answer(self._refusal_answer(active.call, result, now_ms))
 
+    def _tell_result(
+        self,
+        active: _ActiveCall,
+        result: targetanswer.TargetAnswer | errors.Refusal,
+        spent_ms: float,
+        now_ms: float,
+    ) -> None:
+        if isinstance(result, targetanswer.TargetAnswer):
+            is_failure = result.status >= _FIRST_SERVER_ERROR
+        elif result.reason is errors.Reason.TARGET_FAILED:
+            is_failure = True
+        else:
+            # Refused before it could run: it says nothing of the version.
+            return
+        is_cold = self._deps.limit.is_cold(now_ms)
+        self.on_result(active.call.route, is_failure, spent_ms, is_cold)
+
     def _classify(
         self, answer: targetanswer.TargetAnswer, target: Target
     ) -> targetanswer.TargetAnswer | errors.Refusal:
@@ -497,6 +539,11 @@
         return wire.answer_from_refusal(call.call_id, refusal, 0, load)
 
 
+def _closed_version() -> errors.Refusal:
+    # Other targets of the service take the call.
+    return errors.not_run(errors.Reason.SHED, 'this version takes no calls')
+
+
 def guard(deps: Dependencies) -> Guard:
     """Create a guard without a target."""
     return Guard(deps)
--- a/src/parsleystile/relay/logevents.py
+++ b/src/parsleystile/relay/logevents.py
@@ -142,6 +142,21 @@
     domains_out: list[str]
 
 
+class RolloutChanged(LogEvent, tag_field='event', tag='rollout-changed'):
+    """A roll-out reached another stage, as far as this node knows.
+
+    ``why`` names what was found, or from where the stage was heard.
+    """
+
+    service: str
+    order: int
+    version: str
+    stage: str
+    age_ms: int
+    barred: list[str]
+    why: str
+
+
 class PolicyRejected(LogEvent, tag_field='event', tag='policy-rejected'):
     """A new policy is invalid; the previous one stays in force."""
 
--- a/src/parsleystile/relay/memberlist.py
+++ b/src/parsleystile/relay/memberlist.py
@@ -124,6 +124,7 @@
             ids.ServiceName, dict[ids.NodeId, members.Member]
         ] = {}
         self._changed_services: set[ids.ServiceName] = set()
+        self._heard_rollouts: list[rollout.Progress] = []
         self._set(own_row)
 
     def update_own_row(self, **fields: object) -> Row:
@@ -303,9 +304,16 @@
         changed, self._changed_services = self._changed_services, set()
         return changed
 
+    def take_heard_rollouts(self) -> list[rollout.Progress]:
+        """Return what rows said of roll-outs since the last call."""
+        heard, self._heard_rollouts = self._heard_rollouts, []
+        return heard
+
     def _set(self, row: Row) -> None:
         """Replace the row of a node in all indexes."""
         known = self._rows.get(row.node_id)
+        if row is not self.own_row:
+            self._heard_rollouts += row.rollouts
         if known is not None:
             self._digests.remove(known.node_id, known.revision, known.is_gone)
         self._rows[row.node_id] = row
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -28,6 +28,9 @@
 from parsleystile.relay import ratelimiter
 from parsleystile.relay import reachability
 from parsleystile.relay import retrybudget
+from parsleystile.relay import rollout
+from parsleystile.relay import rolloutcontrol
+from parsleystile.relay import rolloutgroups
 from parsleystile.relay import stalls
 from parsleystile.relay import statesync
 from parsleystile.relay import subtreeshedding
@@ -72,6 +75,8 @@
         stop_ms: Time from a stop request until the process is killed.
         lame_duck_ms: Time that a stopping node keeps answering while callers
             move elsewhere.
+        exposure_ratio: Share of a service's calls that a bad version may get
+            in a roll-out.
     """
 
     node_id: ids.NodeId
@@ -89,6 +94,7 @@
     rate_tolerance: tokenbuckets.Tolerance
     stop_ms: float
     lame_duck_ms: float
+    exposure_ratio: float = 0.1
 
 
 class Node:
@@ -103,6 +109,7 @@
         caller_address: Host and port for callers, as bound.
         settings_state: Returns whether the settings file is in force.
         fleet_status: Tells what all nodes have in force.
+        rollouts: This node's part in roll-outs.
         on_end: Called when the node has drained or its time is up.
     """
 
@@ -172,6 +179,7 @@
                 recorder=recorder,
                 policy_version=self._policy_version,
                 settings_state=lambda: self.settings_state(),
+                rollouts=lambda: self.rollouts.status(),
             )
         )
         self._reports = targetreports.report_tracker()
@@ -210,6 +218,20 @@
         self._balancer = balancer.balancer(
             setup.domain, setup.region, setup.node_id, rng
         )
+        versions = rolloutgroups.version_choice(self._balancer, rng)
+        self.rollouts = rolloutcontrol.rollout_control(
+            rolloutcontrol.Dependencies(
+                links=self._links,
+                member_list=self.member_list,
+                guard=self.guard,
+                choice=versions,
+                clock=clock,
+                recorder=recorder,
+                exposure_ratio=setup.exposure_ratio,
+                publish=self._publish_rollouts,
+                on_changed=self._on_rollout_changed,
+            )
+        )
         self._retry_budget = retrybudget.retry_budget(setup.retry_budget)
         self._rate_limiter = ratelimiter.rate_limiter(
             self._links,
@@ -241,6 +263,7 @@
                     on_unreachable=self._reachability.mark_unreachable,
                     on_load=self._record_levels,
                     on_child_load=self._record_child_load,
+                    versions=versions,
                 ),
                 is_target_busy=lambda: self.guard.in_flight > 0,
                 input_age_ms=self._stalls.input_age_ms,
@@ -292,6 +315,7 @@
         every(_FLUSH_PERIOD_MS, self._flush)
         every(_GAUGE_PERIOD_MS, self._update_gauges)
         every(_SYNC_CHECK_PERIOD_MS, self.state_sync.tick)
+        every(rolloutcontrol.TICK_PERIOD_MS, self.rollouts.tick)
         every(
             reachability.LINK_CHECK_PERIOD_MS,
             self._reachability.check_silent_links,
@@ -458,6 +482,7 @@
         self._http_server.limits = policy.limits
         self._balancer.set_domains_out(policy.domains_out)
         self._rate_limiter.configure(policy)
+        self.rollouts.set_policy(policy)
         if self._is_domain_out():
             self.guard.refuse_new(errors.Reason.DOMAIN_OUT)
         elif not self._planned_stop.has_started:
@@ -473,10 +498,9 @@
             self._change_row(is_serving=True)
 
     def _on_members_changed(self) -> None:
+        self.rollouts.on_members_changed()
         for service in self.member_list.take_changed_services():
-            self._balancer.set_members(
-                service, self.member_list.members_of(service)
-            )
+            self.rollouts.register(service)
         version = self.member_list.nodes_version
         if version == self._divided_version:
             return
@@ -485,6 +509,15 @@
         if self.state_sync.policy is not None:
             self._rate_limiter.configure(self.state_sync.policy)
 
+    def _on_rollout_changed(self, service: ids.ServiceName) -> None:
+        self.rollouts.register(service)
+
+    def _publish_rollouts(
+        self, progress: tuple[rollout.Progress, ...]
+    ) -> None:
+        self.member_list.update_own_row(rollouts=progress)
+        self.state_sync.publish()
+
     def _record_levels(
         self,
         route_id: ids.RouteId,
--- a/src/parsleystile/relay/rollout.py
+++ b/src/parsleystile/relay/rollout.py
@@ -15,11 +15,13 @@
 # Part of the exposure bound that the trial uses; the rest is left for a
 # version that turns bad afterwards.
 _TRIAL_PART = 0.5
-# Parts of the duration at which the stages begin.
-_STEP_1_AT = 0.66
-_STEP_2_AT = 0.73
-_STEP_3_AT = 0.79
-_WHOLE_AT = 0.85
+# Part of the duration at which the new version gets everything, and the least
+# time that is left then for old targets to finish.
+_WHOLE_AT = 0.79
+_MIN_REST_MS = 2_500.0
+# Time between two steps, as part of the duration, and the shortest such time.
+_STEP_PART = 0.063
+_MIN_STEP_MS = 700.0
 _MAX_NAME_CHARS = 200
 
 
@@ -49,12 +51,7 @@
     Stage.ROLLED_BACK: 0.0,
     Stage.COMPLETED: 1.0,
 }
-_STARTS = (
-    (_WHOLE_AT, Stage.WHOLE),
-    (_STEP_3_AT, Stage.STEP_3),
-    (_STEP_2_AT, Stage.STEP_2),
-    (_STEP_1_AT, Stage.STEP_1),
-)
+_STEPS = (Stage.STEP_1, Stage.STEP_2, Stage.STEP_3, Stage.WHOLE)
 
 
 class Progress(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -141,10 +138,12 @@
 
 def due_stage(age_ms: float, duration_ms: float) -> Stage:
     """Return the stage that a version without fault has at an age."""
-    for part, stage in _STARTS:
-        if age_ms >= part * duration_ms:
-            return stage
-    return Stage.TRIAL
+    whole_ms = min(_WHOLE_AT * duration_ms, duration_ms - _MIN_REST_MS)
+    step_ms = max(_STEP_PART * duration_ms, _MIN_STEP_MS)
+    before_whole = math.ceil((whole_ms - age_ms) / step_ms)
+    if before_whole >= len(_STEPS):
+        return Stage.TRIAL
+    return _STEPS[len(_STEPS) - 1 - max(0, before_whole)]
 
 
 def next_stage(stage: int, age_ms: float, duration_ms: float) -> Stage:
--- a/src/parsleystile/relay/telemetry.py
+++ b/src/parsleystile/relay/telemetry.py
@@ -172,12 +172,20 @@
             'end',
             _LATENCY_BUCKETS_S,
         )
+        self._version_answers = metrics.counter(
+            'parsleystile_version_answers',
+            'Answers of the local target during a roll-out',
+            'service',
+            'version',
+            'result',
+        )
         self._metrics_page = metrics.MetricsPage(
             self._requests,
             self._guard_refusals,
             self._events,
             self._gauges,
             self._latency,
+            self._version_answers,
         )
 
     def metrics_page(self) -> bytes:
@@ -197,6 +205,13 @@
         self._requests.add((end, reason))
         self._latency.observe(end, spent_ms / 1e3)
 
+    def version_answered(
+        self, service: str, version: str, is_failure: bool
+    ) -> None:
+        """Count an answer of the local target during a roll-out."""
+        result = 'failed' if is_failure else 'ok'
+        self._version_answers.add((service, version, result))
+
     def guard_refused(
         self,
         call: str,
--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -10,6 +10,7 @@
 
 from adapter import config
 from adapter import process
+from adapter import rolloutstatus
 from adapter import settings as settings_module
 from adapter import store as stores
 from parsleystile import clock as clocks
@@ -143,6 +144,10 @@
             recorder,
         )
         self.node.state_sync.store = self.store_client
+        self.status = rolloutstatus.rollout_status(
+            settings.store, self.node.rollouts.on_row, clock, rng, recorder
+        )
+        self.node.rollouts.store = self.status
         await self.node.start()
         self.store_client.start()
         self.node.state_sync.publish()
@@ -154,6 +159,7 @@
     async def kill_node(self):
         """Stop the node without any announcement, as a crash does."""
         self.store_client.close()
+        self.status.close()
         self.caller.close()
         await self.node.close()
 
--- a/tests/test_platform_rollouts.py
+++ b/tests/test_platform_rollouts.py
@@ -1,7 +1,9 @@
 """Roll-outs on a simulated platform."""
 
+import asyncio
 import json
 import os
+import random
 
 import pytest
 
@@ -10,6 +12,7 @@
 from parsleystile import clock as clocks
 from parsleystile.relay import policy
 from parsleystile.relay import telemetry
+from tests import asyncutil
 from tests import platformfleet
 
 
@@ -56,3 +59,115 @@
     rows.put('rollout/yard', 8, value)
     assert [order.service for order in rows.orders] == ['stock']
     assert b'kind="rollout-orders-rejected"} 1' in recorder.metrics_page()
+
+
+class _Load:
+    """Callers that send to all nodes until told to stop."""
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+        self.statuses = []
+        self.is_on = True
+
+    async def run(self):
+        i = 0
+        while self.is_on:
+            i += 1
+            machine = self._fleet.machines[i % len(self._fleet.machines)]
+            path, key = '/lookup/x', ''
+            if i % 3 == 0:
+                path, key = '/stock/x', platformfleet.KEY
+            answer = await machine.call(path=path, call_id=f'c{i}', key=key)
+            self.statuses.append(getattr(answer, 'status', answer))
+            await asyncio.sleep(0.002)
+
+
+def _start_new_targets(fleet, first):
+    for machine in fleet.machines[first:]:
+        machine.report(version='v2')
+
+
+def _status(fleet, service='yard'):
+    value = fleet.store.value('status', f'rollout/{service}')
+    return None if value is None else json.loads(value)
+
+
+def _ran(machines):
+    return sum(len(m.target.executed_headers) for m in machines)
+
+
+def _run_rollout(duration, until, check, spoil=lambda machine: None, count=6):
+    """Order a roll-out from the first half of the machines to the second."""
+
+    async def body(fleet):
+        half = count // 2
+        old, new = fleet.machines[:half], fleet.machines[half:]
+        for machine in old:
+            machine.report(version='v1')
+        load = _Load(fleet)
+        async with asyncio.TaskGroup() as group:
+            for _ in range(4):
+                group.create_task(load.run())
+            await asyncio.sleep(0.2)
+            fleet.store.put('op', 'rollout/yard', _order(duration=duration))
+            await asyncutil.wait_until(
+                lambda: all(
+                    m.node.rollouts.progress_of('yard') for m in fleet.machines
+                )
+            )
+            _start_new_targets(fleet, half)
+            for machine in new:
+                spoil(machine)
+            await asyncutil.wait_until(
+                lambda: (_status(fleet) or {}).get('state') == until
+            )
+            await check(fleet, old, new, load)
+            load.is_on = False
+
+    platformfleet.run_with_fleet(
+        body, count=count, serving=list(range(count // 2))
+    )
+
+
+def test_a_good_version_gets_everything_and_old_targets_are_idle():
+    async def check(fleet, old, new, load):
+        # The platform ends the old targets as soon as it reads the row.
+        before = _ran(old)
+        for machine in old:
+            assert machine.node.guard.in_flight == 0
+            machine.target.close()
+        await asyncio.sleep(0.5)
+        assert _ran(old) == before
+        assert _ran(new) > 0
+        assert set(load.statuses) == {200}
+        assert _status(fleet) == {'state': 'completed', 'target': 'v2'}
+
+    _run_rollout('4s', 'completed', check)
+
+
+def test_a_version_that_fails_is_rolled_back_within_its_share():
+    def spoil(machine):
+        rng = random.Random(machine.name)
+        target = machine.target
+
+        def answer(request):
+            headers = dict(
+                zip(request.headers[::2], request.headers[1::2], strict=True)
+            )
+            name = 'Parsleystile-Attempt-Id'
+            names = [name, headers[name]]
+            status = 500 if rng.random() < 0.5 else 200
+            request.answer(status, names, b'')
+
+        target.custom_answer = answer
+
+    async def check(fleet, old, new, load):
+        total = _ran(fleet.machines)
+        assert _ran(new) <= 0.1 * total + 50
+        await asyncio.sleep(0.1)
+        before = _ran(new)
+        await asyncio.sleep(0.5)
+        assert _ran(new) == before
+        assert _status(fleet) == {'state': 'rolled_back', 'target': 'v2'}
+
+    _run_rollout('8s', 'rolled_back', check, spoil)
--- a/tests/test_relay_rollout.py
+++ b/tests/test_relay_rollout.py
@@ -181,3 +181,16 @@
     assert (judge.new_answers, judge.new_failed) == (5, 1)
     judge.add(rolloutcounts.Report('n1', 8, 'v2', _progress(), counts))
     assert (judge.new_answers, judge.new_failed) == (10, 2)
+
+
+@pytest.mark.parametrize('duration_s', [6, 8, 12, 60, 3600])
+def test_the_trial_lasts_most_of_the_time_and_the_rest_is_enough(duration_s):
+    duration_ms = duration_s * 1e3
+    starts = {}
+    for i in range(1000):
+        age_ms = duration_ms * i / 1000
+        starts.setdefault(rollout.due_stage(age_ms, duration_ms), age_ms)
+    assert list(starts) == [1, 2, 3, 4, 5]
+    assert duration_ms - starts[5] >= 2_400
+    if duration_s >= 12:
+        assert starts[2] >= 0.59 * duration_ms
