--- a/src/parsleystile/relay/rolloutcontrol.py
+++ b/src/parsleystile/relay/rolloutcontrol.py
@@ -8,6 +8,7 @@
 import abc
 import dataclasses
 import typing
+import zlib
 
 import msgspec
 
@@ -33,12 +34,17 @@
 _REPORT_TIMEOUT_MS = 1_000.0
 _REPORT_PERIOD_MS = 500.0
 # Nodes of each version that report often; the others the rarer, the more.
-_FREQUENT_REPORTERS = 12
+_FREQUENT_REPORTERS = 8
 _RARE_REPORTERS_PER_PERIOD = 8
 # A new target's node that no judge answers for this time takes no calls.
 _JUDGE_SILENCE_MS = 3_000.0
+# A new target's node asks a judge for news at least this often.
+_NEWS_PERIOD_MS = 1_250.0
 # Time in which all senders hear that the new version gets everything.
 _SPREAD_MS = 1_000.0
+# Time in which most senders learn of an order. A guard that refused earlier
+# would have calls refused twice that others chose without knowing it.
+_ORDER_SPREAD_MS = 500.0
 # The judges after the first write the row this much later each.
 _WRITE_STAGGER_MS = 1_500.0
 
@@ -89,11 +95,15 @@
         self._orders: dict[ids.ServiceName, policies.Rollout] = {}
         self._started_ms: dict[ids.ServiceName, float] = {}
         self._stage_ms: dict[ids.ServiceName, float] = {}
+        # When this node heard of the order, however old it was.
+        self._known_ms: dict[ids.ServiceName, float] = {}
         self._domains_out: frozenset[ids.FailureDomainId] = frozenset()
         self._plan: rolloutplan.Plan | None = None
         self._counts = rolloutcounts.counts()
         self._counted = (0, '')
         self._reported_ms = float('-inf')
+        self._reported_order = 0
+        self._asked_ms = float('-inf')
         self._was_quiet = False
         self._judge_heard_ms = deps.clock.now_ms()
         self._confirmed = (0, -1)
@@ -159,6 +169,7 @@
         known = self._progress.get(service)
         if known is None or known.order != progress.order:
             self._started_ms[service] = now_ms - progress.age_ms
+            self._known_ms[service] = now_ms
             self._plan = None
         self._progress[service] = progress
         is_new = known is None or (known.order, known.stage) != (
@@ -245,6 +256,8 @@
             since_ms = now_ms - self._stage_ms[own.service]
             is_whole = progress.stage == rollout.Stage.WHOLE
             return not is_whole or since_ms < _SPREAD_MS
+        if now_ms - self._known_ms[own.service] < _ORDER_SPREAD_MS:
+            return True
         if now_ms - self._judge_heard_ms > _JUDGE_SILENCE_MS:
             return False
         return any(
@@ -281,7 +294,7 @@
             return
         found = self._deps.member_list.members_of(own.service)
         judges = sorted(found, key=lambda m: m.node_id)[:JUDGES]
-        if not progress.is_done:
+        if not progress.is_done and judges:
             self._report(progress, found, judges)
         for rank, judge in enumerate(judges):
             if judge.node_id == own.node_id:
@@ -296,17 +309,38 @@
         now_ms = self._deps.clock.now_ms()
         guard = self._deps.guard
         is_quiet = not guard.is_version_open and not guard.in_flight
-        is_due = now_ms - self._reported_ms >= self._period_ms(found)
-        if not is_due and is_quiet == self._was_quiet:
-            return
-        self._reported_ms, self._was_quiet = now_ms, is_quiet
         own = self._deps.member_list.own_row
+        node_hash = zlib.crc32(own.node_id.encode())
+        period_ms = self._period_ms(found)
+        if self._reported_order != progress.order:
+            # All nodes learn of an order at once; the rare ones spread out.
+            self._reported_order = progress.order
+            passed = 1.0
+            if period_ms > _REPORT_PERIOD_MS:
+                passed = node_hash / 2**32
+            self._reported_ms = now_ms - passed * period_ms
+        is_due = now_ms - self._reported_ms >= period_ms
+        routes = self._counts.routes
+        if is_due or is_quiet != self._was_quiet:
+            self._reported_ms = now_ms
+        elif (
+            own.version == progress.target_version
+            and now_ms - max(self._asked_ms, self._judge_heard_ms)
+            >= _NEWS_PERIOD_MS
+        ):
+            # Without counts, and each node asks one judge.
+            routes = {}
+            index = node_hash % len(judges)
+            judges = judges[index : index + 1]
+        else:
+            return
+        self._asked_ms, self._was_quiet = now_ms, is_quiet
         report = rolloutcounts.Report(
             own.node_id,
             own.incarnation,
             own.version,
             self._aged(progress),
-            self._counts.routes,
+            routes,
             is_quiet,
         )
         payload = msgspec.msgpack.encode(report)
@@ -357,7 +391,7 @@
             return
         plan = self._plan_of(self._progress[self._own_service])
         if plan is not None and report.progress.order == plan.order:
-            plan.judge.add(report)
+            plan.judge.add(report, self._deps.clock.now_ms())
 
     def _on_reply(self, reply: bytes | errors.Refusal) -> None:
         if isinstance(reply, errors.Refusal) or not reply:
--- a/src/parsleystile/relay/rolloutcounts.py
+++ b/src/parsleystile/relay/rolloutcounts.py
@@ -34,6 +34,7 @@
     Attributes:
         epoch: Identifies what the counts started with.
         version: Version of the target.
+        routes: Counts by route; empty in a message that only asks for news.
         is_quiet: Whether nothing is at the target and nothing may start.
         progress: How far the node knows the roll-out to be.
     """
--- a/src/parsleystile/relay/rolloutjudge.py
+++ b/src/parsleystile/relay/rolloutjudge.py
@@ -26,6 +26,8 @@
 _MIN_RECENT_BAD = 3
 # The old version's recent answers weigh half as much after this time.
 _HALF_LIFE_MS = 2_000.0
+# A report that covers more time tells nothing of the last moments.
+_RECENT_MS = 1_250.0
 
 
 class _Base:
@@ -38,8 +40,10 @@
         self._current = (0.0, 0.0)
         self._previous = (0.0, 0.0)
 
-    def add(self, answers: int, bad: int) -> None:
+    def add(self, answers: int, bad: int, is_recent: bool) -> None:
         self._overall = _plus(self._overall, answers, bad)
+        if not is_recent:
+            return
         self._recent = _plus(self._recent, answers, bad)
         self._current = _plus(self._current, answers, bad)
 
@@ -155,17 +159,20 @@
         self._last: dict[
             ids.NodeId, tuple[int, str, dict[str, rolloutcounts.RouteCounts]]
         ] = {}
+        self._heard_ms: dict[ids.NodeId, float] = {}
         self._evaluated_ms: float | None = None
         self.new_answers = 0
         self.new_failed = 0
         self.quiet: set[ids.NodeId] = set()
 
-    def add(self, report: rolloutcounts.Report) -> None:
+    def add(self, report: rolloutcounts.Report, now_ms: float) -> None:
         """Take a report over; an older or repeated one adds nothing."""
         if report.is_quiet:
             self.quiet.add(report.node_id)
         else:
             self.quiet.discard(report.node_id)
+        if not report.routes:
+            return
         epoch, version, before = self._last.get(
             report.node_id, (-1, report.version, {})
         )
@@ -178,6 +185,9 @@
             report.version,
             report.routes,
         )
+        before_ms = self._heard_ms.get(report.node_id, float('-inf'))
+        self._heard_ms[report.node_id] = now_ms
+        is_recent = now_ms - before_ms <= _RECENT_MS
         is_new = report.version == self._target_version
         for name, now in report.routes.items():
             known = self._routes.setdefault(name, _Route())
@@ -187,7 +197,7 @@
                 self.new_answers += delta.answers
                 self.new_failed += delta.failed
             else:
-                _add_old(known, delta)
+                _add_old(known, delta, is_recent)
 
     def evaluate(self, now_ms: float) -> Verdict | None:
         """Return why the new version is bad; None if that isn't shown."""
@@ -223,14 +233,16 @@
         return known.slow_sum.add(ratio)
 
 
-def _add_old(known: _Route, delta: rolloutcounts.RouteCounts) -> None:
-    known.failures.add(delta.answers, delta.failed)
+def _add_old(
+    known: _Route, delta: rolloutcounts.RouteCounts, is_recent: bool
+) -> None:
+    known.failures.add(delta.answers, delta.failed, is_recent)
     for index, count in delta.times.items():
         known.times[index] = known.times.get(index, 0) + count
     slow_from = known.slow_from()
     if slow_from is not None:
         slow = sum(n for i, n in delta.times.items() if i >= slow_from)
-        known.slowness.add(sum(delta.times.values()), slow)
+        known.slowness.add(sum(delta.times.values()), slow, is_recent)
 
 
 def _difference(
--- a/tests/test_relay_rollout.py
+++ b/tests/test_relay_rollout.py
@@ -114,7 +114,8 @@
             target.add(
                 rolloutcounts.Report(
                     f'{version}-{i}', 1, version, _progress(), routes
-                )
+                ),
+                at_s * 1e3,
             )
         if target.evaluate(at_s * 1e3) is not None:
             return at_s
@@ -176,10 +177,10 @@
     counts = {'r': rolloutcounts.RouteCounts(5, 1, {3: 4})}
     report = rolloutcounts.Report('n1', 7, 'v2', _progress(), counts)
     for _ in range(3):
-        judge.add(report)
-    judge.add(rolloutcounts.Report('n1', 6, 'v2', _progress(), counts))
+        judge.add(report, 0.0)
+    judge.add(rolloutcounts.Report('n1', 6, 'v2', _progress(), counts), 0.0)
     assert (judge.new_answers, judge.new_failed) == (5, 1)
-    judge.add(rolloutcounts.Report('n1', 8, 'v2', _progress(), counts))
+    judge.add(rolloutcounts.Report('n1', 8, 'v2', _progress(), counts), 0.0)
     assert (judge.new_answers, judge.new_failed) == (10, 2)
 
 
