Serve at once when only the new version is there

Seen by driving (tests/test_driven_rollouts.py): a fleet of new targets alone that knows an order and no stage, as after a restart of all nodes, refused all calls until it had the status row; an order for the version that runs everywhere was on trial and refused the rest. A version that is alone is served as before the order, and its trial is skipped. The restart of one node after another never failed, since the others' rows tell the stage. A node hears its own earlier row's stage, too. Groups are kept instead of worked out at each tick.

--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -455,6 +455,8 @@
         self._on_members_changed()
 
     def _on_previous_own_row(self, row: memberlist.Row) -> None:
+        for progress in row.rollouts:
+            self.rollouts.hear(progress, 'own row')
         self._reports.remember_departed(row.departed_id, row.departed_born_ms)
         if row.departed_id and not self.member_list.own_row.departed_id:
             # The next incarnation has to know it, too.
--- a/src/parsleystile/relay/rolloutcontrol.py
+++ b/src/parsleystile/relay/rolloutcontrol.py
@@ -97,6 +97,7 @@
         self._stage_ms: dict[ids.ServiceName, float] = {}
         # When this node heard of the order, however old it was.
         self._known_ms: dict[ids.ServiceName, float] = {}
+        self._groups_of: dict[ids.ServiceName, rolloutgroups.Groups] = {}
         self._domains_out: frozenset[ids.FailureDomainId] = frozenset()
         self._plan: rolloutplan.Plan | None = None
         self._counts = rolloutcounts.counts()
@@ -208,17 +209,22 @@
         """Give the members of a service to the balancer."""
         progress = self._progress.get(service)
         ratio = self._deps.exposure_ratio
-        groups = self._groups(service)
-        self._deps.choice.set_groups(service, groups, progress, ratio)
-
-    def _groups(self, service: ids.ServiceName) -> rolloutgroups.Groups:
-        return rolloutgroups.split(
+        groups = rolloutgroups.split(
             self._deps.member_list.members_of(service),
             self.version_of,
-            self._progress.get(service),
-            self._deps.exposure_ratio,
+            progress,
+            ratio,
             self._domains_out,
         )
+        if progress is not None:
+            self._groups_of[service] = groups
+        self._deps.choice.set_groups(service, groups, progress, ratio)
+
+    def _groups(self, service: ids.ServiceName) -> rolloutgroups.Groups:
+        """Return the groups as last registered."""
+        if service not in self._groups_of:
+            self.register(service)
+        return self._groups_of[service]
 
     def on_members_changed(self) -> None:
         """Hear what the changed rows say."""
@@ -260,9 +266,10 @@
             return True
         if now_ms - self._judge_heard_ms > _JUDGE_SILENCE_MS:
             return False
+        groups = self._groups(own.service)
         return any(
             member.node_id == own.node_id
-            for member in self._groups(own.service).new
+            for member in groups.new + groups.usual
         )
 
     def _count(
@@ -483,8 +490,16 @@
     def on_row(self, row: rollout.Progress) -> None:
         """Take over what the store's row says of an order."""
         self._confirmed = (row.order, row.stage)
+        if row.stage == rollout.Stage.TRIAL and self._is_alone(row):
+            row = msgspec.structs.replace(row, stage=rollout.Stage.WHOLE)
         self.hear(row, 'store')
 
+    def _is_alone(self, progress: rollout.Progress) -> bool:
+        """Whether the service has targets, and of no other version."""
+        found = self._deps.member_list.members_of(progress.service)
+        versions = {self.version_of(member.node_id) for member in found}
+        return versions == {progress.target_version}
+
     def _publish(self) -> None:
         """Put the own service's stage on the row, if a judge has to."""
         progress = self._own_progress()
--- a/src/parsleystile/relay/rolloutgroups.py
+++ b/src/parsleystile/relay/rolloutgroups.py
@@ -61,9 +61,13 @@
         )
     barred.add(target_version)
     usual = [m for m in found if version_of(m.node_id) not in barred]
+    new = [m for m in found if version_of(m.node_id) == target_version]
+    if progress.stage == rollout.Stage.PREPARED and not usual:
+        # The version is alone: ordered though it runs everywhere, or moved
+        # to by an order whose end this node has yet to hear of.
+        return Groups(new, [])
     if rollout.share(progress.stage, exposure_ratio) <= 0.0:
         return Groups(usual, [])
-    new = [m for m in found if version_of(m.node_id) == target_version]
     if progress.stage >= rollout.Stage.WHOLE:
         return Groups(usual, new)
     count = len(new)
--- a/tests/test_driven_rollouts.py
+++ b/tests/test_driven_rollouts.py
@@ -204,3 +204,56 @@
     assert 0 < new <= rolloutfleet.EXPOSURE_RATIO * (new + refused)
     fleet.run(6.0)
     assert fleet.row.stage == _COMPLETED
+
+
+def _behind_new_version(size=12):
+    """Return a fleet that was moved and whose old targets have ended."""
+    fleet = _fleet(size, 'good')
+    fleet.order()
+    fleet.run(13.0, lambda: fleet.row and fleet.row.stage == _COMPLETED)
+    for node in list(fleet.nodes.values()):
+        if node.version == 'v1':
+            node.member_list.update_own_row(is_serving=False, is_gone=True)
+            fleet.spread(node)
+    fleet.run(0.5)
+    for name, node in list(fleet.nodes.items()):
+        if node.version == 'v1':
+            del fleet.nodes[name]
+    return fleet
+
+
+@pytest.mark.parametrize('has_store', [True, False])
+def test_a_fleet_that_restarts_after_a_move_serves_at_once(has_store):
+    fleet = _behind_new_version()
+    fleet.has_store = has_store
+    fleet.refused = 0
+    for name in list(fleet.nodes):
+        fleet.restart(name)
+    fleet.order()
+    fleet.run(3.0)
+    assert fleet.refused == 0
+    fleet.has_store = True
+    fleet.run(1.0)
+    assert {node.stage for node in fleet.nodes.values()} == {_COMPLETED}
+
+
+def test_an_order_for_the_version_that_runs_everywhere_costs_nothing():
+    fleet = _behind_new_version()
+    fleet.refused = 0
+    fleet.order(2, 'v2')
+    fleet.run(4.0)
+    assert (fleet.row.order, fleet.row.stage) == (2, _COMPLETED)
+    assert fleet.refused == 0
+
+
+def test_a_fleet_of_new_targets_alone_serves_before_it_knows_the_end():
+    # All nodes restarted at once: no row tells the stage.
+    fleet = rolloutfleet.Fleet(9, 1, _behaviour('good', 1), new_part=1.0)
+    fleet.row = rollout.Progress('yard', 1, 'v2', _COMPLETED, left=('v1',))
+    fleet.has_store = False
+    fleet.order()
+    fleet.run(3.0)
+    assert fleet.refused == 0
+    fleet.has_store = True
+    fleet.run(1.0)
+    assert {node.stage for node in fleet.nodes.values()} == {_COMPLETED}
--- a/tests/test_relay_rollout.py
+++ b/tests/test_relay_rollout.py
@@ -2,11 +2,13 @@
 
 import itertools
 import random
+import typing
 
 import pytest
 
 from parsleystile.relay import rollout
 from parsleystile.relay import rolloutcounts
+from parsleystile.relay import rolloutgroups
 from parsleystile.relay import rolloutjudge
 
 _PERIOD_MS = 500.0
@@ -195,3 +197,42 @@
     assert duration_ms - starts[5] >= 2_400
     if duration_s >= 12:
         assert starts[2] >= 0.59 * duration_ms
+
+
+class _Member(typing.NamedTuple):
+    node_id: str
+    failure_domain: str
+
+
+def _split(stage, versions, **fields):
+    found = [_Member(f'n{i}', 'ab'[i % 2]) for i in range(len(versions))]
+    groups = rolloutgroups.split(
+        found,
+        lambda node_id: versions[int(node_id[1:])],
+        _progress(1, stage, **fields),
+        0.1,
+        {'a'},
+    )
+    return (
+        [versions[int(m.node_id[1:])] for m in groups.usual],
+        [m.node_id for m in groups.new],
+    )
+
+
+def test_a_trial_uses_few_targets_and_none_of_a_domain_that_is_out():
+    usual, new = _split(rollout.Stage.TRIAL, ['v1'] * 10 + ['v2'] * 10)
+    assert usual == ['v1'] * 10
+    assert len(new) == 1
+    assert int(new[0][1:]) % 2 == 1
+
+
+def test_versions_left_or_barred_get_nothing():
+    versions = ['v0', 'v1', 'v2', 'v3']
+    barred = {'barred': ('v0',)}
+    usual, new = _split(rollout.Stage.STEP_1, versions, **barred)
+    assert (usual, new) == (['v1', 'v3'], ['n2'])
+    usual, new = _split(rollout.Stage.ROLLED_BACK, versions, **barred)
+    assert (usual, new) == (['v1', 'v3'], [])
+    done = {'left': ('v1', 'v3'), **barred}
+    usual, new = _split(rollout.Stage.COMPLETED, [*versions, 'v4'], **done)
+    assert (usual, new) == (['v2', 'v4'], [])
