--- a/src/parsleystile/balancer.py
+++ b/src/parsleystile/balancer.py
@@ -478,6 +478,25 @@
             if peer.is_ejected
         ]
 
+    def load_spread(self, now_ms: float) -> float:
+        """Return how uneven the estimated load of a service's targets is.
+
+        Returns:
+            Highest utilisation over the mean of those targets that told
+            their load, of the most uneven service; 1.0 without any load.
+        """
+        spread = 1.0
+        for service in self._services.values():
+            used = [
+                peer.load(now_ms) / peer.limit()
+                for peer in service.peers
+                if peer.told.limit
+            ]
+            total = sum(used)
+            if total:
+                spread = max(spread, max(used) * len(used) / total)
+        return spread
+
     def _eject(self, peer: _Peer, now_ms: float) -> None:
         service = self._services[peer.member.service]
         ejected_count = sum(
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -529,6 +529,7 @@
         now_ms = self._clock.now_ms()
         gauge('store-age-ms', self.state_sync.following.age.age_ms(now_ms))
         gauge('follows-store', self.state_sync.is_following)
+        gauge('target-load-spread', self._balancer.load_spread(now_ms))
         gauge('lines-dropped', self.recorder.log.dropped)
 
     def _on_rejected_request(self, status: int, why: str) -> None:
--- a/tests/test_even_load.py
+++ b/tests/test_even_load.py
@@ -86,3 +86,20 @@
         member = node.choose(evenloadplay.SERVICE, frozenset(), now_ms)
         chosen.add(member.node_id)
     assert chosen == {'t1'}
+
+
+def test_the_spread_tells_how_much_fuller_the_fullest_target_is():
+    own = ids.FailureDomainId('d0')
+    found = [
+        servicemembers.member(i, own, evenloadplay.SERVICE, 20)
+        for i in range(4)
+    ]
+    rng = evenloadplay.random.Random(1)
+    node = balancer.balancer(own, ids.RegionId('r'), ids.NodeId('n'), rng)
+    assert node.load_spread(0.0) == 1.0
+    node.set_members(evenloadplay.SERVICE, found)
+    for member, in_flight in zip(found, (4, 4, 4, 12), strict=True):
+        node.sent(member.node_id)
+        report = admission.Load(in_flight, 20, 0, 3.0)
+        node.answered(member.node_id, report, 0.0)
+    assert node.load_spread(0.0) == pytest.approx(2.0)
