Move targets and tiers of the balancer into a module of their own

Change: targettiers holds what a node knows of targets and tiers; the balancer keeps choosing. A tier keeps its means and its spilled share.

--- a/src/parsleystile/balancer.py
+++ b/src/parsleystile/balancer.py
@@ -1,61 +1,34 @@
 """Client-side load balancing: chooses the target of a service for a call."""
 
-import bisect
 import dataclasses
 import hashlib
-import itertools
 import random
 
 from parsleystile import errors
 from parsleystile import ids
 from parsleystile import members
 from parsleystile import speeds
-from parsleystile import targetload
+from parsleystile import targettiers
 
 # Targets that this node connects to, by tier: own failure domain, own
 # region, other regions.
 SUBSET_SIZES = (16, 8, 4)
-# Assumed limit of a target without a load report.
-COLD_LIMIT = 2
 # A target drawn twice whose cost exceeds this is compared with another.
 MAX_TOLERATED_COST = 2.5
-# Shares of the targets in the draws are renewed this often.
-SHARE_PERIOD_MS = 100.0
-# Utilisation of the chosen target at which calls begin to spill to the next
-# tier, and at which all of them do.
-SPILL_START_UTILISATION = 0.75
+# Utilisation of the chosen target at which all calls spill to the next tier.
 SPILL_FULL_UTILISATION = 1.25
 # All calls that may spill do if the next tier is less used by this much.
 FULL_SPILL_GAIN = 0.2
-# Further share of calls that spill: its growth per second for each unit of
-# utilisation by which the tier exceeds the next one and this margin.
-SPILL_GROWTH_PER_S = 0.5
-SPILL_MARGIN = 0.03
-_MAX_GROWTH_MS = 1000.0
-# Bounds of the slowness that is usual for a target.
-MIN_USUAL_SLOWNESS = 0.4
-MAX_USUAL_SLOWNESS = 2.5
 # Slowness of the chosen target at which calls begin to go to the next tier,
 # and at which all of them do.
 SLOW_START = 2.5
 SLOW_FULL = 5.0
 # Wait for the rate of a target that weighs as much as all of its slots.
 FULL_WAIT_MS = 100.0
-# Calls of the target's rate that one call sent to it stands for: until the
-# answer tells more, other nodes call it as well.
-PACED_INTERVALS = 4
-# Nodes that heard the same of a target's rate call it again at times that are
-# spread over so many calls of that rate.
-SPREAD_INTERVALS = 8
-# Load that each consecutive failure adds to a target, in calls.
-FAILURE_PENALTY_CALLS = 2
 FAILURES_TO_EJECT = 3
 BASE_EJECTION_MS = 1000.0
 MAX_EJECTION_MS = 30_000.0
-# An ejected target that no idempotent call has probed within this time after
-# its ejection ended may be probed by any call: some services have no
-# idempotent calls.
-NON_IDEMPOTENT_PROBE_DELAY_MS = 2000.0
+NON_IDEMPOTENT_PROBE_DELAY_MS = targettiers.NON_IDEMPOTENT_PROBE_DELAY_MS
 # If a larger share of targets fails, the fault may be at this node.
 MAX_EJECTED_SHARE = 0.34
 # If fewer targets than this share are alive, the fault may be at this node,
@@ -74,117 +47,12 @@
 _LEAVING = frozenset({errors.Reason.LEAVING, errors.Reason.DOMAIN_OUT})
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class _Peer:
-    """State of one target as this node sees it."""
-
-    member: members.Member
-    in_flight: int = 0
-    failures: int = 0
-    ejections: int = 0
-    is_ejected: bool = False
-    unavailable_until_ms: float = float('-inf')
-    # When the rate that the target names lets another call start, and the
-    # time between two; 0 without such a rate.
-    opens_ms: float = float('-inf')
-    interval_ms: float = 0.0
-    # This node's own part of the time until it calls the target again.
-    spread_ms: float = 0.0
-    told: targetload.TargetLoad = dataclasses.field(
-        default_factory=targetload.target_load
-    )
-    tier_load: targetload.TierLoad = dataclasses.field(
-        default_factory=targetload.tier_load
-    )
-    # Slowness that its service time lets expect.
-    usual_slowness: float = 1.0
-
-    def load(self, now_ms: float) -> float:
-        """Return the estimated number of calls at the target."""
-        return self.told.calls(self.in_flight, self.tier_load, now_ms)
-
-    def cost(self, now_ms: float) -> float:
-        """Return the utilisation with one more call; lower is better."""
-        if self.is_ejected:
-            # The ejection has ended: prefer it, so that it is probed.
-            return 0.0
-        load = self.load(now_ms) + FAILURE_PENALTY_CALLS * self.failures
-        return (load + 1) / self.limit()
-
-    def is_open(self, now_ms: float) -> bool:
-        """Whether the rate of the target lets another call start."""
-        return self.opens_ms + self.spread_ms <= now_ms
-
-    def limit(self) -> int:
-        """Return the concurrency limit of the target, at least 1."""
-        if self.told.limit:
-            return self.told.limit
-        return max(1, min(COLD_LIMIT, self.member.slots))
-
-
-@dataclasses.dataclass(slots=True)
-class _Tier:
-    """Targets among which a call is balanced.
-
-    Attributes:
-        shares: Cumulative shares of the peers in the draws.
-        spilled: Share of the calls that goes to the next tier since this one
-            has been fuller for a while.
-        renewed_ms: When the shares were computed.
-    """
-
-    peers: list[_Peer]
-    load: targetload.TierLoad
-    shares: list[float] = dataclasses.field(default_factory=list)
-    spilled: float = 0.0
-    renewed_ms: float = float('-inf')
-
-    def renew(self, following: '_Tier | None', now_ms: float) -> None:
-        """Compute the shares anew.
-
-        Args:
-            following: The next tier; None if there is none.
-            now_ms: Current time.
-        """
-        passed_ms = min(_MAX_GROWTH_MS, now_ms - self.renewed_ms)
-        self.renewed_ms = now_ms
-        self._renew_spilled(following, passed_ms, now_ms)
-        load = self.load
-        shares = []
-        for peer in self.peers:
-            told = peer.told
-            shares.append(told.share(peer.member.slots, load, now_ms))
-            ratio = told.time_ratio(load)
-            peer.usual_slowness = min(
-                MAX_USUAL_SLOWNESS, max(MIN_USUAL_SLOWNESS, ratio)
-            )
-        self.shares = list(itertools.accumulate(shares))
-
-    def _renew_spilled(
-        self, following: '_Tier | None', passed_ms: float, now_ms: float
-    ) -> None:
-        if following is None:
-            self.spilled = 0.0
-            return
-        own = self.load.utilisation(now_ms)
-        excess = own - following.load.utilisation(now_ms) - SPILL_MARGIN
-        excess = min(excess, own - SPILL_START_UTILISATION)
-        growth = SPILL_GROWTH_PER_S * excess * passed_ms / 1e3
-        self.spilled = min(1.0, max(0.0, self.spilled + growth))
-
-    def draw(self, value: float) -> int:
-        """Return the index of the peer at a value from 0 to below 1."""
-        shares = self.shares
-        index = bisect.bisect(shares, value * shares[-1])
-        return min(index, len(shares) - 1)
-
-
 @dataclasses.dataclass(slots=True)
 class _Service:
     """Targets of a service, nearest tier first."""
 
-    peers: list[_Peer]
-    tiers: list[_Tier]
+    peers: list[targettiers.Peer]
+    tiers: list[targettiers.Tier]
 
 
 class Balancer:
@@ -209,7 +77,7 @@
         self._own_region = own_region
         self._own_node_id = own_node_id
         self._rng = rng
-        self._peers: dict[ids.NodeId, _Peer] = {}
+        self._peers: dict[ids.NodeId, targettiers.Peer] = {}
         self._services: dict[ids.ServiceName, _Service] = {}
         self._domains_out: frozenset[ids.FailureDomainId] = frozenset()
         self._members: dict[ids.ServiceName, list[members.Member]] = {}
@@ -254,7 +122,7 @@
         tiers = targets.tiers
         for at, tier in enumerate(tiers, 1):
             following = tiers[at] if at < len(tiers) else None
-            if now_ms - tier.renewed_ms >= SHARE_PERIOD_MS:
+            if now_ms - tier.renewed_ms >= targettiers.SHARE_PERIOD_MS:
                 tier.renew(following, now_ms)
             peer = self._choose_in_tier(tier, exclude, now_ms, idempotent)
             if peer is None:
@@ -274,7 +142,10 @@
         return None if best is None else best.member
 
     def _spill_probability(
-        self, peer: _Peer, following: _Tier | None, now_ms: float
+        self,
+        peer: targettiers.Peer,
+        following: targettiers.Tier | None,
+        now_ms: float,
     ) -> float:
         """Return the share of calls that go to the next tier instead.
 
@@ -286,8 +157,8 @@
         if not peer.is_open(now_ms):
             return 1.0
         utilisation = peer.load(now_ms) / peer.limit()
-        by_load = (utilisation - SPILL_START_UTILISATION) / (
-            SPILL_FULL_UTILISATION - SPILL_START_UTILISATION
+        by_load = (utilisation - targettiers.SPILL_START_UTILISATION) / (
+            SPILL_FULL_UTILISATION - targettiers.SPILL_START_UTILISATION
         )
         if by_load > 0.0 and following is not None:
             gain = utilisation - following.load.utilisation(now_ms)
@@ -296,7 +167,7 @@
         by_speed = (slowness - SLOW_START) / (SLOW_FULL - SLOW_START)
         return max(by_load, by_speed)
 
-    def _cost(self, peer: _Peer, now_ms: float) -> float:
+    def _cost(self, peer: targettiers.Peer, now_ms: float) -> float:
         """Return the expected wait at a target, relative to the others."""
         slowness = self._speeds.slowness(peer.member.node_id, now_ms)
         cost = peer.cost(now_ms) * max(1.0, slowness / peer.usual_slowness)
@@ -312,7 +183,9 @@
         peer.in_flight += 1
         if peer.interval_ms:
             opens_ms = max(peer.opens_ms, now_ms)
-            peer.opens_ms = opens_ms + PACED_INTERVALS * peer.interval_ms
+            peer.opens_ms = (
+                opens_ms + targettiers.PACED_INTERVALS * peer.interval_ms
+            )
 
     def record_rate(
         self,
@@ -337,7 +210,7 @@
             peer.interval_ms = 0.0
         else:
             peer.interval_ms = 1e3 / limit_per_s
-        spread_ms = SPREAD_INTERVALS * peer.interval_ms
+        spread_ms = targettiers.SPREAD_INTERVALS * peer.interval_ms
         peer.spread_ms = spread_ms and self._rng.uniform(0.0, spread_ms)
         if wait_ms is None:
             peer.opens_ms = float('-inf')
@@ -366,7 +239,7 @@
         return any(
             peer is not chosen
             and not peer.is_ejected
-            and _is_eligible(peer, exclude, now_ms, False)
+            and targettiers.is_eligible(peer, exclude, now_ms, False)
             and peer.is_open(now_ms)
             and peer.load(now_ms) < peer.limit()
             for peer in self._services[member.service].peers
@@ -461,13 +334,15 @@
             key = (peer.member.service, route)
             self._speeds.observe_unanswered(key, node_id, waited_ms, now_ms)
 
-    def _end_call(self, node_id: ids.NodeId) -> _Peer | None:
+    def _end_call(self, node_id: ids.NodeId) -> targettiers.Peer | None:
         peer = self._peers.get(node_id)
         if peer is not None and peer.in_flight > 0:
             peer.in_flight -= 1
         return peer
 
-    def _record_load(self, peer: _Peer, load, now_ms: float) -> None:
+    def _record_load(
+        self, peer: targettiers.Peer, load, now_ms: float
+    ) -> None:
         peer.told.record(load, peer.in_flight, peer.tier_load, now_ms)
 
     def ejected(self) -> list[tuple[members.Member, float]]:
@@ -497,7 +372,7 @@
                 spread = max(spread, max(used) * len(used) / total)
         return spread
 
-    def _eject(self, peer: _Peer, now_ms: float) -> None:
+    def _eject(self, peer: targettiers.Peer, now_ms: float) -> None:
         service = self._services[peer.member.service]
         ejected_count = sum(
             p.is_ejected for p in service.peers if p is not peer
@@ -514,27 +389,35 @@
 
     def _choose_in_tier(
         self,
-        tier: _Tier,
+        tier: targettiers.Tier,
         exclude: frozenset[ids.NodeId],
         now_ms: float,
         idempotent: bool,
-    ) -> _Peer | None:
+    ) -> targettiers.Peer | None:
         peers = tier.peers
         size = len(peers)
         if size == 1:
-            return _first_eligible(peers, 0, exclude, now_ms, idempotent)
+            return targettiers.first_eligible(
+                peers, 0, exclude, now_ms, idempotent
+            )
         random_value = self._rng.random
         index = tier.draw(random_value())
-        first = _first_eligible(peers, index, exclude, now_ms, idempotent)
+        first = targettiers.first_eligible(
+            peers, index, exclude, now_ms, idempotent
+        )
         if first is None:
             return None
         index = tier.draw(random_value())
-        second = _first_eligible(peers, index, exclude, now_ms, idempotent)
+        second = targettiers.first_eligible(
+            peers, index, exclude, now_ms, idempotent
+        )
         if second is first:
             if self._is_tolerable(first, now_ms):
                 return first
             index = (index + 1) % size
-            second = _first_eligible(peers, index, exclude, now_ms, idempotent)
+            second = targettiers.first_eligible(
+                peers, index, exclude, now_ms, idempotent
+            )
         best = first
         if second is not first and (
             self._cost(second, now_ms) < self._cost(first, now_ms)
@@ -546,11 +429,11 @@
         eligible = [
             peer
             for peer in peers
-            if _is_eligible(peer, exclude, now_ms, idempotent)
+            if targettiers.is_eligible(peer, exclude, now_ms, idempotent)
         ]
         return min(eligible, key=lambda peer: self._cost(peer, now_ms))
 
-    def _is_tolerable(self, peer: _Peer, now_ms: float) -> bool:
+    def _is_tolerable(self, peer: targettiers.Peer, now_ms: float) -> bool:
         """Whether a target drawn twice may get the call."""
         if not peer.is_open(now_ms):
             return False
@@ -578,25 +461,24 @@
 
     @staticmethod
     def _tiers(
-        peers: list[list[_Peer]], previous: _Service | None
-    ) -> list[_Tier]:
+        peers: list[list[targettiers.Peer]], previous: _Service | None
+    ) -> list[targettiers.Tier]:
         """Return tiers of peers; means stay with the peers they are of."""
-        known: dict[ids.NodeId, targetload.TierLoad] = {}
+        known: dict[ids.NodeId, targettiers.Tier] = {}
         if previous is not None:
-            known = {p.member.node_id: p.tier_load for p in previous.peers}
+            for tier in previous.tiers:
+                known.update({p.member.node_id: tier for p in tier.peers})
         tiers = []
         for found in peers:
             if not found:
                 continue
-            loads = (known.get(peer.member.node_id) for peer in found)
-            load = next(filter(None, loads), None) or targetload.tier_load()
-            for peer in found:
-                peer.tier_load = load
-            tiers.append(_Tier(found, load))
+            of_peers = (known.get(peer.member.node_id) for peer in found)
+            before = next(filter(None, of_peers), None)
+            tiers.append(targettiers.tier(found, before))
         return tiers
 
     def _remove_peers(
-        self, previous: list[_Peer], current: list[_Peer]
+        self, previous: list[targettiers.Peer], current: list[targettiers.Peer]
     ) -> None:
         kept_ids = {peer.member.node_id for peer in current}
         for peer in previous:
@@ -635,12 +517,12 @@
         key = f'{self._own_node_id}\0{member.node_id}'.encode()
         return hashlib.blake2b(key, digest_size=8).digest()
 
-    def _peer(self, member: members.Member) -> _Peer:
+    def _peer(self, member: members.Member) -> targettiers.Peer:
         peer = self._peers.get(member.node_id)
         if peer is None or peer.member.incarnation < member.incarnation:
             if peer is None:
-                return _Peer(member)
-            return _Peer(
+                return targettiers.Peer(member)
+            return targettiers.Peer(
                 member,
                 peer.in_flight,
                 opens_ms=peer.opens_ms,
@@ -650,45 +532,6 @@
         return peer
 
 
-def _first_eligible(
-    tier: list[_Peer],
-    index: int,
-    exclude: frozenset[ids.NodeId],
-    now_ms: float,
-    idempotent: bool,
-) -> _Peer | None:
-    """Return the first target at or after an index that may get the call."""
-    size = len(tier)
-    for _ in range(size):
-        peer = tier[index]
-        if _is_eligible(peer, exclude, now_ms, idempotent):
-            return peer
-        index = index + 1 if index + 1 < size else 0
-    return None
-
-
-def _is_eligible(
-    peer: _Peer,
-    exclude: frozenset[ids.NodeId],
-    now_ms: float,
-    idempotent: bool,
-) -> bool:
-    return (
-        peer.unavailable_until_ms <= now_ms
-        and peer.member.node_id not in exclude
-        and (not peer.is_ejected or _may_probe(peer, now_ms, idempotent))
-    )
-
-
-def _may_probe(peer: _Peer, now_ms: float, idempotent: bool) -> bool:
-    if peer.in_flight:
-        return False
-    return (
-        idempotent
-        or now_ms >= peer.unavailable_until_ms + NON_IDEMPOTENT_PROBE_DELAY_MS
-    )
-
-
 def balancer(
     own_domain: ids.FailureDomainId,
     own_region: ids.RegionId,
--- a/tests/twochoices.py
+++ b/tests/twochoices.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from parsleystile import balancer
+from parsleystile import targettiers
 
 REPORT_TTL_MS = 2_000.0
 
@@ -12,7 +12,7 @@
     member: object
     in_flight: int = 0
     told: int = 0
-    limit: int = balancer.COLD_LIMIT
+    limit: int = targettiers.COLD_LIMIT
     told_ms: float = float('-inf')
     in_flight_when_told: int = 0
 
