Share calls by declared slots where a limit was told long ago

Cause: a target that had told a low limit, cold, got few draws from a node and so had no news there for long; a node that serves another service than before met means without a service time (division by zero, found in review).

Both tests fail before.

--- a/src/parsleystile/targetload.py
+++ b/src/parsleystile/targetload.py
@@ -144,7 +144,8 @@
 
     def time_ratio(self, tier: TierLoad) -> float:
         """Return the service time as a ratio to that of the tier."""
-        if not self._service_ms:
+        # The node of a target may serve another service than before.
+        if not self._service_ms or not tier.service_ms:
             return 1.0
         ratio = self._service_ms / tier.service_ms
         return min(MAX_TIME_RATIO, max(MIN_TIME_RATIO, ratio))
@@ -153,14 +154,17 @@
         """Return the target's share of the calls; only ratios count.
 
         Args:
-            slots: Declared slots, used until the target tells a limit.
+            slots: Declared slots, which count for a limit that is not known
+                or was told long ago.
             tier: Tier of the target.
             now_ms: Current time.
         """
-        capacity = (self._mean_limit or max(1, slots)) / self.time_ratio(tier)
+        limit = max(1, slots)
+        time_ratio = self.time_ratio(tier)
         if not self.limit:
-            return capacity
+            return limit / time_ratio
         kept = math.exp((self._told_ms - now_ms) / TARGET_TIME_MS)
+        capacity = (limit + (self._mean_limit - limit) * kept) / time_ratio
         excess = self._mean_utilisation - tier.utilisation(now_ms)
         correction = 1.0 - BALANCE_GAIN * excess * kept
         return capacity * min(MAX_CORRECTION, max(MIN_CORRECTION, correction))
--- a/tests/test_even_load.py
+++ b/tests/test_even_load.py
@@ -63,6 +63,37 @@
     assert ratio <= targetload.MAX_TIME_RATIO / targetload.MIN_TIME_RATIO
 
 
+def test_a_target_that_was_cold_gets_its_share_without_news():
+    tier = targetload.tier_load()
+    cold, warm = targetload.target_load(), targetload.target_load()
+    for i in range(20):
+        _tell(warm, tier, 10, 50.0 * i)
+        cold.record(admission.Load(1, 2, 0, 3.0), 0, tier, 50.0 * i)
+    ratios = []
+    for now_ms in (1_000.0, 6_000.0):
+        _tell(warm, tier, 10, now_ms)
+        share = cold.share(20, tier, now_ms)
+        ratios.append(share / warm.share(20, tier, now_ms))
+    assert ratios[0] < 0.2
+    assert ratios[1] > 0.8
+
+
+def test_a_node_that_serves_another_service_than_before_is_chosen():
+    own = ids.FailureDomainId('d0')
+    names = [ids.ServiceName('before'), evenloadplay.SERVICE]
+    rng = evenloadplay.random.Random(1)
+    node = balancer.balancer(own, ids.RegionId('r'), ids.NodeId('n'), rng)
+    for name in names:
+        found = [servicemembers.member(i, own, name, 20) for i in range(3)]
+        node.set_members(name, found)
+        for now_ms in (0.0, 500.0):
+            member = node.choose(name, frozenset(), now_ms)
+            node.sent(member.node_id)
+            report = admission.Load(5, 20, 0, 3.0)
+            told = evenloadplay.Load(report, 250_000)
+            node.answered(member.node_id, told, now_ms)
+
+
 def test_a_domain_without_news_holds_no_calls_back():
     found = [
         servicemembers.member(i, f'd{i}', evenloadplay.SERVICE, 20)
