--- a/src/parsleystile/balancer.py
+++ b/src/parsleystile/balancer.py
@@ -8,36 +8,27 @@
 from parsleystile import ids
 from parsleystile import members
 from parsleystile import speeds
+from parsleystile import targettiers
 
 # Targets that this node connects to, by tier: own failure domain, own
 # region, other regions.
 SUBSET_SIZES = (16, 8, 4)
-# Assumed limit of a target without a load report.
-COLD_LIMIT = 2
-# Load reports older than this are ignored.
-LOAD_REPORT_TTL_MS = 2000.0
-# Utilisation of the chosen target at which calls begin to spill to the next
-# tier, and at which all of them do.
-SPILL_START_UTILISATION = 0.75
+# A target drawn twice whose cost exceeds this is compared with another.
+MAX_TOLERATED_COST = 2.5
+# Utilisation of the chosen target at which all calls spill to the next tier.
 SPILL_FULL_UTILISATION = 1.25
+# All calls that may spill do if the next tier is less used by this much.
+FULL_SPILL_GAIN = 0.2
 # Slowness of the chosen target at which calls begin to go to the next tier,
 # and at which all of them do.
 SLOW_START = 2.5
 SLOW_FULL = 5.0
 # Wait for the rate of a target that weighs as much as all of its slots.
 FULL_WAIT_MS = 100.0
-# Calls of the target's rate that one call sent to it stands for: until the
-# answer tells more, other nodes call it as well.
-PACED_INTERVALS = 4
-# Load that each consecutive failure adds to a target, in calls.
-FAILURE_PENALTY_CALLS = 2
 FAILURES_TO_EJECT = 3
 BASE_EJECTION_MS = 1000.0
 MAX_EJECTION_MS = 30_000.0
-# An ejected target that no idempotent call has probed within this time after
-# its ejection ended may be probed by any call: some services have no
-# idempotent calls.
-NON_IDEMPOTENT_PROBE_DELAY_MS = 2000.0
+NON_IDEMPOTENT_PROBE_DELAY_MS = targettiers.NON_IDEMPOTENT_PROBE_DELAY_MS
 # If a larger share of targets fails, the fault may be at this node.
 MAX_EJECTED_SHARE = 0.34
 # If fewer targets than this share are alive, the fault may be at this node,
@@ -56,68 +47,21 @@
 _LEAVING = frozenset({errors.Reason.LEAVING, errors.Reason.DOMAIN_OUT})
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class _Peer:
-    """State of one target as this node sees it."""
-
-    member: members.Member
-    in_flight: int = 0
-    reported_load: int = 0
-    reported_limit: int = 0
-    reported_ms: float = float('-inf')
-    # Own calls in flight when the load was reported.
-    in_flight_at_report: int = 0
-    failures: int = 0
-    ejections: int = 0
-    is_ejected: bool = False
-    unavailable_until_ms: float = float('-inf')
-    # When the rate that the target names lets another call start, and the
-    # time between two; 0 without such a rate.
-    opens_ms: float = float('-inf')
-    interval_ms: float = 0.0
-
-    def load(self, now_ms: float) -> int:
-        """Return the estimated number of calls at the target."""
-        in_flight = self.in_flight
-        if now_ms - self.reported_ms >= LOAD_REPORT_TTL_MS:
-            return in_flight
-        return max(
-            in_flight,
-            self.reported_load + in_flight - self.in_flight_at_report,
-        )
-
-    def cost(self, now_ms: float) -> float:
-        """Return the utilisation with one more call; lower is better."""
-        if self.is_ejected:
-            # The ejection has ended: prefer it, so that it is probed.
-            return 0.0
-        load = self.load(now_ms) + FAILURE_PENALTY_CALLS * self.failures
-        return (load + 1) / self.limit()
-
-    def is_open(self, now_ms: float) -> bool:
-        """Whether the rate of the target lets another call start."""
-        return self.opens_ms <= now_ms
-
-    def limit(self) -> int:
-        """Return the concurrency limit of the target, at least 1."""
-        if self.reported_limit:
-            return self.reported_limit
-        return max(1, min(COLD_LIMIT, self.member.slots))
-
-
 @dataclasses.dataclass(slots=True)
 class _Service:
     """Targets of a service, nearest tier first."""
 
-    peers: list[_Peer]
-    tiers: list[list[_Peer]]
+    peers: list[targettiers.Peer]
+    tiers: list[targettiers.Tier]
 
 
 class Balancer:
     """Power-of-two-choices balancing with locality and outlier ejection.
 
-    The own failure domain is preferred. As its targets fill up or turn slow,
-    calls spill to the rest of the region and then to other regions. Targets
+    Targets are drawn by their capacity and compared by the load that they
+    told, aged. The own failure domain is preferred. As its targets fill up or
+    turn slow, calls spill to the rest of the region and then to other
+    regions. Targets
     that keep failing are ejected, up to a share of the service, and probed by
     idempotent calls once the ejection ends.
     """
@@ -133,7 +77,7 @@
         self._own_region = own_region
         self._own_node_id = own_node_id
         self._rng = rng
-        self._peers: dict[ids.NodeId, _Peer] = {}
+        self._peers: dict[ids.NodeId, targettiers.Peer] = {}
         self._services: dict[ids.ServiceName, _Service] = {}
         self._domains_out: frozenset[ids.FailureDomainId] = frozenset()
         self._members: dict[ids.ServiceName, list[members.Member]] = {}
@@ -175,11 +119,19 @@
             return None
         best = None
         lowest = float('inf')
-        for tier in targets.tiers:
+        tiers = targets.tiers
+        for at, tier in enumerate(tiers, 1):
+            following = tiers[at] if at < len(tiers) else None
+            if now_ms - tier.renewed_ms >= targettiers.SHARE_PERIOD_MS:
+                tier.renew(following, now_ms)
             peer = self._choose_in_tier(tier, exclude, now_ms, idempotent)
             if peer is None:
                 continue
-            if self._rng.random() >= self._spill_probability(peer, now_ms):
+            spilled = max(
+                tier.spilled,
+                self._spill_probability(peer, following, now_ms),
+            )
+            if spilled <= 0.0 or self._rng.random() >= spilled:
                 return peer.member
             # If every tier is full or slow, the lowest cost wins, not the
             # nearest tier.
@@ -189,22 +141,36 @@
                 lowest = cost
         return None if best is None else best.member
 
-    def _spill_probability(self, peer: _Peer, now_ms: float) -> float:
-        """Return the share of calls that go to the next tier instead."""
+    def _spill_probability(
+        self,
+        peer: targettiers.Peer,
+        following: targettiers.Tier | None,
+        now_ms: float,
+    ) -> float:
+        """Return the share of calls that go to the next tier instead.
+
+        Args:
+            peer: Target chosen in a tier.
+            following: The next tier; None if there is none.
+            now_ms: Current time.
+        """
         if not peer.is_open(now_ms):
             return 1.0
         utilisation = peer.load(now_ms) / peer.limit()
-        by_load = (utilisation - SPILL_START_UTILISATION) / (
-            SPILL_FULL_UTILISATION - SPILL_START_UTILISATION
+        by_load = (utilisation - targettiers.SPILL_START_UTILISATION) / (
+            SPILL_FULL_UTILISATION - targettiers.SPILL_START_UTILISATION
         )
+        if by_load > 0.0 and following is not None:
+            gain = utilisation - following.load.utilisation(now_ms)
+            by_load *= min(1.0, gain / FULL_SPILL_GAIN)
         slowness = self._speeds.slowness(peer.member.node_id, now_ms)
         by_speed = (slowness - SLOW_START) / (SLOW_FULL - SLOW_START)
         return max(by_load, by_speed)
 
-    def _cost(self, peer: _Peer, now_ms: float) -> float:
+    def _cost(self, peer: targettiers.Peer, now_ms: float) -> float:
         """Return the expected wait at a target, relative to the others."""
         slowness = self._speeds.slowness(peer.member.node_id, now_ms)
-        cost = peer.cost(now_ms) * slowness
+        cost = peer.cost(now_ms) * max(1.0, slowness / peer.usual_slowness)
         if peer.is_open(now_ms):
             return cost
         return max(1.0, cost) + (peer.opens_ms - now_ms) / FULL_WAIT_MS
@@ -217,7 +183,9 @@
         peer.in_flight += 1
         if peer.interval_ms:
             opens_ms = max(peer.opens_ms, now_ms)
-            peer.opens_ms = opens_ms + PACED_INTERVALS * peer.interval_ms
+            peer.opens_ms = (
+                opens_ms + targettiers.PACED_INTERVALS * peer.interval_ms
+            )
 
     def record_rate(
         self,
@@ -242,6 +210,8 @@
             peer.interval_ms = 0.0
         else:
             peer.interval_ms = 1e3 / limit_per_s
+        spread_ms = targettiers.SPREAD_INTERVALS * peer.interval_ms
+        peer.spread_ms = spread_ms and self._rng.uniform(0.0, spread_ms)
         if wait_ms is None:
             peer.opens_ms = float('-inf')
         else:
@@ -269,7 +239,7 @@
         return any(
             peer is not chosen
             and not peer.is_ejected
-            and _is_eligible(peer, exclude, now_ms, False)
+            and targettiers.is_eligible(peer, exclude, now_ms, False)
             and peer.is_open(now_ms)
             and peer.load(now_ms) < peer.limit()
             for peer in self._services[member.service].peers
@@ -364,17 +334,16 @@
             key = (peer.member.service, route)
             self._speeds.observe_unanswered(key, node_id, waited_ms, now_ms)
 
-    def _end_call(self, node_id: ids.NodeId) -> _Peer | None:
+    def _end_call(self, node_id: ids.NodeId) -> targettiers.Peer | None:
         peer = self._peers.get(node_id)
         if peer is not None and peer.in_flight > 0:
             peer.in_flight -= 1
         return peer
 
-    def _record_load(self, peer: _Peer, load, now_ms: float) -> None:
-        peer.reported_load = load.in_flight + load.queued
-        peer.reported_limit = max(1, load.limit)
-        peer.in_flight_at_report = peer.in_flight
-        peer.reported_ms = now_ms
+    def _record_load(
+        self, peer: targettiers.Peer, load, now_ms: float
+    ) -> None:
+        peer.told.record(load, peer.in_flight, peer.tier_load, now_ms)
 
     def ejected(self) -> list[tuple[members.Member, float]]:
         """Return ejected targets, each with its consecutive failures."""
@@ -384,7 +353,26 @@
             if peer.is_ejected
         ]
 
-    def _eject(self, peer: _Peer, now_ms: float) -> None:
+    def load_spread(self, now_ms: float) -> float:
+        """Return how uneven the estimated load of a service's targets is.
+
+        Returns:
+            Highest utilisation over the mean of those targets that told
+            their load, of the most uneven service; 1.0 without any load.
+        """
+        spread = 1.0
+        for service in self._services.values():
+            used = [
+                peer.load(now_ms) / peer.limit()
+                for peer in service.peers
+                if peer.told.limit
+            ]
+            total = sum(used)
+            if total:
+                spread = max(spread, max(used) * len(used) / total)
+        return spread
+
+    def _eject(self, peer: targettiers.Peer, now_ms: float) -> None:
         service = self._services[peer.member.service]
         ejected_count = sum(
             p.is_ejected for p in service.peers if p is not peer
@@ -401,20 +389,35 @@
 
     def _choose_in_tier(
         self,
-        tier: list[_Peer],
+        tier: targettiers.Tier,
         exclude: frozenset[ids.NodeId],
         now_ms: float,
         idempotent: bool,
-    ) -> _Peer | None:
-        size = len(tier)
-        index = int(self._rng.random() * size)
-        first = _first_eligible(tier, index, exclude, now_ms, idempotent)
-        if first is None or size == 1:
-            return first
-        index += 1 + int(self._rng.random() * (size - 1))
-        second = _first_eligible(
-            tier, index % size, exclude, now_ms, idempotent
+    ) -> targettiers.Peer | None:
+        peers = tier.peers
+        size = len(peers)
+        if size == 1:
+            return targettiers.first_eligible(
+                peers, 0, exclude, now_ms, idempotent
+            )
+        random_value = self._rng.random
+        index = tier.draw(random_value())
+        first = targettiers.first_eligible(
+            peers, index, exclude, now_ms, idempotent
         )
+        if first is None:
+            return None
+        index = tier.draw(random_value())
+        second = targettiers.first_eligible(
+            peers, index, exclude, now_ms, idempotent
+        )
+        if second is first:
+            if self._is_tolerable(first, now_ms):
+                return first
+            index = (index + 1) % size
+            second = targettiers.first_eligible(
+                peers, index, exclude, now_ms, idempotent
+            )
         best = first
         if second is not first and (
             self._cost(second, now_ms) < self._cost(first, now_ms)
@@ -425,11 +428,17 @@
         # Both are at the rates that they name; others may not be.
         eligible = [
             peer
-            for peer in tier
-            if _is_eligible(peer, exclude, now_ms, idempotent)
+            for peer in peers
+            if targettiers.is_eligible(peer, exclude, now_ms, idempotent)
         ]
         return min(eligible, key=lambda peer: self._cost(peer, now_ms))
 
+    def _is_tolerable(self, peer: targettiers.Peer, now_ms: float) -> bool:
+        """Whether a target drawn twice may get the call."""
+        if not peer.is_open(now_ms):
+            return False
+        return self._cost(peer, now_ms) < MAX_TOLERATED_COST
+
     def _rebuild(self, service: ids.ServiceName) -> None:
         tiers: list[list[members.Member]] = [[], [], []]
         for member in self._eligible(self._members.get(service, [])):
@@ -445,13 +454,31 @@
             self._peers[peer.member.node_id] = peer
         if all_peers:
             self._services[service] = _Service(
-                all_peers, [p for p in peers if p]
+                all_peers, self._tiers(peers, previous)
             )
         if previous is not None:
             self._remove_peers(previous.peers, all_peers)
 
+    @staticmethod
+    def _tiers(
+        peers: list[list[targettiers.Peer]], previous: _Service | None
+    ) -> list[targettiers.Tier]:
+        """Return tiers of peers; means stay with the peers they are of."""
+        known: dict[ids.NodeId, targettiers.Tier] = {}
+        if previous is not None:
+            for tier in previous.tiers:
+                known.update({p.member.node_id: tier for p in tier.peers})
+        tiers = []
+        for found in peers:
+            if not found:
+                continue
+            of_peers = (known.get(peer.member.node_id) for peer in found)
+            before = next(filter(None, of_peers), None)
+            tiers.append(targettiers.tier(found, before))
+        return tiers
+
     def _remove_peers(
-        self, previous: list[_Peer], current: list[_Peer]
+        self, previous: list[targettiers.Peer], current: list[targettiers.Peer]
     ) -> None:
         kept_ids = {peer.member.node_id for peer in current}
         for peer in previous:
@@ -490,12 +517,12 @@
         key = f'{self._own_node_id}\0{member.node_id}'.encode()
         return hashlib.blake2b(key, digest_size=8).digest()
 
-    def _peer(self, member: members.Member) -> _Peer:
+    def _peer(self, member: members.Member) -> targettiers.Peer:
         peer = self._peers.get(member.node_id)
         if peer is None or peer.member.incarnation < member.incarnation:
             if peer is None:
-                return _Peer(member)
-            return _Peer(
+                return targettiers.Peer(member)
+            return targettiers.Peer(
                 member,
                 peer.in_flight,
                 opens_ms=peer.opens_ms,
@@ -505,45 +532,6 @@
         return peer
 
 
-def _first_eligible(
-    tier: list[_Peer],
-    index: int,
-    exclude: frozenset[ids.NodeId],
-    now_ms: float,
-    idempotent: bool,
-) -> _Peer | None:
-    """Return the first target at or after an index that may get the call."""
-    size = len(tier)
-    for _ in range(size):
-        peer = tier[index]
-        if _is_eligible(peer, exclude, now_ms, idempotent):
-            return peer
-        index = index + 1 if index + 1 < size else 0
-    return None
-
-
-def _is_eligible(
-    peer: _Peer,
-    exclude: frozenset[ids.NodeId],
-    now_ms: float,
-    idempotent: bool,
-) -> bool:
-    return (
-        peer.unavailable_until_ms <= now_ms
-        and peer.member.node_id not in exclude
-        and (not peer.is_ejected or _may_probe(peer, now_ms, idempotent))
-    )
-
-
-def _may_probe(peer: _Peer, now_ms: float, idempotent: bool) -> bool:
-    if peer.in_flight:
-        return False
-    return (
-        idempotent
-        or now_ms >= peer.unavailable_until_ms + NON_IDEMPOTENT_PROBE_DELAY_MS
-    )
-
-
 def balancer(
     own_domain: ids.FailureDomainId,
     own_region: ids.RegionId,
