Test a node's memory against clients that keep no limit

The cause is not mended here: no bound counts what all callers together leave at a node.

The stub target takes bodies of 64 MiB: at its server's default of 1 MiB it answered 413 to what the operators allow.

--- a/stubs/platformtarget.py
+++ b/stubs/platformtarget.py
@@ -5,8 +5,12 @@
 
 from parsleystile import clock as clocks
 from parsleystile.relay import httpserver
+from parsleystile.relay import policy as policies
 
 _ATTEMPT_ID_HEADER = 'Parsleystile-Attempt-Id'
+# A target takes whatever the operators allow.
+_MAX_HEADER_BYTES = 65_536
+_MAX_BODY_BYTES = 64 * 1_048_576
 _EXPECTED_INSTANCE_HEADER = 'Parsleystile-Expected-Instance'
 
 
@@ -37,6 +41,9 @@
         self._server = httpserver.http_server(
             self._clock, frozenset(), self._handle
         )
+        self._server.limits = policies.CallerLimits(
+            _MAX_HEADER_BYTES, _MAX_BODY_BYTES
+        )
 
     async def start(self, host: str, port: int = 0) -> tuple[str, int]:
         """Listen; return the address."""
--- a/tests/relayprocesses.py
+++ b/tests/relayprocesses.py
@@ -23,7 +23,7 @@
 from tests import relayrecord
 
 _ROOT = pathlib.Path(__file__).parent.parent
-_CALLERS_PORT, _READINESS_PORT, _REPORTS_PORT = 7001, 7002, 7003
+CALLERS_PORT, _READINESS_PORT, _REPORTS_PORT = 7001, 7002, 7003
 _LINK_PORT, _METRICS_PORT, _TARGET_PORT = 7004, 7005, 7006
 _POLL_S = 0.02
 _HEARTBEAT_S = 0.3
@@ -96,9 +96,7 @@
         self._start_spell(None)
         self.target.notices = ['Server-Leaving', '1']
         await asyncio.sleep(hold_s)
-        self._is_leaving = True
-        while not await self._report('draining'):
-            await asyncio.sleep(_HEARTBEAT_S)
+        await self.withdraw_target()
         await asyncio.sleep(_DRAIN_S)
         while self._working:
             await asyncio.sleep(_POLL_S)
@@ -107,6 +105,12 @@
         self._is_replacing = False
         await self.start_target()
 
+    async def withdraw_target(self):
+        """Report that the target drains, until its node knows."""
+        self._is_leaving = True
+        while not await self._report('draining'):
+            await asyncio.sleep(_HEARTBEAT_S)
+
     async def _report_forever(self):
         while not self._is_leaving:
             await self._report('ready')
@@ -205,7 +209,7 @@
             'region': 'r',
             'zones': {'a': 'r', 'b': 'r'},
             'listen_addresses': {
-                'outbound': f'{host}:{_CALLERS_PORT}',
+                'outbound': f'{host}:{CALLERS_PORT}',
                 'ready': f'{host}:{_READINESS_PORT}',
                 'control': f'{host}:{_REPORTS_PORT}',
             },
@@ -214,6 +218,7 @@
             'service': 'yard',
             'platform': {'address': f'{store_host}:{store_port}'},
             'bounds': {'grace': f'{self._fleet.grace_s}s'},
+            **self._fleet.settings,
         }
 
     async def _record_end(self, process, output):
@@ -251,9 +256,16 @@
 
 
 class Fleet:
-    """Machines that share one store, and the record of a run."""
+    """Machines that share one store, and the record of a run.
+
+    Attributes:
+        settings: Further fields of the settings file of each node.
+        limits: Limits on callers in the configuration, where they differ.
+    """
 
     def __init__(self, directory, count, grace_s, seed):
+        self.settings = {}
+        self.limits = {}
         self.directory = directory
         self.grace_s = grace_s
         self.host_prefix = _host_prefix()
@@ -293,6 +305,7 @@
         ]
         data = platformfleet.document(self._version, services=services)
         data['tenants'][0].update(rate_per_s=1e5, burst=1e5)
+        data['limits'].update(self.limits)
         for route in data['virtual_hosts'][0]['paths']:
             route['timeout'] = '6s'
         self.store.put('op', 'config', json.dumps(data).encode())
@@ -303,7 +316,7 @@
         return relaycallers.Caller(
             self.record,
             machine.name,
-            (machine.host, _CALLERS_PORT),
+            (machine.host, CALLERS_PORT),
             machine.host if is_child else f'{self.host_prefix}.2',
             random.Random(self._rng.random()),
             style,
@@ -334,12 +347,14 @@
         await asyncio.sleep(0)
 
 
-def run(body, count, grace_s, seed, timeout_s):
+def run(body, count, grace_s, seed, timeout_s, settings=None, limits=None):
     """Run a body with a running fleet; return what was seen."""
 
     async def bounded():
         with tempfile.TemporaryDirectory() as directory:
             fleet = Fleet(pathlib.Path(directory), count, grace_s, seed)
+            fleet.settings = settings or {}
+            fleet.limits = limits or {}
             try:
                 async with asyncio.timeout(timeout_s):
                     await fleet.start()
--- a/tests/test_relay_slow_stops.py
+++ b/tests/test_relay_slow_stops.py
@@ -33,7 +33,7 @@
 
 
 async def _call(fleet, machine, call_id, work_ms):
-    address = machine.host, relayprocesses._CALLERS_PORT
+    address = machine.host, relayprocesses.CALLERS_PORT
     reader, writer = await relaycallers.connect(
         address, f'{fleet.host_prefix}.2'
     )
