Bound what all callers together leave at a node

The cause: each connection was bounded and all of them were not; a body was a list of chunks, copied up to four times on its way; a request and its handlers formed a cycle, so that its body stayed until the collector ran.

One count of held bytes (relay/heldbytes.py) covers requests being read, whole ones until their answer, unfinished answers and answers that nobody takes, against the memory of the settings less 56 MB. When it is short, what made no progress for a second yields first, then the newest large body: 503 with Retry-After, before it is read where its length says that it can't fit. A body not whole after five minutes gets 408. A body is one buffer that goes to the target or the link without a copy; a frame carries a large body as its last field, which older builds read as well.

A head may have 32,768 strings on a link (512): a request within the header limit ended its link.

Tests: test_platform_listeners' stand-in of a node gets the count that the listeners share.

--- a/src/parsleystile/_linkprotocol.py
+++ b/src/parsleystile/_linkprotocol.py
@@ -29,6 +29,8 @@
 _MAX_QUEUED_CALLS = 4096
 # Write buffer for a peer that does not read; beyond it the link is closed.
 _MAX_BUFFERED_BYTES = 8 * 1_048_576
+# Larger bodies are written without a copy.
+_LARGE_BODY_BYTES = 65_536
 
 CallHandler = typing.Callable[
     [ttypes.Call, typing.Callable[[ttypes.Answer], None]],
@@ -127,7 +129,10 @@
             self._metrics.incr('link.overflows')
             self.abort()
             return False
-        channel.write(wire.encode(kind, message))
+        if _has_large_body(kind, message):
+            channel.writelines(wire.encode_parts(kind, message))
+        else:
+            channel.write(wire.encode(kind, message))
         return True
 
     @property
@@ -164,6 +169,12 @@
         raise NotImplementedError
 
 
+def _has_large_body(kind: wire.FrameKind, message: wire.Message) -> bool:
+    return (
+        kind is wire.FrameKind.CALL or kind is wire.FrameKind.ANSWER
+    ) and len(message.body) >= _LARGE_BODY_BYTES
+
+
 def _set_socket_options(sock: socket.socket) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/src/parsleystile/answermemory.py
+++ b/src/parsleystile/answermemory.py
@@ -1,6 +1,7 @@
 """Memory that the unfinished answers of a target take."""
 
 import abc
+import typing
 
 # Limit on all unfinished answers of a target together.
 MAX_HELD_BYTES = 72 * 1_048_576
@@ -71,11 +72,15 @@
     When it is used up, the largest answer without a declared length is given
     up, or else the largest one: this frees the most memory at the expense of
     one caller, and an answer without a declared length may have no end.
+
+    Attributes:
+        on_held: Called with the bytes of all of them when these change.
     """
 
     def __init__(self, max_bytes: int) -> None:
         self._max_bytes = max_bytes
         self._held_bytes = 0
+        self.on_held: typing.Callable[[int], None] = lambda size: None
         self._answers: set[UnfinishedAnswer] = set()
 
     def count(self, answer: UnfinishedAnswer, size: int) -> None:
@@ -90,6 +95,7 @@
             max(self._answers, key=_eviction_rank).evict(
                 f'unfinished answers exceed {self._max_bytes} bytes'
             )
+        self.on_held(self._held_bytes)
 
 
 def _eviction_rank(answer: UnfinishedAnswer) -> tuple[bool, int]:
--- a/src/parsleystile/relay/_httpconnection.py
+++ b/src/parsleystile/relay/_httpconnection.py
@@ -14,6 +14,7 @@
 import httptools
 
 from parsleystile import clock as clocks
+from parsleystile.relay import heldbytes
 from parsleystile.relay import httprequest
 from parsleystile.relay import policy as policies
 
@@ -27,8 +28,15 @@
 _LINGER_MS = 2_000.0
 # Chunk framing beyond this for each byte of the body counts as header bytes.
 _FRAMING_PER_BODY_BYTE = 16
+# A header string beyond its characters, which its bytes on the wire outweigh
+# or not.
+_HEADER_STRING_BYTES = 64
+# Larger bodies are passed on as they were gathered, without a copy.
+_LARGE_BODY_BYTES = 65_536
+_NO_HEADERS: list[str] = []
 _MS_PER_S = 1000.0
 _INTERNAL_ERROR = 500
+_NO_ROOM = 503
 # TCP states CLOSE and CLOSE_WAIT of the kernel.
 _STATES_AFTER_CLOSE = frozenset({7, 8})
 
@@ -38,10 +46,13 @@
 
     clock: clocks.Clock
     limits: policies.CallerLimits
+    held: heldbytes.HeldBytes
+    body_timeout_ms: float
     local_hosts: frozenset[str]
     is_closing: bool
     on_request: typing.Callable[[httprequest.Request], None]
     on_rejected: typing.Callable[[int, str], None]
+    on_cut: typing.Callable[[str], None]
 
     def opened(self, connection: 'Connection') -> None:
         """Register an accepted connection."""
@@ -50,6 +61,19 @@
         """Remove a connection that is closed."""
 
 
+def _has_framing(headers: list[str]) -> bool:
+    return any(name.lower() in _FRAMING_HEADERS for name in headers[::2])
+
+
+def _declared_bytes(headers: list[str]) -> int:
+    """Return the length that a head declares; 0 without one."""
+    for i in range(0, len(headers), 2):
+        if headers[i].lower() == 'content-length':
+            # The parser accepts digits only.
+            return int(headers[i + 1])
+    return 0
+
+
 class _Reading(enum.Enum):
     """What happens to the bytes that a caller sends."""
 
@@ -69,6 +93,8 @@
         current: The request that waits for its answer.
         phase_started_ms: Start of the wait for the next request or of the
             request being read.
+        held_bytes: Bytes that it holds, as last counted; see
+            ``heldbytes.Holder``.
     """
 
     __slots__ = (
@@ -76,12 +102,15 @@
         '_body_bytes',
         '_disconnect',
         '_expects_continue',
+        '_fixed_bytes',
         '_headers',
         '_is_head_complete',
         '_is_local',
         '_is_proceeding',
         '_is_reading_paused',
+        '_is_room_checked',
         '_is_writing_paused',
+        '_left_bytes',
         '_linger_timer',
         '_parser',
         '_queue',
@@ -90,9 +119,12 @@
         '_request_bytes',
         '_server',
         '_transport',
+        '_unsent_bytes',
         '_url',
         'current',
+        'held_bytes',
         'phase_started_ms',
+        'progressed_ms',
     )
 
     def __init__(self, server: Server) -> None:
@@ -101,7 +133,8 @@
         self._parser = httptools.HttpRequestParser(self)
         self._url = b''
         self._headers: list[str] = []
-        self._body: list[bytes] = []
+        # A buffer from the second chunk on: chunks may be of one byte.
+        self._body: bytes | bytearray = b''
         self._body_bytes = 0
         self._is_head_complete = False
         # The caller waits for 100 Continue before it sends the body.
@@ -120,7 +153,15 @@
         self._disconnect = httprequest.Disconnect.CALLER_LEFT
         self.current: httprequest.Request | None = None
         self._is_local: bool | None = None
+        # Whole requests without an answer, and answers that are not taken.
+        self._fixed_bytes = 0
+        self._unsent_bytes = 0
+        # Of the answers not taken, as last seen.
+        self._left_bytes = 0
+        self._is_room_checked = False
+        self.held_bytes = 0
         self.phase_started_ms = server.clock.now_ms()
+        self.progressed_ms = self.phase_started_ms
 
     @property
     def is_local(self) -> bool:
@@ -175,6 +216,8 @@
         limit = self._server.limits.header_bytes
         if framing_bytes > limit + allowed_bytes:
             self._reject(431, f'over {limit} header bytes')
+        elif self._size - self.held_bytes >= heldbytes.STEP_BYTES:
+            self._count_growth()
 
     def eof_received(self) -> bool:
         # A caller that closes and one that only ends its side look the same,
@@ -186,11 +229,15 @@
 
     def resume_writing(self) -> None:
         self._is_writing_paused = False
+        if self._unsent_bytes:
+            self._unsent_bytes = 0
+            self._count()
         self._proceed()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._server.closed(self)
         self._queue.clear()
+        self._release()
         if self._linger_timer is not None:
             self._linger_timer.cancel()
         if isinstance(exc, TimeoutError):
@@ -198,15 +245,17 @@
         request, self.current = self.current, None
         if request is not None and request.on_disconnect is not None:
             request.on_disconnect(self._disconnect)
+            request.release()
 
     # Callbacks of httptools.
 
     def on_message_begin(self) -> None:
         self._url = b''
         self._headers = []
-        self._body = []
+        self._body = b''
         self._body_bytes = 0
         self._is_head_complete = False
+        self._is_room_checked = False
 
     def on_url(self, url: bytes) -> None:
         self._url += url
@@ -230,26 +279,36 @@
                 return
         if self._expects_continue:
             self._expects_continue = False
-            self._transport.write(_CONTINUE)
+            if self._has_room():
+                self._transport.write(_CONTINUE)
 
     def on_body(self, chunk: bytes) -> None:
-        self._body.append(chunk)
+        if self._reading is not _Reading.REQUESTS:
+            return
+        if not self._body_bytes:
+            self._body = chunk
+        elif isinstance(self._body, bytearray):
+            self._body += chunk
+        else:
+            self._body = bytearray(self._body)
+            self._body += chunk
         self._body_bytes += len(chunk)
         limit = self._server.limits.body_bytes
         if self._body_bytes > limit:
-            self._body.clear()
             self._reject(413, f'over {limit} body bytes')
 
     def on_message_complete(self) -> None:
         if self._reading is not _Reading.REQUESTS:
             return
         self._request_bytes = 0
-        self._body_bytes = 0
-        body = self._body
-        self._body = []
+        size, self._body_bytes = self._reading_bytes, 0
+        body, self._body = self._body, b''
+        headers, self._headers = self._headers, _NO_HEADERS
+        if len(body) < _LARGE_BODY_BYTES:
+            body = bytes(body)
         method = self._parser.get_method().decode('latin-1')
         if self._parser.should_upgrade() and (
-            method == 'CONNECT' or self._has_framing()
+            method == 'CONNECT' or _has_framing(headers)
         ):
             # The parser takes the body for bytes of the new protocol.
             self._reject(400, 'upgrades are not served')
@@ -258,10 +317,12 @@
             self,
             method,
             self._url.decode('latin-1'),
-            self._headers,
-            body[0] if len(body) == 1 else b''.join(body),
+            headers,
+            body,
             self._server.clock.now_ms(),
+            size,
         )
+        self._fixed_bytes += size
         if not self._parser.should_keep_alive():
             self._reading = _Reading.ENDED
         if not self.owed_requests and self._is_free:
@@ -272,9 +333,76 @@
             self._is_reading_paused = True
             self._transport.pause_reading()
 
-    def _has_framing(self) -> bool:
-        names = self._headers[::2]
-        return any(name.lower() in _FRAMING_HEADERS for name in names)
+    # Bytes held; see heldbytes.Holder.
+
+    @property
+    def _reading_bytes(self) -> int:
+        """Memory of the request being read."""
+        return self._body_bytes + _HEADER_STRING_BYTES * len(self._headers)
+
+    @property
+    def _size(self) -> int:
+        return self._reading_bytes + self._fixed_bytes + self._unsent_bytes
+
+    @property
+    def started_ms(self) -> float:
+        """Start of the request being read, or of the wait for one."""
+        return self.phase_started_ms
+
+    @property
+    def use(self) -> heldbytes.Use:
+        """What it holds, as far as it could yield it."""
+        reading_bytes = self._reading_bytes
+        if self._unsent_bytes > reading_bytes:
+            return heldbytes.Use.UNSENT
+        return heldbytes.Use.READING if reading_bytes else heldbytes.Use.FIXED
+
+    def yield_bytes(self, why: str) -> None:
+        """Refuse the request being read, or end a reader that stopped."""
+        match self.use:
+            case heldbytes.Use.READING:
+                self._reject(_NO_ROOM, why)
+            case heldbytes.Use.UNSENT:
+                self._server.on_cut(why)
+                self.abort()
+                self._release()
+
+    def _count_growth(self) -> None:
+        if self._has_room():
+            self._count()
+
+    def _has_room(self) -> bool:
+        """Refuse a request that announces more than there is room for."""
+        if self._is_room_checked or not self._is_head_complete:
+            return True
+        self._is_room_checked = True
+        size = _declared_bytes(self._headers) + self._fixed_bytes
+        held = self._server.held
+        if size < heldbytes.STEP_BYTES or held.has_room(
+            self, size, self._server.clock.now_ms()
+        ):
+            return True
+        self._reject(_NO_ROOM, 'no room for it at this node')
+        return False
+
+    def _count(self) -> None:
+        size = self._size
+        self._server.held.count(
+            self,
+            size if size >= heldbytes.STEP_BYTES else 0,
+            self._server.clock.now_ms(),
+        )
+
+    def _release(self) -> None:
+        self._drop_unfinished()
+        self._fixed_bytes = self._unsent_bytes = 0
+        if self.held_bytes:
+            self._count()
+
+    def _drop_unfinished(self) -> None:
+        self._headers = _NO_HEADERS
+        self._body = b''
+        self._body_bytes = 0
 
     # Answers.
 
@@ -294,13 +422,24 @@
                 or self._server.is_closing
             )
         )
-        self._transport.write(
-            httprequest.encode_answer(
-                status, headers, body, closes, request.method == 'HEAD'
-            )
+        head, body = httprequest.encode_answer(
+            status, headers, body, closes, request.method == 'HEAD'
         )
+        if len(body) < _LARGE_BODY_BYTES:
+            self._transport.write(head + body)
+        else:
+            self._transport.writelines((head, body))
         self.current = None
+        request.release()
         self.phase_started_ms = self._server.clock.now_ms()
+        self._fixed_bytes -= request.held_bytes
+        if self._is_writing_paused or len(body) >= _LARGE_BODY_BYTES:
+            self._left_bytes = self.unsent_bytes
+            if self._left_bytes:
+                # Until its last byte is taken, an answer is held whole.
+                self._unsent_bytes += len(body)
+        if self.held_bytes or self._unsent_bytes:
+            self._count()
         if not closes:
             self._proceed()
         elif self._reading is _Reading.ENDED:
@@ -360,9 +499,18 @@
             return
         self._reading = _Reading.DISCARDED
         self._server.on_rejected(status, why)
-        self._rejection = httprequest.encode_answer(
-            status, [], why.encode(), True, False
+        headers: list[str] = []
+        if status == _NO_ROOM:
+            retry_after_ms = self._server.held.retry_after_ms()
+            headers = ['Retry-After', f'{retry_after_ms / _MS_PER_S:.3f}']
+        self._rejection = b''.join(
+            httprequest.encode_answer(
+                status, headers, why.encode(), True, False
+            )
         )
+        self._drop_unfinished()
+        if self.held_bytes:
+            self._count()
         self._proceed()
 
     def _discard_input(self) -> None:
@@ -386,16 +534,31 @@
         """Close the connection if it is idle or slow, or the caller left."""
         if self._is_reading_paused and self._has_caller_closed():
             self._transport.abort()
+        if self._unsent_bytes:
+            self._record_progress()
         if self.owed_requests or self.unsent_bytes or self.is_lingering:
             return
         limits = self._server.limits
         waited_ms = now_ms - self.phase_started_ms
         if self._request_bytes:
-            if waited_ms > limits.header_timeout_ms and not self._body:
+            limit_ms = limits.header_timeout_ms
+            if self._body_bytes:
+                limit_ms = self._server.body_timeout_ms
+            if waited_ms > limit_ms:
                 self._reject(408, 'the request did not arrive in time')
         elif waited_ms > limits.idle_timeout_ms:
             self._transport.close()
 
+    def _record_progress(self) -> None:
+        """Note what a caller has taken of its answers."""
+        left_bytes = self.unsent_bytes
+        if not left_bytes:
+            self._unsent_bytes = 0
+        taken_bytes = self._left_bytes - left_bytes
+        if not left_bytes or taken_bytes >= heldbytes.STEP_BYTES:
+            self._left_bytes = left_bytes
+            self._count()
+
     def _has_caller_closed(self) -> bool:
         # While reading is paused, only the state of the socket tells.
         sock = self._transport.get_extra_info('socket')
--- a/src/parsleystile/relay/dispatch.py
+++ b/src/parsleystile/relay/dispatch.py
@@ -81,6 +81,12 @@
     return min(load.admission_level, load.child_level)
 
 
+def _ignore(reply: Reply) -> None:
+    # In place of a handler that refers to the dispatch: such a cycle would
+    # keep the body until the collector runs.
+    return None
+
+
 class Dispatch:
     """One request and its attempts, at most one at a time.
 
@@ -390,4 +396,5 @@
                 reply = dataclasses.replace(
                     reply, outcome=errors.Outcome.UNKNOWN
                 )
-        self.on_done(reply)
+        on_done, self.on_done = self.on_done, _ignore
+        on_done(reply)
--- a/src/parsleystile/relay/guard.py
+++ b/src/parsleystile/relay/guard.py
@@ -28,6 +28,8 @@
 # Depth of a request from outside and of a call made by a target. A target's
 # call can't be matched to the request that caused it, so it is never shed by
 # admission level: work for an admitted request is finished.
+# Larger bodies are written after the head, without a copy.
+_LARGE_BODY_BYTES = 65_536
 ROOT_DEPTH = 1
 CHILD_DEPTH = 2
 # A target that may have gone cold is limited to its cold rate until its next
@@ -360,11 +362,16 @@
             return
         self.notices.started(now_ms)
         call = active.call
+        data = self._request_head(call, target, active.deadline_ms - now_ms)
+        body = call.body
+        if len(body) < _LARGE_BODY_BYTES:
+            data, body = data + body, b''
         outbound = httpclient.OutboundRequest(
-            self._request_bytes(call, target, active.deadline_ms - now_ms),
+            data,
             call.root_id,
             not call.idempotent,
             call.method == 'HEAD',
+            body,
         )
 
         def on_answer(
@@ -391,7 +398,7 @@
         if timer is not None:
             timer.cancel()
 
-    def _request_bytes(
+    def _request_head(
         self, call: ttypes.Call, target: Target, remaining_ms: float
     ) -> bytes:
         names = self._deps.header_names
@@ -407,7 +414,7 @@
         if call.body or call.method in ('POST', 'PUT', 'PATCH'):
             lines.append(f'Content-Length: {len(call.body)}')
         head = '\r\n'.join(lines).encode('latin-1', 'replace')
-        return head + b'\r\n\r\n' + call.body
+        return head + b'\r\n\r\n'
 
     def _finish(
         self,
--- a/src/parsleystile/relay/httpclient.py
+++ b/src/parsleystile/relay/httpclient.py
@@ -37,6 +37,7 @@
 
     Attributes:
         data: Bytes to send.
+        body: Bytes to send after them, without a copy.
         echo: Required value of the echo header of the answer; empty if the
             answer needs none.
         needs_fresh: Whether it needs a new or recently used connection.
@@ -48,6 +49,7 @@
     echo: str = ''
     needs_fresh: bool = False
     is_head: bool = False
+    body: bytes | bytearray = b''
 
 
 class _Exchange(transports.PendingCall):
@@ -101,6 +103,8 @@
         outbound = exchange.outbound
         self._parser.expect(outbound.echo, outbound.is_head)
         self.transport.write(outbound.data)
+        if outbound.body:
+            self.transport.write(outbound.body)
 
     @property
     def idle_limit_ms(self) -> float:
--- a/src/parsleystile/relay/httprequest.py
+++ b/src/parsleystile/relay/httprequest.py
@@ -49,6 +49,7 @@
         headers: Names and values in turn, as sent.
         body: Whole body.
         arrived_ms: Time at which its last byte was read.
+        held_bytes: Memory that it takes until it is answered.
         on_disconnect: Called with the reason if the connection closes before
             the answer.
         on_shutdown: Called if the server is about to end; answers at once.
@@ -58,6 +59,7 @@
         '_connection',
         'arrived_ms',
         'body',
+        'held_bytes',
         'headers',
         'method',
         'on_disconnect',
@@ -71,8 +73,9 @@
         method: str,
         path: str,
         headers: list[str],
-        body: bytes,
+        body: bytes | bytearray,
         arrived_ms: float,
+        held_bytes: int = 0,
     ) -> None:
         self._connection = connection
         self.method = method
@@ -80,6 +83,7 @@
         self.headers = headers
         self.body = body
         self.arrived_ms = arrived_ms
+        self.held_bytes = held_bytes
         self.on_disconnect: typing.Callable[[Disconnect], None] | None = None
         self.on_shutdown: typing.Callable[[], None] | None = None
 
@@ -93,6 +97,10 @@
         """Whether the caller is still waiting for the answer."""
         return self._connection.current is self
 
+    def release(self) -> None:
+        """Forget its handlers, which would keep its body in a cycle."""
+        self.on_disconnect = self.on_shutdown = None
+
     def answer(self, status: int, headers: list[str], body: bytes) -> None:
         """Send the answer; does nothing if the caller has disconnected."""
         if self.is_open:
@@ -105,8 +113,8 @@
     body: bytes,
     closes: bool,
     is_head: bool,
-) -> bytes:
-    """Return the bytes of an answer.
+) -> tuple[bytes, bytes]:
+    """Return the head of an answer and its body as sent.
 
     Args:
         status: HTTP status.
@@ -124,4 +132,4 @@
     if closes:
         lines.append('Connection: close')
     head = '\r\n'.join(lines).encode('latin-1', 'replace') + b'\r\n\r\n'
-    return head + body if has_body else head
+    return head, body if has_body else b''
--- a/src/parsleystile/relay/httpserver.py
+++ b/src/parsleystile/relay/httpserver.py
@@ -5,12 +5,14 @@
 """
 
 import asyncio
+import random
 import socket
 import typing
 
 from parsleystile import acceptqueue
 from parsleystile import clock as clocks
 from parsleystile.relay import _httpconnection
+from parsleystile.relay import heldbytes
 from parsleystile.relay import httprequest
 from parsleystile.relay import policy as policies
 
@@ -18,6 +20,8 @@
 # Time for the first request on a connection that was just accepted.
 _SETTLE_MS = 25.0
 _MS_PER_S = 1000.0
+# Far beyond the deadline of any request.
+BODY_TIMEOUT_MS = 300_000.0
 # The kernel closes a connection whose peer leaves data unacknowledged for this
 # time.
 _TCP_USER_TIMEOUT_MS = 5_000
@@ -33,10 +37,15 @@
         clock: Time of arrival of requests.
         limits: Limits on callers; may change while connections are open.
         local_hosts: Peers with these addresses are on this machine.
+        held: Count of the bytes that callers leave here.
+        body_timeout_ms: Longest time from the first byte of a request with a
+            body to its last one.
         is_closing: Whether connections are closed after their next answer.
         on_request: Called with each whole request.
         on_rejected: Called with the status and the reason when a request is
-            malformed, too large or too slow.
+            malformed, too large or too slow, or finds no room.
+        on_cut: Called with the reason when the connection of a caller that
+            doesn't read its answer is closed.
     """
 
     def __init__(
@@ -45,8 +54,12 @@
         local_hosts: frozenset[str],
         on_request: typing.Callable[[Request], None],
         on_rejected: typing.Callable[[int, str], None],
+        held: heldbytes.HeldBytes,
     ) -> None:
         self.clock = clock
+        self.held = held
+        self.body_timeout_ms = BODY_TIMEOUT_MS
+        self.on_cut: typing.Callable[[str], None] = lambda why: None
         self.limits = policies.CallerLimits()
         self.local_hosts = local_hosts
         self.on_request = on_request
@@ -148,6 +161,14 @@
     local_hosts: frozenset[str],
     on_request: typing.Callable[[Request], None],
     on_rejected: typing.Callable[[int, str], None] = lambda *_: None,
+    held: heldbytes.HeldBytes | None = None,
 ) -> HttpServer:
-    """Create a server that does not listen yet."""
-    return HttpServer(clock, local_hosts, on_request, on_rejected)
+    """Create a server that does not listen yet.
+
+    Without a count that it shares with others it has one of its own.
+    """
+    if held is None:
+        held = heldbytes.held_bytes(
+            heldbytes.DEFAULT_MEMORY_BYTES, random.Random()
+        )
+    return HttpServer(clock, local_hosts, on_request, on_rejected, held)
--- a/src/parsleystile/relay/ingress.py
+++ b/src/parsleystile/relay/ingress.py
@@ -498,6 +498,7 @@
             attempts = self._dispatch.attempts
             if attempts:
                 self._dispatch.cancel()
+            self._dispatch = None
         waited_ms = (
             deps.dispatch_deps.clock.now_ms() - self._request.arrived_ms
         )
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -5,6 +5,8 @@
 import random
 import typing
 
+import msgspec
+
 from parsleystile import admission
 from parsleystile import balancer
 from parsleystile import clock as clocks
@@ -18,6 +20,7 @@
 from parsleystile.relay import fleetstatus
 from parsleystile.relay import guard
 from parsleystile.relay import headernames
+from parsleystile.relay import heldbytes
 from parsleystile.relay import httpclient
 from parsleystile.relay import httpserver
 from parsleystile.relay import ingress
@@ -70,6 +73,8 @@
         retry_budget: Retry budget of the whole fleet.
         rate_tolerance: How far the rate of an organisation may be off.
         stop_ms: Time from a stop request until the process is killed.
+        memory_bytes: Memory of the machine.
+        body_timeout_ms: Longest time that the body of a request may take.
         lame_duck_ms: Time that a stopping node keeps answering while callers
             move elsewhere.
     """
@@ -89,6 +94,8 @@
     rate_tolerance: tokenbuckets.Tolerance
     stop_ms: float
     lame_duck_ms: float
+    memory_bytes: int = heldbytes.DEFAULT_MEMORY_BYTES
+    body_timeout_ms: float = httpserver.BODY_TIMEOUT_MS
 
 
 class Node:
@@ -99,6 +106,7 @@
         state_sync: Replicated state; the platform adapter feeds it.
         guard: Admission control of the local target.
         recorder: Log events and metrics.
+        held: Count of the bytes that callers leave here.
         service: Service of the local target according to the settings.
         caller_address: Host and port for callers, as bound.
         settings_state: Returns whether the settings file is in force.
@@ -176,6 +184,18 @@
         )
         self._reports = targetreports.report_tracker()
         self._limit = declaredlimit.declared_limit()
+        self.held = heldbytes.held_bytes(setup.memory_bytes, rng)
+        origin = httpclient.origin_client(
+            setup.target_host,
+            setup.target_port,
+            clock,
+            setup.header_names.call_id,
+            _answer_limits(self.held),
+        )
+        answers = heldbytes.Fixed()
+        origin.memory.on_held = lambda size: self.held.count(
+            answers, size, clock.now_ms()
+        )
         self._shedder = shedding.shedder(rng)
         self._subtree_shedder = subtreeshedding.subtree_shedder(rng)
         self._child_levels = subtreeshedding.child_levels(rng)
@@ -191,12 +211,7 @@
                     newest_first=False,
                 ),
                 limit=self._limit,
-                origin=httpclient.origin_client(
-                    setup.target_host,
-                    setup.target_port,
-                    clock,
-                    setup.header_names.call_id,
-                ),
+                origin=origin,
                 header_names=setup.header_names,
                 clock=clock,
                 wheel=wheel,
@@ -254,7 +269,11 @@
             frozenset({setup.host, setup.target_host, '127.0.0.1'}),
             self._ingress.handle,
             self._on_rejected_request,
+            self.held,
         )
+        self._http_server.body_timeout_ms = setup.body_timeout_ms
+        self._http_server.on_cut = self._on_slow_reader
+        self.held.connections = lambda: len(self._http_server.connections)
         self.caller_address = (setup.caller_host, setup.caller_port)
         # Version of the list of nodes among which the rates are divided.
         self._divided_version = -1
@@ -524,6 +543,8 @@
         gauge = self.recorder.gauge
         gauge('calls-at-guard', self.guard.in_flight)
         gauge('requests-open', self._http_server.owed_requests)
+        gauge('bytes-held', self.held.held_bytes)
+        gauge('bytes-room', self.held.room_bytes)
         gauge('nodes-known', len(self.member_list.node_ids))
         gauge('nodes-unreached', len(self.member_list.unreachable()))
         now_ms = self._clock.now_ms()
@@ -532,9 +553,20 @@
         gauge('lines-dropped', self.recorder.log.dropped)
 
     def _on_rejected_request(self, status: int, why: str) -> None:
-        self.recorder.count('malformed-requests')
+        match status:
+            case 503:
+                kind = 'requests-without-room'
+            case 408:
+                kind = 'requests-too-slow'
+            case _:
+                kind = 'malformed-requests'
+        self.recorder.count(kind)
         self.recorder.input_rejected('caller', f'{status}: {why}')
 
+    def _on_slow_reader(self, why: str) -> None:
+        self.recorder.count('slow-readers-closed')
+        self.recorder.input_rejected('caller', f'its answer is unread: {why}')
+
     # Shutdown.
 
     def stop(self) -> None:
@@ -554,6 +586,14 @@
         self.recorder.log.flush()
 
 
+def _answer_limits(held: heldbytes.HeldBytes) -> httpclient.AnswerLimits:
+    """Leave half of the room to requests and to answers not taken."""
+    limits = httpclient.AnswerLimits()
+    return msgspec.structs.replace(
+        limits, held_bytes=min(limits.held_bytes, held.max_bytes // 2)
+    )
+
+
 def build_node(
     setup: Setup,
     decode: statesync.Decode,
--- a/src/parsleystile/wire.py
+++ b/src/parsleystile/wire.py
@@ -10,6 +10,7 @@
 import struct
 
 from thrift.protocol import TBinaryProtocol
+from thrift import Thrift
 from thrift.transport import TTransport
 
 from parsleystile import context
@@ -20,8 +21,14 @@
 _LENGTH_BYTES = 4
 # Allowance in a frame for everything except the body.
 FRAME_OVERHEAD_BYTES = 65_536
-_MAX_HEADER_STRINGS = 512
+# Names and values of a head of 64 KiB in the shortest lines; its bytes are
+# limited where callers arrive.
+_MAX_HEADER_STRINGS = 32_768
 _MAX_DETAIL_CHARS = 200
+# Type, id and length of a field of bytes, and the end of a struct.
+_FIELD_HEADER = struct.Struct('!BhI')
+_STOP = b'\0'
+_BODY_FIELDS = {ttypes.Call: 16, ttypes.Answer: 5}
 
 Message = (
     ttypes.Call | ttypes.Answer | ttypes.Cancel | ttypes.Hello | ttypes.Control
@@ -67,6 +74,29 @@
     return _HEADER.pack(len(payload) + 1, kind) + payload
 
 
+def encode_parts(kind: FrameKind, message: Message) -> list[bytes]:
+    """Return the frame of a call or an answer in parts.
+
+    Its body is the last field and one part, as it is: neither the codec nor
+    the frame copies it.
+    """
+    body, message.body = message.body, None
+    try:
+        payload = _ENCODER._fast_encode(message, _STRUCT_SPECS[type(message)])
+    finally:
+        message.body = body
+    size = len(payload) + _FIELD_HEADER.size + len(body)
+    return [
+        _HEADER.pack(size + 1, kind)
+        + payload[: -len(_STOP)]
+        + _FIELD_HEADER.pack(
+            Thrift.TType.STRING, _BODY_FIELDS[type(message)], len(body)
+        ),
+        body,
+        _STOP,
+    ]
+
+
 # Fields that a message may lack.
 _OPTIONAL_FIELDS: dict[type, tuple[str, ...]] = {
     ttypes.Call: ('notice', 'max_wait_ms'),
@@ -225,7 +255,9 @@
             end = start + _LENGTH_BYTES + length
             if size < end:
                 break
-            payload = bytes(data[start + _HEADER.size : end])
+            # A slice of a buffer would be a second copy.
+            with memoryview(data) as view:
+                payload = bytes(view[start + _HEADER.size : end])
             messages.append(_decode_payload(kind, payload))
             start = end
         return start
--- a/tests/test_platform_listeners.py
+++ b/tests/test_platform_listeners.py
@@ -26,7 +26,7 @@
             last_port=0,
         )
         node = types.SimpleNamespace(
-            handle_report=None, is_service=None, is_ready=True
+            handle_report=None, is_service=None, is_ready=True, held=None
         )
         servers = await process._listen(
             settings, node, clocks.system_clock(), None
