Pass an answer to the event loop as its caller takes it

The cause: what a transport has stays until a turn after an abort, and 20 answers of 4 MiB may come in one turn of the loop. A connection now passes pieces of 128 KiB and keeps the rest itself, so that ending it frees the answer at once; it waits for its last piece before it serves the next request or closes.

--- a/src/parsleystile/relay/_httpconnection.py
+++ b/src/parsleystile/relay/_httpconnection.py
@@ -31,6 +31,9 @@
 # A header string beyond its characters, which its bytes on the wire outweigh
 # or not.
 _HEADER_STRING_BYTES = 64
+# An answer goes to the transport in pieces of this size as its caller takes
+# them: what the transport has is not free before a later turn of the loop.
+_PIECE_BYTES = 131_072
 # Larger bodies are passed on as they were gathered, without a copy.
 _LARGE_BODY_BYTES = 65_536
 _NO_HEADERS: list[str] = []
@@ -116,6 +119,7 @@
         '_queue',
         '_reading',
         '_rejection',
+        '_rest',
         '_request_bytes',
         '_server',
         '_transport',
@@ -143,6 +147,8 @@
         self._queue: collections.deque[httprequest.Request] = (
             collections.deque()
         )
+        # Of the last answer; the transport has what came before.
+        self._rest: memoryview | bytes = b''
         # Sent after the answers to all requests read before it.
         self._rejection = b''
         self._reading = _Reading.REQUESTS
@@ -181,7 +187,7 @@
     @property
     def unsent_bytes(self) -> int:
         """Bytes of answers that the kernel has not taken yet."""
-        return self._transport.get_write_buffer_size()
+        return self._transport.get_write_buffer_size() + len(self._rest)
 
     @property
     def is_lingering(self) -> bool:
@@ -229,7 +235,11 @@
 
     def resume_writing(self) -> None:
         self._is_writing_paused = False
-        if self._unsent_bytes:
+        if self._rest:
+            self._write_rest()
+            if not self._rest:
+                self._end_answer()
+        if self._unsent_bytes and not self._rest:
             self._unsent_bytes = 0
             self._count()
         self._proceed()
@@ -396,6 +406,7 @@
     def _release(self) -> None:
         self._drop_unfinished()
         self._fixed_bytes = self._unsent_bytes = 0
+        self._rest = b''
         if self.held_bytes:
             self._count()
 
@@ -414,21 +425,16 @@
         body: bytes,
     ) -> None:
         """Write the answer to the current request, then serve the next."""
-        closes = (
-            not self._queue
-            and not self._rejection
-            and (
-                self._reading is not _Reading.REQUESTS
-                or self._server.is_closing
-            )
-        )
+        closes = self._closes_after_answer
         head, body = httprequest.encode_answer(
             status, headers, body, closes, request.method == 'HEAD'
         )
         if len(body) < _LARGE_BODY_BYTES:
             self._transport.write(head + body)
         else:
-            self._transport.writelines((head, body))
+            self._transport.write(head)
+            self._rest = memoryview(body)
+            self._write_rest()
         self.current = None
         request.release()
         self.phase_started_ms = self._server.clock.now_ms()
@@ -436,11 +442,41 @@
         if self._is_writing_paused or len(body) >= _LARGE_BODY_BYTES:
             self._left_bytes = self.unsent_bytes
             if self._left_bytes:
-                # Until its last byte is taken, an answer is held whole.
-                self._unsent_bytes += len(body)
+                # Until its last byte is taken, an answer is held whole; the
+                # transport has a copy of a piece.
+                self._unsent_bytes += len(body) + _PIECE_BYTES
         if self.held_bytes or self._unsent_bytes:
             self._count()
-        if not closes:
+        if not self._rest:
+            self._end_answer()
+        elif closes and self._reading is _Reading.REQUESTS:
+            # Its head says that no other answer follows.
+            self._reading = _Reading.DISCARDED
+
+    @property
+    def _closes_after_answer(self) -> bool:
+        return (
+            not self._queue
+            and not self._rejection
+            and (
+                self._reading is not _Reading.REQUESTS
+                or self._server.is_closing
+            )
+        )
+
+    def _write_rest(self) -> None:
+        """Write what the transport takes of the rest of an answer."""
+        while self._rest and not self._is_writing_paused:
+            piece = bytes(self._rest[:_PIECE_BYTES])
+            self._rest = self._rest[_PIECE_BYTES:]
+            self._transport.write(piece)
+
+    def _end_answer(self) -> None:
+        """Go on after an answer that the transport has."""
+        if self.is_lingering:
+            # What followed it was refused for lack of room.
+            return
+        if not self._closes_after_answer:
             self._proceed()
         elif self._reading is _Reading.ENDED:
             self._transport.close()
@@ -476,6 +512,7 @@
         return (
             self.current is None
             and not self._is_writing_paused
+            and not self._rest
             and not self._transport.is_closing()
         )
 
@@ -516,7 +553,7 @@
     def _discard_input(self) -> None:
         if self._reading is _Reading.REQUESTS:
             self._reading = _Reading.DISCARDED
-            if not self.owed_requests:
+            if not self.owed_requests and not self._rest:
                 self._linger()
 
     def _linger(self) -> None:
@@ -584,7 +621,8 @@
     def close(self) -> None:
         """Close once all requests are answered and the answers written."""
         self._disconnect = httprequest.Disconnect.SERVER_CLOSED
-        if not self.owed_requests and not self.is_lingering:
+        is_done = not self.owed_requests and not self._rest
+        if is_done and not self.is_lingering:
             self._transport.close()
 
     def abort(self) -> None:
