--- a/tests/opencrowd.py
+++ b/tests/opencrowd.py
@@ -36,7 +36,7 @@
     return f'/reserve/x?work_ms={work_ms}&size={size}&children=0'
 
 
-def _upload(number, *lines, work_ms=0):
+def upload(number, *lines, work_ms=0):
     return head(_work(work_ms), f'crowd-{number}', *lines) + b'\r\n'
 
 
@@ -79,7 +79,7 @@
 
 def short_bodies(number):
     """A body of the largest size at once, without its last byte."""
-    start = _upload(number, f'Content-Length: {BODY_BYTES}')
+    start = upload(number, f'Content-Length: {BODY_BYTES}')
     return [start + bytes(BODY_BYTES - 1)]
 
 
@@ -90,34 +90,34 @@
 
 def whole_bodies(number):
     """Whole bodies of the largest size, for a target that takes its time."""
-    start = _upload(number, f'Content-Length: {BODY_BYTES}', work_ms=1000)
+    start = upload(number, f'Content-Length: {BODY_BYTES}', work_ms=1000)
     return [start + bytes(BODY_BYTES)]
 
 
 def queued_bodies(number):
     """Whole bodies behind a request that takes its time."""
-    start = _upload(number, 'Content-Length: 0', work_ms=1500)
-    upload = _upload(f'{number}-b', f'Content-Length: {BODY_BYTES // 4}')
-    return [start] + [upload + bytes(BODY_BYTES // 4)] * 4
+    start = upload(number, 'Content-Length: 0', work_ms=1500)
+    behind = upload(f'{number}-b', f'Content-Length: {BODY_BYTES // 4}')
+    return [start] + [behind + bytes(BODY_BYTES // 4)] * 4
 
 
 def large_chunks(number):
     """A body of large chunks that stops before its end."""
-    start = _upload(number, 'Transfer-Encoding: chunked')
+    start = upload(number, 'Transfer-Encoding: chunked')
     data = _chunked(bytes(BODY_BYTES - 1), _LARGE_CHUNK_BYTES)
     return _pieces(start + data)
 
 
 def whole_chunks(number):
     """A whole body of the largest size in chunks."""
-    start = _upload(f'{number}-c', 'Transfer-Encoding: chunked')
+    start = upload(f'{number}-c', 'Transfer-Encoding: chunked')
     data = _chunked(bytes(BODY_BYTES), _LARGE_CHUNK_BYTES)
     return [start + data + b'0\r\n\r\n']
 
 
 def tiny_chunks(number):
     """A body of chunks of one byte that stops before its end."""
-    start = _upload(number, 'Transfer-Encoding: chunked')
+    start = upload(number, 'Transfer-Encoding: chunked')
     return _pieces(start + b'1\r\nx\r\n' * TINY_CHUNKS)
 
 
--- a/tests/test_open_clients.py
+++ b/tests/test_open_clients.py
@@ -115,6 +115,33 @@
     _run(body)
 
 
+def test_a_body_of_64_mib_crosses_a_link_between_machines_of_200_mb():
+    size = 64 * opencrowd.MIB
+
+    async def body(fleet):
+        machine = fleet.machines[0]
+        await machine.withdraw_target()
+        source = f'{fleet.host_prefix}.3'
+        head = opencrowd.upload('large', f'Content-Length: {size}')
+        data = head + bytes(size)
+        found = await opencrowd.ask(_address(machine), source, data)
+        assert found[0] == 200
+        for machine in fleet.machines:
+            peak_bytes = opencrowd.peak_bytes(machine.process.pid)
+            print(f'{machine.name}: peak {peak_bytes / 1e6:.1f} MB')
+            assert peak_bytes < 200e6
+
+    relayprocesses.run(
+        body,
+        count=2,
+        grace_s=3.0,
+        seed=1,
+        timeout_s=120.0,
+        settings={'limits': {'memory_mb': 200}},
+        limits={'max_body_bytes': size},
+    )
+
+
 def test_a_head_of_many_headers_is_carried_to_another_node():
     # More headers than fit into 512 strings, within the header limit.
     lines = [f'X-{i}: {i}' for i in range(400)]
