Take a large body off a link without a copy

A large frame carries its body as the last field; the buffer in which it was received becomes the body. Other layouts, from older builds, are decoded as before.

The product's other path passes such a body on as bytes, since curl and tornado take nothing else.

--- a/src/parsleystile/dispatcher.py
+++ b/src/parsleystile/dispatcher.py
@@ -194,7 +194,7 @@
                 )
                 self._finish(
                     exchanges.Answer(
-                        result.status, result.headers, result.body
+                        result.status, result.headers, bytes(result.body)
                     )
                 )
                 return
--- a/src/parsleystile/guard.py
+++ b/src/parsleystile/guard.py
@@ -265,7 +265,8 @@
             call.method,
             self._base_url + call.path,
             headers,
-            call.body,
+            # A large one comes as the buffer in which it was received.
+            bytes(call.body),
             remaining_ms,
         )
 
--- a/src/parsleystile/wire.py
+++ b/src/parsleystile/wire.py
@@ -13,6 +13,7 @@
 from thrift import Thrift
 from thrift.transport import TTransport
 
+from parsleystile import _framebody
 from parsleystile import context
 from parsleystile import errors
 from parsleystile.gen import ttypes
@@ -29,6 +30,8 @@
 _FIELD_HEADER = struct.Struct('!BhI')
 _STOP = b'\0'
 _BODY_FIELDS = {ttypes.Call: 16, ttypes.Answer: 5}
+# The body of a longer frame is not copied.
+_LARGE_FRAME_BYTES = 131_072
 
 Message = (
     ttypes.Call | ttypes.Answer | ttypes.Cancel | ttypes.Hello | ttypes.Control
@@ -234,6 +237,11 @@
         # Most reads contain whole frames; only an incomplete one is buffered.
         if self._buffer:
             self._buffer += data
+            message = self._take_large()
+            if message is not None:
+                rest = bytes(self._buffer)
+                self._buffer.clear()
+                return [message, *self.feed(rest)]
             consumed = self._split_frames(self._buffer, messages := [])
             del self._buffer[:consumed]
             return messages
@@ -242,6 +250,33 @@
             self._buffer += data[consumed:]
         return messages
 
+    def _take_large(self) -> Message | None:
+        """Take a large frame off the buffer; None if there is none.
+
+        The buffer becomes the body of its message.
+        """
+        buffer = self._buffer
+        if len(buffer) < _LARGE_FRAME_BYTES:
+            return None
+        length, kind = _HEADER.unpack_from(buffer)
+        end = _LENGTH_BYTES + length
+        body_field = _BODY_FIELDS.get(_TYPES.get(kind))
+        if body_field is None or not _LARGE_FRAME_BYTES < end <= len(buffer):
+            return None
+        start = _HEADER.size
+        at = _framebody.find_last_body(buffer, start, end, body_field)
+        if at is None or end > self._max_frame_bytes + _LENGTH_BYTES:
+            return None
+        self._buffer = buffer[end:]
+        length_at = at - _LENGTH_BYTES
+        head = bytes(buffer[start:length_at])
+        # Neither end of a buffer costs a copy.
+        del buffer[end - len(_STOP) :]
+        del buffer[:at]
+        message = _decode_payload(kind, head + bytes(_LENGTH_BYTES) + _STOP)
+        message.body = buffer
+        return message
+
     def _split_frames(
         self, data: bytes | bytearray, messages: list[Message]
     ) -> int:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -105,3 +105,53 @@
         _decode(_answer_with(ttypes.Load(1, 2, 3, 1.5, 40, notice)))
     with pytest.raises(errors.FrameError):
         _decode(_call_with(notice=notice))
+
+
+_LARGE = bytes(range(256)) * 1024
+
+
+def _parts(message, kind=wire.FrameKind.CALL):
+    return b''.join(wire.encode_parts(kind, message))
+
+
+@pytest.mark.parametrize('encode', [_parts, None])
+@pytest.mark.parametrize('piece_bytes', [65_536, 1_000_000])
+def test_a_large_body_is_carried_between_other_frames(encode, piece_bytes):
+    small = wire.encode(wire.FrameKind.CALL, test_link.call(body=b'x'))
+    large = test_link.call(body=_LARGE)
+    encoded = encode or (lambda m: wire.encode(wire.FrameKind.CALL, m))
+    data = small + encoded(large) * 2 + small
+    decoder = wire.FrameDecoder(10_000_000)
+    found = []
+    for i in range(0, len(data), piece_bytes):
+        found += decoder.feed(data[i : i + piece_bytes])
+    assert [m.body for m in found] == [b'x', _LARGE, _LARGE, b'x']
+    for message in found[1:3]:
+        message.body = _LARGE
+        assert message == large
+    assert large.body is _LARGE
+
+
+def test_a_large_answer_is_carried():
+    answer = test_link.answer(body=_LARGE)
+    decoder = wire.FrameDecoder(10_000_000)
+    data = _parts(answer, wire.FrameKind.ANSWER)
+    found = decoder.feed(data[:9]) + decoder.feed(data[9:])
+    assert found[0].body == _LARGE
+    found[0].body = _LARGE
+    assert found == [answer]
+
+
+def test_a_large_frame_that_is_malformed_is_rejected():
+    data = bytearray(_parts(test_link.call(body=_LARGE)))
+    for position in range(5, 60):
+        for value in (0, 11, 15, 255):
+            changed = bytearray(data)
+            changed[position] = value
+            decoder = wire.FrameDecoder(10_000_000)
+            try:
+                decoder.feed(bytes(changed[:9]))
+                messages = decoder.feed(bytes(changed[9:]))
+            except errors.FrameError:
+                continue
+            assert all(m.body == _LARGE for m in messages)
