Let a large call end no other call of its link

The cause: the link was aborted when more than 8 MiB were unsent, which one large call fills by itself. Large bodies now don't count towards that limit, and a large call that would wait behind another one's body is refused as not run (queue_full), so that the dispatcher tries another target.

Pieces with credit are not built: a small call still waits behind a large body on its link.

--- a/src/parsleystile/_linkprotocol.py
+++ b/src/parsleystile/_linkprotocol.py
@@ -27,8 +27,10 @@
 _TCP_USER_TIMEOUT_MS = 3000
 _KEEPALIVE_IDLE_S = 2
 _MAX_QUEUED_CALLS = 4096
-# Write buffer for a peer that does not read; beyond it the link is closed.
+# Write buffer for a peer that does not read, besides large bodies; beyond it
+# the link is closed. A large call waits for room in it elsewhere.
 _MAX_BUFFERED_BYTES = 8 * 1_048_576
+_NO_ROOM_RETRY_AFTER_MS = 500
 # Larger bodies are written without a copy.
 _LARGE_BODY_BYTES = 65_536
 
@@ -91,6 +93,8 @@
         self._transport: asyncio.Transport | None = None
         self._nonce = secrets.token_bytes(_NONCE_BYTES)
         self._is_shut_down = False
+        # Large bodies in the write buffer, at most.
+        self._large_bytes = 0
         self.is_ready = False
         # Does not grow while the peer is silent.
         self.received_chunks = 0
@@ -125,11 +129,15 @@
         channel = self._transport
         if channel is None or self._is_shut_down or channel.is_closing():
             return False
-        if channel.get_write_buffer_size() > _MAX_BUFFERED_BYTES:
+        unsent_bytes = channel.get_write_buffer_size()
+        if unsent_bytes > _MAX_BUFFERED_BYTES + self._large_bytes:
             self._metrics.incr('link.overflows')
             self.abort()
             return False
+        if not unsent_bytes:
+            self._large_bytes = 0
         if _has_large_body(kind, message):
+            self._large_bytes += len(message.body)
             channel.writelines(wire.encode_parts(kind, message))
         else:
             channel.write(wire.encode(kind, message))
@@ -408,6 +416,14 @@
             )
             asyncio.get_running_loop().call_soon(on_answer, refusal)
             return pending
+        if len(call.body) >= _LARGE_BODY_BYTES and not self._has_room(call):
+            refusal = errors.not_run(
+                errors.Reason.QUEUE_FULL,
+                'large calls wait on this link',
+                _NO_ROOM_RETRY_AFTER_MS,
+            )
+            asyncio.get_running_loop().call_soon(on_answer, refusal)
+            return pending
         self._pending_calls[call_id] = pending
         if not self.is_ready:
             self._queued_calls[call_id] = call
@@ -419,6 +435,14 @@
             asyncio.get_running_loop().call_soon(on_answer, refusal)
         return pending
 
+    def _has_room(self, call: ttypes.Call) -> bool:
+        """Whether a large call fits behind others; alone it always does."""
+        waiting_bytes = self.unsent_bytes + sum(
+            len(queued.body) for queued in self._queued_calls.values()
+        )
+        size = waiting_bytes + len(call.body)
+        return not waiting_bytes or size <= _MAX_BUFFERED_BYTES
+
     def cancel(self, call_id: int) -> None:
         """Drop a call and, if it was sent, cancel it at the other end."""
         if self._pending_calls.pop(call_id, None) is None:
