Test the node behind several others

Six nodes without targets of their own pass ten uploads of 4 MiB each to a seventh: 68 to 81 MB of 100 at the six, 170 at the seventh, which counts no call that it receives.

--- a/tests/test_open_clients.py
+++ b/tests/test_open_clients.py
@@ -35,17 +35,14 @@
 _SETTLE_S = 2.0
 
 
-def _run(body, settings=None):
+def _run(body, count=1):
     return relayprocesses.run(
         body,
-        count=1,
+        count=count,
         grace_s=3.0,
         seed=1,
         timeout_s=180.0,
-        settings={
-            'limits': {'memory_mb': _MEMORY_MB, 'max_fds': 4100},
-            **(settings or {}),
-        },
+        settings={'limits': {'memory_mb': _MEMORY_MB, 'max_fds': 4100}},
         limits={
             'max_header_bytes': opencrowd.HEADER_BYTES,
             'max_body_bytes': opencrowd.BODY_BYTES,
@@ -142,6 +139,29 @@
     )
 
 
+def test_a_node_behind_several_others_outlives_their_crowds():
+    async def body(fleet):
+        *entries, behind = fleet.machines
+        for machine in entries:
+            await machine.withdraw_target()
+        source = f'{fleet.host_prefix}.3'
+        crowd = []
+        for machine in entries:
+            crowd += await opencrowd.connect_all(_address(machine), source, 10)
+        parts = [opencrowd.whole_bodies(i) for i in range(len(crowd))]
+        await asyncio.gather(*map(opencrowd.Client.send, crowd, parts))
+        await opencrowd.ask_until_served(_address(entries[0]), source, 'x')
+        for client in crowd:
+            client.close()
+        for machine in fleet.machines:
+            assert machine.process.returncode is None
+            peak_bytes = opencrowd.peak_bytes(machine.process.pid)
+            print(f'{machine.name}: peak {peak_bytes / 1e6:.1f} MB')
+            assert peak_bytes < _MEMORY_MB * 1e6
+
+    _run(body, count=7)
+
+
 def test_a_head_of_many_headers_is_carried_to_another_node():
     # More headers than fit into 512 strings, within the header limit.
     lines = [f'X-{i}: {i}' for i in range(400)]
