--- a/src/parsleystile/wire.py
+++ b/src/parsleystile/wire.py
@@ -10,8 +10,10 @@
 import struct
 
 from thrift.protocol import TBinaryProtocol
+from thrift import Thrift
 from thrift.transport import TTransport
 
+from parsleystile import _framebody
 from parsleystile import context
 from parsleystile import errors
 from parsleystile.gen import ttypes
@@ -20,8 +22,16 @@
 _LENGTH_BYTES = 4
 # Allowance in a frame for everything except the body.
 FRAME_OVERHEAD_BYTES = 65_536
-_MAX_HEADER_STRINGS = 512
+# Names and values of a head of 64 KiB in the shortest lines; its bytes are
+# limited where callers arrive.
+_MAX_HEADER_STRINGS = 32_768
 _MAX_DETAIL_CHARS = 200
+# Type, id and length of a field of bytes, and the end of a struct.
+_FIELD_HEADER = struct.Struct('!BhI')
+_STOP = b'\0'
+_BODY_FIELDS = {ttypes.Call: 16, ttypes.Answer: 5}
+# The body of a longer frame is not copied.
+_LARGE_FRAME_BYTES = 131_072
 
 Message = (
     ttypes.Call | ttypes.Answer | ttypes.Cancel | ttypes.Hello | ttypes.Control
@@ -67,6 +77,29 @@
     return _HEADER.pack(len(payload) + 1, kind) + payload
 
 
+def encode_parts(kind: FrameKind, message: Message) -> list[bytes]:
+    """Return the frame of a call or an answer in parts.
+
+    Its body is the last field and one part, as it is: neither the codec nor
+    the frame copies it.
+    """
+    body, message.body = message.body, None
+    try:
+        payload = _ENCODER._fast_encode(message, _STRUCT_SPECS[type(message)])
+    finally:
+        message.body = body
+    size = len(payload) + _FIELD_HEADER.size + len(body)
+    return [
+        _HEADER.pack(size + 1, kind)
+        + payload[: -len(_STOP)]
+        + _FIELD_HEADER.pack(
+            Thrift.TType.STRING, _BODY_FIELDS[type(message)], len(body)
+        ),
+        body,
+        _STOP,
+    ]
+
+
 # Fields that a message may lack.
 _OPTIONAL_FIELDS: dict[type, tuple[str, ...]] = {
     ttypes.Call: ('notice', 'max_wait_ms'),
@@ -207,6 +240,11 @@
         # Most reads contain whole frames; only an incomplete one is buffered.
         if self._buffer:
             self._buffer += data
+            message = self._take_large()
+            if message is not None:
+                rest = bytes(self._buffer)
+                self._buffer.clear()
+                return [message, *self.feed(rest)]
             consumed = self._split_frames(self._buffer, messages := [])
             del self._buffer[:consumed]
             return messages
@@ -215,6 +253,33 @@
             self._buffer += data[consumed:]
         return messages
 
+    def _take_large(self) -> Message | None:
+        """Take a large frame off the buffer; None if there is none.
+
+        The buffer becomes the body of its message.
+        """
+        buffer = self._buffer
+        if len(buffer) < _LARGE_FRAME_BYTES:
+            return None
+        length, kind = _HEADER.unpack_from(buffer)
+        end = _LENGTH_BYTES + length
+        body_field = _BODY_FIELDS.get(_TYPES.get(kind))
+        if body_field is None or not _LARGE_FRAME_BYTES < end <= len(buffer):
+            return None
+        start = _HEADER.size
+        at = _framebody.find_last_body(buffer, start, end, body_field)
+        if at is None or end > self._max_frame_bytes + _LENGTH_BYTES:
+            return None
+        self._buffer = buffer[end:]
+        length_at = at - _LENGTH_BYTES
+        head = bytes(buffer[start:length_at])
+        # Neither end of a buffer costs a copy.
+        del buffer[end - len(_STOP) :]
+        del buffer[:at]
+        message = _decode_payload(kind, head + bytes(_LENGTH_BYTES) + _STOP)
+        message.body = buffer
+        return message
+
     def _split_frames(
         self, data: bytes | bytearray, messages: list[Message]
     ) -> int:
@@ -228,7 +293,9 @@
             end = start + _LENGTH_BYTES + length
             if size < end:
                 break
-            payload = bytes(data[start + _HEADER.size : end])
+            # A slice of a buffer would be a second copy.
+            with memoryview(data) as view:
+                payload = bytes(view[start + _HEADER.size : end])
             messages.append(_decode_payload(kind, payload))
             start = end
         return start
