Count the bodies of calls that a node receives

A large call of another node is counted until it is answered, and refused as not run (queue_full, with a time) when there is no room for its body; one alone is always taken.

--- a/src/parsleystile/relay/guard.py
+++ b/src/parsleystile/relay/guard.py
@@ -236,10 +236,18 @@
         return int(min(wait_ms, _MAX_WAIT_MS)) or None
 
     def submit(
-        self, call: ttypes.Call, on_answer: OnAnswer
+        self,
+        call: ttypes.Call,
+        on_answer: OnAnswer,
+        refusal: errors.Refusal | None = None,
     ) -> transports.PendingCall | None:
         """Admit or refuse a call.
 
+        Args:
+            call: The call.
+            on_answer: Gets the answer.
+            refusal: Why the call can't be admitted, if the node knows.
+
         ``on_answer`` is called exactly once, unless the call is cancelled
         first. The result cancels the call; it is None if the target takes no
         calls of the service.
@@ -247,7 +255,7 @@
         now_ms = self._deps.clock.now_ms()
         if call.notice is not None:
             self.notices.recalled(call.notice, now_ms)
-        refusal = self._admission_refusal(call, now_ms)
+        refusal = refusal or self._admission_refusal(call, now_ms)
         if refusal is not None:
             on_answer(self._refusal_answer(call, refusal, now_ms))
             return None
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -30,6 +30,7 @@
 from parsleystile.relay import plannedstop
 from parsleystile.relay import ratelimiter
 from parsleystile.relay import reachability
+from parsleystile.relay import receivedcalls
 from parsleystile.relay import retrybudget
 from parsleystile.relay import stalls
 from parsleystile.relay import statesync
@@ -221,6 +222,9 @@
         )
         self.guard.on_target_lost = self._on_target_lost
         self.guard.notices.on_leaving = self._on_target_leaving
+        self._received_calls = receivedcalls.received_calls(
+            self.guard, self.held, clock
+        )
         self._links.handle_calls(self._submit_received)
         self._balancer = balancer.balancer(
             setup.domain, setup.region, setup.node_id, rng
@@ -349,7 +353,7 @@
         age_ms = self._stalls.input_age_ms(self._clock.now_ms())
         if age_ms:
             call.deadline_ms = max(0, int(call.deadline_ms - age_ms))
-        return self.guard.submit(call, on_answer)
+        return self._received_calls.submit(call, on_answer)
 
     def handle_report(
         self, report: targetreports.Report
