--- a/tests/test_relay_callers.py
+++ b/tests/test_relay_callers.py
@@ -229,3 +229,26 @@
         server.server.close()
 
     asyncutil.run(body())
+
+
+@pytest.mark.parametrize('loop', _LOOPS)
+def test_a_body_that_trickles_has_a_time_of_its_own(loop):
+    async def body():
+        server = _Server()
+        reader, writer = await server.connect()
+        writer.write(b'POST /x HTTP/1.1\r\nContent-Length: 9\r\n\r\n1')
+        (connection,) = await _opened(server)
+        await asyncutil.wait_until(lambda: connection._body_bytes)
+        server.server.close_overdue()
+        assert not connection._rejection
+        server.server.body_timeout_ms = -1.0
+        server.server.close_overdue()
+        assert (await reader.readline()).startswith(b'HTTP/1.1 408 ')
+        server.server.close()
+
+    asyncutil.run(body(), loop)
+
+
+async def _opened(server):
+    await asyncutil.wait_until(lambda: server.server.connections)
+    return server.server.connections
