--- a/src/parsleystile/relay/rolloutcontrol.py
+++ b/src/parsleystile/relay/rolloutcontrol.py
@@ -34,7 +34,7 @@
 _REPORT_TIMEOUT_MS = 1_000.0
 _REPORT_PERIOD_MS = 500.0
 # Nodes of each version that report often; the others the rarer, the more.
-_FREQUENT_REPORTERS = 8
+_FREQUENT_REPORTERS = 6
 _RARE_REPORTERS_PER_PERIOD = 8
 # A new target's node that no judge answers for this time takes no calls.
 _JUDGE_SILENCE_MS = 3_000.0
@@ -374,7 +374,7 @@
             usual[:_FREQUENT_REPORTERS] + groups.new[:_FREQUENT_REPORTERS]
         )
         if any(member.node_id == own.node_id for member in frequent):
-            return _REPORT_PERIOD_MS
+            return rolloutplan.period_ms(self._own_progress().stage)
         return _REPORT_PERIOD_MS * max(
             1.0, len(found) / _RARE_REPORTERS_PER_PERIOD
         )
--- a/src/parsleystile/relay/rolloutplan.py
+++ b/src/parsleystile/relay/rolloutplan.py
@@ -10,7 +10,10 @@
 from parsleystile.relay import rollout
 from parsleystile.relay import rolloutjudge
 
-EVALUATION_PERIOD_MS = 500.0
+# Time between evaluations, and in the steps, in which a version that turns bad
+# costs many times as much.
+_USUAL_PERIOD_MS = 500.0
+_STEP_PERIOD_MS = 200.0
 # A trial that began late ends after this part of the duration, or with this
 # many answers.
 _MIN_TRIAL_PART = 0.3
@@ -27,6 +30,13 @@
 _MIN_PATIENCE_MS = 3_000.0
 
 
+def period_ms(stage: int) -> float:
+    """Return the time between evaluations, and between reports."""
+    if rollout.Stage.STEP_1 <= stage <= rollout.Stage.STEP_3:
+        return _STEP_PERIOD_MS
+    return _USUAL_PERIOD_MS
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class View:
     """What a judge sees of its service.
@@ -104,7 +114,7 @@
     def _fault(self, stage: int, view: View) -> str:
         """Return why the move is to be undone; empty if it isn't."""
         now_ms = view.now_ms
-        if now_ms - self._evaluated_ms >= EVALUATION_PERIOD_MS:
+        if now_ms - self._evaluated_ms >= period_ms(stage):
             self._evaluated_ms = now_ms
             verdict = self.judge.evaluate(now_ms)
             if verdict is not None:
