Tell restarted judges again that old targets are idle

Idle old nodes repeat it each 1.5 s, without counts. A resend when a judge's incarnation changes was tried and left out: the judge may not know the order yet.

--- a/src/parsleystile/relay/rolloutcontrol.py
+++ b/src/parsleystile/relay/rolloutcontrol.py
@@ -35,11 +35,11 @@
 _REPORT_PERIOD_MS = 500.0
 # Nodes of each version that report often; the others the rarer, the more.
 _FREQUENT_REPORTERS = 6
-_RARE_REPORTERS_PER_PERIOD = 8
+_RARE_REPORTERS_PER_PERIOD = 6
 # A new target's node that no judge answers for this time takes no calls.
 _JUDGE_SILENCE_MS = 3_000.0
 # A new target's node asks a judge for news at least this often.
-_NEWS_PERIOD_MS = 1_250.0
+_NEWS_PERIOD_MS = 1_500.0
 # Time in which all senders hear that the new version gets everything.
 _SPREAD_MS = 1_000.0
 # Time in which most senders learn of an order. A guard that refused earlier
@@ -330,6 +330,13 @@
         routes = self._counts.routes
         if is_due or is_quiet != self._was_quiet:
             self._reported_ms = now_ms
+        elif (
+            is_quiet
+            and own.version != progress.target_version
+            and now_ms - self._asked_ms >= _NEWS_PERIOD_MS
+        ):
+            # The move waits for this, and a judge may have started since.
+            routes = {}
         elif (
             own.version == progress.target_version
             and now_ms - max(self._asked_ms, self._judge_heard_ms)
