Bound what a target that claims to be fast gets; judge the play for longer

Cause: a target that tells it is idle and many times as fast as it is was given up to four times its share, and 2.8 times its capacity at 0.9.

Change: the service time counts from 0.4 of the mean, and the play has such a target.

--- a/src/parsleystile/targetload.py
+++ b/src/parsleystile/targetload.py
@@ -18,7 +18,7 @@
 # Utilisation beyond this counts as this much in averages.
 MAX_UTILISATION = 4.0
 # Bounds of the service time of a target as a ratio to that of its tier.
-MIN_TIME_RATIO = 0.25
+MIN_TIME_RATIO = 0.4
 MAX_TIME_RATIO = 4.0
 # Relative change of a target's share for each unit of utilisation that the
 # target is above or below its tier, and bounds of the change.
--- a/tests/evenloadplay.py
+++ b/tests/evenloadplay.py
@@ -23,12 +23,11 @@
 SLOTS = 12
 WORK_MS = 250.0
 DEADLINE_MS = 1_500.0
-USED_SHARE = 0.9
 # Weights of the domains in the demand; the first one bursts.
 DEMAND = (1.25, 1.0, 0.95, 0.8)
 BURST = 1.4
 BURST_MS = (9_000.0, 12_000.0)
-JUDGED_MS = (5_000.0, 15_000.0)
+JUDGED_MS = (5_000.0, 25_000.0)
 CROSSING_MS = 1.4
 STAYING_MS = 0.1
 
@@ -48,6 +47,8 @@
         self.speed = speed
         self.domain = domain
         self.sent = 0
+        # Tells that it is idle and many times as fast as it is.
+        self.is_lying = False
         self.limit = declaredlimit.declared_limit()
         self.queue = admission.admission_queue(
             rng, limit=self.limit, queue_per_slot=16, newest_first=False
@@ -80,8 +81,9 @@
 class Play:
     """Plays the load; each event is a function of the current time."""
 
-    def __init__(self, speeds, seed, make=balancer.balancer):
+    def __init__(self, speeds, seed, make=balancer.balancer, used=0.9):
         self.rng = random.Random(seed)
+        self.used_share = used
         self.numbers = itertools.count()
         self.events = []
         found = [
@@ -113,7 +115,7 @@
         share = (JUDGED_MS[1] - JUDGED_MS[0]) / (BURST_MS[1] - BURST_MS[0])
         mean = sum(DEMAND) + (BURST - 1.0) * DEMAND[0] / share
         capacity = sum(t.speed for t in self.targets.values()) * SLOTS
-        per_ms = USED_SHARE * capacity / WORK_MS / mean
+        per_ms = self.used_share * capacity / WORK_MS / mean
         for domain, weight in enumerate(DEMAND):
             now_ms = 0.0
             while now_ms < JUDGED_MS[1]:
@@ -199,6 +201,8 @@
             self.at(now_ms + work_ms, self.end, action.call_key, work_ms)
 
     def load(self, target, now_ms):
+        if target.is_lying:
+            return Load(admission.Load(0, SLOTS, 0, 3.0), 1_000)
         service_us = int(target.limit.answer_ms * 1e3) or None
         return Load(target.queue.load(now_ms), service_us)
 
--- a/tests/test_even_load.py
+++ b/tests/test_even_load.py
@@ -34,6 +34,15 @@
     assert now.messages / now.calls <= before.messages / before.calls
 
 
+def test_callers_bear_a_target_that_claims_to_be_idle_and_fast():
+    speeds = evenloadplay.speeds_of(QUARTERS, 14)
+    play = evenloadplay.Play(speeds, 0, used=0.6)
+    play.targets['t5'].is_lying = True
+    result = play.run()
+    assert result.late <= 0.01 * result.calls
+    assert result.refused <= 0.01 * result.calls
+
+
 def _tell(load, tier, in_flight, now_ms, service_us=None):
     report = admission.Load(in_flight, 20, 0, 3.0)
     told = evenloadplay.Load(report, service_us)
