Order roll-outs by the era of the store before the version

Cause: an order that is new after a restore may have a lower version than the one before it, and was taken for an earlier one.

--- a/tests/test_platform_rollouts.py
+++ b/tests/test_platform_rollouts.py
@@ -75,6 +75,16 @@
     assert rows.orders[0].order == 9
 
 
+def test_an_order_after_a_restore_is_later_though_versions_went_back():
+    rows, _ = _rows()
+    rows.put('rollout/yard', 700, _order(), era=1)
+    before = rows.orders[0].order
+    rows.begin()
+    rows.put('rollout/yard', 3, _order('v3'), era=2, is_restored=True)
+    assert rows.orders[0].order > before
+    assert rolloutrows.row_version(rows.orders[0].order) == 3
+
+
 def test_an_order_that_the_copy_lacks_stays_while_the_store_settles():
     rows, _ = _rows()
     rows.put('rollout/yard', 7, _order())
