Rank a call that a target makes as its root request

Cause: such calls were all of the lowest class with a draw of their own, so that requests that make the most calls fail most, whatever their importance.

Call field 21 says that a rank is a root's.

Ruled out: learning the share of a route's calls from the choices made so far.

--- a/src/parsleystile/wire.py
+++ b/src/parsleystile/wire.py
@@ -69,8 +69,8 @@
 
 # Fields that a message may lack.
 _OPTIONAL_FIELDS: dict[type, tuple[str, ...]] = {
-    ttypes.Call: ('notice', 'max_wait_ms'),
-    ttypes.Load: ('wait_ms', 'notice', 'child_level'),
+    ttypes.Call: ('notice', 'max_wait_ms', 'has_root_rank'),
+    ttypes.Load: ('wait_ms', 'notice', 'child_level', 'root_level'),
     ttypes.TargetNotice: ('limit_per_s',),
 }
 
@@ -157,12 +157,9 @@
 
 def _check_answer(answer: ttypes.Answer) -> None:
     _check_required_fields(answer.load)
-    child_level = answer.load.child_level
-    if (
-        child_level is not None
-        and not 0.0 <= child_level <= context.RANK_LIMIT
-    ):
-        raise errors.FrameError(f'Answer frame with child level {child_level}')
+    for level in (answer.load.child_level, answer.load.root_level):
+        if level is not None and not 0.0 <= level <= context.RANK_LIMIT:
+            raise errors.FrameError(f'Answer frame with child level {level}')
     if answer.load.notice is not None:
         _check_notice(answer.load.notice)
     _check_headers(answer.headers)
