Let the route's priority count within the class of an organisation

Cause: an organisation's priority took the place of the route's.

Change: the organisation's priority is the class, the route's comes next, then the draw. Queue steps and levels follow, as they go by the rank.

Ruled out: ranking calls by their root alone.

--- a/src/parsleystile/relay/ingress.py
+++ b/src/parsleystile/relay/ingress.py
@@ -8,6 +8,7 @@
 from parsleystile.gen import ttypes
 from parsleystile import hopheaders
 from parsleystile import ids
+from parsleystile.relay import callorder
 from parsleystile.relay import calltree
 from parsleystile.relay import dispatch
 from parsleystile.relay import guard as guards
@@ -20,7 +21,6 @@
 from parsleystile.relay import telemetry
 from parsleystile import shedding
 
-_LOWEST_IMPORTANCE = 2
 # A stopping node is usually replaced within this time; the range spreads the
 # return of its callers.
 _REPLACEMENT_RANGE_MS = (500, 1_500)
@@ -364,7 +364,7 @@
         if origin is not None:
             rank = origin.run.rank
         else:
-            rank = self._importance(is_child) + deps.rng.random()
+            rank = self._draw_rank(is_child)
         if is_child:
             self._record_rank(rank, origin)
         else:
@@ -434,14 +434,16 @@
             )
         )
 
-    def _importance(self, is_child: bool) -> int:
+    def _draw_rank(self, is_child: bool) -> float:
+        draw = self._ingress._deps.rng.random()
         if is_child:
-            return subtreeshedding.CHILD_CLASS
-        priority = self._route.priority
+            return subtreeshedding.CHILD_CLASS + draw
         owner = self._organisation
-        if owner is not None and owner.priority is not None:
-            priority = owner.priority
-        return max(0, min(priority, _LOWEST_IMPORTANCE))
+        return callorder.rank(
+            None if owner is None else owner.priority,
+            self._route.priority,
+            draw,
+        )
 
     def _build_call(self, rank: float, is_child: bool) -> ttypes.Call:
         deps = self._ingress._deps
--- a/tests/test_relay_calltree.py
+++ b/tests/test_relay_calltree.py
@@ -116,16 +116,34 @@
 
 def test_calls_of_begun_requests_go_before_new_ones_of_their_class_only():
     steps = [
-        callorder.step(0, 0.9, True),
-        callorder.step(0, 0.1, False),
-        callorder.step(1, 0.2, True),
+        callorder.step(0, 0.99, True),
+        callorder.step(0, 0.99, False),
+        callorder.step(1, 0.1, True),
         callorder.step(1, 0.3, True),
-        callorder.step(1, 0.9, False),
+        callorder.step(1, 0.0, False),
+        callorder.step(1, 0.4, True),
+        callorder.step(1, 0.99, False),
         callorder.step(2, 0.0, True),
-        callorder.step(2, 0.0, False),
+        callorder.step(2, 0.99, False),
     ]
+    assert steps == sorted(set(steps))
+    assert steps[-1] == callorder.STEPS - 1
+
+
+def test_the_route_decides_among_organisations_of_one_class():
+    ranks = [
+        callorder.rank(0, 2, 0.9),
+        callorder.rank(1, 0, 0.9),
+        callorder.rank(1, 1, 0.1),
+        callorder.rank(1, 1, 0.2),
+        callorder.rank(1, 7, 0.0),
+        callorder.rank(None, 2, 0.0),
+    ]
+    assert ranks == sorted(ranks)
+    assert int(callorder.rank(None, 0, 0.999)) == 0
+    assert int(callorder.rank(2, -1, 0.999)) == 2
+    steps = [callorder.step(int(rank), rank % 1.0, False) for rank in ranks]
     assert steps == sorted(steps)
-    assert steps[-1] < callorder.STEPS
 
 
 def test_a_less_important_call_gives_way_when_there_is_no_room():
