Start calls of one importance oldest first

Cause: ordered by halves of the draw, calls of the losing half wait past their deadline, and the work of their requests is lost.

Change: one step for begun requests and one for new ones, each oldest first. tests/test_tree_overload.py plays two kinds of requests that share the end of their trees, the important one with twice the calls.

--- a/src/parsleystile/relay/callorder.py
+++ b/src/parsleystile/relay/callorder.py
@@ -6,9 +6,7 @@
 are often all of the same class.
 
 In a queue, calls that begun requests make go before new requests of the same
-importance: one that finds no room wastes what was done. Among them the draw of
-the request decides, in halves, so that the same requests find room for each
-of their calls.
+importance: one that finds no room wastes what was done.
 """
 
 from parsleystile import context
@@ -20,9 +18,8 @@
 TREE_ORGANISATION = ids.OrganisationId('\0tree')
 _CLASSES = len(context.Importance)
 _LAST_CLASS = _CLASSES - 1
-_BANDS = 2
-# New requests come after the bands.
-_STEPS_PER_ROUTE_CLASS = _BANDS + 1
+# Calls of begun requests, and new requests.
+_STEPS_PER_ROUTE_CLASS = 2
 _STEPS_PER_CLASS = _STEPS_PER_ROUTE_CLASS * _CLASSES
 STEPS = _STEPS_PER_CLASS * _CLASSES
 
@@ -57,12 +54,11 @@
         draw: The rest of it, which holds the class of the route.
         is_child: Whether a begun request makes the call.
     """
-    route_class, rest = divmod(draw * _CLASSES, 1.0)
-    within = int(rest * _BANDS) if is_child else _BANDS
+    route_class = min(int(draw * _CLASSES), _LAST_CLASS)
     return (
         _STEPS_PER_CLASS * importance
-        + _STEPS_PER_ROUTE_CLASS * min(int(route_class), _LAST_CLASS)
-        + within
+        + _STEPS_PER_ROUTE_CLASS * route_class
+        + (0 if is_child else 1)
     )
 
 
