--- a/src/parsleystile/admission.py
+++ b/src/parsleystile/admission.py
@@ -217,7 +217,6 @@
         self._queue = fairqueue.FairQueue(steps)
         self._running: dict[CallKey, Arrive | fairqueue.Waiting] = {}
         self._cancelled: set[CallKey] = set()
-        self._is_by_deadline = False
         self._drain_started_ms: float | None = None
         # Organisations that had a call refused because the queue was full.
         self._overflowed: set[ids.OrganisationId] = set()
@@ -316,7 +315,6 @@
                 call.weight,
                 call.route,
                 call.deadline_ms - expected_ms,
-                call.step is not None and not call.is_sheddable,
             ),
             now_ms,
         )
@@ -395,7 +393,7 @@
         if self._newest_first:
             standing_since_ms = now_ms - self._standing_ms
         while queue.calls and limit.is_open(len(self._running), now_ms):
-            waiting = self._pop(standing_since_ms)
+            waiting = queue.pop(standing_since_ms)
             expected_ms = self._times.expected_ms(waiting.route, now_ms)
             if self._running and waiting.deadline_ms - now_ms < expected_ms:
                 actions.append(
@@ -407,14 +405,6 @@
             limit.next_open_ms(now_ms) if queue.calls else math.inf
         )
 
-    def _pop(self, standing_since_ms: float) -> fairqueue.Waiting:
-        # Every other start is for the call of a begun request that expires
-        # first: by importance alone the least important ones wait in vain
-        # even where there is nearly enough room for all.
-        self._is_by_deadline = not self._is_by_deadline
-        waiting = self._queue.pop_begun() if self._is_by_deadline else None
-        return waiting or self._queue.pop(standing_since_ms)
-
     def _start(
         self,
         call_key: CallKey,
--- a/src/parsleystile/fairqueue.py
+++ b/src/parsleystile/fairqueue.py
@@ -23,7 +23,6 @@
         importance: Importance class, or place in the order that the owner
             of the queue gives; the lowest is started first.
         latest_start_ms: A call not started before this misses its deadline.
-        is_begun: Whether a request that has begun makes the call.
         is_live: False once it is started, refused or cancelled.
     """
 
@@ -34,7 +33,6 @@
     weight: float
     route: str
     latest_start_ms: float
-    is_begun: bool = False
     is_live: bool = True
 
 
@@ -92,7 +90,6 @@
         ]
         self.calls: dict[typing.Hashable, Waiting] = {}
         self._expiry_heap: list[tuple[float, int, Waiting]] = []
-        self._begun_heap: list[tuple[float, int, Waiting]] = []
         self._sequence = 0
 
     def __len__(self) -> int:
@@ -139,10 +136,10 @@
         flow.live += 1
         self.calls[waiting.call_key] = waiting
         self._sequence += 1
-        entry = (waiting.latest_start_ms, self._sequence, waiting)
-        heapq.heappush(self._expiry_heap, entry)
-        if waiting.is_begun:
-            heapq.heappush(self._begun_heap, entry)
+        heapq.heappush(
+            self._expiry_heap,
+            (waiting.latest_start_ms, self._sequence, waiting),
+        )
 
     def pop(self, standing_since_ms: float) -> Waiting | None:
         """Remove and return the call to start next; None if empty.
@@ -162,16 +159,6 @@
                 return waiting
         return None
 
-    def pop_begun(self) -> Waiting | None:
-        """Remove and return the call of a begun request to start soonest."""
-        heap = self._begun_heap
-        while heap:
-            waiting = heapq.heappop(heap)[2]
-            if waiting.is_live:
-                self._unlink(waiting)
-                return waiting
-        return None
-
     def pop_expired(self, now_ms: float) -> Waiting | None:
         """Remove and return a call that can't meet its deadline, if any."""
         heap = self._expiry_heap
@@ -256,8 +243,6 @@
         """Remove entries that are no longer queued."""
         self._expiry_heap = [d for d in self._expiry_heap if d[2].is_live]
         heapq.heapify(self._expiry_heap)
-        self._begun_heap = [d for d in self._begun_heap if d[2].is_live]
-        heapq.heapify(self._begun_heap)
         for flows in self._flows_by_class:
             for flow in flows.values():
                 flow.entries = collections.deque(
