--- a/idl/parsleystile.thrift
+++ b/idl/parsleystile.thrift
@@ -31,9 +31,6 @@
   7: optional double child_level
   // Mean time that the target takes to answer a call; absent if not known.
   8: optional i32 service_us
-  // Lowest admission rank refused of the calls made in the subtree below
-  // whose ranks are those of their root requests; absent if all are admitted.
-  9: optional double root_level
 }
 
 struct Call {
@@ -59,9 +56,6 @@
   // Longest time to wait for the target's rate; absent where no other target
   // of the service is known to have room.
   19: optional i32 max_wait_ms
-  // Whether importance and draw of a call that a target makes are those of
-  // its root request.
-  21: optional bool has_root_rank
 }
 
 struct Answer {
--- a/src/parsleystile/admission.py
+++ b/src/parsleystile/admission.py
@@ -48,8 +48,6 @@
         route: Service times are estimated by route.
         is_sheddable: Whether the admission level may refuse the call;
             false for calls of a request already admitted upstream.
-        step: Place in the order of the queue, the lowest first; the
-            importance class if None.
     """
 
     call_key: CallKey
@@ -59,7 +57,6 @@
     weight: float = 1.0
     route: str = ''
     is_sheddable: bool = True
-    step: int | None = None
 
 
 class Complete(msgspec.Struct, frozen=True):
@@ -204,7 +201,6 @@
         limit: Limit | None = None,
         queue_per_slot: int = QUEUE_PER_SLOT,
         newest_first: bool = True,
-        steps: int = _MAX_CLASS + 1,
     ) -> None:
         self._rng = rng
         self._newest_first = newest_first
@@ -214,7 +210,7 @@
         self._limit_opens_ms = math.inf
         self._levels = levels.AdmissionLevels()
         self._times = servicetime.ServiceTimes()
-        self._queue = fairqueue.FairQueue(steps)
+        self._queue = fairqueue.FairQueue()
         self._running: dict[CallKey, Arrive | fairqueue.Waiting] = {}
         self._cancelled: set[CallKey] = set()
         self._drain_started_ms: float | None = None
@@ -310,7 +306,7 @@
             fairqueue.Waiting(
                 call.call_key,
                 call.organisation,
-                _step(call),
+                min(int(call.rank), _MAX_CLASS),
                 call.deadline_ms,
                 call.weight,
                 call.route,
@@ -346,7 +342,9 @@
 
     def _make_room(self, call: Arrive, actions: list[Action]) -> bool:
         """Refuse a queued call to make room; False if ``call`` is refused."""
-        victim = self._queue.pop_victim(call.organisation, _step(call))
+        victim = self._queue.pop_victim(
+            call.organisation, min(int(call.rank), _MAX_CLASS)
+        )
         refused = call if victim is None else victim
         self._overflowed.add(refused.organisation)
         refusal = self._overloaded(
@@ -461,12 +459,6 @@
         return errors.not_run(reason, detail, retry_after_ms)
 
 
-def _step(call: Arrive) -> int:
-    if call.step is None:
-        return min(int(call.rank), _MAX_CLASS)
-    return call.step
-
-
 def _leaving() -> errors.Refusal:
     return errors.not_run(errors.Reason.LEAVING, 'target is leaving')
 
@@ -491,7 +483,6 @@
     limit: Limit | None = None,
     queue_per_slot: int = QUEUE_PER_SLOT,
     newest_first: bool = True,
-    steps: int = _MAX_CLASS + 1,
 ) -> AdmissionQueue:
     """Create a queue that admits no calls until ``Announce``.
 
@@ -502,8 +493,7 @@
         queue_per_slot: Queue capacity per concurrent call, used if
             ``queue_bound`` is None.
         newest_first: Whether a standing queue is served newest first.
-        steps: Places in the order of the queue; one a class by default.
     """
     return AdmissionQueue(
-        rng, queue_bound, limit, queue_per_slot, newest_first, steps
+        rng, queue_bound, limit, queue_per_slot, newest_first
     )
--- a/src/parsleystile/fairqueue.py
+++ b/src/parsleystile/fairqueue.py
@@ -20,8 +20,7 @@
     """A queued call.
 
     Attributes:
-        importance: Importance class, or place in the order that the owner
-            of the queue gives; the lowest is started first.
+        importance: Importance class; the integer part of the rank.
         latest_start_ms: A call not started before this misses its deadline.
         is_live: False once it is started, refused or cancelled.
     """
@@ -83,10 +82,10 @@
         calls: Queued calls by key; read only.
     """
 
-    def __init__(self, classes: int = _CLASSES) -> None:
+    def __init__(self) -> None:
         self._shares: dict[ids.OrganisationId, _Share] = {}
         self._flows_by_class: list[dict[ids.OrganisationId, _Flow]] = [
-            {} for _ in range(classes)
+            {} for _ in range(_CLASSES)
         ]
         self.calls: dict[typing.Hashable, Waiting] = {}
         self._expiry_heap: list[tuple[float, int, Waiting]] = []
@@ -178,8 +177,7 @@
             The oldest call of the most loaded organisation in the least
             important class; None if the new call is the one to refuse.
         """
-        last = len(self._flows_by_class) - 1
-        for importance_class in range(last, importance - 1, -1):
+        for importance_class in range(_CLASSES - 1, importance - 1, -1):
             flows = self._flows_by_class[importance_class]
             if not flows:
                 continue
--- a/src/parsleystile/gen/ttypes.py
+++ b/src/parsleystile/gen/ttypes.py
@@ -131,7 +131,6 @@
      - notice
      - child_level
      - service_us
-     - root_level
 
     """
 
@@ -144,11 +143,10 @@
         'notice',
         'child_level',
         'service_us',
-        'root_level',
     )
 
 
-    def __init__(self, in_flight=None, limit=None, queued=None, admission_level=None, wait_ms=None, notice=None, child_level=None, service_us=None, root_level=None,):
+    def __init__(self, in_flight=None, limit=None, queued=None, admission_level=None, wait_ms=None, notice=None, child_level=None, service_us=None,):
         self.in_flight = in_flight
         self.limit = limit
         self.queued = queued
@@ -157,7 +155,6 @@
         self.notice = notice
         self.child_level = child_level
         self.service_us = service_us
-        self.root_level = root_level
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -209,11 +206,6 @@
                     self.service_us = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 9:
-                if ftype == TType.DOUBLE:
-                    self.root_level = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -256,10 +248,6 @@
             oprot.writeFieldBegin('service_us', TType.I32, 8)
             oprot.writeI32(self.service_us)
             oprot.writeFieldEnd()
-        if self.root_level is not None:
-            oprot.writeFieldBegin('root_level', TType.DOUBLE, 9)
-            oprot.writeDouble(self.root_level)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -307,7 +295,6 @@
      - idempotency_key
      - notice
      - max_wait_ms
-     - has_root_rank
 
     """
 
@@ -331,11 +318,10 @@
         'idempotency_key',
         'notice',
         'max_wait_ms',
-        'has_root_rank',
     )
 
 
-    def __init__(self, call_id=None, root_id=None, organisation=None, importance=None, deadline_ms=None, depth=None, retry_allowance=None, idempotent=None, draw=None, caller_service=None, callee_service=None, route=None, method=None, path=None, headers=None, body=None, idempotency_key=None, notice=None, max_wait_ms=None, has_root_rank=None,):
+    def __init__(self, call_id=None, root_id=None, organisation=None, importance=None, deadline_ms=None, depth=None, retry_allowance=None, idempotent=None, draw=None, caller_service=None, callee_service=None, route=None, method=None, path=None, headers=None, body=None, idempotency_key=None, notice=None, max_wait_ms=None,):
         self.call_id = call_id
         self.root_id = root_id
         self.organisation = organisation
@@ -355,7 +341,6 @@
         self.idempotency_key = idempotency_key
         self.notice = notice
         self.max_wait_ms = max_wait_ms
-        self.has_root_rank = has_root_rank
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -467,11 +452,6 @@
                     self.max_wait_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 21:
-                if ftype == TType.BOOL:
-                    self.has_root_rank = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -561,10 +541,6 @@
             oprot.writeFieldBegin('max_wait_ms', TType.I32, 19)
             oprot.writeI32(self.max_wait_ms)
             oprot.writeFieldEnd()
-        if self.has_root_rank is not None:
-            oprot.writeFieldBegin('has_root_rank', TType.BOOL, 21)
-            oprot.writeBool(self.has_root_rank)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1068,7 +1044,6 @@
     (6, TType.STRUCT, 'notice', [TargetNotice, None], None, ),  # 6
     (7, TType.DOUBLE, 'child_level', None, None, ),  # 7
     (8, TType.I32, 'service_us', None, None, ),  # 8
-    (9, TType.DOUBLE, 'root_level', None, None, ),  # 9
 )
 all_structs.append(Call)
 Call.thrift_spec = (
@@ -1092,8 +1067,6 @@
     (17, TType.STRING, 'idempotency_key', 'UTF8', None, ),  # 17
     (18, TType.STRUCT, 'notice', [TargetNotice, None], None, ),  # 18
     (19, TType.I32, 'max_wait_ms', None, None, ),  # 19
-    None,  # 20
-    (21, TType.BOOL, 'has_root_rank', None, None, ),  # 21
 )
 all_structs.append(Answer)
 Answer.thrift_spec = (
--- a/src/parsleystile/relay/dispatch.py
+++ b/src/parsleystile/relay/dispatch.py
@@ -55,8 +55,8 @@
             organisation, the load, the time in milliseconds and whether the
             target failed it.
         on_child_load: Called for each answer to a call made by the local
-            target with the load, the time in milliseconds, whether the
-            call found no room and whether it had the rank of its root.
+            target with the load, the time in milliseconds and whether the
+            call found no room.
         versions: Chooses among the versions of a service; None to leave
             versions out of account.
     """
@@ -74,14 +74,15 @@
     on_load: typing.Callable[
         [ids.RouteId, str, ttypes.Load, float, bool], None
     ]
-    on_child_load: typing.Callable[[ttypes.Load, float, bool, bool], None]
+    on_child_load: typing.Callable[[ttypes.Load, float, bool], None]
     versions: rolloutgroups.VersionChoice | None = None
 
 
 def lowest_level(load: ttypes.Load) -> float:
     """Return the lowest admission level of a target and of its calls."""
-    levels = (load.admission_level, load.child_level, load.root_level)
-    return min(level for level in levels if level is not None)
+    if load.child_level is None:
+        return load.admission_level
+    return min(load.admission_level, load.child_level)
 
 
 def _ignore(reply: Reply) -> None:
@@ -305,10 +306,7 @@
         # A call of its own, further down, may have been refused.
         is_shedding = lowest_level(load) < context.RANK_LIMIT
         self._deps.on_child_load(
-            load,
-            now_ms,
-            is_refused or (is_failure and is_shedding),
-            bool(self.call.has_root_rank),
+            load, now_ms, is_refused or (is_failure and is_shedding)
         )
 
     def _record_rate(
--- a/src/parsleystile/relay/guard.py
+++ b/src/parsleystile/relay/guard.py
@@ -16,8 +16,6 @@
 from parsleystile import errors
 from parsleystile.gen import ttypes
 from parsleystile import ids
-from parsleystile.relay import callorder
-from parsleystile.relay import calltree
 from parsleystile.relay import declaredlimit
 from parsleystile.relay import headernames
 from parsleystile.relay import httpclient
@@ -27,10 +25,11 @@
 from parsleystile import transport as transports
 from parsleystile import wire
 
+# Depth of a request from outside and of a call made by a target. A target's
+# call can't be matched to the request that caused it, so it is never shed by
+# admission level: work for an admitted request is finished.
 # Larger bodies are written after the head, without a copy.
 _LARGE_BODY_BYTES = 65_536
-# Depth of a request from outside and of a call made by a target, which is
-# never shed by admission level: work for an admitted request is finished.
 ROOT_DEPTH = 1
 CHILD_DEPTH = 2
 # A target that may have gone cold is limited to its cold rate until its next
@@ -114,10 +113,8 @@
     """Dependencies of a guard.
 
     Attributes:
-        tree: Is told of the calls that the target works on.
         child_level: Returns the admission level at a time in milliseconds
             that other guards reported for calls made by the local target.
-        root_level: The same for those that have the rank of their root.
     """
 
     queue: admission.AdmissionQueue
@@ -127,9 +124,7 @@
     clock: clocks.Clock
     wheel: deadlines.DeadlineWheel
     recorder: telemetry.Recorder
-    tree: calltree.CallTree
     child_level: typing.Callable[[float], float]
-    root_level: typing.Callable[[float], float]
 
 
 class Guard:
@@ -232,9 +227,10 @@
         until_ms = max(target.cold_until_ms, now_ms + _ASSUMED_COLD_MS)
         self._deps.limit.set_cold(until_ms, target.cold_per_s, now_ms)
 
-    def _load(self, call: ttypes.Call, now_ms: float) -> ttypes.Load:
-        """Return the load that the answer to a call reports."""
-        organisation = callorder.sharing_organisation(call)
+    def _load(
+        self, organisation: ids.OrganisationId, now_ms: float
+    ) -> ttypes.Load:
+        """Return the load that an answer to an organisation reports."""
         load = self._deps.queue.load(now_ms, organisation)
         limit = load.limit if self._target is not None else 0
         if self._deps.limit.is_cold(now_ms):
@@ -246,16 +242,14 @@
             load.admission_level,
             self._wait_ms(load.queued, now_ms),
             self.notices.told,
-            _unless_open(self._deps.child_level(now_ms)),
+            self._child_level(now_ms),
             int(self._deps.limit.answer_ms * 1e3) or None,
-            self._root_level(call.route, now_ms),
         )
 
-    def _root_level(self, route: str, now_ms: float) -> float | None:
-        """Return the level of calls that a run of a route makes."""
-        if not self._deps.tree.makes_calls(route):
-            return None
-        return _unless_open(self._deps.root_level(now_ms))
+    def _child_level(self, now_ms: float) -> float | None:
+        """Return the level of calls that the target makes; None if open."""
+        level = self._deps.child_level(now_ms)
+        return level if level < context.RANK_LIMIT else None
 
     def _wait_ms(self, queued: int, now_ms: float) -> int | None:
         """Return how long the target's rate keeps a call; None if not."""
@@ -297,15 +291,12 @@
         self._apply(
             admission.Arrive(
                 active.key,
-                callorder.sharing_organisation(call),
+                ids.OrganisationId(call.organisation),
                 call.importance + call.draw,
                 active.deadline_ms,
                 1.0,
                 call.route,
                 call.depth == ROOT_DEPTH,
-                callorder.step(
-                    call.importance, call.draw, call.depth > ROOT_DEPTH
-                ),
             ),
             now_ms,
         )
@@ -346,7 +337,6 @@
         if active.pending is None:
             self._apply(admission.Cancel(active.key), now_ms)
             return
-        self._deps.tree.ended(active.key, now_ms)
         self._cancel_timer(active)
         active.pending.cancel()
         spent_ms = now_ms - active.started_ms
@@ -409,16 +399,6 @@
         body = call.body
         if len(body) < _LARGE_BODY_BYTES:
             data, body = data + body, b''
-        self._deps.tree.started(
-            active.key,
-            calltree.run(
-                call.route,
-                call.importance + call.draw,
-                call.depth == ROOT_DEPTH or bool(call.has_root_rank),
-                active.deadline_ms,
-            ),
-            now_ms,
-        )
         outbound = httpclient.OutboundRequest(
             data,
             call.root_id,
@@ -479,7 +459,6 @@
             return
         self._cancel_timer(active)
         now_ms = self._deps.clock.now_ms()
-        self._deps.tree.ended(active.key, now_ms)
         spent_ms = now_ms - active.started_ms
         if isinstance(result, targetanswer.TargetAnswer):
             # Another target may have given that answer.
@@ -556,14 +535,14 @@
             detail='',
             retry_after_ms=0,
             retry_unspent=0,
-            load=self._load(call, now_ms),
+            load=self._load(ids.OrganisationId(call.organisation), now_ms),
             is_final=False,
         )
 
     def _refusal_answer(
         self, call: ttypes.Call, refusal: errors.Refusal, now_ms: float
     ) -> ttypes.Answer:
-        load = self._load(call, now_ms)
+        load = self._load(ids.OrganisationId(call.organisation), now_ms)
         if refusal.retry_after_ms and load.wait_ms is not None:
             # The jittered value knows nothing of the target's rate.
             retry_after_ms = max(refusal.retry_after_ms, load.wait_ms)
@@ -581,10 +560,6 @@
     return errors.not_run(errors.Reason.SHED, 'this version takes no calls')
 
 
-def _unless_open(level: float) -> float | None:
-    return level if level < context.RANK_LIMIT else None
-
-
 def guard(deps: Dependencies) -> Guard:
     """Create a guard without a target."""
     return Guard(deps)
--- a/src/parsleystile/relay/ingress.py
+++ b/src/parsleystile/relay/ingress.py
@@ -8,8 +8,6 @@
 from parsleystile.gen import ttypes
 from parsleystile import hopheaders
 from parsleystile import ids
-from parsleystile.relay import callorder
-from parsleystile.relay import calltree
 from parsleystile.relay import dispatch
 from parsleystile.relay import guard as guards
 from parsleystile.relay import headernames
@@ -21,6 +19,7 @@
 from parsleystile.relay import telemetry
 from parsleystile import shedding
 
+_LOWEST_IMPORTANCE = 2
 # A stopping node is usually replaced within this time; the range spreads the
 # return of its callers.
 _REPLACEMENT_RANGE_MS = (500, 1_500)
@@ -56,7 +55,6 @@
         input_age_ms: Returns how long input that is read at a time may have
             waited.
         route_balancer: Chooses among the destinations of a route.
-        tree: Knows which run of the local target makes a call.
     """
 
     header_names: headernames.HeaderNames
@@ -69,7 +67,6 @@
     is_target_busy: typing.Callable[[], bool]
     input_age_ms: typing.Callable[[float], float]
     route_balancer: 'WeightedRoundRobin'
-    tree: calltree.CallTree
     rng: random.Random
     recorder: telemetry.Recorder
 
@@ -360,21 +357,13 @@
                 )
             )
             return
-        origin = self._origin() if is_child else None
-        if origin is not None:
-            rank = origin.run.rank
-        else:
-            rank = self._draw_rank(is_child)
-        if is_child:
-            self._record_rank(rank, origin)
-        else:
+        rank = self._importance(is_child) + deps.rng.random()
+        if not is_child:
             refusal = self._shed(rank)
             if refusal is not None:
                 self._refuse(self._with_rate_wait(refusal))
                 return
         call = self._build_call(rank, is_child)
-        if origin is not None and origin.run.has_root_rank:
-            call.has_root_rank = True
         self._dispatch = dispatch.Dispatch(
             deps.dispatch_deps, call, route, deadline_ms, self._finish
         )
@@ -405,45 +394,14 @@
         retry_after_ms = max(refusal.retry_after_ms, int(wait_ms))
         return dataclasses.replace(refusal, retry_after_ms=retry_after_ms)
 
-    def _origin(self) -> calltree.Origin | None:
-        """Return the run of the local target that makes this call."""
-        deps = self._ingress._deps
-        return deps.tree.origin(
-            self._route.route_id,
-            self._head.caller_timeout_ms,
-            self._request.arrived_ms,
-        )
-
-    def _record_rank(
-        self, rank: float, origin: calltree.Origin | None
-    ) -> None:
-        recorder = self._ingress._deps.recorder
-        match = calltree.Match.NONE if origin is None else origin.match
-        recorder.count(f'rank-{match.value}')
-        if not recorder.log.try_acquire(logevents.CallRanked):
-            return
-        run = None if origin is None else origin.run
-        recorder.log.append(
-            logevents.CallRanked(
-                call=self._head.call_id,
-                route=self._route.route_id,
-                match=match.value,
-                parent_route='' if run is None else run.route,
-                rank=round(rank, 3),
-                is_root_rank=run is not None and run.has_root_rank,
-            )
-        )
-
-    def _draw_rank(self, is_child: bool) -> float:
-        draw = self._ingress._deps.rng.random()
+    def _importance(self, is_child: bool) -> int:
         if is_child:
-            return subtreeshedding.CHILD_CLASS + draw
+            return subtreeshedding.CHILD_CLASS
+        priority = self._route.priority
         owner = self._organisation
-        return callorder.rank(
-            None if owner is None else owner.priority,
-            self._route.priority,
-            draw,
-        )
+        if owner is not None and owner.priority is not None:
+            priority = owner.priority
+        return max(0, min(priority, _LOWEST_IMPORTANCE))
 
     def _build_call(self, rank: float, is_child: bool) -> ttypes.Call:
         deps = self._ingress._deps
--- a/src/parsleystile/relay/logevents.py
+++ b/src/parsleystile/relay/logevents.py
@@ -50,21 +50,6 @@
     policy_version: int
 
 
-class CallRanked(LogEvent, tag_field='event', tag='call-ranked'):
-    """A call of the local target got the rank of the run that made it.
-
-    ``match`` tells how the run was found; without one ``rank`` is a draw in
-    the lowest class. ``is_root_rank`` is false below such a call.
-    """
-
-    call: str
-    route: str
-    match: str
-    parent_route: str
-    rank: float
-    is_root_rank: bool
-
-
 class CallRetried(LogEvent, tag_field='event', tag='call-repeated'):
     """A request is about to be sent to another target."""
 
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -15,8 +15,6 @@
 from parsleystile import ids
 from parsleystile import link as links_module
 from parsleystile import metrics as metric
-from parsleystile.relay import callorder
-from parsleystile.relay import calltree
 from parsleystile.relay import declaredlimit
 from parsleystile.relay import dispatch
 from parsleystile.relay import fleetstatus
@@ -211,8 +209,6 @@
         self._shedder = shedding.shedder(rng)
         self._subtree_shedder = subtreeshedding.subtree_shedder(rng)
         self._child_levels = subtreeshedding.child_levels(rng)
-        self._root_levels = subtreeshedding.child_levels(rng)
-        self._call_tree = calltree.call_tree(rng)
         self.guard = guard.guard(
             guard.Dependencies(
                 # First in, first out: a request that makes several calls
@@ -223,7 +219,6 @@
                     limit=self._limit,
                     queue_per_slot=_QUEUE_PER_SLOT,
                     newest_first=False,
-                    steps=callorder.STEPS,
                 ),
                 limit=self._limit,
                 origin=origin,
@@ -231,9 +226,7 @@
                 clock=clock,
                 wheel=wheel,
                 recorder=recorder,
-                tree=self._call_tree,
                 child_level=self._child_levels.level,
-                root_level=self._root_levels.level,
             )
         )
         self.guard.on_target_lost = self._on_target_lost
@@ -295,7 +288,6 @@
                 is_target_busy=lambda: self.guard.in_flight > 0,
                 input_age_ms=self._stalls.input_age_ms,
                 route_balancer=ingress.WeightedRoundRobin(rng),
-                tree=self._call_tree,
                 rng=rng,
                 recorder=recorder,
             )
@@ -569,22 +561,12 @@
         self._subtree_shedder.record_level(
             route_id, load.child_level, now_ms, is_failure
         )
-        self._subtree_shedder.record_root_level(
-            route_id, load.root_level, now_ms
-        )
 
     def _record_child_load(
-        self,
-        load: ttypes.Load,
-        now_ms: float,
-        is_refused: bool,
-        has_root_rank: bool,
+        self, load: ttypes.Load, now_ms: float, is_refused: bool
     ) -> None:
-        root_level, child_level = subtreeshedding.told_levels(
-            load, has_root_rank
-        )
-        self._root_levels.record(root_level, now_ms, is_refused)
-        self._child_levels.record(child_level, now_ms, is_refused)
+        level = dispatch.lowest_level(load)
+        self._child_levels.record(level, now_ms, is_refused)
 
     # Periodic work.
 
--- a/src/parsleystile/relay/subtreeshedding.py
+++ b/src/parsleystile/relay/subtreeshedding.py
@@ -1,10 +1,9 @@
 """Load shedding at ingress for overload further down the call tree.
 
-The level of calls that have the rank of their root request holds for requests
-as it is. A call whose request is not known has a rank of no request: the level
-of such calls only says which share of them is admitted. The same share of the
-requests is admitted at ingress, the most important ones, whatever their
-classes are.
+A call that a target makes can't be matched to the request that causes it, so
+it carries no rank of that request. The level that is reported for such calls
+only says which share of them is admitted. The same share of the requests is
+admitted at ingress, the most important ones, whatever their classes are.
 """
 
 import dataclasses
@@ -13,12 +12,11 @@
 
 from parsleystile import context
 from parsleystile import errors
-from parsleystile.gen import ttypes
 from parsleystile import ids
 from parsleystile import levels
 from parsleystile import shedding
 
-# Calls of unknown requests are of this class, with a uniform draw.
+# Calls made by targets are of this class, with a uniform draw.
 CHILD_CLASS = 2
 _BINS = 30
 _BIN_WIDTH = context.RANK_LIMIT / _BINS
@@ -91,7 +89,6 @@
 
     def __init__(self, rng: random.Random) -> None:
         self._shedder = shedding.shedder(rng)
-        self._root_shedder = shedding.shedder(rng)
         self._offered: dict[ids.RouteId, _OfferedRanks] = {}
         self._failed_ms: dict[ids.RouteId, float] = {}
 
@@ -117,20 +114,6 @@
             level = max(child_level, CHILD_CLASS + levels.MIN_LEVEL)
         self._shedder.record_level(route_id, level, now_ms)
 
-    def record_root_level(
-        self, route_id: ids.RouteId, level: float | None, now_ms: float
-    ) -> None:
-        """Record the level of calls with the rank of their root request.
-
-        Args:
-            route_id: Route of the request that was answered.
-            level: Lowest rank refused; None if none is.
-            now_ms: Current time.
-        """
-        if level is None:
-            level = context.RANK_LIMIT
-        self._root_shedder.record_level(route_id, level, now_ms)
-
     def decide(
         self, route_id: ids.RouteId, rank: float, now_ms: float
     ) -> errors.Refusal | None:
@@ -139,20 +122,13 @@
         if offered is None:
             offered = self._offered[route_id] = _OfferedRanks(now_ms)
         offered.add(rank, now_ms)
-        refusal = self._root_shedder.decide(
-            route_id, rank, now_ms
-        ) or self._decide_by_share(route_id, rank, now_ms)
-        if refusal is None:
-            return None
-        return dataclasses.replace(refusal, detail='no room for its calls')
-
-    def _decide_by_share(
-        self, route_id: ids.RouteId, rank: float, now_ms: float
-    ) -> errors.Refusal | None:
         if not self._is_limited(route_id, now_ms):
             return None
         child_rank = CHILD_CLASS + self._position(rank, now_ms)
-        return self._shedder.decide(route_id, child_rank, now_ms)
+        refusal = self._shedder.decide(route_id, child_rank, now_ms)
+        if refusal is None:
+            return None
+        return dataclasses.replace(refusal, detail='no room for its calls')
 
     def _is_limited(self, route_id: ids.RouteId, now_ms: float) -> bool:
         failed_ms = self._failed_ms.get(route_id, -math.inf)
@@ -171,23 +147,6 @@
         return below / total
 
 
-def told_levels(load: ttypes.Load, has_root_rank: bool) -> tuple[float, float]:
-    """Return the levels of calls with a root's rank, and of the others.
-
-    Args:
-        load: Load that the answer to a call of the target told.
-        has_root_rank: Whether that call had the rank of its root.
-    """
-    root_level = child_level = context.RANK_LIMIT
-    if load.root_level is not None:
-        root_level = load.root_level
-    if load.child_level is not None:
-        child_level = load.child_level
-    if has_root_rank:
-        return min(root_level, load.admission_level), child_level
-    return root_level, min(child_level, load.admission_level)
-
-
 def child_levels(rng: random.Random) -> ChildLevels:
     """Create the levels of a target that has made no calls."""
     return ChildLevels(rng)
--- a/src/parsleystile/relay/telemetry.py
+++ b/src/parsleystile/relay/telemetry.py
@@ -39,7 +39,7 @@
 )
 
 
-_SAMPLED_EVENTS = (logevents.CallAnswered, logevents.CallRanked)
+_SAMPLED_EVENTS = (logevents.CallAnswered,)
 
 
 class _EventBudget:
--- a/src/parsleystile/wire.py
+++ b/src/parsleystile/wire.py
@@ -102,14 +102,8 @@
 
 # Fields that a message may lack.
 _OPTIONAL_FIELDS: dict[type, tuple[str, ...]] = {
-    ttypes.Call: ('notice', 'max_wait_ms', 'has_root_rank'),
-    ttypes.Load: (
-        'wait_ms',
-        'notice',
-        'child_level',
-        'service_us',
-        'root_level',
-    ),
+    ttypes.Call: ('notice', 'max_wait_ms'),
+    ttypes.Load: ('wait_ms', 'notice', 'child_level', 'service_us'),
     ttypes.TargetNotice: ('limit_per_s',),
 }
 
@@ -196,12 +190,15 @@
 
 def _check_answer(answer: ttypes.Answer) -> None:
     _check_required_fields(answer.load)
+    child_level = answer.load.child_level
+    if (
+        child_level is not None
+        and not 0.0 <= child_level <= context.RANK_LIMIT
+    ):
+        raise errors.FrameError(f'Answer frame with child level {child_level}')
     service_us = answer.load.service_us
     if service_us is not None and service_us <= 0:
         raise errors.FrameError(f'Answer frame with service time {service_us}')
-    for level in (answer.load.child_level, answer.load.root_level):
-        if level is not None and not 0.0 <= level <= context.RANK_LIMIT:
-            raise errors.FrameError(f'Answer frame with child level {level}')
     if answer.load.notice is not None:
         _check_notice(answer.load.notice)
     _check_headers(answer.headers)
