--- a/src/parsleystile/relay/ingress.py
+++ b/src/parsleystile/relay/ingress.py
@@ -14,12 +14,12 @@
 from parsleystile.relay import httpserver
 from parsleystile.relay import logevents
 from parsleystile.relay import policy as policies
-from parsleystile.relay import ranks
 from parsleystile.relay import ratelimiter
 from parsleystile.relay import subtreeshedding
 from parsleystile.relay import telemetry
 from parsleystile import shedding
 
+_LOWEST_IMPORTANCE = 2
 # A stopping node is usually replaced within this time; the range spreads the
 # return of its callers.
 _REPLACEMENT_RANGE_MS = (500, 1_500)
@@ -357,7 +357,7 @@
                 )
             )
             return
-        rank = self._rank(is_child)
+        rank = self._importance(is_child) + deps.rng.random()
         if not is_child:
             refusal = self._shed(rank)
             if refusal is not None:
@@ -394,16 +394,14 @@
         retry_after_ms = max(refusal.retry_after_ms, int(wait_ms))
         return dataclasses.replace(refusal, retry_after_ms=retry_after_ms)
 
-    def _rank(self, is_child: bool) -> float:
-        draw = self._ingress._deps.rng.random()
+    def _importance(self, is_child: bool) -> int:
         if is_child:
-            return subtreeshedding.CHILD_CLASS + draw
+            return subtreeshedding.CHILD_CLASS
+        priority = self._route.priority
         owner = self._organisation
-        return ranks.rank(
-            None if owner is None else owner.priority,
-            self._route.priority,
-            draw,
-        )
+        if owner is not None and owner.priority is not None:
+            priority = owner.priority
+        return max(0, min(priority, _LOWEST_IMPORTANCE))
 
     def _build_call(self, rank: float, is_child: bool) -> ttypes.Call:
         deps = self._ingress._deps
