--- a/src/parsleystile/documentcheck.py
+++ b/src/parsleystile/documentcheck.py
@@ -5,16 +5,9 @@
 import msgspec
 
 from parsleystile import configfindings
-from parsleystile import context
 from parsleystile import fleetconfig
 
 _Findings = typing.Iterator[configfindings.Finding]
-# Order of the importance classes; see ``context.Importance``.
-_CLASSES = {
-    fleetconfig.ImportanceName.CRITICAL: context.Importance.CRITICAL,
-    fleetconfig.ImportanceName.NORMAL: context.Importance.NORMAL,
-    fleetconfig.ImportanceName.SHEDDABLE: context.Importance.SHEDDABLE,
-}
 
 
 def findings(
@@ -36,7 +29,7 @@
     level = document.preset.admission_level
     for route_id, route in document.routes.items():
         path = f'routes.{route_id}'
-        importance = _CLASSES[route.importance]
+        importance = fleetconfig.IMPORTANCE_CLASSES[route.importance]
         if importance >= level:
             yield configfindings.error(
                 path,
--- a/src/parsleystile/filters.py
+++ b/src/parsleystile/filters.py
@@ -24,11 +24,6 @@
 
 _ROOT_ID_BITS = 64
 _NO_CONFIG_RETRY_AFTER_MS = 1000
-_IMPORTANCE = {
-    fleetconfig.ImportanceName.CRITICAL: context.Importance.CRITICAL,
-    fleetconfig.ImportanceName.NORMAL: context.Importance.NORMAL,
-    fleetconfig.ImportanceName.SHEDDABLE: context.Importance.SHEDDABLE,
-}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,7 +94,7 @@
         exchange.context = context.CallContext(
             root_id=ids.RootId(root_id),
             organisation=exchange.organisation,
-            importance=_IMPORTANCE[route.importance],
+            importance=fleetconfig.IMPORTANCE_CLASSES[route.importance],
             draw=rng.random(),
             deadline_ms=exchange.arrived_ms + timeout_ms,
             depth=1,
--- a/src/parsleystile/fleetconfig.py
+++ b/src/parsleystile/fleetconfig.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from parsleystile import _routes
+from parsleystile import context
 from parsleystile import errors
 from parsleystile import ids
 from parsleystile import objectives as service_levels
@@ -33,6 +34,13 @@
     SHEDDABLE = 'sheddable'
 
 
+IMPORTANCE_CLASSES = {
+    ImportanceName.CRITICAL: context.Importance.CRITICAL,
+    ImportanceName.NORMAL: context.Importance.NORMAL,
+    ImportanceName.SHEDDABLE: context.Importance.SHEDDABLE,
+}
+
+
 class Organisation(
     msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
 ):
--- a/src/parsleystile/relay/dispatch.py
+++ b/src/parsleystile/relay/dispatch.py
@@ -36,7 +36,6 @@
 # No retry is made in the last part of a request's time: what is left must
 # exceed this ratio of the time it had at the start.
 _MIN_REMAINING_TIME_RATIO = 0.15
-_FIRST_SERVER_ERROR = 500
 # Refusals that mean that the node itself is unreachable.
 _UNREACHABLE_REASONS = frozenset(
     {errors.Reason.UNREACHABLE, errors.Reason.LINK_LOST}
@@ -276,7 +275,7 @@
                     now_ms,
                     self.route.route_id,
                     now_ms - self._sent_ms,
-                    result.status >= _FIRST_SERVER_ERROR,
+                    result.status >= guards.FIRST_SERVER_ERROR,
                 )
                 self._handle_answer(result, now_ms)
                 return
@@ -292,7 +291,7 @@
     def _report_load(self, answer: ttypes.Answer, now_ms: float) -> None:
         load = answer.load
         has_run = answer.outcome == errors.Outcome.ANSWERED
-        is_failure = has_run and answer.status >= _FIRST_SERVER_ERROR
+        is_failure = has_run and answer.status >= guards.FIRST_SERVER_ERROR
         if not self.is_child:
             self._deps.on_load(
                 self.route.route_id,
@@ -321,7 +320,7 @@
         )
 
     def _handle_answer(self, answer: ttypes.Answer, now_ms: float) -> None:
-        is_failure = answer.status >= _FIRST_SERVER_ERROR
+        is_failure = answer.status >= guards.FIRST_SERVER_ERROR
         # If a target further down the call chain sheds load, the calls above
         # it fail; a retry would only add to the overload.
         is_shedding = lowest_level(answer.load) < context.RANK_LIMIT
--- a/src/parsleystile/relay/guard.py
+++ b/src/parsleystile/relay/guard.py
@@ -28,10 +28,10 @@
 # Depth of a request from outside and of a call made by a target. A target's
 # call can't be matched to the request that caused it, so it is never shed by
 # admission level: work for an admitted request is finished.
-# Larger bodies are written after the head, without a copy.
-_LARGE_BODY_BYTES = 65_536
 ROOT_DEPTH = 1
 CHILD_DEPTH = 2
+# Larger bodies are written after the head, without a copy.
+_LARGE_BODY_BYTES = 65_536
 # A target that may have gone cold is limited to its cold rate until its next
 # report, or for this time at most.
 _ASSUMED_COLD_MS = 3_000.0
@@ -41,7 +41,7 @@
 _MAX_WAIT_MS = 60_000.0
 _REFUSAL_STATUSES = frozenset({400, 421, 429, 503})
 _MISDIRECTED = 421
-_FIRST_SERVER_ERROR = 500
+FIRST_SERVER_ERROR = 500
 # A caller that gives up this much before the deadline did so for it.
 _DEADLINE_ERROR_MS = 25.0
 
@@ -489,7 +489,7 @@
         now_ms: float,
     ) -> None:
         if isinstance(result, targetanswer.TargetAnswer):
-            is_failure = result.status >= _FIRST_SERVER_ERROR
+            is_failure = result.status >= FIRST_SERVER_ERROR
         elif result.reason is errors.Reason.TARGET_FAILED:
             is_failure = True
         else:
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -249,7 +249,6 @@
                 recorder=recorder,
                 exposure_ratio=setup.exposure_ratio,
                 publish=self._publish_rollouts,
-                on_changed=self._on_rollout_changed,
             )
         )
         self._retry_budget = retrybudget.retry_budget(setup.retry_budget)
@@ -535,9 +534,6 @@
         if self.state_sync.policy is not None:
             self._rate_limiter.configure(self.state_sync.policy)
 
-    def _on_rollout_changed(self, service: ids.ServiceName) -> None:
-        self.rollouts.register(service)
-
     def _publish_rollouts(
         self, progress: tuple[rollout.Progress, ...]
     ) -> None:
--- a/src/parsleystile/relay/rolloutcontrol.py
+++ b/src/parsleystile/relay/rolloutcontrol.py
@@ -67,7 +67,6 @@
     Attributes:
         exposure_ratio: Share of calls that a bad version may get.
         publish: Puts stages on this node's row.
-        on_changed: Called with a service whose groups may have changed.
     """
 
     links: links_module.Links
@@ -78,7 +77,6 @@
     recorder: telemetry.Recorder
     exposure_ratio: float
     publish: typing.Callable[[tuple[rollout.Progress, ...]], None]
-    on_changed: typing.Callable[[ids.ServiceName], None]
 
 
 class RolloutControl:
@@ -149,7 +147,7 @@
                 self._set(begun, 'ordered')
         for service in self._progress:
             # Groups depend on the domains that are out.
-            self._deps.on_changed(service)
+            self.register(service)
 
     def hear(self, heard: rollout.Progress, source: str) -> None:
         """Join what another node or the store knows."""
@@ -190,7 +188,7 @@
                     why=why,
                 )
             )
-        self._deps.on_changed(service)
+        self.register(service)
         self._publish()
         self._update_guard()
 
--- a/tests/rolloutfleet.py
+++ b/tests/rolloutfleet.py
@@ -129,7 +129,6 @@
                 recorder=fleet.recorder,
                 exposure_ratio=EXPOSURE_RATIO,
                 publish=self._publish,
-                on_changed=lambda service: self.control.register(service),
             )
         )
         self.control.store = _Store(self)
--- a/tests/test_platform_rolloutstatus.py
+++ b/tests/test_platform_rolloutstatus.py
@@ -8,6 +8,7 @@
 import pytest
 
 from adapter import rolloutstatus
+from adapter import storecalls
 from parsleystile import clock as clocks
 from parsleystile.relay import rollout
 from parsleystile.relay import telemetry
@@ -203,3 +204,23 @@
         assert world.state() == 'rolled_back'
 
     _run(body)
+
+
+def test_an_order_that_is_unreadable_after_a_restore_does_not_end_the_writer():
+    async def body():
+        clock = clocks.system_clock()
+        descriptor = os.open(os.devnull, os.O_WRONLY)
+        writer = rolloutstatus.rollout_status(
+            transport.Address('127.0.0.1', 9),
+            lambda row: None,
+            clock,
+            random.Random(1),
+            telemetry.recorder('n1', clock, descriptor),
+        )
+        for era in (1, 2):
+            writer._eras.note(era, clock.now_ms())
+        row = storecalls.Row(_KEY, 'x', 3)
+        wanted = rollout.Progress('yard', 7, 'v2', rollout.Stage.TRIAL)
+        assert not writer._is_order(row, wanted)
+
+    asyncutil.run(body())
