--- a/review/7/play.py
+++ b/review/7/play.py
@@ -62,9 +62,7 @@
     await backend.start(*node.app)
     fleet.spawn(backend.beat_forever(node))
     await asyncio.sleep(1.0)
-    status, _, _ = await standins.ask(fleet, node, 'GET', '/scan/x', 'scan-0')
-    if status != 200:
-        raise standins.CannotRun('not served in calm')
+    await standins.wait_served(fleet, node, 'GET', '/scan/x')
     most, results, lost = [], [], []
     ended = asyncio.Event()
     fleet.spawn(standins.enforce_memory(fleet, node, MEMORY_MB, most))
--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -486,6 +486,18 @@
     return status, headers, body
 
 
+async def wait_served(fleet, node, method, path, body=b''):
+    """Send requests until one is served."""
+    for attempt in range(50):
+        status, _, _ = await ask(
+            fleet, node, method, path, f'warm-{attempt}', body=body
+        )
+        if status == 200:
+            return
+        await asyncio.sleep(0.2)
+    raise CannotRun('not served in calm')
+
+
 async def keep_asking(fleet, node, name, lost, ended):
     """Send unsafe requests one after the other on a kept connection.
 
