Tell a case that could not run from a broken rule

Cause: an error of a script, or a missing build, ended with status 1. Change: such ends have status 2.

--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -561,7 +561,8 @@
 
     try:
         result = asyncio.run(bounded())
-    except (CannotRun, TimeoutError, OSError) as exc:
+    except Exception as exc:
+        # An error of the script says nothing about the rule.
         record.write(f'the case could not run: {exc!r}')
         result = NOT_RUN
     words = {HELD: 'held', BROKEN: 'broken', NOT_RUN: 'not run'}
