Log what waits when the local target changes

The lines of a node could not tell whether the calls were in its queue when the target was replaced (1), were admitted afterwards by an old row (2), or went out on a connection of the old target (3): target-changed named only the new target and nothing says how many calls wait.

Change: target-changed tells the service of the target before, and the calls that wait and run at the time; it is written before the change takes effect.

--- a/src/parsleystile/relay/guard.py
+++ b/src/parsleystile/relay/guard.py
@@ -164,6 +164,11 @@
         """Number of calls that are queued or running."""
         return len(self._calls)
 
+    @property
+    def queued(self) -> int:
+        """Number of calls that wait to be started."""
+        return self._deps.queue.queued
+
     def set_target(self, target: Target) -> None:
         """Admit calls to a target; called on each of its reports."""
         now_ms = self._deps.clock.now_ms()
--- a/src/parsleystile/relay/logevents.py
+++ b/src/parsleystile/relay/logevents.py
@@ -104,7 +104,14 @@
 
 
 class TargetChanged(LogEvent, tag_field='event', tag='target-changed'):
-    """The state of the local target changed."""
+    """The state of the local target changed.
+
+    Attributes:
+        before: Service of the target that received calls until now; empty
+            without one.
+        queued: Calls that wait at the guard at the time of the change.
+        running: Calls that its targets are running then.
+    """
 
     target: str
     state: str
@@ -113,6 +120,9 @@
     cold_ms: float
     sequence: int
     why: str
+    before: str = ''
+    queued: int = 0
+    running: int = 0
 
 
 class TargetNoticeChanged(LogEvent, tag_field='event', tag='target-notice'):
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -407,7 +407,6 @@
             born_ms=report.started_ms,
         )
         before = self.member_list.own_row
-        self.guard.set_target(target)
         is_serving = not self.guard.is_refusing
         is_same = (
             before.target_id == report.target_id
@@ -416,9 +415,12 @@
             and before.is_serving == is_serving
             and before.version == report.version
         )
+        if not is_same:
+            # Logged before the refusals of queued calls that it causes.
+            self._record_target(report, 'reported')
+        self.guard.set_target(target)
         if is_same:
             return
-        self._record_target(report, 'reported')
         self._change_row(
             target_id=report.target_id,
             service=report.service,
@@ -444,31 +446,28 @@
         current = self._reports.current
         if current is None:
             return
-        self.recorder.log.write(
-            logevents.TargetChanged(
-                target=current.target_id,
-                state='lost',
-                service=current.service,
-                slots=current.slots,
-                cold_ms=0.0,
-                sequence=current.sequence,
-                why=why,
-            )
-        )
+        self._record_target(current, why, 'lost')
         # Its next report has a higher sequence and restores it.
         self.guard.clear_target(errors.Reason.UNREACHABLE)
         self._change_row(is_serving=False)
 
-    def _record_target(self, report: targetreports.Report, why: str) -> None:
+    def _record_target(
+        self, report: targetreports.Report, why: str, state: str | None = None
+    ) -> None:
+        before = self.guard.target
+        queued = self.guard.queued
         self.recorder.log.write(
             logevents.TargetChanged(
                 target=report.target_id,
-                state=report.state.value,
+                state=state or report.state.value,
                 service=report.service,
                 slots=report.slots,
                 cold_ms=report.cold_ms,
                 sequence=report.sequence,
                 why=why,
+                before='' if before is None else before.service,
+                queued=queued,
+                running=self.guard.in_flight - queued,
             )
         )
 
