Let a queue of calls belong to the service of its target

Cause: a call was checked against the target's service once, on arrival. It then waited in a queue that belonged to no service and started at the target of the moment. The next report put another target there and announced its slots, which started what waited.

Change: the admission queue knows the service that was announced, and each arrival names its own. An announcement of another service refuses what waits, as not run, so that it goes to another target while its time lasts; what runs keeps no slot of the new target, and what was learnt of the old one (levels, answer times) is forgotten. A successor of the same service gets what waits, as before. Both guards feed the same queue, so the rule holds on the product's other path, which had the same fault. Guard._start and the check on arrival ask for the target of a call's service, so that a start for another one can't be made.

Tests: test_target_replaced.py (real sockets, with the log lines and the counter of refusals), test_admission.py (also drawn histories: no start of a service that isn't announced), test_guard.py (the other path).

--- a/src/parsleystile/admission.py
+++ b/src/parsleystile/admission.py
@@ -1,6 +1,8 @@
 """Admission control in front of one target: start, queue or refuse a call.
 
-Decides without I/O; the caller feeds events and carries out actions.
+Decides without I/O; the caller feeds events and carries out actions. A queue
+belongs to the service of its target: a call of another service is never
+started, whether it arrives too late or waits while the target is replaced.
 """
 
 import math
@@ -48,6 +50,7 @@
         route: Service times are estimated by route.
         is_sheddable: Whether the admission level may refuse the call;
             false for calls of a request already admitted upstream.
+        service: Service that it is for.
     """
 
     call_key: CallKey
@@ -57,6 +60,7 @@
     weight: float = 1.0
     route: str = ''
     is_sheddable: bool = True
+    service: ids.ServiceName = ids.ServiceName('')
 
 
 class Complete(msgspec.Struct, frozen=True):
@@ -92,9 +96,14 @@
 
 
 class Announce(msgspec.Struct, frozen=True):
-    """The target has started or restarted; 0 slots mean it is gone."""
+    """The target has started or restarted; 0 slots mean it is gone.
+
+    Calls that wait run at the new target if it is of the same service, and
+    are refused otherwise.
+    """
 
     slots: int
+    service: ids.ServiceName = ids.ServiceName('')
 
 
 class Drain(msgspec.Struct, frozen=True):
@@ -149,6 +158,9 @@
     def announce(self, slots: int, now_ms: float) -> None:
         """Reset the limit: the target has just (re)started."""
 
+    def forget(self) -> None:
+        """Forget what was learnt: the next target is of another service."""
+
     def is_open(self, in_flight: int, now_ms: float) -> bool:
         """Return whether one more call may start now."""
 
@@ -211,8 +223,11 @@
         self._levels = levels.AdmissionLevels()
         self._times = servicetime.ServiceTimes()
         self._queue = fairqueue.FairQueue()
+        self._service = ids.ServiceName('')
         self._running: dict[CallKey, Arrive | fairqueue.Waiting] = {}
         self._cancelled: set[CallKey] = set()
+        # Calls still running at targets of an earlier service.
+        self._displaced: set[CallKey] = set()
         self._drain_started_ms: float | None = None
         # Organisations that had a call refused because the queue was full.
         self._overflowed: set[ids.OrganisationId] = set()
@@ -274,6 +289,8 @@
             case Cancel():
                 self._cancel(event)
             case Announce():
+                if event.slots and event.service != self._service:
+                    self._change_service(event.service, actions)
                 self._limit.announce(event.slots, now_ms)
                 self._drain_started_ms = None
                 if event.slots == 0:
@@ -286,6 +303,21 @@
                 self._levels.set_cap(event.admission_level)
         return actions
 
+    def _change_service(
+        self, service: ids.ServiceName, actions: list[Action]
+    ) -> None:
+        """Refuse what waits; start anew with nothing learnt or running."""
+        self._service = service
+        self._refuse_queue(_other_service(), actions)
+        self._displaced.update(self._running)
+        self._running.clear()
+        self._cancelled.clear()
+        self._overflowed.clear()
+        self._queue = fairqueue.FairQueue()
+        self._times = servicetime.ServiceTimes()
+        self._levels.forget()
+        self._limit.forget()
+
     def _arrive(
         self, call: Arrive, now_ms: float, actions: list[Action]
     ) -> None:
@@ -324,6 +356,8 @@
             return _leaving()
         if limit == 0:
             return _no_target()
+        if call.service != self._service:
+            return _other_service()
         is_admitted = self._levels.is_admitted(
             call.organisation, call.rank, call.is_sheddable
         )
@@ -354,6 +388,9 @@
         return victim is not None
 
     def _complete(self, event: Complete, now_ms: float) -> None:
+        if event.call_key in self._displaced:
+            self._displaced.remove(event.call_key)
+            return
         running = self._running.pop(event.call_key, None)
         if running is None:
             raise ValueError(f'call {event.call_key!r} was not started')
@@ -463,6 +500,12 @@
     return errors.not_run(errors.Reason.LEAVING, 'target is leaving')
 
 
+def _other_service() -> errors.Refusal:
+    return errors.not_run(
+        errors.Reason.LEAVING, 'the target is of another service'
+    )
+
+
 def _no_target() -> errors.Refusal:
     return errors.not_run(
         errors.Reason.UNREACHABLE, 'no target has announced itself'
--- a/src/parsleystile/concurrency.py
+++ b/src/parsleystile/concurrency.py
@@ -170,6 +170,9 @@
         self._last_answer_ms = now_ms
         self._decreased_ms = now_ms
 
+    def forget(self) -> None:
+        """Do nothing: each announcement resets all."""
+
     def is_open(self, in_flight: int, now_ms: float) -> bool:
         """Return whether one more call may start now."""
         del now_ms
--- a/src/parsleystile/guard.py
+++ b/src/parsleystile/guard.py
@@ -97,7 +97,7 @@
         self._service = service
         self.target_id = ids.TargetId(f'{service}:{port}')
         self._base_url = f'http://{_TARGET_HOST}:{port}'
-        self._handle(admission.Announce(slots))
+        self._handle(admission.Announce(slots, service))
 
     def target_down(self) -> None:
         """Refuse calls: the target is gone."""
@@ -168,6 +168,7 @@
             call_context.deadline_ms,
             self._weight_of(call_context.organisation),
             call.route,
+            service=ids.ServiceName(call.callee_service),
         )
         self._handle(arrive)
         return guarded
--- a/src/parsleystile/levels.py
+++ b/src/parsleystile/levels.py
@@ -137,6 +137,10 @@
         """Set the upper bound of all levels, from the preset in force."""
         self._cap = min(max(level, 0.0), context.RANK_LIMIT)
 
+    def forget(self) -> None:
+        """Open all levels, as before any load; the cap stays."""
+        self._levels.clear()
+
     def value(self, organisation: ids.OrganisationId) -> float:
         """Return the lowest rank refused; 3.0 refuses none."""
         level = self._levels.get(organisation)
--- a/src/parsleystile/relay/declaredlimit.py
+++ b/src/parsleystile/relay/declaredlimit.py
@@ -52,6 +52,10 @@
         del now_ms
         self._slots = slots
 
+    def forget(self) -> None:
+        """Forget the answer times; rates end with their target."""
+        self._answer_ms = 0.0
+
     def set_cold(
         self, until_ms: float, cold_per_s: float, now_ms: float
     ) -> None:
--- a/src/parsleystile/relay/guard.py
+++ b/src/parsleystile/relay/guard.py
@@ -178,8 +178,13 @@
         )
         self.notices.set_target(target.key, now_ms)
         is_new = before is None or before.key != target.key
-        if is_new or before.slots != target.slots:
-            self._apply(admission.Announce(target.slots), now_ms)
+        if (
+            is_new
+            or before.slots != target.slots
+            or before.service != target.service
+        ):
+            announce = admission.Announce(target.slots, target.service)
+            self._apply(announce, now_ms)
 
     def clear_target(self, why: errors.Reason) -> None:
         """Refuse queued calls and start no more; running calls finish."""
@@ -302,18 +307,25 @@
                 1.0,
                 call.route,
                 call.depth == ROOT_DEPTH,
+                ids.ServiceName(call.callee_service),
             ),
             now_ms,
         )
         return active
 
+    def _target_of(self, call: ttypes.Call) -> Target | None:
+        """Return the target if it is of the service that a call is for."""
+        target = self._target
+        if target is None or target.service != call.callee_service:
+            return None
+        return target
+
     def _admission_refusal(
         self, call: ttypes.Call, now_ms: float
     ) -> errors.Refusal | None:
         if self._refusal_reason is not None:
             return errors.not_run(self._refusal_reason, 'no new work here')
-        target = self._target
-        if target is None or call.callee_service != target.service:
+        if self._target_of(call) is None:
             return errors.not_run(
                 errors.Reason.LEAVING,
                 f'no target of {call.callee_service} here',
@@ -388,7 +400,7 @@
         self._apply(admission.Tick(), self._deps.clock.now_ms())
 
     def _start(self, active: _ActiveCall, now_ms: float) -> None:
-        target = self._target
+        target = self._target_of(active.call)
         active.started_ms = now_ms
         if target is None:
             del self._calls[active.key]
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -17,8 +17,17 @@
     return queue
 
 
-def _arrive(key, organisation='a', rank=1.5, deadline_ms=5000.0, weight=1.0):
-    return admission.Arrive(key, organisation, rank, deadline_ms, weight)
+def _arrive(
+    key,
+    organisation='a',
+    rank=1.5,
+    deadline_ms=5000.0,
+    weight=1.0,
+    service='',
+):
+    return admission.Arrive(
+        key, organisation, rank, deadline_ms, weight, service=service
+    )
 
 
 def _reasons(actions):
@@ -189,6 +198,47 @@
     assert queue.load(1020.0).limit == 0
 
 
+def test_calls_that_wait_never_start_at_a_target_of_another_service():
+    queue = admission.admission_queue(random.Random(1))
+    queue.handle(admission.Announce(20, 'loads'), 0.0)
+    for key in range(4):
+        queue.handle(_arrive(key, service='loads'), 0.0)
+    actions = queue.handle(admission.Announce(20, 'yard'), 10.0)
+    assert [a.call_key for a in actions] == [2, 3]
+    assert _reasons(actions) == [errors.Reason.LEAVING] * 2
+    late = queue.handle(_arrive(4, service='loads'), 20.0)
+    assert _reasons(late) == [errors.Reason.LEAVING]
+    # Calls that still run elsewhere leave all slots to the new target.
+    assert queue.load(20.0).in_flight == 0
+    assert queue.handle(_arrive(5, service='yard'), 20.0) == [
+        admission.Start(5)
+    ]
+    for key in (0, 1):
+        queue.handle(admission.Cancel(key), 30.0)
+        done = admission.Complete(key, False, 30.0)
+        assert queue.handle(done, 30.0) == []
+    assert queue.load(30.0).in_flight == 1
+
+
+def test_calls_that_wait_start_at_the_next_target_of_their_service():
+    queue = admission.admission_queue(random.Random(1))
+    queue.handle(admission.Announce(20, 'loads'), 0.0)
+    for key in range(4):
+        queue.handle(_arrive(key, service='loads'), 0.0)
+    assert queue.handle(admission.Announce(20, 'loads'), 10.0) == []
+    done = admission.Complete(0, True, 10.0)
+    assert admission.Start(2) in queue.handle(done, 10.0)
+
+
+def test_levels_learnt_of_one_service_do_not_shed_calls_of_the_next():
+    load = _Load()
+    load.run(10_000.0, {('a', 1): 2.5})
+    assert load.queue.load(load.now_ms).admission_level < 1.5
+    load.queue.handle(admission.Level(2.5), load.now_ms)
+    load.queue.handle(admission.Announce(10, 'yard'), load.now_ms)
+    assert load.queue.load(load.now_ms).admission_level == 2.5
+
+
 def test_the_admission_level_cap_holds_without_load():
     queue = _queue()
     queue.handle(admission.Level(2.0), 0.0)
@@ -331,3 +381,54 @@
         assert load.in_flight == len(running)
         assert load.queued == len(waiting) <= 12
         assert waiting or load.queued == 0
+
+
+@hypothesis.settings(max_examples=60, deadline=None, derandomize=True)
+@hypothesis.given(_EVENTS)
+def test_a_call_starts_only_while_its_service_is_announced(events):
+    queue = admission.admission_queue(random.Random(1), queue_bound=12)
+    services = ('loads', 'yard')
+    announced, now_ms, next_key = '', 0.0, 0
+    waiting, running = {}, {}
+
+    def do(event):
+        for action in queue.handle(event, now_ms):
+            service = waiting.pop(action.call_key)
+            if isinstance(action, admission.Start):
+                assert service == announced
+                running[action.call_key] = service
+
+    for kind, number, rank, spent_ms in events:
+        now_ms += spent_ms / 10.0
+        match kind:
+            case 'arrive':
+                next_key += 1
+                waiting[next_key] = service = services[number % 2]
+                do(
+                    _arrive(
+                        next_key,
+                        f'o{number}',
+                        rank,
+                        now_ms + spent_ms,
+                        service=service,
+                    )
+                )
+            case 'complete' | 'fail' if running:
+                key = sorted(running)[number % len(running)]
+                del running[key]
+                do(admission.Complete(key, kind == 'complete', 5.0))
+            case 'cancel' if waiting:
+                key = sorted(waiting)[number % len(waiting)]
+                del waiting[key]
+                do(admission.Cancel(key))
+            case 'announce':
+                announced = services[number % 2]
+                do(admission.Announce(1 + number, announced))
+            case _:
+                do(admission.Tick())
+        load = queue.load(now_ms)
+        assert load.queued == len(waiting)
+        # Those of the other service run at a target that was replaced.
+        assert load.in_flight <= sum(
+            service == announced for service in running.values()
+        )
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -111,6 +111,21 @@
     assert client.sent == []
 
 
+def test_a_queued_call_does_not_run_at_a_target_of_another_service():
+    target_guard, client = _guard()
+    target_guard.target_up('stock', 8080, 1)
+    _submit(target_guard)
+    waiting = _submit(target_guard)
+    assert len(client.sent) == 1
+    target_guard.target_up('yard', 8080, 20)
+    [answer] = waiting
+    assert answer.outcome == errors.Outcome.NOT_RUN
+    assert len(client.sent) == 1
+    # What the earlier target runs takes no slot of the next one.
+    client.on_answers[0](errors.unknown(errors.Reason.TARGET_FAILED))
+    assert target_guard.in_flight == 0
+
+
 def test_closing_keeps_calls_in_flight():
     target_guard, client = _guard()
     assert _submit(target_guard) == []
--- /dev/null
+++ b/tests/test_target_replaced.py
@@ -0,0 +1,90 @@
+"""Targets that are replaced at their address while calls wait for them."""
+
+import asyncio
+
+from parsleystile.relay import logevents
+from tests import asyncutil
+from tests import platformfleet
+
+QUEUED = 6
+
+
+async def _ask_busy(fleet, machine):
+    """Send calls, of which the target of a machine runs one; return tasks."""
+    machine.target.work_ms = 60_000.0
+    machine.report(slots=1)
+    tasks = [
+        asyncio.ensure_future(
+            fleet.machines[0].call(
+                '/reserve/x', f'c{i}', method='POST', body=b'1', wait_ms=3000
+            )
+        )
+        for i in range(QUEUED + 1)
+    ]
+    guard = machine.node.guard
+    await asyncutil.wait_until(lambda: guard.queued == QUEUED)
+    return tasks
+
+
+def _replace(machine, service='yard', **fields):
+    """Let another target take the address of a silent one."""
+    machine.target.target_id = 'i-next'
+    machine.target.work_ms = 0.0
+    machine.report(target_id='i-next', service=service, started_ms=5, **fields)
+
+
+def test_calls_that_wait_do_not_run_at_a_target_of_another_service():
+    async def body(fleet):
+        first, second = fleet.machines
+        written = []
+        second.node.recorder.log.append = written.append
+        tasks = await _ask_busy(fleet, second)
+        _replace(second, 'stock')
+        answers = await asyncio.gather(*tasks)
+        assert len(fleet.executed_ids()) == 1
+        statuses = sorted(answer.status for answer in answers)
+        # One was running at the silent target.
+        assert statuses == [503] * QUEUED + [504]
+        (change,) = [
+            line
+            for line in written
+            if isinstance(line, logevents.TargetChanged)
+            and line.target == 'i-next'
+        ]
+        assert (change.before, change.queued) == ('yard', QUEUED)
+        refused = [w for w in written if isinstance(w, logevents.GuardRefused)]
+        assert len(refused) == QUEUED
+        page = second.node.recorder.metrics_page().decode()
+        assert (
+            f'parsleystile_guard_refusals_total{{reason="leaving"}} {QUEUED}'
+            in page
+        )
+
+    platformfleet.run_with_fleet(body, serving=[1])
+
+
+def test_calls_that_wait_for_a_replaced_target_run_elsewhere_in_time():
+    async def body(fleet):
+        _, second, third = fleet.machines
+        tasks = await _ask_busy(fleet, second)
+        third.report()
+        await fleet.wait_serving(2)
+        _replace(second, 'stock')
+        answers = await asyncio.gather(*tasks)
+        statuses = sorted(answer.status for answer in answers)
+        assert statuses == [200] * QUEUED + [504]
+        assert len(third.target.executed_headers) == QUEUED
+
+    platformfleet.run_with_fleet(body, count=3, serving=[1])
+
+
+def test_calls_that_wait_run_at_a_successor_of_the_same_service():
+    async def body(fleet):
+        _, second = fleet.machines
+        tasks = await _ask_busy(fleet, second)
+        _replace(second, slots=QUEUED + 1)
+        answers = await asyncio.gather(*tasks)
+        statuses = sorted(answer.status for answer in answers)
+        assert statuses == [200] * QUEUED + [504]
+
+    platformfleet.run_with_fleet(body, serving=[1])
