Count the late results of a replaced target for that target alone

A 421 or a failed connection of a call that was sent to an earlier target ended the target that had reported since: its node refused all calls until the next report. A late answer of an earlier target also counted for the version of the next one in a roll-out.

Cause: what a call learns of its target was applied to the target of the moment. A call now keeps the target that it was sent to; its end says something of the current target only if that is the same incarnation. The other guard compares the target's id likewise. Counter: late-target-losses.

Tests: three, on the code before all three fail: test_a_late_failure_of_a_replaced_target_does_not_end_the_next_one, test_a_late_answer_of_a_replaced_target_is_no_result_of_the_next_one, test_a_late_failure_of_a_replaced_target_is_none_of_the_next.

--- a/src/parsleystile/guard.py
+++ b/src/parsleystile/guard.py
@@ -245,10 +245,11 @@
         now_ms = self._clock.now_ms()
         running = self._calls.start(guarded.context, self._service, now_ms)
         guarded.running = running
+        target_id = self.target_id
         load = self._queue.load(now_ms)
         self._observed.target_called(
             guarded.context,
-            self.target_id,
+            target_id,
             running.token,
             (load.in_flight, load.limit),
             now_ms,
@@ -274,7 +275,7 @@
         def on_answer(
             result: targetanswer.TargetAnswer | errors.Refusal,
         ) -> None:
-            self._finish(guarded, running, result)
+            self._finish(guarded, running, target_id, result)
 
         running.transfer = self._client.send(request, on_answer)
 
@@ -299,6 +300,7 @@
         self,
         guarded: _GuardedCall,
         running: inflight.CallInFlight,
+        target_id: ids.TargetId,
         result: targetanswer.TargetAnswer | errors.Refusal,
     ) -> None:
         self._pending.pop(guarded.key, None)
@@ -316,7 +318,9 @@
         load = self.load(running.subtree_level, guarded.context.organisation)
         match result:
             case errors.Refusal():
-                if result.reason is errors.Reason.UNREACHABLE:
+                # A target that replaced it may be reachable.
+                is_current = target_id == self.target_id
+                if result.reason is errors.Reason.UNREACHABLE and is_current:
                     self.on_unreachable()
                 answer = wire.answer_from_refusal(
                     guarded.call.call_id, result, running.ledger.unspent, load
--- a/src/parsleystile/relay/guard.py
+++ b/src/parsleystile/relay/guard.py
@@ -74,7 +74,11 @@
 
 
 class _ActiveCall(transports.PendingCall):
-    """A call that is queued or running."""
+    """A call that is queued or running.
+
+    Attributes:
+        target: The target that it was sent to; None while it is queued.
+    """
 
     __slots__ = (
         'call',
@@ -84,6 +88,7 @@
         'on_answer',
         'pending',
         'started_ms',
+        'target',
         'timer',
     )
 
@@ -102,6 +107,7 @@
         self.on_answer = on_answer
         self.pending: transports.PendingCall | None = None
         self.started_ms = 0.0
+        self.target: Target | None = None
         self.timer: deadlines.Deadline | None = None
 
     def cancel(self) -> None:
@@ -357,7 +363,8 @@
         self._cancel_timer(active)
         active.pending.cancel()
         spent_ms = now_ms - active.started_ms
-        if now_ms >= active.deadline_ms - _DEADLINE_ERROR_MS:
+        is_late = now_ms >= active.deadline_ms - _DEADLINE_ERROR_MS
+        if is_late and self._is_current(active.target):
             self.on_result(active.call.route, True, spent_ms, False)
         self._apply(admission.Cancel(active.key), now_ms)
         self._apply(admission.Complete(active.key, True, spent_ms), now_ms)
@@ -410,6 +417,7 @@
                 self._refusal_answer(active.call, refusal, now_ms)
             )
             return
+        active.target = target
         self.notices.started(now_ms)
         call = active.call
         data = self._request_head(call, target, active.deadline_ms - now_ms)
@@ -485,19 +493,31 @@
                 )
             result = self._classify(result, target)
         is_ok = isinstance(result, targetanswer.TargetAnswer)
-        self._tell_result(active, result, spent_ms, now_ms)
+        if self._is_current(target):
+            self._tell_result(active, result, spent_ms, now_ms)
         self._apply(admission.Complete(active.key, is_ok, spent_ms), now_ms)
         if is_ok:
             active.on_answer(self._success_answer(active.call, result, now_ms))
             return
         if result.reason is errors.Reason.UNREACHABLE:
-            self.on_target_lost(result.detail)
+            self._lose(target, result.detail)
         elif result.reason is errors.Reason.TARGET_FAILED:
             self._deps.recorder.target_failed(
                 active.call.root_id, target.target_id, result, spent_ms
             )
         active.on_answer(self._refusal_answer(active.call, result, now_ms))
 
+    def _is_current(self, target: Target) -> bool:
+        """Whether a target has not been replaced by another incarnation."""
+        return self._target is None or self._target.key == target.key
+
+    def _lose(self, target: Target, why: str) -> None:
+        """Note that a target can't be reached; its successor may be."""
+        if self._is_current(target):
+            self.on_target_lost(why)
+        else:
+            self._deps.recorder.count('late-target-losses')
+
     def _tell_result(
         self,
         active: _ActiveCall,
@@ -528,8 +548,8 @@
         if not is_not_run:
             return answer
         if answer.status == _MISDIRECTED:
-            self.on_target_lost(
-                f'{target.target_id} was replaced at its address'
+            self._lose(
+                target, f'{target.target_id} was replaced at its address'
             )
             return errors.not_run(errors.Reason.LEAVING, 'another target')
         return errors.not_run(
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -126,6 +126,16 @@
     assert target_guard.in_flight == 0
 
 
+def test_a_late_failure_of_a_replaced_target_is_none_of_the_next():
+    target_guard, client = _guard()
+    lost = []
+    target_guard.on_unreachable = lambda: lost.append(True)
+    _submit(target_guard)
+    target_guard.target_up('yard', 8081, 20)
+    client.on_answers[0](errors.not_run(errors.Reason.UNREACHABLE))
+    assert not lost
+
+
 def test_closing_keeps_calls_in_flight():
     target_guard, client = _guard()
     assert _submit(target_guard) == []
--- a/tests/test_target_replaced.py
+++ b/tests/test_target_replaced.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from parsleystile import ids
 from parsleystile.relay import logevents
 from tests import asyncutil
 from tests import platformfleet
@@ -88,3 +89,39 @@
         assert statuses == [200] * QUEUED + [504]
 
     platformfleet.run_with_fleet(body, serving=[1])
+
+
+def test_a_late_failure_of_a_replaced_target_does_not_end_the_next_one():
+    async def body(fleet):
+        first, second = fleet.machines
+        second.target.work_ms = 300.0
+        late = asyncio.ensure_future(first.call(call_id='late'))
+        await asyncutil.wait_until(lambda: second.node.guard.in_flight)
+        # The request is answered with 421 after the next target reported.
+        headers = ['Parsleystile-Attempt-Id', 'late']
+        second.target.custom_answer = lambda request: request.answer(
+            421, headers, b''
+        )
+        second.report(target_id='i-next', started_ms=5)
+        assert (await late).status == 503
+        assert second.node.guard.target.target_id == ids.TargetId('i-next')
+
+    platformfleet.run_with_fleet(body, serving=[1])
+
+
+def test_a_late_answer_of_a_replaced_target_is_no_result_of_the_next_one():
+    # The verdict on a new version would count answers of the old one.
+    async def body(fleet):
+        first, second = fleet.machines
+        results = []
+        second.node.guard.on_result = lambda *result: results.append(result)
+        assert (await first.call(call_id='before')).status == 200
+        assert len(results) == 1
+        second.target.work_ms = 300.0
+        late = asyncio.ensure_future(first.call(call_id='late'))
+        await asyncutil.wait_until(lambda: second.node.guard.in_flight)
+        second.report(target_id='i-next', started_ms=5, version='v2')
+        assert (await late).status == 200
+        assert len(results) == 1
+
+    platformfleet.run_with_fleet(body, serving=[1])
