Close the guard before what waits starts at another version

A target of a version that a roll-out has barred reports at the address of another one; calls that wait start there, as many as it has slots, although the version takes none.

Cause: the new target's slots were announced to the queue before its version was written to the row by which the roll-out closes the guard.

Change: the row goes first.

--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -418,16 +418,16 @@
         if not is_same:
             # Logged before the refusals of queued calls that it causes.
             self._record_target(report, 'reported')
+            # A roll-out closes the guard by the version in the row, before
+            # what waits could start at the target.
+            self._change_row(
+                target_id=report.target_id,
+                service=report.service,
+                slots=report.slots,
+                is_serving=is_serving,
+                version=report.version,
+            )
         self.guard.set_target(target)
-        if is_same:
-            return
-        self._change_row(
-            target_id=report.target_id,
-            service=report.service,
-            slots=report.slots,
-            is_serving=is_serving,
-            version=report.version,
-        )
 
     def _publish_departure(self, report: targetreports.Report) -> None:
         self._change_row(
--- a/tests/test_target_replaced.py
+++ b/tests/test_target_replaced.py
@@ -4,6 +4,7 @@
 
 from parsleystile import ids
 from parsleystile.relay import logevents
+from parsleystile.relay import rollout
 from tests import asyncutil
 from tests import platformfleet
 
@@ -125,3 +126,22 @@
         assert len(results) == 1
 
     platformfleet.run_with_fleet(body, serving=[1])
+
+
+def test_calls_that_wait_do_not_run_at_a_version_that_takes_none():
+    async def body(fleet):
+        _, second = fleet.machines
+        tasks = await _ask_busy(fleet, second)
+        second.node.rollouts.hear(
+            rollout.Progress(
+                'yard', 1, 'v3', rollout.Stage.ROLLED_BACK, barred=('v2',)
+            ),
+            'test',
+        )
+        _replace(second, slots=QUEUED + 1, version='v2')
+        answers = await asyncio.gather(*tasks)
+        assert len(fleet.executed_ids()) == 1
+        statuses = sorted(answer.status for answer in answers)
+        assert statuses == [503] * QUEUED + [504]
+
+    platformfleet.run_with_fleet(body, serving=[1])
