--- a/src/parsleystile/relay/logevents.py
+++ b/src/parsleystile/relay/logevents.py
@@ -175,7 +175,11 @@
 
 
 class MemberChanged(LogEvent, tag_field='event', tag='member-changed'):
-    """A new row of a node was received."""
+    """A new row of a node was received.
+
+    Attributes:
+        departed: The target that it names as departed; empty without one.
+    """
 
     member: str
     service: str
@@ -184,6 +188,7 @@
     incarnation: int
     sequence: int
     source: str
+    departed: str = ''
 
 
 class NodeReachabilityChanged(LogEvent, tag_field='event', tag='node-reach'):
--- a/src/parsleystile/relay/statesync.py
+++ b/src/parsleystile/relay/statesync.py
@@ -377,6 +377,7 @@
                 incarnation=row.incarnation,
                 sequence=row.sequence,
                 source=source,
+                departed=row.departed_id,
             )
         )
 
