Join departures of targets, so that no restart and no order forgets one

Cause: a departure was a field of its node's row, and a row of a higher incarnation replaced it. The restarted node, which had not stored it, wrote a row without one; the other nodes read that row from the store's feed and forgot what they had been told. Only a row that came from its own node made them tell it, and the feed was faster. The late report then counted as new.

Merging two rows takes the newer one with the departures of both, whatever their source and order; digests cover them, so that anti-entropy finds what one side lacks. A node whose latest row lacks a departure is told of it, also if the row came from the store.

--- a/src/parsleystile/relay/logevents.py
+++ b/src/parsleystile/relay/logevents.py
@@ -178,7 +178,7 @@
     """A new row of a node was received.
 
     Attributes:
-        departed: The target that it names as departed; empty without one.
+        departed: Targets of the node that are known to have left.
     """
 
     member: str
@@ -188,7 +188,7 @@
     incarnation: int
     sequence: int
     source: str
-    departed: str = ''
+    departed: list[str] = []
 
 
 class NodeReachabilityChanged(LogEvent, tag_field='event', tag='node-reach'):
--- a/src/parsleystile/relay/memberlist.py
+++ b/src/parsleystile/relay/memberlist.py
@@ -2,7 +2,9 @@
 
 Each node is the only author of its row. Rows arrive through the store's feed,
 from the author or from any other node, in any order: the pair of incarnation
-and sequence determines which of two rows is newer.
+and sequence determines which of two rows is newer. Departures of targets are
+joined instead: a newer row that lacks one, such as that of a node that was
+killed, does not take it back.
 """
 
 import bisect
@@ -12,6 +14,7 @@
 
 from parsleystile import ids
 from parsleystile import members
+from parsleystile.relay import departures as departures_module
 from parsleystile.relay import overlay
 from parsleystile.relay import rollout
 from parsleystile.relay import rowdigest
@@ -36,9 +39,12 @@
     Attributes:
         service: Service of its target; empty while it has none.
         target_id: Identifies the incarnation of its target.
+        target_born_ms: Start time that this incarnation reported; None in
+            rows of builds that do not tell it.
         is_serving: Whether calls for the target may be sent to the node.
-        departed_id: Incarnation of the target that left last; a late report
-            must not bring it back.
+        departures: Targets that have left; a late report must not bring one
+            back.
+        departed_id: The last of them, for builds that know only one.
         departed_born_ms: Start time that this incarnation reported.
         is_gone: Whether the node has shut down for good.
         incarnation: Grows with each start of the process.
@@ -56,8 +62,10 @@
     port: typing.Annotated[int, msgspec.Meta(ge=0, le=65_535)]
     service: ids.ServiceName = ids.ServiceName('')
     target_id: ids.TargetId = ids.TargetId('')
+    target_born_ms: int | None = None
     slots: typing.Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 0
     is_serving: bool = False
+    departures: departures_module.Departures = ()
     departed_id: ids.TargetId = ids.TargetId('')
     departed_born_ms: int = 0
     is_gone: bool = False
@@ -66,6 +74,29 @@
     version: _Version = ''
     rollouts: tuple[rollout.Progress, ...] = ()
 
+    def __post_init__(self) -> None:
+        if self.departed_id:
+            departure = departures_module.Departure(
+                self.departed_id, self.departed_born_ms
+            )
+            joined = departures_module.join(self.departures, (departure,))
+            msgspec.structs.force_setattr(self, 'departures', joined)
+
+    @property
+    def has_usable_target(self) -> bool:
+        """Whether the target takes calls, as far as this row tells."""
+        if not self.is_serving or self.is_gone:
+            return False
+        born_ms = self.target_born_ms
+        return born_ms is None or not departures_module.includes(
+            self.departures, self.target_id, born_ms
+        )
+
+    def covers(self, other: 'Row') -> bool:
+        """Whether another row of the node tells nothing beyond this one."""
+        joined = departures_module.join(self.departures, other.departures)
+        return self.revision >= other.revision and joined == self.departures
+
     @property
     def revision(self) -> tuple[int, int]:
         """Orders the rows of one node from old to new."""
@@ -145,15 +176,17 @@
         if row.node_id == self.own_row.node_id:
             return self._merge_own(row)
         known = self._rows.get(row.node_id)
-        if known is not None and not _supersedes(row, known):
+        joined = row if known is None else _join(row, known)
+        if joined is known:
             return False
         if known is None or known.incarnation < row.incarnation:
             self._unreachable.discard(row.node_id)
-        self._set(row)
+        self._set(joined)
         return True
 
     def _merge_own(self, row: Row) -> bool:
         own = self.own_row
+        is_changed = self.add_departures(row.departures)
         if row.revision > own.revision:
             self.update_own_row(incarnation=row.incarnation + 1)
             return True
@@ -161,7 +194,15 @@
             # Another node took this one for gone.
             self.update_own_row()
             return True
-        return False
+        return is_changed
+
+    def add_departures(self, departures: departures_module.Departures) -> bool:
+        """Add departures to this node's row; False if it names them."""
+        joined = departures_module.join(self.own_row.departures, departures)
+        if joined == self.own_row.departures:
+            return False
+        self.update_own_row(**_naming(joined))
+        return True
 
     def gone_row(self, node_id: ids.NodeId, incarnation: int) -> Row | None:
         """Return the row that marks an incarnation of a node as gone.
@@ -315,9 +356,9 @@
         if row is not self.own_row:
             self._heard_rollouts += row.rollouts
         if known is not None:
-            self._digests.remove(known.node_id, known.revision, known.is_gone)
+            self._digests.remove(*_digested(known))
         self._rows[row.node_id] = row
-        self._digests.add(row.node_id, row.revision, row.is_gone)
+        self._digests.add(*_digested(row))
         was_present = known is not None and not known.is_gone
         if was_present and (row.is_gone or known.domain != row.domain):
             self._remove_node(known)
@@ -350,16 +391,11 @@
         oldest = next(iter(self._gone))
         del self._gone[oldest]
         row = self._rows.pop(oldest)
-        self._digests.remove(oldest, row.revision, True)
+        self._digests.remove(*_digested(row))
         self._unreachable.discard(oldest)
 
     def _index_service(self, row: Row) -> None:
-        is_usable = (
-            row.is_serving
-            and not row.is_gone
-            and self.is_reachable(row.node_id)
-        )
-        if not is_usable:
+        if not row.has_usable_target or not self.is_reachable(row.node_id):
             self._unindex_service(row.service, row.node_id)
             return
         self._serving.setdefault(row.service, {})[row.node_id] = _member(row)
@@ -381,6 +417,33 @@
     return (row.revision, row.is_gone) > (known.revision, known.is_gone)
 
 
+def _join(row: Row, known: Row) -> Row:
+    """Return the newer one, with the departures of both."""
+    newer = row if _supersedes(row, known) else known
+    joined = departures_module.join(known.departures, row.departures)
+    if joined == newer.departures:
+        return newer
+    return msgspec.structs.replace(newer, **_naming(joined))
+
+
+def _naming(
+    departures: departures_module.Departures,
+) -> dict[str, object]:
+    """Return the fields of a row that name departures; not without one."""
+    last = departures[-1]
+    return {
+        'departures': departures,
+        'departed_id': last.target_id,
+        'departed_born_ms': last.born_ms,
+    }
+
+
+def _digested(
+    row: Row,
+) -> tuple[ids.NodeId, tuple[int, int], bool, departures_module.Departures]:
+    return row.node_id, row.revision, row.is_gone, row.departures
+
+
 def _remove_sorted(node_ids: list[ids.NodeId], node_id: ids.NodeId) -> None:
     index = bisect.bisect_left(node_ids, node_id)
     if index < len(node_ids) and node_ids[index] == node_id:
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -16,6 +16,7 @@
 from parsleystile import link as links_module
 from parsleystile import metrics as metric
 from parsleystile.relay import declaredlimit
+from parsleystile.relay import departures
 from parsleystile.relay import dispatch
 from parsleystile.relay import fleetstatus
 from parsleystile.relay import guard
@@ -179,6 +180,7 @@
         self.state_sync.on_policy_changed = self._on_policy_changed
         self.state_sync.on_members_changed = self._on_members_changed
         self.state_sync.on_previous_own_row = self._on_previous_own_row
+        self.state_sync.on_departures_heard = self._on_departures_heard
         self.settings_state: typing.Callable[[], fleetstatus.SettingsState] = (
             lambda: fleetstatus.SettingsState.CURRENT
         )
@@ -391,7 +393,12 @@
                 # Logged before the refusals of queued calls that it causes.
                 self._record_target(report, 'is leaving')
                 self.guard.clear_target(errors.Reason.LEAVING)
-                self._publish_departure(report)
+                self._change_row(is_serving=False)
+        if report.state is not targetreports.TargetState.READY:
+            # Also of a target that this process has not heard of before.
+            departure = self._reports.departure_of(report.target_id)
+            if self.member_list.add_departures((departure,)):
+                self.state_sync.publish()
         return effect
 
     def _set_target(self, report: targetreports.Report) -> None:
@@ -410,6 +417,7 @@
         is_serving = not self.guard.is_refusing
         is_same = (
             before.target_id == report.target_id
+            and before.target_born_ms == report.started_ms
             and before.service == report.service
             and before.slots == report.slots
             and before.is_serving == is_serving
@@ -422,6 +430,7 @@
             # what waits could start at the target.
             self._change_row(
                 target_id=report.target_id,
+                target_born_ms=report.started_ms,
                 service=report.service,
                 slots=report.slots,
                 is_serving=is_serving,
@@ -429,13 +438,6 @@
             )
         self.guard.set_target(target)
 
-    def _publish_departure(self, report: targetreports.Report) -> None:
-        self._change_row(
-            is_serving=False,
-            departed_id=report.target_id,
-            departed_born_ms=report.started_ms,
-        )
-
     def _on_target_leaving(
         self, target_id: ids.TargetId, born_ms: int
     ) -> None:
@@ -479,21 +481,21 @@
     def _on_previous_own_row(self, row: memberlist.Row) -> None:
         for progress in row.rollouts:
             self.rollouts.hear(progress, 'own row')
-        self._reports.remember_departed(row.departed_id, row.departed_born_ms)
-        if row.departed_id and not self.member_list.own_row.departed_id:
-            # The next incarnation has to know it, too.
-            self._change_row(
-                departed_id=row.departed_id,
-                departed_born_ms=row.departed_born_ms,
+
+    def _on_departures_heard(self) -> None:
+        heard = self.member_list.own_row.departures
+        for departure in heard:
+            self._reports.remember_departed(
+                departure.target_id, departure.born_ms
             )
         current = self._reports.current
-        if current is not None and current.target_id == row.departed_id:
-            departed = targetreports.Report(
-                row.departed_id,
-                targetreports.TargetState.GONE,
-                row.departed_born_ms,
+        if current is not None and departures.includes(
+            heard, current.target_id, current.started_ms
+        ):
+            gone = targetreports.TargetState.GONE
+            self.handle_report(
+                dataclasses.replace(current, state=gone, sequence=-1)
             )
-            self.handle_report(departed)
 
     # Changes of the policy, the members and the load.
 
--- a/src/parsleystile/relay/rowspread.py
+++ b/src/parsleystile/relay/rowspread.py
@@ -44,7 +44,7 @@
     def note_copy(self, row: memberlist.Row, sender: ids.NodeId) -> None:
         """Note that a peer sent a row that is already known."""
         pending = self._pending.get(row.node_id)
-        if pending is not None and pending.row.revision <= row.revision:
+        if pending is not None and row.covers(pending.row):
             pending.senders.add(sender)
 
     def flush(
--- a/src/parsleystile/relay/statesync.py
+++ b/src/parsleystile/relay/statesync.py
@@ -24,11 +24,13 @@
 from parsleystile.relay import memberlist
 from parsleystile.relay import policy as policies
 from parsleystile.relay import reachability as reachability_module
+from parsleystile.relay import rowkeeping
 from parsleystile.relay import rowspread
 from parsleystile.relay import statemessages
 from parsleystile.relay import storeera
 from parsleystile.relay import storefollowing
 from parsleystile.relay import telemetry
+from parsleystile import transport
 
 SYNC_KIND = 'state.sync'
 ROW_KIND = 'state.row'
@@ -47,6 +49,9 @@
 _MAX_BUCKETS_PER_EXCHANGE = 8
 # A node that announced a newer configuration sends it within this time.
 _PAYLOAD_WAIT_MS = 300.0
+# Replies to a message of rows.
+_ROWS_MERGED = b''
+_ROWS_REJECTED = b'rejected'
 # Source of rows and snapshots that were read from the store.
 STORE_SOURCE = 'store'
 
@@ -87,6 +92,9 @@
         on_members_changed: Called after the member list changed.
         on_previous_own_row: Called with each received row of this node, which
             may be from an earlier incarnation.
+        on_departures_heard: Called after this node heard of departures of its
+            own target, of before a restart or of before it had its address.
+        keeping: Which revisions of this node's row other places have.
     """
 
     def __init__(
@@ -109,6 +117,11 @@
         self.on_policy_changed: typing.Callable[[], None] = lambda: None
         self.on_members_changed: typing.Callable[[], None] = lambda: None
         self.on_previous_own_row: OnRow = lambda row: None
+        self.on_departures_heard: typing.Callable[[], None] = lambda: None
+        self.keeping = rowkeeping.row_keeping(clock, wheel)
+        # First revision of the own row that has all its departures.
+        self._departures_revision = member_list.own_row.revision
+        self._departures = member_list.own_row.departures
         self._links = links
         self._member_list = member_list
         self._reachability = reachability
@@ -301,6 +314,10 @@
     ) -> None:
         """Merge rows of nodes, including earlier rows of this node.
 
+        A node whose row lacks a departure that is known here is told of it:
+        the target must not be used again, and neither the node's memory nor
+        the store may have outlasted a restart.
+
         Args:
             rows: The rows, in any order.
             source: Node that sent them, or the store.
@@ -319,15 +336,17 @@
                 self._spread.note_copy(row, ids.NodeId(source))
                 continue
             changed = True
-            self._log_row(row, source)
-            if source == row.node_id and _loses_departure(row, known):
-                self._return_row(known)
+            merged = self._member_list.row(row.node_id)
+            self._log_row(merged, source)
             if is_own:
                 # Whoever took this node for gone may have removed its row.
                 self._published = None
-                self.publish()
-            elif is_spread:
-                self._pass_on(row, ids.NodeId(source))
+                self._publish_heard()
+                continue
+            if not merged.is_gone and _lacks_departure(row, known, merged):
+                self._return_row(merged)
+            if is_spread:
+                self._pass_on(merged, ids.NodeId(source))
         if not changed:
             return
         if not self._is_announced and self._member_list.peers():
@@ -342,7 +361,11 @@
         Its address is this node's, so that it can't be running.
         """
         gone = msgspec.structs.replace(row, is_gone=True)
-        if not self._member_list.merge(gone):
+        is_changed = self._member_list.merge(gone)
+        # A late report of its target arrives here.
+        if self._member_list.add_departures(row.departures):
+            self._publish_heard()
+        if not is_changed:
             return False
         self._log_row(gone, self._member_list.own_row.node_id)
         # Also to the sender of the row, which takes the node for present.
@@ -350,11 +373,8 @@
         return True
 
     def _return_row(self, row: memberlist.Row) -> None:
-        """Send a node its row of before its restart.
-
-        The target that the row says has left must not be used again, and the
-        store may not have told the node.
-        """
+        """Send a node its row with departures that it does not name."""
+        self._recorder.count('departures-returned')
         own = self._member_list.own_row.node_id
         self._links.control(
             row.peer,
@@ -377,7 +397,7 @@
                 incarnation=row.incarnation,
                 sequence=row.sequence,
                 source=source,
-                departed=row.departed_id,
+                departed=[d.target_id for d in row.departures],
             )
         )
 
@@ -415,9 +435,37 @@
 
     # Outgoing state.
 
+    def _publish_heard(self) -> None:
+        """Publish this node's row after what others said changed it."""
+        is_heard = self._member_list.own_row.departures != self._departures
+        self.publish()
+        if is_heard:
+            self.on_departures_heard()
+
+    def when_departures_kept(self, on_kept: rowkeeping.OnKept) -> None:
+        """Call back once another place has this node's departures.
+
+        Args:
+            on_kept: Called once; with False if none has them in time.
+        """
+        if not self._departures:
+            on_kept(True)
+        else:
+            self.keeping.wait(self._departures_revision, on_kept)
+
+    @property
+    def are_departures_kept(self) -> bool:
+        """Whether another place has this node's departures."""
+        return not self._departures or self.keeping.has(
+            self._departures_revision
+        )
+
     def publish(self) -> None:
         """Pass this node's row on, and store what must outlast the fleet."""
         row = self._member_list.own_row
+        if row.departures != self._departures:
+            self._departures = row.departures
+            self._departures_revision = row.revision
         if self.store is not None and is_stored_anew(row, self._published):
             self._published = row
             self.store.publish(row)
@@ -429,7 +477,7 @@
         if self.store is not None:
             # After a restart this node must still reject late reports of a
             # target that left.
-            if row.departed_id:
+            if row.departures:
                 self.store.publish(row)
             else:
                 self.store.withdraw(row)
@@ -459,9 +507,24 @@
                     statemessages.RowsMessage(own.node_id, rows)
                 ),
                 _CONTROL_TIMEOUT_MS,
-                _ignore_reply,
+                self._own_row_told(rows),
             )
 
+    def _own_row_told(
+        self, rows: list[memberlist.Row]
+    ) -> transport.OnControlReply:
+        """Return what to do with the reply to a message of rows."""
+        own = self._member_list.own_row
+        sent = [row.revision for row in rows if row.node_id == own.node_id]
+        if not sent:
+            return _ignore_reply
+
+        def on_reply(reply: bytes | errors.Refusal) -> None:
+            if reply == _ROWS_MERGED:
+                self.keeping.note_told(sent[0])
+
+        return on_reply
+
     # Anti-entropy.
 
     def tick(self) -> None:
@@ -560,16 +623,21 @@
         if has_all and remote.store_age_ms is not None:
             self.following.note_reading(sent_ms - remote.store_age_ms)
 
-    def _note_completeness_of(self, remote: statemessages.SyncMessage) -> None:
-        """Note that this node has all rows of a peer that knows all nodes."""
-        if remote.knows_all and remote.digest == self._member_list.digest:
+    def _note_same_rows(self, remote: statemessages.SyncMessage) -> None:
+        """Note what follows if a peer has the same rows as this node."""
+        if remote.digest != self._member_list.digest:
+            return
+        own = self._member_list.own_row
+        if not own.is_gone:
+            self.keeping.note_told(own.revision)
+        if remote.knows_all:
             self._note_complete()
 
     def _compare_rows(
         self, peer: memberlist.Row, remote: statemessages.SyncMessage
     ) -> None:
         digest = self._member_list.digest
-        self._note_completeness_of(remote)
+        self._note_same_rows(remote)
         if remote.digest is None or remote.digest == digest:
             return
         self._next_sync_ms = min(
@@ -607,7 +675,7 @@
             reply(b'')
             return
         self._apply(request, request.sender)
-        self._note_completeness_of(request)
+        self._note_same_rows(request)
         self._reachability.probe_if_unreachable(request.sender)
         answer = self._own_versions(self._member_list.digest)
         if storeera.needs_payload(self.snapshot, request):
@@ -688,10 +756,11 @@
             )
         except msgspec.MsgspecError as exc:
             self._recorder.input_rejected(ROW_KIND, str(exc))
+            reply(_ROWS_REJECTED)
         else:
             self.merge_rows(message.rows, message.sender)
             self._reachability.probe_if_unreachable(message.sender)
-        reply(b'')
+            reply(_ROWS_MERGED)
 
     def _decode_sync(self, payload: bytes) -> statemessages.SyncMessage | None:
         try:
@@ -708,16 +777,20 @@
     del reply
 
 
-def _loses_departure(
-    row: memberlist.Row, known: memberlist.Row | None
+def _lacks_departure(
+    row: memberlist.Row, known: memberlist.Row | None, merged: memberlist.Row
 ) -> bool:
-    """Whether a restarted node does not say which target had left it."""
-    return (
-        known is not None
-        and known.incarnation < row.incarnation
-        and known.departed_id != ''
-        and row.departed_id == ''
-    )
+    """Whether the latest row by its own node lacks a merged departure.
+
+    Args:
+        row: The row that was received.
+        known: The row that was known before.
+        merged: The two merged.
+    """
+    latest = row
+    if known is not None and known.revision >= row.revision:
+        latest = known
+    return merged.departures != latest.departures
 
 
 def is_stored_anew(
@@ -732,8 +805,7 @@
         published is None
         or row.incarnation != published.incarnation
         or row.link != published.link
-        or row.departed_id != published.departed_id
-        or row.departed_born_ms != published.departed_born_ms
+        or row.departures != published.departures
     )
 
 
--- a/src/parsleystile/relay/targetreports.py
+++ b/src/parsleystile/relay/targetreports.py
@@ -9,6 +9,7 @@
 import enum
 
 from parsleystile import ids
+from parsleystile.relay import departures
 
 # Number of departed incarnations that are remembered.
 _MAX_DEPARTED = 64
@@ -78,6 +79,10 @@
         if len(self._departed) > _MAX_DEPARTED:
             self._departed.pop(next(iter(self._departed)))
 
+    def departure_of(self, target_id: ids.TargetId) -> departures.Departure:
+        """Return the latest departure under an id that has departed."""
+        return departures.Departure(target_id, self._departed[target_id])
+
     def handle(self, report: Report) -> Effect:
         """Apply a report and return its effect."""
         match report.state:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -232,6 +232,41 @@
     return asyncutil.run(send()), accepted
 
 
+@pytest.mark.parametrize('is_kept', [False, True])
+def test_only_departures_wait_until_another_place_has_them(is_kept):
+    descriptor = os.open(os.devnull, os.O_WRONLY)
+    recorder = telemetry.recorder('n1', clocks.manual_clock(), descriptor)
+    waiting, statuses = [], []
+    listener = listeners.ReportListener(
+        '10.1.0.2:5',
+        {'yard'}.__contains__,
+        lambda report: None,
+        recorder,
+        waiting.append,
+    )
+
+    def send(verb, **changes):
+        body = json.dumps(_HEARTBEAT | changes).encode()
+        request = types.SimpleNamespace(
+            method='POST',
+            path=f'/v1/instances/i-7/{verb}',
+            body=body,
+            is_open=True,
+            answer=lambda status, headers, body: statuses.append(status),
+        )
+        listener.handle(request)
+
+    send('heartbeat')
+    assert (statuses, waiting) == ([200], [])
+    send('heartbeat', state='draining')
+    send('deregister')
+    assert statuses == [200]
+    for on_kept in waiting:
+        on_kept(is_kept)
+    assert statuses[1:] == [200 if is_kept else 503] * 2
+    os.close(descriptor)
+
+
 class TestReports:
     def test_a_heartbeat_becomes_a_report(self):
         status, accepted = _report(
--- a/tests/test_platform_restored_store.py
+++ b/tests/test_platform_restored_store.py
@@ -194,7 +194,10 @@
         fleet.store.change_copy('nodes', 'n0', None)
         # An older row, without the departure.
         row = msgspec.structs.replace(
-            second.node.member_list.own_row, departed_id='', sequence=0
+            second.node.member_list.own_row,
+            departures=(),
+            departed_id='',
+            sequence=0,
         )
         older = memberlist.encode_row(row)
         fleet.store.change_copy('nodes', 'n1', older)
