Give the row of a node and what is kept of it modules of their own

Reading the change also showed that a notice without a target's name, as a sender may pass one on, ended the frame with a KeyError.

Change: memberrow holds the row, how two of them join and their encoding; rowkeeping notes the own row itself. A leaving target without a name changes nothing (test_a_leaving_target_without_a_name_changes_nothing).

--- a/src/parsleystile/relay/__init__.py
+++ b/src/parsleystile/relay/__init__.py
@@ -3,7 +3,7 @@
 This is the data path for platforms whose targets declare their number of
 slots and whose store lists the members. The decisions (``answerparser``,
 ``declaredlimit``, ``departures``, ``drain``, ``holderring``, ``memberlist``,
-``overlay``, ``retrybudget``, ``rollout``, ``rolloutcounts``,
+``memberrow``, ``overlay``, ``retrybudget``, ``rollout``, ``rolloutcounts``,
 ``rolloutgroups``, ``rolloutjudge``, ``rolloutplan``, ``rowdigest``,
 ``rowkeeping``, ``rowspread``, ``stalls``, ``targetreports``,
 ``tokenbuckets``) do no I/O; ``dispatch``, ``fleetstatus``,
--- a/src/parsleystile/relay/fleetstatus.py
+++ b/src/parsleystile/relay/fleetstatus.py
@@ -14,6 +14,7 @@
 from parsleystile import ids
 from parsleystile import link as links_module
 from parsleystile.relay import memberlist
+from parsleystile.relay import memberrow
 from parsleystile.relay import telemetry
 
 # Path of the status on a node's metrics listener.
@@ -195,7 +196,7 @@
 
     def _ask(
         self,
-        row: memberlist.Row,
+        row: memberrow.Row,
         on_status: typing.Callable[[NodeStatus], None],
     ) -> None:
         silent = NodeStatus(row.node_id, row.domain)
--- a/src/parsleystile/relay/memberlist.py
+++ b/src/parsleystile/relay/memberlist.py
@@ -1,10 +1,7 @@
 """The nodes of the fleet and their targets, merged from any source.
 
-Each node is the only author of its row. Rows arrive through the store's feed,
-from the author or from any other node, in any order: the pair of incarnation
-and sequence determines which of two rows is newer. Departures of targets are
-joined instead: a newer row that lacks one, such as that of a node that was
-killed, does not take it back.
+Rows arrive through the store's feed, from their author or from any other node,
+in any order; ``memberrow`` says how two of them merge.
 """
 
 import bisect
@@ -15,117 +12,16 @@
 from parsleystile import ids
 from parsleystile import members
 from parsleystile.relay import departures as departures_module
+from parsleystile.relay import memberrow
 from parsleystile.relay import overlay
 from parsleystile.relay import rollout
 from parsleystile.relay import rowdigest
-from parsleystile import transport
 
 # Rows of nodes that are gone are kept, as many as there are nodes and at
 # least this many, so that an old row of such a node is recognised.
 _MIN_GONE_ROWS = 256
 
 
-_MAX_NAME_CHARS = 200
-# Far beyond any clock, and below what a message can carry.
-_MAX_INCARNATION = 2**43
-_Sequence = typing.Annotated[int, msgspec.Meta(ge=0, lt=1_000_000)]
-_Version = typing.Annotated[str, msgspec.Meta(max_length=_MAX_NAME_CHARS)]
-_Incarnation = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_INCARNATION)]
-
-
-class Row(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """State of a node as published by itself.
-
-    Attributes:
-        service: Service of its target; empty while it has none.
-        target_id: Identifies the incarnation of its target.
-        target_born_ms: Start time that this incarnation reported; None in
-            rows of builds that do not tell it.
-        is_serving: Whether calls for the target may be sent to the node.
-        departures: Targets that have left; a late report must not bring one
-            back.
-        departed_id: The last of them, for builds that know only one.
-        departed_born_ms: Start time that this incarnation reported.
-        is_gone: Whether the node has shut down for good.
-        incarnation: Grows with each start of the process.
-        sequence: Grows with each change within an incarnation.
-        version: Version of what its target runs; empty if not known.
-        rollouts: Stages of roll-outs that this node knows of as a judge.
-    """
-
-    node_id: typing.Annotated[
-        ids.NodeId, msgspec.Meta(min_length=1, max_length=_MAX_NAME_CHARS)
-    ]
-    domain: ids.FailureDomainId
-    region: ids.RegionId
-    host: str
-    port: typing.Annotated[int, msgspec.Meta(ge=0, le=65_535)]
-    service: ids.ServiceName = ids.ServiceName('')
-    target_id: ids.TargetId = ids.TargetId('')
-    target_born_ms: int | None = None
-    slots: typing.Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 0
-    is_serving: bool = False
-    departures: departures_module.Departures = ()
-    departed_id: ids.TargetId = ids.TargetId('')
-    departed_born_ms: int = 0
-    is_gone: bool = False
-    incarnation: _Incarnation = 0
-    sequence: _Sequence = 0
-    version: _Version = ''
-    rollouts: tuple[rollout.Progress, ...] = ()
-
-    def __post_init__(self) -> None:
-        if self.departed_id:
-            departure = departures_module.Departure(
-                self.departed_id, self.departed_born_ms
-            )
-            joined = departures_module.join(self.departures, (departure,))
-            msgspec.structs.force_setattr(self, 'departures', joined)
-
-    @property
-    def has_usable_target(self) -> bool:
-        """Whether the target takes calls, as far as this row tells."""
-        if not self.is_serving or self.is_gone:
-            return False
-        born_ms = self.target_born_ms
-        return born_ms is None or not departures_module.includes(
-            self.departures, self.target_id, born_ms
-        )
-
-    def covers(self, other: 'Row') -> bool:
-        """Whether another row of the node tells nothing beyond this one."""
-        joined = departures_module.join(self.departures, other.departures)
-        return self.revision >= other.revision and joined == self.departures
-
-    @property
-    def revision(self) -> tuple[int, int]:
-        """Orders the rows of one node from old to new."""
-        return self.incarnation, self.sequence
-
-    @property
-    def link(self) -> transport.Address:
-        """Address at which the node accepts links."""
-        return transport.Address(self.host, self.port)
-
-    @property
-    def peer(self) -> transport.Peer:
-        """The node, to connect to."""
-        return transport.Peer(self.link, self.node_id)
-
-
-def encode_row(row: Row) -> bytes:
-    """Encode a row for the store and for other nodes."""
-    return msgspec.msgpack.encode(row)
-
-
-def decode_row(data: bytes) -> Row | None:
-    """Decode a row; None if the bytes are not one."""
-    try:
-        return msgspec.msgpack.decode(data, type=Row)
-    except msgspec.MsgspecError:
-        return None
-
-
 class MemberList:
     """The rows known to this node, and which nodes it can reach.
 
@@ -139,11 +35,11 @@
             this node can't tell which part of a rate is its own.
     """
 
-    def __init__(self, own_row: Row) -> None:
+    def __init__(self, own_row: memberrow.Row) -> None:
         self.own_row = own_row
         self.nodes_version = 0
         self.is_complete = False
-        self._rows: dict[ids.NodeId, Row] = {}
+        self._rows: dict[ids.NodeId, memberrow.Row] = {}
         self._unreachable: set[ids.NodeId] = set()
         self._digests = rowdigest.row_digests()
         # Nodes that are not gone; sorted, also by failure domain.
@@ -158,7 +54,7 @@
         self._heard_rollouts: list[rollout.Progress] = []
         self._set(own_row)
 
-    def update_own_row(self, **fields: object) -> Row:
+    def update_own_row(self, **fields: object) -> memberrow.Row:
         """Change fields of this node's row and return the new row."""
         self.own_row = msgspec.structs.replace(
             self.own_row, sequence=self.own_row.sequence + 1, **fields
@@ -166,7 +62,7 @@
         self._set(self.own_row)
         return self.own_row
 
-    def merge(self, row: Row) -> bool:
+    def merge(self, row: memberrow.Row) -> bool:
         """Merge a row; False if nothing changed.
 
         Incarnations are taken from the wall clock. If the clock was set back,
@@ -176,7 +72,7 @@
         if row.node_id == self.own_row.node_id:
             return self._merge_own(row)
         known = self._rows.get(row.node_id)
-        joined = row if known is None else _join(row, known)
+        joined = row if known is None else memberrow.join(row, known)
         if joined is known:
             return False
         if known is None or known.incarnation < row.incarnation:
@@ -184,7 +80,7 @@
         self._set(joined)
         return True
 
-    def _merge_own(self, row: Row) -> bool:
+    def _merge_own(self, row: memberrow.Row) -> bool:
         own = self.own_row
         is_changed = self.add_departures(row.departures)
         if row.revision > own.revision:
@@ -201,10 +97,12 @@
         joined = departures_module.join(self.own_row.departures, departures)
         if joined == self.own_row.departures:
             return False
-        self.update_own_row(**_naming(joined))
+        self.update_own_row(**memberrow.naming(joined))
         return True
 
-    def gone_row(self, node_id: ids.NodeId, incarnation: int) -> Row | None:
+    def gone_row(
+        self, node_id: ids.NodeId, incarnation: int
+    ) -> memberrow.Row | None:
         """Return the row that marks an incarnation of a node as gone.
 
         None if the node is unknown, is this node or has started again.
@@ -224,7 +122,7 @@
         self.nodes_version += 1
         return True
 
-    def is_predecessor(self, row: Row) -> bool:
+    def is_predecessor(self, row: memberrow.Row) -> bool:
         """Whether a row is of a node whose address this node has now."""
         own = self.own_row
         return (
@@ -251,30 +149,30 @@
         """Whether a node is not known to be unreachable."""
         return node_id not in self._unreachable
 
-    def row(self, node_id: ids.NodeId) -> Row | None:
+    def row(self, node_id: ids.NodeId) -> memberrow.Row | None:
         """Return the row of a node; None if it is unknown."""
         return self._rows.get(node_id)
 
-    def rows_in(self, bucket: int, count: int) -> list[Row]:
+    def rows_in(self, bucket: int, count: int) -> list[memberrow.Row]:
         """Return the rows, also of gone nodes, of one of ``count`` buckets."""
         return [
             self._rows[node_id]
             for node_id in self._digests.nodes_in(bucket, count)
         ]
 
-    def others(self) -> list[Row]:
+    def others(self) -> list[memberrow.Row]:
         """Return the rows of the other nodes that are not gone."""
         own = self.own_row.node_id
         return [
             self._rows[node_id] for node_id in self._node_ids if node_id != own
         ]
 
-    def unreachable(self) -> list[Row]:
+    def unreachable(self) -> list[memberrow.Row]:
         """Return the rows of the other nodes that do not answer."""
         rows = (self._rows[node_id] for node_id in sorted(self._unreachable))
         return [row for row in rows if not row.is_gone]
 
-    def peers(self) -> list[Row]:
+    def peers(self) -> list[memberrow.Row]:
         """Return the nodes with which this one exchanges state."""
         chosen = overlay.peers(
             self.own_row.node_id,
@@ -350,7 +248,7 @@
         heard, self._heard_rollouts = self._heard_rollouts, []
         return heard
 
-    def _set(self, row: Row) -> None:
+    def _set(self, row: memberrow.Row) -> None:
         """Replace the row of a node in all indexes."""
         known = self._rows.get(row.node_id)
         if row is not self.own_row:
@@ -371,13 +269,13 @@
         if row.is_gone:
             self._forget_oldest_gone(row.node_id)
 
-    def _add_node(self, row: Row) -> None:
+    def _add_node(self, row: memberrow.Row) -> None:
         self._gone.pop(row.node_id, None)
         bisect.insort(self._node_ids, row.node_id)
         bisect.insort(self._domains.setdefault(row.domain, []), row.node_id)
         self.nodes_version += 1
 
-    def _remove_node(self, row: Row) -> None:
+    def _remove_node(self, row: memberrow.Row) -> None:
         _remove_sorted(self._node_ids, row.node_id)
         _remove_sorted(self._domains[row.domain], row.node_id)
         self.nodes_version += 1
@@ -394,7 +292,7 @@
         self._digests.remove(*_digested(row))
         self._unreachable.discard(oldest)
 
-    def _index_service(self, row: Row) -> None:
+    def _index_service(self, row: memberrow.Row) -> None:
         if not row.has_usable_target or not self.is_reachable(row.node_id):
             self._unindex_service(row.service, row.node_id)
             return
@@ -412,34 +310,8 @@
         self._changed_services.add(service)
 
 
-def _supersedes(row: Row, known: Row) -> bool:
-    """Whether a row is newer; at the same revision a gone one is."""
-    return (row.revision, row.is_gone) > (known.revision, known.is_gone)
-
-
-def _join(row: Row, known: Row) -> Row:
-    """Return the newer one, with the departures of both."""
-    newer = row if _supersedes(row, known) else known
-    joined = departures_module.join(known.departures, row.departures)
-    if joined == newer.departures:
-        return newer
-    return msgspec.structs.replace(newer, **_naming(joined))
-
-
-def _naming(
-    departures: departures_module.Departures,
-) -> dict[str, object]:
-    """Return the fields of a row that name departures; not without one."""
-    last = departures[-1]
-    return {
-        'departures': departures,
-        'departed_id': last.target_id,
-        'departed_born_ms': last.born_ms,
-    }
-
-
 def _digested(
-    row: Row,
+    row: memberrow.Row,
 ) -> tuple[ids.NodeId, tuple[int, int], bool, departures_module.Departures]:
     return row.node_id, row.revision, row.is_gone, row.departures
 
@@ -450,7 +322,7 @@
         del node_ids[index]
 
 
-def _member(row: Row) -> members.Member:
+def _member(row: memberrow.Row) -> members.Member:
     return members.Member(
         node_id=row.node_id,
         vm=ids.VmId(row.node_id),
@@ -467,6 +339,6 @@
     )
 
 
-def member_list(own_row: Row) -> MemberList:
+def member_list(own_row: memberrow.Row) -> MemberList:
     """Create a member list that contains only this node."""
     return MemberList(own_row)
--- a/src/parsleystile/relay/node.py
+++ b/src/parsleystile/relay/node.py
@@ -27,6 +27,7 @@
 from parsleystile.relay import ingress
 from parsleystile.relay import logevents
 from parsleystile.relay import memberlist
+from parsleystile.relay import memberrow
 from parsleystile.relay import noticememory
 from parsleystile.relay import plannedstop
 from parsleystile.relay import ratelimiter
@@ -153,7 +154,7 @@
             metric.memory_metrics(),
         )
         self.member_list = memberlist.member_list(
-            memberlist.Row(
+            memberrow.Row(
                 node_id=setup.node_id,
                 domain=setup.domain,
                 region=setup.region,
@@ -396,8 +397,8 @@
                 self._change_row(is_serving=False)
         if report.state is not targetreports.TargetState.READY:
             # Also of a target that this process has not heard of before.
-            departure = self._reports.departure_of(report.target_id)
-            if self.member_list.add_departures((departure,)):
+            departed = self._reports.departures_of(report.target_id)
+            if self.member_list.add_departures(departed):
                 self.state_sync.publish()
         return effect
 
@@ -478,7 +479,7 @@
         self.state_sync.publish()
         self._on_members_changed()
 
-    def _on_previous_own_row(self, row: memberlist.Row) -> None:
+    def _on_previous_own_row(self, row: memberrow.Row) -> None:
         for progress in row.rollouts:
             self.rollouts.hear(progress, 'own row')
 
--- a/src/parsleystile/relay/ratelimiter.py
+++ b/src/parsleystile/relay/ratelimiter.py
@@ -17,6 +17,7 @@
 from parsleystile import link as links_module
 from parsleystile.relay import holderring
 from parsleystile.relay import memberlist
+from parsleystile.relay import memberrow
 from parsleystile.relay import policy as policies
 from parsleystile.relay import telemetry
 from parsleystile.relay import tokenbuckets
@@ -135,11 +136,11 @@
 
     def _order_holders(
         self, organisation: ids.OrganisationId
-    ) -> list[memberlist.Row]:
+    ) -> list[memberrow.Row]:
         """Return the holders to ask, those of the own domain first."""
         own = self._member_list.own_row
-        near: list[memberlist.Row] = []
-        far: list[memberlist.Row] = []
+        near: list[memberrow.Row] = []
+        far: list[memberrow.Row] = []
         for node_id in self.buckets.holders(organisation):
             row = self._member_list.row(node_id)
             if row is None or node_id == own.node_id:
@@ -154,7 +155,7 @@
         self,
         organisation: ids.OrganisationId,
         wanted: float,
-        holders: list[memberlist.Row],
+        holders: list[memberrow.Row],
     ) -> None:
         """Ask holders one after the other until one gives tokens."""
         if not holders:
--- a/src/parsleystile/relay/reachability.py
+++ b/src/parsleystile/relay/reachability.py
@@ -15,6 +15,7 @@
 from parsleystile import link as links_module
 from parsleystile.relay import logevents
 from parsleystile.relay import memberlist
+from parsleystile.relay import memberrow
 from parsleystile.relay import stalls as stalls_module
 from parsleystile.relay import telemetry
 from parsleystile import transport
@@ -128,11 +129,11 @@
         if row is not None and not self._member_list.is_reachable(node_id):
             self._probe(row)
 
-    def _probe_some(self, rows: list[memberlist.Row]) -> None:
+    def _probe_some(self, rows: list[memberrow.Row]) -> None:
         for row in self._rng.sample(rows, min(_MAX_PROBES, len(rows))):
             self._probe(row)
 
-    def _probe(self, row: memberlist.Row) -> None:
+    def _probe(self, row: memberrow.Row) -> None:
         def on_reply(reply: bytes | errors.Refusal) -> None:
             if isinstance(reply, errors.Refusal):
                 return
--- a/src/parsleystile/relay/rowkeeping.py
+++ b/src/parsleystile/relay/rowkeeping.py
@@ -1,4 +1,4 @@
-"""Whether another place has what this node's row must not lose.
+"""Whether another place has the departures that this node's row names.
 
 The load that it answers: targets that leave while the store is away or slow,
 beside nodes that are killed just then. A departure is acknowledged only once
@@ -11,6 +11,8 @@
 
 from parsleystile import clock as clocks
 from parsleystile import deadlines
+from parsleystile.relay import departures
+from parsleystile.relay import memberrow
 
 # Time for the store to confirm before another node's word is enough.
 STORE_WAIT_MS = 300.0
@@ -31,17 +33,28 @@
 
 
 class RowKeeping:
-    """Revisions of this node's row that the store and other nodes have."""
+    """Which revisions of this node's row the store and other nodes have."""
 
     def __init__(
         self, clock: clocks.Clock, wheel: deadlines.DeadlineWheel
     ) -> None:
         self._clock = clock
         self._wheel = wheel
+        self._departures: departures.Departures = ()
+        # First revision of the row that names all its departures.
+        self._needed = _NOTHING
         self._stored = _NOTHING
         self._told = _NOTHING
         self._waits: list[_Wait] = []
 
+    def note_own(self, row: memberrow.Row) -> bool:
+        """Note this node's row; False if it names no other departures."""
+        if row.departures == self._departures:
+            return False
+        self._departures = row.departures
+        self._needed = row.revision
+        return True
+
     def note_stored(self, revision: Revision) -> None:
         """Note that the store has a revision of the row."""
         self._stored = max(self._stored, revision)
@@ -52,18 +65,18 @@
         self._told = max(self._told, revision)
         self._check()
 
-    def has(self, revision: Revision) -> bool:
-        """Whether any other place has a revision of the row."""
-        return max(self._stored, self._told) >= revision
+    @property
+    def is_kept(self) -> bool:
+        """Whether any other place has all departures."""
+        return max(self._stored, self._told) >= self._needed
 
-    def wait(self, revision: Revision, on_kept: OnKept) -> None:
-        """Call back, with False if no other place has the revision in time.
+    def when_kept(self, on_kept: OnKept) -> None:
+        """Call back, with False if no other place has the departures in time.
 
         Args:
-            revision: Revision of the row that must not be lost.
-            on_kept: Called once, at once if the store has the revision.
+            on_kept: Called once, at once if the store has them.
         """
-        wait = _Wait(revision, on_kept, self._clock.now_ms())
+        wait = _Wait(self._needed, on_kept, self._clock.now_ms())
         self._waits.append(wait)
         self._check()
         if wait in self._waits:
--- a/src/parsleystile/relay/rowspread.py
+++ b/src/parsleystile/relay/rowspread.py
@@ -10,12 +10,12 @@
 import dataclasses
 
 from parsleystile import ids
-from parsleystile.relay import memberlist
+from parsleystile.relay import memberrow
 
 
 @dataclasses.dataclass(slots=True)
 class _Pending:
-    row: memberlist.Row
+    row: memberrow.Row
     # Peers that sent the row and need no copy.
     senders: set[ids.NodeId]
     crosses_domains: bool
@@ -30,7 +30,7 @@
     def __len__(self) -> int:
         return len(self._pending)
 
-    def put(self, row: memberlist.Row, sender: ids.NodeId) -> None:
+    def put(self, row: memberrow.Row, sender: ids.NodeId) -> None:
         """Pass a new row on; it replaces an older one of the same node.
 
         Args:
@@ -41,15 +41,15 @@
         crosses_domains = sender == row.node_id
         self._pending[row.node_id] = _Pending(row, {sender}, crosses_domains)
 
-    def note_copy(self, row: memberlist.Row, sender: ids.NodeId) -> None:
+    def note_copy(self, row: memberrow.Row, sender: ids.NodeId) -> None:
         """Note that a peer sent a row that is already known."""
         pending = self._pending.get(row.node_id)
         if pending is not None and row.covers(pending.row):
             pending.senders.add(sender)
 
     def flush(
-        self, peers: list[memberlist.Row], own_domain: ids.FailureDomainId
-    ) -> dict[ids.NodeId, list[memberlist.Row]]:
+        self, peers: list[memberrow.Row], own_domain: ids.FailureDomainId
+    ) -> dict[ids.NodeId, list[memberrow.Row]]:
         """Return the rows for each peer that lacks some; none then wait.
 
         Args:
@@ -57,7 +57,7 @@
             own_domain: Failure domain of this node.
         """
         pending, self._pending = self._pending, {}
-        messages: dict[ids.NodeId, list[memberlist.Row]] = {}
+        messages: dict[ids.NodeId, list[memberrow.Row]] = {}
         for peer in peers:
             is_near = peer.domain == own_domain
             rows = [
--- a/src/parsleystile/relay/statemessages.py
+++ b/src/parsleystile/relay/statemessages.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from parsleystile import ids
-from parsleystile.relay import memberlist
+from parsleystile.relay import memberrow
 
 
 _MAX_ERA = 2**40
@@ -73,7 +73,7 @@
     buckets: list[int] = []
     wanted: list[int] = []
     wanted_of: int = 0
-    rows: list[memberlist.Row] = []
+    rows: list[memberrow.Row] = []
     knows_all: bool = False
     store_age_ms: int | None = None
     era: typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_ERA)] | None = None
@@ -84,4 +84,4 @@
     """New rows, passed on by a node."""
 
     sender: ids.NodeId
-    rows: list[memberlist.Row]
+    rows: list[memberrow.Row]
--- a/src/parsleystile/relay/statesync.py
+++ b/src/parsleystile/relay/statesync.py
@@ -22,6 +22,7 @@
 from parsleystile import link as links_module
 from parsleystile.relay import logevents
 from parsleystile.relay import memberlist
+from parsleystile.relay import memberrow
 from parsleystile.relay import policy as policies
 from parsleystile.relay import reachability as reachability_module
 from parsleystile.relay import rowkeeping
@@ -60,11 +61,11 @@
     """Durable storage of this node's row; its methods do not block."""
 
     @abc.abstractmethod
-    def publish(self, row: memberlist.Row) -> None:
+    def publish(self, row: memberrow.Row) -> None:
         """Write the node's own row in the background; the last call wins."""
 
     @abc.abstractmethod
-    def withdraw(self, row: memberlist.Row) -> None:
+    def withdraw(self, row: memberrow.Row) -> None:
         """Remove the node's own row in the background."""
 
 
@@ -72,7 +73,7 @@
 # Encodes a payload with the document of another one, or with the domains that
 # the other one takes out, or both.
 Combine = typing.Callable[[bytes, bytes, bool, bool], bytes]
-OnRow = typing.Callable[[memberlist.Row], None]
+OnRow = typing.Callable[[memberrow.Row], None]
 
 
 class StateSync:
@@ -94,7 +95,7 @@
             may be from an earlier incarnation.
         on_departures_heard: Called after this node heard of departures of its
             own target, of before a restart or of before it had its address.
-        keeping: Which revisions of this node's row other places have.
+        keeping: Whether another place has this node's departures.
     """
 
     def __init__(
@@ -119,9 +120,6 @@
         self.on_previous_own_row: OnRow = lambda row: None
         self.on_departures_heard: typing.Callable[[], None] = lambda: None
         self.keeping = rowkeeping.row_keeping(clock, wheel)
-        # First revision of the own row that has all its departures.
-        self._departures_revision = member_list.own_row.revision
-        self._departures = member_list.own_row.departures
         self._links = links
         self._member_list = member_list
         self._reachability = reachability
@@ -136,7 +134,7 @@
         # Snapshot of the store that waits for what a peer has.
         self._held: statemessages.Snapshot | None = None
         self._has_heard_peer = False
-        self._published: memberlist.Row | None = None
+        self._published: memberrow.Row | None = None
         self._next_sync_ms = 0.0
         # Node that has just become reachable; it is next to exchange with.
         self._returned: ids.NodeId | None = None
@@ -284,7 +282,7 @@
         """
         offered = self.snapshot
         domain = self._member_list.own_row.domain
-        far: list[memberlist.Row] = []
+        far: list[memberrow.Row] = []
         for peer in self._member_list.peers():
             if peer.domain != domain:
                 far.append(peer)
@@ -308,7 +306,7 @@
 
     def merge_rows(
         self,
-        rows: typing.Iterable[memberlist.Row],
+        rows: typing.Iterable[memberrow.Row],
         source: str,
         is_spread: bool = True,
     ) -> None:
@@ -355,7 +353,7 @@
             self._pass_on_own()
         self.on_members_changed()
 
-    def _end_predecessor(self, row: memberlist.Row) -> bool:
+    def _end_predecessor(self, row: memberrow.Row) -> bool:
         """Take a node as gone and tell the others; False if it was.
 
         Its address is this node's, so that it can't be running.
@@ -372,7 +370,7 @@
         self._pass_on(gone, gone.node_id)
         return True
 
-    def _return_row(self, row: memberlist.Row) -> None:
+    def _return_row(self, row: memberrow.Row) -> None:
         """Send a node its row with departures that it does not name."""
         self._recorder.count('departures-returned')
         own = self._member_list.own_row.node_id
@@ -384,7 +382,7 @@
             _ignore_reply,
         )
 
-    def _log_row(self, row: memberlist.Row, source: str) -> None:
+    def _log_row(self, row: memberrow.Row, source: str) -> None:
         # Bounded, since a large fleet may change as a whole.
         if not self._recorder.log.try_acquire(logevents.MemberChanged):
             return
@@ -401,7 +399,7 @@
             )
         )
 
-    def is_predecessor(self, row: memberlist.Row) -> bool:
+    def is_predecessor(self, row: memberrow.Row) -> bool:
         """Whether a row is of a node whose address this node has now."""
         return self._member_list.is_predecessor(row)
 
@@ -437,35 +435,15 @@
 
     def _publish_heard(self) -> None:
         """Publish this node's row after what others said changed it."""
-        is_heard = self._member_list.own_row.departures != self._departures
+        is_heard = self.keeping.note_own(self._member_list.own_row)
         self.publish()
         if is_heard:
             self.on_departures_heard()
 
-    def when_departures_kept(self, on_kept: rowkeeping.OnKept) -> None:
-        """Call back once another place has this node's departures.
-
-        Args:
-            on_kept: Called once; with False if none has them in time.
-        """
-        if not self._departures:
-            on_kept(True)
-        else:
-            self.keeping.wait(self._departures_revision, on_kept)
-
-    @property
-    def are_departures_kept(self) -> bool:
-        """Whether another place has this node's departures."""
-        return not self._departures or self.keeping.has(
-            self._departures_revision
-        )
-
     def publish(self) -> None:
         """Pass this node's row on, and store what must outlast the fleet."""
         row = self._member_list.own_row
-        if row.departures != self._departures:
-            self._departures = row.departures
-            self._departures_revision = row.revision
+        self.keeping.note_own(row)
         if self.store is not None and is_stored_anew(row, self._published):
             self._published = row
             self.store.publish(row)
@@ -488,7 +466,7 @@
         row = self._member_list.own_row
         self._pass_on(row, row.node_id)
 
-    def _pass_on(self, row: memberlist.Row, sender: ids.NodeId) -> None:
+    def _pass_on(self, row: memberrow.Row, sender: ids.NodeId) -> None:
         if not self._spread:
             due_ms = self._clock.now_ms() + _SPREAD_DELAY_MS
             self._wheel.add(due_ms, self._spread_rows)
@@ -511,7 +489,7 @@
             )
 
     def _own_row_told(
-        self, rows: list[memberlist.Row]
+        self, rows: list[memberrow.Row]
     ) -> transport.OnControlReply:
         """Return what to do with the reply to a message of rows."""
         own = self._member_list.own_row
@@ -568,7 +546,7 @@
         )
 
     def _send(
-        self, peer: memberlist.Row, message: statemessages.SyncMessage
+        self, peer: memberrow.Row, message: statemessages.SyncMessage
     ) -> None:
         sent_ms = self._clock.now_ms()
 
@@ -592,7 +570,7 @@
 
     def _on_reply(
         self,
-        peer: memberlist.Row,
+        peer: memberrow.Row,
         sent: statemessages.SyncMessage,
         remote: statemessages.SyncMessage,
     ) -> None:
@@ -634,7 +612,7 @@
             self._note_complete()
 
     def _compare_rows(
-        self, peer: memberlist.Row, remote: statemessages.SyncMessage
+        self, peer: memberrow.Row, remote: statemessages.SyncMessage
     ) -> None:
         digest = self._member_list.digest
         self._note_same_rows(remote)
@@ -736,7 +714,7 @@
             wanted_of=count,
         )
 
-    def _rows_of(self, buckets: list[int], count: int) -> list[memberlist.Row]:
+    def _rows_of(self, buckets: list[int], count: int) -> list[memberrow.Row]:
         if not bucketdigests.is_bucket_count(count):
             self._recorder.input_rejected(SYNC_KIND, f'{count} buckets')
             return []
@@ -778,7 +756,7 @@
 
 
 def _lacks_departure(
-    row: memberlist.Row, known: memberlist.Row | None, merged: memberlist.Row
+    row: memberrow.Row, known: memberrow.Row | None, merged: memberrow.Row
 ) -> bool:
     """Whether the latest row by its own node lacks a merged departure.
 
@@ -794,7 +772,7 @@
 
 
 def is_stored_anew(
-    row: memberlist.Row, published: memberlist.Row | None
+    row: memberrow.Row, published: memberrow.Row | None
 ) -> bool:
     """Whether the store needs a row, given the one that it got last.
 
@@ -809,7 +787,7 @@
     )
 
 
-def _state_name(row: memberlist.Row) -> str:
+def _state_name(row: memberrow.Row) -> str:
     if row.is_gone:
         return 'gone'
     return 'serving' if row.is_serving else 'no-target'
--- a/src/parsleystile/relay/targetreports.py
+++ b/src/parsleystile/relay/targetreports.py
@@ -79,9 +79,12 @@
         if len(self._departed) > _MAX_DEPARTED:
             self._departed.pop(next(iter(self._departed)))
 
-    def departure_of(self, target_id: ids.TargetId) -> departures.Departure:
-        """Return the latest departure under an id that has departed."""
-        return departures.Departure(target_id, self._departed[target_id])
+    def departures_of(self, target_id: ids.TargetId) -> departures.Departures:
+        """Return the latest departure under an id; none if it is unknown."""
+        started_ms = self._departed.get(target_id)
+        if started_ms is None:
+            return ()
+        return (departures.Departure(target_id, started_ms),)
 
     def handle(self, report: Report) -> Effect:
         """Apply a report and return its effect."""
--- a/tests/rolloutfleet.py
+++ b/tests/rolloutfleet.py
@@ -10,6 +10,7 @@
 from parsleystile import clock as clocks
 from parsleystile import errors
 from parsleystile.relay import memberlist
+from parsleystile.relay import memberrow
 from parsleystile.relay import policy
 from parsleystile.relay import rolloutcontrol
 from parsleystile.relay import rolloutgroups
@@ -103,7 +104,7 @@
         self.guard = _Guard()
         index = int(name[1:])
         self.member_list = memberlist.member_list(
-            memberlist.Row(
+            memberrow.Row(
                 node_id=name,
                 domain='abc'[index % 3],
                 region='r',
--- a/tests/statefleet.py
+++ b/tests/statefleet.py
@@ -10,6 +10,7 @@
 from parsleystile import errors
 from parsleystile import ids
 from parsleystile.relay import memberlist
+from parsleystile.relay import memberrow
 from parsleystile.relay import reachability
 from parsleystile.relay import stalls
 from parsleystile.relay import statesync
@@ -116,7 +117,7 @@
         self.address = transport.Address(host, 7000)
         self.links = _Links(fleet, self.address)
         self.member_list = memberlist.member_list(
-            memberlist.Row(
+            memberrow.Row(
                 node_id=self.node_id,
                 domain=ids.FailureDomainId(domain),
                 region=ids.RegionId('r'),
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -15,6 +15,7 @@
 from parsleystile import ids
 from parsleystile.relay import departures
 from parsleystile.relay import memberlist
+from parsleystile.relay import memberrow
 from parsleystile.relay import rowkeeping
 from parsleystile.relay import targetreports
 from tests import asyncutil
@@ -41,7 +42,7 @@
 
 
 def _row(node_id='b', **fields):
-    return memberlist.Row(
+    return memberrow.Row(
         node_id=ids.NodeId(node_id),
         domain=ids.FailureDomainId('a'),
         region=ids.RegionId('r'),
@@ -144,7 +145,7 @@
 def test_a_row_of_a_build_that_names_one_departure_tells_it():
     data = msgspec.to_builtins(_row())
     data |= {'departed_id': 'i-1', 'departed_born_ms': 5}
-    row = memberlist.decode_row(msgspec.msgpack.encode(data))
+    row = memberrow.decode_row(msgspec.msgpack.encode(data))
     assert row.departures == _departed('i-1')
 
 
@@ -290,23 +291,39 @@
             clock.advance(duration_ms)
             wheel.expire(clock.now_ms())
 
-        return rowkeeping.row_keeping(clock, wheel), run
+        keeping = rowkeeping.row_keeping(clock, wheel)
+        row = _row(incarnation=1, sequence=2, departures=_departed('i-1'))
+        assert keeping.note_own(row)
+        return keeping, run
 
     def test_the_store_confirms_at_once(self):
         keeping, _ = self._keeping()
         kept = []
         keeping.note_stored((1, 2))
-        keeping.wait((1, 2), kept.append)
-        keeping.wait((1, 3), kept.append)
+        keeping.when_kept(kept.append)
+        assert kept == [True]
+        later = _row(
+            incarnation=1, sequence=4, departures=_departed('i-1', 'i-2')
+        )
+        keeping.note_own(later)
+        keeping.when_kept(kept.append)
+        keeping.note_stored((1, 3))
         assert kept == [True]
         keeping.note_stored((2, 0))
         assert kept == [True, True]
 
+    def test_a_change_without_a_departure_needs_no_other_place(self):
+        keeping, _ = self._keeping()
+        keeping.note_stored((1, 2))
+        row = _row(incarnation=1, sequence=9, departures=_departed('i-1'))
+        assert not keeping.note_own(row)
+        assert keeping.is_kept
+
     def test_another_node_is_enough_only_if_the_store_is_silent(self):
         keeping, run = self._keeping()
         kept = []
         keeping.note_told((1, 2))
-        keeping.wait((1, 2), kept.append)
+        keeping.when_kept(kept.append)
         assert kept == []
         run(rowkeeping.STORE_WAIT_MS + 10.0)
         assert kept == [True]
@@ -315,7 +332,7 @@
     def test_what_no_other_place_has_is_not_confirmed(self, told):
         keeping, run = self._keeping()
         kept = []
-        keeping.wait((1, 2), kept.append)
+        keeping.when_kept(kept.append)
         for revision in told:
             keeping.note_told(revision)
         run(rowkeeping.STORE_WAIT_MS + 10.0)
@@ -328,7 +345,7 @@
 
 async def _kept(machine):
     done = asyncio.get_running_loop().create_future()
-    machine.node.state_sync.when_departures_kept(done.set_result)
+    machine.node.state_sync.keeping.when_kept(done.set_result)
     return await done
 
 
@@ -407,7 +424,7 @@
     async def body(fleet):
         fleet.store.refusal_status = 503
         done = []
-        fleet.machines[0].node.state_sync.when_departures_kept(done.append)
+        fleet.machines[0].node.state_sync.keeping.when_kept(done.append)
         assert done == [True]
 
     platformfleet.run_with_fleet(body, count=1)
@@ -420,7 +437,7 @@
         fleet.store.refusal_status = 503
         machine.report(GONE)
         handed_over = asyncio.ensure_future(
-            process.hand_over_departures(machine.node.state_sync)
+            process.hand_over_departures(machine.node.state_sync.keeping)
         )
         await asyncio.sleep(0.1)
         if is_stored:
@@ -430,9 +447,20 @@
     platformfleet.run_with_fleet(body, count=1)
 
 
+def test_a_leaving_target_without_a_name_changes_nothing():
+    # A sender's notice of another target may name none.
+    async def body(fleet):
+        machine = fleet.machines[0]
+        machine.node.guard.notices.on_leaving('', 0)
+        assert machine.node.member_list.own_row.departures == ()
+        assert machine.node.guard.target is not None
+
+    platformfleet.run_with_fleet(body, count=1)
+
+
 def test_names_of_departures_are_bounded():
     row = _row(departures=_departed('x' * 300))
-    assert memberlist.decode_row(memberlist.encode_row(row)) is None
+    assert memberrow.decode_row(memberrow.encode_row(row)) is None
 
 
 def test_all_departures_of_a_vm_fit_the_target_size():
@@ -441,6 +469,6 @@
         departures.Departure(f'i-{i:08x}', 1_796_616_000_000 + i)
         for i in itertools.islice(itertools.count(), departures.MAX_KEPT)
     )
-    plain = len(memberlist.encode_row(_row()))
-    extra = len(memberlist.encode_row(_row(departures=facts))) - plain
+    plain = len(memberrow.encode_row(_row()))
+    extra = len(memberrow.encode_row(_row(departures=facts))) - plain
     assert extra * 6_200 / 60 < 26_000
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -20,7 +20,7 @@
 from parsleystile.gen import ttypes
 from parsleystile.relay import httpserver
 from parsleystile.relay import logevents
-from parsleystile.relay import memberlist
+from parsleystile.relay import memberrow
 from parsleystile.relay import targetreports
 from parsleystile.relay import telemetry
 from parsleystile import wire
@@ -379,7 +379,7 @@
     os.close(descriptor)
     assert answers == [200 if accepted else 400]
     for report in accepted:
-        row = memberlist.Row(
+        row = memberrow.Row(
             node_id='n1',
             domain='a',
             region='r',
@@ -390,7 +390,7 @@
             slots=report.slots,
             departed_born_ms=report.started_ms,
         )
-        assert memberlist.decode_row(memberlist.encode_row(row)) == row
+        assert memberrow.decode_row(memberrow.encode_row(row)) == row
         load = ttypes.Load(report.slots, report.slots, 0, 3.0)
         refusal = errors.not_run(errors.Reason.SHED)
         answer = wire.answer_from_refusal(1, refusal, 0, load)
--- a/tests/test_platform_changes.py
+++ b/tests/test_platform_changes.py
@@ -6,7 +6,7 @@
 
 
 from parsleystile import errors
-from parsleystile.relay import memberlist
+from parsleystile.relay import memberrow
 from parsleystile.relay import statemessages
 from parsleystile.relay import targetreports
 from tests import asyncutil
@@ -82,7 +82,7 @@
     async def body(fleet):
         own = fleet.machines[0].node.member_list.own_row
         lost = msgspec.structs.replace(own, node_id='lost', incarnation=7)
-        fleet.store.put('nodes', 'lost', memberlist.encode_row(lost))
+        fleet.store.put('nodes', 'lost', memberrow.encode_row(lost))
         await asyncutil.wait_until(
             lambda: fleet.store.value('nodes', 'lost') is None
         )
--- a/tests/test_platform_restored_store.py
+++ b/tests/test_platform_restored_store.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from parsleystile.relay import memberlist
+from parsleystile.relay import memberrow
 from parsleystile.relay import statemessages
 from parsleystile.relay import storeera
 from parsleystile.relay import targetreports
@@ -199,7 +199,7 @@
             departed_id='',
             sequence=0,
         )
-        older = memberlist.encode_row(row)
+        older = memberrow.encode_row(row)
         fleet.store.change_copy('nodes', 'n1', older)
         fleet.store.restore()
         await asyncutil.wait_until(
--- a/tests/test_platform_store_answers.py
+++ b/tests/test_platform_store_answers.py
@@ -10,7 +10,7 @@
 
 from adapter import store as stores
 from parsleystile import clock as clocks
-from parsleystile.relay import memberlist
+from parsleystile.relay import memberrow
 from parsleystile.relay import statemessages
 from parsleystile.relay import storeera
 from parsleystile.relay import telemetry
@@ -156,7 +156,7 @@
 
     async def body(client):
         client.publish(
-            memberlist.Row(
+            memberrow.Row(
                 node_id='n0',
                 domain='a',
                 region='r',
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -13,6 +13,7 @@
 from parsleystile.relay import declaredlimit
 from parsleystile.relay import ingress
 from parsleystile.relay import memberlist
+from parsleystile.relay import memberrow
 from parsleystile.relay import policy
 from parsleystile.relay import retrybudget
 from parsleystile.relay import targetreports
@@ -272,7 +273,7 @@
 
 
 def _row(node_id, **fields):
-    return memberlist.Row(
+    return memberrow.Row(
         node_id=ids.NodeId(node_id),
         domain=ids.FailureDomainId('a'),
         region=ids.RegionId('r'),
@@ -328,7 +329,7 @@
 
     @pytest.mark.parametrize('data', [b'', b'\xc1', b'\x80', b'not a row'])
     def test_invalid_bytes_decode_to_no_row(self, data):
-        assert memberlist.decode_row(data) is None
+        assert memberrow.decode_row(data) is None
 
     @pytest.mark.parametrize(
         'change',
@@ -344,11 +345,11 @@
     def test_a_row_that_can_not_be_true_is_not_taken(self, change):
         # Its author would count on from it until no message could carry it.
         row = msgspec.structs.replace(_row('a'), **change)
-        assert memberlist.decode_row(memberlist.encode_row(row)) is None
+        assert memberrow.decode_row(memberrow.encode_row(row)) is None
 
     def test_rows_round_trip_through_encoding(self):
         row = _row('a', departed_id=ids.TargetId('i-1'), departed_born_ms=5)
-        assert memberlist.decode_row(memberlist.encode_row(row)) == row
+        assert memberrow.decode_row(memberrow.encode_row(row)) == row
 
 
 class TestPolicy:
--- a/tests/test_relay_state.py
+++ b/tests/test_relay_state.py
@@ -12,6 +12,7 @@
 
 from parsleystile import ids
 from parsleystile.relay import memberlist
+from parsleystile.relay import memberrow
 from parsleystile.relay import overlay
 from parsleystile.relay import rowdigest
 from parsleystile.relay import rowspread
@@ -32,7 +33,7 @@
 
 
 def _row(node_id, **fields):
-    return memberlist.Row(
+    return memberrow.Row(
         node_id=ids.NodeId(node_id),
         domain=ids.FailureDomainId('a'),
         region=ids.RegionId('r'),
