--- a/tests/statefleet.py
+++ b/tests/statefleet.py
@@ -21,6 +21,18 @@
 SERVICE = ids.ServiceName('yard')
 
 
+def row(node_id='b', **fields):
+    """Return the row of a node at an address of its own."""
+    return memberrow.Row(
+        node_id=ids.NodeId(node_id),
+        domain=ids.FailureDomainId('a'),
+        region=ids.RegionId('r'),
+        host=node_id,
+        port=7000,
+        **fields,
+    )
+
+
 class Timeline:
     """Simulated clock, deadline wheel and event queue in one."""
 
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -1,7 +1,6 @@
 """Departures of targets: facts that no restart and no order loses."""
 
 import asyncio
-import itertools
 import random
 
 import hypothesis
@@ -12,7 +11,6 @@
 from adapter import process
 from parsleystile import clock as clocks
 from parsleystile import deadlines
-from parsleystile import ids
 from parsleystile.relay import departures
 from parsleystile.relay import memberlist
 from parsleystile.relay import memberrow
@@ -41,17 +39,6 @@
     return tuple(departures.Departure(name, born_ms) for name in names)
 
 
-def _row(node_id='b', **fields):
-    return memberrow.Row(
-        node_id=ids.NodeId(node_id),
-        domain=ids.FailureDomainId('a'),
-        region=ids.RegionId('r'),
-        host=node_id,
-        port=7000,
-        **fields,
-    )
-
-
 class TestJoin:
     @hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
     @hypothesis.given(_DEPARTURES, st.randoms(use_true_random=False))
@@ -100,7 +87,7 @@
                 known = departures.join(known, _departed(target_id))
                 left = departures.join(left, known)
             rows.append(
-                _row(
+                statefleet.row(
                     incarnation=incarnation,
                     sequence=sequence,
                     target_id=target_id,
@@ -122,8 +109,8 @@
     for _ in range(10):
         heard = rows + rng.choices(rows, k=5)
         rng.shuffle(heard)
-        members = memberlist.member_list(_row('a'))
-        other = memberlist.member_list(_row('a'))
+        members = memberlist.member_list(statefleet.row('a'))
+        other = memberlist.member_list(statefleet.row('a'))
         for row in heard:
             rng.choice([members, other]).merge(row)
         # Rows that were joined on the way are passed on as well.
@@ -143,14 +130,14 @@
 
 
 def test_a_row_of_a_build_that_names_one_departure_tells_it():
-    data = msgspec.to_builtins(_row())
+    data = msgspec.to_builtins(statefleet.row())
     data |= {'departed_id': 'i-1', 'departed_born_ms': 5}
     row = memberrow.decode_row(msgspec.msgpack.encode(data))
     assert row.departures == _departed('i-1')
 
 
 def test_a_row_names_its_last_departure_for_builds_that_know_only_one():
-    members = memberlist.member_list(_row('a'))
+    members = memberlist.member_list(statefleet.row('a'))
     members.add_departures(_departed('i-1', born_ms=5))
     members.add_departures(_departed('i-0', born_ms=4))
     assert members.own_row.departed_id == 'i-1'
@@ -158,9 +145,9 @@
 
 
 def test_a_target_of_a_build_that_tells_no_start_time_is_served():
-    members = memberlist.member_list(_row('a'))
+    members = memberlist.member_list(statefleet.row('a'))
     members.merge(
-        _row(
+        statefleet.row(
             service='yard',
             slots=1,
             target_id='i-1',
@@ -292,7 +279,9 @@
             wheel.expire(clock.now_ms())
 
         keeping = rowkeeping.row_keeping(clock, wheel)
-        row = _row(incarnation=1, sequence=2, departures=_departed('i-1'))
+        row = statefleet.row(
+            incarnation=1, sequence=2, departures=_departed('i-1')
+        )
         assert keeping.note_own(row)
         return keeping, run
 
@@ -302,7 +291,7 @@
         keeping.note_stored((1, 2))
         keeping.when_kept(kept.append)
         assert kept == [True]
-        later = _row(
+        later = statefleet.row(
             incarnation=1, sequence=4, departures=_departed('i-1', 'i-2')
         )
         keeping.note_own(later)
@@ -315,7 +304,9 @@
     def test_a_change_without_a_departure_needs_no_other_place(self):
         keeping, _ = self._keeping()
         keeping.note_stored((1, 2))
-        row = _row(incarnation=1, sequence=9, departures=_departed('i-1'))
+        row = statefleet.row(
+            incarnation=1, sequence=9, departures=_departed('i-1')
+        )
         assert not keeping.note_own(row)
         assert keeping.is_kept
 
@@ -459,7 +450,7 @@
 
 
 def test_names_of_departures_are_bounded():
-    row = _row(departures=_departed('x' * 300))
+    row = statefleet.row(departures=_departed('x' * 300))
     assert memberrow.decode_row(memberrow.encode_row(row)) is None
 
 
@@ -467,8 +458,8 @@
     # 6,200 nodes whose rows change once a minute, passed on by each node.
     facts = tuple(
         departures.Departure(f'i-{i:08x}', 1_796_616_000_000 + i)
-        for i in itertools.islice(itertools.count(), departures.MAX_KEPT)
+        for i in range(departures.MAX_KEPT)
     )
-    plain = len(memberrow.encode_row(_row()))
-    extra = len(memberrow.encode_row(_row(departures=facts))) - plain
+    plain = len(memberrow.encode_row(statefleet.row()))
+    extra = len(memberrow.encode_row(statefleet.row(departures=facts))) - plain
     assert extra * 6_200 / 60 < 26_000
--- a/tests/test_relay_state.py
+++ b/tests/test_relay_state.py
@@ -12,7 +12,6 @@
 
 from parsleystile import ids
 from parsleystile.relay import memberlist
-from parsleystile.relay import memberrow
 from parsleystile.relay import overlay
 from parsleystile.relay import rowdigest
 from parsleystile.relay import rowspread
@@ -32,17 +31,6 @@
     }
 
 
-def _row(node_id, **fields):
-    return memberrow.Row(
-        node_id=ids.NodeId(node_id),
-        domain=ids.FailureDomainId('a'),
-        region=ids.RegionId('r'),
-        host=node_id,
-        port=7000,
-        **fields,
-    )
-
-
 def _reached(nodes, start, is_reachable):
     """Return the number of hops to the last node that passing on reaches."""
     domain_of = {n: d for d, ring in nodes.items() for n in ring}
@@ -150,11 +138,11 @@
 class TestRowSpread:
     def test_rows_go_to_peers_that_did_not_send_them(self):
         spread = rowspread.row_spread()
-        row = _row('x', incarnation=1)
+        row = statefleet.row('x', incarnation=1)
         spread.put(row, ids.NodeId('a'))
         spread.note_copy(row, ids.NodeId('b'))
-        spread.put(_row('c', incarnation=1), ids.NodeId('a'))
-        peers = [_row(n) for n in 'abc']
+        spread.put(statefleet.row('c', incarnation=1), ids.NodeId('a'))
+        peers = [statefleet.row(n) for n in 'abc']
         messages = spread.flush(peers, peers[0].domain)
         assert {
             peer: [r.node_id for r in rows] for peer, rows in messages.items()
@@ -163,16 +151,20 @@
 
     def test_rows_cross_domains_near_their_own_node_only(self):
         spread = rowspread.row_spread()
-        spread.put(_row('x', incarnation=1), ids.NodeId('x'))
-        spread.put(_row('y', incarnation=1), ids.NodeId('a'))
-        messages = spread.flush([_row('b'), _row('c')], 'another')
+        spread.put(statefleet.row('x', incarnation=1), ids.NodeId('x'))
+        spread.put(statefleet.row('y', incarnation=1), ids.NodeId('a'))
+        messages = spread.flush(
+            [statefleet.row('b'), statefleet.row('c')], 'another'
+        )
         assert {r.node_id for rows in messages.values() for r in rows} == {'x'}
 
 
 class TestMemberList:
     def test_a_gone_row_wins_at_the_same_revision(self):
-        member_list = memberlist.member_list(_row('own', incarnation=1))
-        row = _row('b', incarnation=3, sequence=2)
+        member_list = memberlist.member_list(
+            statefleet.row('own', incarnation=1)
+        )
+        row = statefleet.row('b', incarnation=3, sequence=2)
         member_list.merge(row)
         gone = msgspec.structs.replace(row, is_gone=True)
         assert member_list.merge(gone)
@@ -180,13 +172,15 @@
         assert member_list.node_ids == ['own']
 
     def test_a_removed_row_does_not_end_a_later_incarnation(self):
-        member_list = memberlist.member_list(_row('own', incarnation=1))
-        member_list.merge(_row('b', incarnation=4))
+        member_list = memberlist.member_list(
+            statefleet.row('own', incarnation=1)
+        )
+        member_list.merge(statefleet.row('b', incarnation=4))
         assert member_list.gone_row(ids.NodeId('b'), 3) is None
         assert member_list.gone_row(ids.NodeId('b'), 4).is_gone
 
     def test_a_node_taken_for_gone_announces_itself_anew(self):
-        own = _row('own', incarnation=1)
+        own = statefleet.row('own', incarnation=1)
         member_list = memberlist.member_list(own)
         gone = msgspec.structs.replace(own, is_gone=True)
         assert member_list.merge(gone)
@@ -194,19 +188,25 @@
         assert member_list.own_row.revision > own.revision
 
     def test_rows_of_gone_nodes_do_not_grow_without_bound(self):
-        member_list = memberlist.member_list(_row('own', incarnation=1))
+        member_list = memberlist.member_list(
+            statefleet.row('own', incarnation=1)
+        )
         for i in range(2_000):
-            member_list.merge(_row(f'n{i}', incarnation=1))
-            member_list.merge(_row(f'n{i}', incarnation=2, is_gone=True))
+            member_list.merge(statefleet.row(f'n{i}', incarnation=1))
+            member_list.merge(
+                statefleet.row(f'n{i}', incarnation=2, is_gone=True)
+            )
         rows = [row for i in range(256) for row in member_list.rows_in(i, 256)]
         assert len(rows) < 300
         assert member_list.row(ids.NodeId('n1999')).is_gone
 
     def test_only_changed_services_are_reported(self):
-        member_list = memberlist.member_list(_row('own', incarnation=1))
+        member_list = memberlist.member_list(
+            statefleet.row('own', incarnation=1)
+        )
         for i in range(10):
             member_list.merge(
-                _row(
+                statefleet.row(
                     f'n{i}',
                     service=f's{i % 2}',
                     is_serving=True,
