Show a departed target in use after all nodes were killed

Cause: a departure is acknowledged as soon as one other node was told of it, and no node outlasts a kill of all of them while the store is down.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,105 +1,132 @@
-"""An interim answer is written into the body of the answer before it."""
+"""A back end that left is used again after all nodes were killed."""
 
 import asyncio
+import contextlib
 import pathlib
 import sys
+import time
 
 import standins
 
-# Larger than what the sockets of both ends take.
-_ANSWER_BYTES = 12_000_000
-_READ_BYTES = 65_536
-
-
-async def _read_answer(connection, size):
-    """Read an answer as it comes; return its status, headers and body."""
-    while True:
-        head = await standins.read_head(connection.reader)
-        if head is None:
-            return None
-        first, headers = head
-        status = int(first.split(' ')[1])
-        if status >= 200:
-            break
-    length = int(headers.get('content-length', 0))
-    parts = []
-    while length:
-        data = await connection.reader.read(min(length, _READ_BYTES))
-        if not data:
-            return None
-        parts.append(data)
-        length -= len(data)
-    return status, headers, b''.join(parts)
+# As for the site: the store is down, the processes are away, bounds.
+_DOWN_S = 4.5
+_AWAY_S = 2.0
+_DRAIN_S = 2.0
+_STABLE_S = 3.0
+# How late the heartbeat is that was sent before the departure.
+_LATE_S = 4.6
+_PLAY_S = 2.0
+
+
+class _Call:
+    """A request of a client."""
+
+    def __init__(self):
+        self.attempt = standins.new_attempt()
+        self.sent_s = time.monotonic()
+        self.status = 0
+
+    async def play(self, fleet, machine):
+        head = standins.request_head('/safe/stock/a', self.attempt, 1000)
+        with contextlib.suppress(
+            OSError, TimeoutError, asyncio.IncompleteReadError
+        ):
+            async with asyncio.timeout(1.0):
+                async with await standins.connect(
+                    machine.outbound, fleet.client
+                ) as connection:
+                    connection.writer.write(standins.encode(*head))
+                    answer = await standins.read_message(connection.reader)
+                    self.status = 0 if answer is None else answer.status
+
+
+async def _kill_all(fleet):
+    fleet.record.note('all nodes are killed')
+    for machine in fleet.machines:
+        machine.restart_s = _AWAY_S
+        machine.process.kill()
 
 
 async def case(fleet):
-    """Play the exchange three times."""
+    """Let a back end leave while the store is down, then kill all nodes."""
     record = fleet.record
-    breaches = []
+    is_troubled = standins.is_troubled()
     machine = fleet.machines[0]
-    for number in range(3):
-        breaches += await _play(fleet, machine, number)
-    for other in fleet.machines:
-        record.note(f'{other.name} ran {len(other.target.runs)} requests')
-    return breaches
+    target = machine.target
+    await asyncio.sleep(_STABLE_S)
+    late_beat = target.next_beat()
+    sent_s = time.monotonic()
+    record.note(f'{target.instance} sends a heartbeat that will be late')
+    target.is_silent = True
+    if is_troubled:
+        await fleet.store.go_down()
+        record.note('the store is down')
+    down_s = time.monotonic()
+    await asyncio.sleep(0.3)
+    status = await target.deregister()
+    acknowledged_s = time.monotonic()
+    record.note(f'{target.instance} deregisters: {status}')
+    if status != 200:
+        record.note('its departure is not acknowledged, so nobody is bound')
+        return []
+    await asyncio.sleep(0.3)
+    if is_troubled:
+        await _kill_all(fleet)
+    await asyncio.sleep(max(0.0, down_s + _DOWN_S - time.monotonic()))
+    fleet.store.is_down = False
+    record.note('the store serves')
+    served_s = time.monotonic()
+    await asyncio.sleep(max(0.0, sent_s + _LATE_S - time.monotonic()))
+    status = await target.send_beat(late_beat)
+    late_s = time.monotonic() - sent_s
+    record.note(f'the heartbeat arrives, {late_s:.1f} s late: {status}')
+    await _wait_ready(fleet)
+    ready_s = time.monotonic()
+    # All machines are in touch from then on.
+    start_s = max(served_s, ready_s) + _STABLE_S + 0.3
+    await asyncio.sleep(start_s - time.monotonic())
+    calls = await _play(fleet)
+    return _check(fleet, target, calls, acknowledged_s)
 
 
-async def _play(fleet, machine, number):
-    record = fleet.record
-    first, second = standins.new_attempt(), standins.new_attempt()
-    body = b'x' * 200
-    head = standins.request_head(
-        f'/safe/stock/a?size={_ANSWER_BYTES}', first, 5000
-    )
-    connection = await standins.connect(
-        machine.outbound, fleet.client, _READ_BYTES
+async def _wait_ready(fleet):
+    for machine in fleet.machines:
+        while not await machine.is_ready():
+            await asyncio.sleep(0.05)
+
+
+async def _play(fleet):
+    calls, tasks = [], []
+    until_s = time.monotonic() + _PLAY_S
+    fleet.record.note('clients send requests')
+    while time.monotonic() < until_s:
+        for machine in fleet.machines:
+            call = _Call()
+            calls.append(call)
+            tasks.append(fleet.spawn(call.play(fleet, machine)))
+        await asyncio.sleep(0.1)
+    await asyncio.wait(tasks)
+    return calls
+
+
+def _check(fleet, target, calls, acknowledged_s):
+    sent = {call.attempt: call for call in calls}
+    served = sum(call.status == 200 for call in calls)
+    fleet.record.note(f'{served} of {len(calls)} requests served')
+    late = [
+        run.at_s - acknowledged_s
+        for run in target.runs
+        if run.attempt in sent and run.at_s > acknowledged_s + _DRAIN_S
+    ]
+    fleet.record.note(
+        f'{len(late)} of them ran at {target.instance}, which had left'
     )
-    async with connection:
-        connection.writer.write(standins.encode(*head))
-        record.note(f'{number}: sent {first}')
-        answered = None
-        if not standins.is_troubled():
-            answered = await _read_answer(connection, _ANSWER_BYTES)
-        else:
-            # The client is slow; meanwhile it sends its next request.
-            await asyncio.sleep(0.7)
-        head = standins.request_head(
-            '/safe/stock/b?size=30',
-            second,
-            5000,
-            'POST',
-            [('Expect', '100-continue')],
-        )
-        data = standins.encode(*head, body)
-        connection.writer.write(data[: -len(body)])
-        record.note(f'{number}: sent the head of {second}')
-        await asyncio.sleep(0.3)
-        if answered is None:
-            answered = await _read_answer(connection, _ANSWER_BYTES)
-        breaches = _check(record, number, first, answered, _ANSWER_BYTES)
-        if breaches:
-            return breaches
-        connection.writer.write(body)
-        answered = await _read_answer(connection, 30)
-        return _check(record, number, second, answered, 30)
-
-
-def _check(record, number, attempt, answered, size):
-    if answered is None:
-        record.note(f'{number}: {attempt}: the connection ended')
-        return []
-    status, headers, body = answered
-    record.note(f'{number}: {attempt}: {status}, {len(body)} bytes')
-    if not 200 <= status < 300:
+    if not late:
         return []
-    expected = standins.body_of(attempt, size)
-    if body == expected and 'parsleystile-server-signature' in headers:
-        return []
-    at = next(
-        (i for i in range(len(body)) if body[i] != expected[i]), len(body)
-    )
-    found = body[at : at + 40]
-    return [f'MIXED: {attempt} has other bytes from {at} on: {found!r}']
+    return [
+        f'DRAIN: {len(late)} requests ran at a back end {min(late):.1f} to'
+        f' {max(late):.1f} s after its departure was acknowledged'
+    ]
 
 
 if __name__ == '__main__':
@@ -107,6 +134,6 @@
         standins.run(
             case,
             pathlib.Path(__file__).parent,
-            [('a', 'stock'), ('a', 'stock'), ('b', 'stock')],
+            [('a', 'stock'), ('a', 'stock'), ('b', 'stock'), ('c', 'stock')],
         )
     )
--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -125,11 +125,16 @@
 
 
 class Store:
-    """The platform's table store: linearizable, with a feed."""
+    """The platform's table store: linearizable, with a feed.
+
+    Attributes:
+        is_down: Whether it refuses all calls; nothing is done then.
+    """
 
     def __init__(self):
         self.version = 0
         self.address = ('', 0)
+        self.is_down = False
         self._rows = {}
         self._changed = asyncio.Condition()
         self._server = None
@@ -154,10 +159,18 @@
             row['value'] = value
         self._rows[table, part, key] = row
 
+    async def go_down(self):
+        """Refuse all calls, those that wait included."""
+        async with self._changed:
+            self.is_down = True
+            self._changed.notify_all()
+
     async def _serve(self, reader, writer):
         with contextlib.suppress(*_ENDED):
             while (request := await read_message(reader)) is not None:
                 status, body = await self._answer(request)
+                if self.is_down:
+                    status, body = 503, {}
                 data = json.dumps(body).encode()
                 headers = [('Content-Type', 'application/json')]
                 writer.write(encode(f'HTTP/1.1 {status} X', headers, data))
@@ -168,6 +181,8 @@
         _, target, _ = request.first.split(' ')
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query))
+        if self.is_down:
+            return 503, {}
         match url.path:
             case '/v1/rows-get':
                 return 200, self._page(query)
@@ -208,8 +223,10 @@
         async with self._changed:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(int(query['wait_ms']) / 1e3):
-                    await self._changed.wait_for(changed)
-            return self._body(changed())
+                    await self._changed.wait_for(
+                        lambda: self.is_down or changed()
+                    )
+            return self._body([] if self.is_down else changed())
 
     async def _transact(self, body):
         async with self._changed:
@@ -251,6 +268,7 @@
 
     Attributes:
         runs: The requests that it ran.
+        is_silent: Whether it sends no more heartbeats.
         reads_on_s: If set, it answers a request with a body at its head, and
             reads the body that much later.
     """
@@ -262,11 +280,20 @@
         self.slots = slots
         self.runs = []
         self.reads_on_s = None
+        self.is_silent = False
+        self._writers = set()
         self.read_limit = 65_536
         self._born_ms = int(time.time() * 1e3)
         self._sequence = 0
         self._server = None
 
+    async def close(self):
+        """End as a back end that crashes does."""
+        self.is_silent = True
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     async def start(self):
         """Listen at the address of the application."""
         host, port = self.machine.host, self.machine.ports['app']
@@ -276,13 +303,14 @@
 
     async def beat_forever(self):
         """Report to the node as a ready back end does."""
-        while True:
-            await self._beat()
+        while not self.is_silent:
+            await self.send_beat(self.next_beat())
             await asyncio.sleep(1.0)
 
-    async def _beat(self):
+    def next_beat(self):
+        """Return the body of the next heartbeat."""
         self._sequence += 1
-        body = {
+        return {
             'service': self.service,
             'address': f'{self.machine.host}:{self.machine.ports["app"]}',
             'zone': self.machine.zone,
@@ -293,7 +321,17 @@
             'sequence': self._sequence,
             'born': self._born_ms,
         }
-        path = f'/v1/instances/{self.instance}/heartbeat'
+
+    async def send_beat(self, body):
+        """Send a heartbeat; return the status, 0 without an answer."""
+        return await self._tell('heartbeat', body)
+
+    async def deregister(self):
+        """Say that this back end leaves; return the status."""
+        return await self._tell('deregister', {'born': self._born_ms})
+
+    async def _tell(self, verb, body):
+        path = f'/v1/instances/{self.instance}/{verb}'
         address = self.machine.host, self.machine.ports['control']
         head = f'POST {path} HTTP/1.1'
         headers = [('Host', 'node'), ('Content-Type', 'application/json')]
@@ -305,9 +343,12 @@
                 connection = await connect(address, self.machine.host)
                 async with connection:
                     connection.writer.write(data)
-                    await read_message(connection.reader)
+                    answer = await read_message(connection.reader)
+                    return 0 if answer is None else answer.status
+        return 0
 
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         with contextlib.suppress(*_ENDED):
             while (head := await read_head(reader)) is not None:
                 first, headers = head
@@ -320,6 +361,7 @@
                     continue
                 request.body = await reader.readexactly(length)
                 await self._answer(request, writer)
+        self._writers.discard(writer)
         writer.close()
 
     async def _answer(self, request, writer):
@@ -401,6 +443,7 @@
         process: The node's process; None while it doesn't run.
         exits: How often the node's process ended, with the reason.
         most_mb: The most memory that a process of the node took.
+        restart_s: How long after its end the process is started again.
     """
 
     def __init__(self, fleet, index, zone, service):
@@ -414,6 +457,7 @@
         self.process = None
         self.exits = []
         self.most_mb = 0.0
+        self.restart_s = 0.5
         self._is_stopping = False
 
     @property
@@ -452,10 +496,17 @@
             },
         }
 
+    def write_settings(self):
+        """Write the settings file anew, at once as a whole."""
+        path = self.fleet.directory / f'{self.name}.json'
+        fresh = path.with_suffix('.new')
+        fresh.write_text(json.dumps(self._settings()))
+        fresh.replace(path)
+        return path
+
     async def start_node(self):
         """Start the node's process as the platform does."""
-        path = self.fleet.directory / f'{self.name}.json'
-        path.write_text(json.dumps(self._settings()))
+        path = self.write_settings()
         variables = {
             name: os.environ[name]
             for name in ('PATH', 'HOME', 'LANG')
@@ -493,7 +544,7 @@
         self.exits.append(why or f'ended with {process.returncode}')
         if not why:
             self.fleet.record.note(f'{self.name}: {self.exits[-1]}')
-        await asyncio.sleep(0.5)
+        await asyncio.sleep(self.restart_s)
         await self.start_node()
 
     async def stop_node(self, grace_s):
